Lay the foundation: schema, base, framing, and the process core interface

Cause: the parts of the system are written side by side and need one agreed set of messages and one interface between decision logic and input/output. Change: FlatBuffers schemas with committed generated code, base types, checked frames, links over TCP or TLS, data folder with synced operations, Asio runner.

--- /dev/null
+++ b/src/net/frame_codec.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "schema/control_generated.h"
+
+namespace cometstand::net {
+
+/// Largest payload of one frame, in bytes. A configuration snapshot at the two-year size fits many times
+/// over.
+inline constexpr std::size_t kMaxFrameBytes = 64U * 1024U * 1024U;
+
+/// Bytes before the payload: length and checksum, both 32 bits, little-endian. The checksum is the low half
+/// of the payload's XXH3 hash.
+inline constexpr std::size_t kFrameHeaderBytes = 8;
+
+using FrameBytes = std::vector<std::uint8_t>;
+
+/// @return the envelope as one frame, header included.
+/// @throw Error(Invalid) if the payload is larger than kMaxFrameBytes.
+FrameBytes encodeFrame(const wire::EnvelopeT& envelope);
+
+/// Splits a byte stream into envelopes. Owns the bytes that do not yet make a frame.
+class FrameDecoder {
+ public:
+  /// Appends bytes as they came from the stream.
+  void append(std::span<const std::uint8_t> bytes);
+
+  /// @return the next whole envelope, or nothing if more bytes are needed.
+  /// @throw Error(Malformed) if length, checksum or structure is wrong; the stream is then unusable.
+  std::optional<wire::EnvelopeT> next();
+
+ private:
+  std::vector<std::uint8_t> buffer_;
+  std::size_t consumed_ = 0;
+};
+
+}  // namespace cometstand::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,194 @@
+#include "net/link.h"
+
+#include <openssl/x509.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "base/error.h"
+
+namespace cometstand::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kHandshakeTimeLimit = std::chrono::seconds(10);
+
+std::string subjectField(X509_NAME* subject, int field) {
+  constexpr int kMaxFieldBytes = 256;
+  std::array<char, kMaxFieldBytes> text{};
+  const int length = X509_NAME_get_text_by_NID(subject, field, text.data(), kMaxFieldBytes);
+  return length > 0 ? std::string(text.data(), static_cast<std::size_t>(length)) : std::string();
+}
+
+}  // namespace
+
+Link::Link(Socket socket, asio::ssl::context* tls, LinkHandlers handlers)
+    : handlers_(std::move(handlers)), open_timer_(socket.get_executor()) {
+  if (tls != nullptr) {
+    secure_.emplace(std::move(socket), *tls);
+  } else {
+    plain_.emplace(std::move(socket));
+  }
+}
+
+Link::Socket& Link::socket() { return secure_ ? secure_->next_layer() : *plain_; }
+
+void Link::accept(ReadyHandler on_ready) { handshake(asio::ssl::stream_base::server, std::move(on_ready)); }
+
+void Link::connect(const runtime::Address& address, Duration time_limit, ReadyHandler on_ready) {
+  error_code parse_error;
+  const auto host = asio::ip::make_address(address.host, parse_error);
+  if (parse_error) {
+    close("not an IP address: " + address.host);
+    return;
+  }
+  open_timer_.expires_after(time_limit);
+  open_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->state_ == State::Opening) self->close("connect timed out");
+  });
+  socket().async_connect(
+      tcp::endpoint(host, address.port),
+      [self = shared_from_this(), on_ready = std::move(on_ready)](error_code error) mutable {
+        if (error) {
+          self->close("connect failed: " + error.message());
+          return;
+        }
+        self->handshake(asio::ssl::stream_base::client, std::move(on_ready));
+      });
+}
+
+void Link::handshake(asio::ssl::stream_base::handshake_type type, ReadyHandler on_ready) {
+  if (state_ == State::Closed) return;
+  error_code ignored;
+  socket().set_option(tcp::no_delay(true), ignored);
+  if (!secure_) {
+    becomeReady(on_ready);
+    return;
+  }
+  open_timer_.expires_after(kHandshakeTimeLimit);
+  open_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->state_ == State::Opening) self->close("handshake timed out");
+  });
+  secure_->async_handshake(type,
+                           [self = shared_from_this(), on_ready = std::move(on_ready)](error_code error) {
+                             if (error) {
+                               self->close("handshake failed: " + error.message());
+                               return;
+                             }
+                             self->becomeReady(on_ready);
+                           });
+}
+
+void Link::becomeReady(const ReadyHandler& on_ready) {
+  if (state_ == State::Closed) return;
+  state_ = State::Open;
+  open_timer_.cancel();
+  on_ready(peerIdentity());
+  readSome();
+  writeNext();
+}
+
+runtime::PeerIdentity Link::peerIdentity() {
+  runtime::PeerIdentity identity;
+  if (!secure_) return identity;
+  X509* certificate = SSL_get_peer_certificate(secure_->native_handle());
+  if (certificate == nullptr) return identity;
+  X509_NAME* subject = X509_get_subject_name(certificate);
+  identity.role = subjectField(subject, NID_organizationalUnitName);
+  identity.name = subjectField(subject, NID_commonName);
+  identity.tenant = subjectField(subject, NID_organizationName);
+  X509_free(certificate);
+  return identity;
+}
+
+void Link::readSome() {
+  auto on_read = [self = shared_from_this()](error_code error, std::size_t length) {
+    if (self->state_ == State::Closed) return;
+    if (error) {
+      self->close("read failed: " + error.message());
+      return;
+    }
+    self->bytes_received_ += length;
+    self->decoder_.append(std::span(self->read_buffer_).first(length));
+    self->deliverFrames();
+    if (self->state_ != State::Closed) self->readSome();
+  };
+  if (secure_) {
+    secure_->async_read_some(asio::buffer(read_buffer_), std::move(on_read));
+  } else {
+    plain_->async_read_some(asio::buffer(read_buffer_), std::move(on_read));
+  }
+}
+
+void Link::deliverFrames() {
+  try {
+    while (state_ != State::Closed) {
+      auto envelope = decoder_.next();
+      if (!envelope) return;
+      handlers_.on_message(std::move(*envelope));
+    }
+  } catch (const Error& error) {
+    close(error.what());
+  }
+}
+
+void Link::send(const wire::EnvelopeT& envelope) {
+  if (state_ == State::Closed) return;
+  auto frame = encodeFrame(envelope);
+  queued_bytes_ += frame.size();
+  queue_.push_back(std::move(frame));
+  if (queued_bytes_ > kMaxQueuedBytes) {
+    close("peer does not read: too many bytes queued");
+    return;
+  }
+  writeNext();
+}
+
+void Link::writeNext() {
+  if (state_ != State::Open || writing_) return;
+  if (queue_.empty()) {
+    if (close_after_writes_) close("closed by this side");
+    return;
+  }
+  writing_ = true;
+  auto on_written = [self = shared_from_this()](error_code error, std::size_t length) {
+    self->writing_ = false;
+    if (self->state_ == State::Closed) return;
+    if (error) {
+      self->close("write failed: " + error.message());
+      return;
+    }
+    self->bytes_sent_ += length;
+    self->queued_bytes_ -= length;
+    self->queue_.pop_front();
+    self->writeNext();
+  };
+  if (secure_) {
+    asio::async_write(*secure_, asio::buffer(queue_.front()), std::move(on_written));
+  } else {
+    asio::async_write(*plain_, asio::buffer(queue_.front()), std::move(on_written));
+  }
+}
+
+void Link::closeAfterWrites() {
+  close_after_writes_ = true;
+  if (!writing_) writeNext();
+}
+
+void Link::close(const std::string& reason) {
+  if (state_ == State::Closed) return;
+  state_ = State::Closed;
+  open_timer_.cancel();
+  error_code ignored;
+  socket().shutdown(tcp::socket::shutdown_both, ignored);
+  socket().close(ignored);
+  asio::post(socket().get_executor(),
+             [self = shared_from_this(), reason] { self->handlers_.on_closed(reason); });
+}
+
+}  // namespace cometstand::net
--- /dev/null
+++ b/src/net/link.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/frame_codec.h"
+#include "runtime/process_core.h"
+
+namespace cometstand::net {
+
+/// Called on the link's executor. Both may be called after the caller's own close(), never after on_closed.
+struct LinkHandlers {
+  std::function<void(wire::EnvelopeT)> on_message;
+  /// The reason is for the log.
+  std::function<void(const std::string& reason)> on_closed;
+};
+
+/// Bytes waiting to be sent on one link above which the peer counts as stuck and the link is closed. Twice
+/// the largest frame, so that one snapshot never closes a healthy link.
+inline constexpr std::size_t kMaxQueuedBytes = 2 * kMaxFrameBytes;
+
+/// One framed connection over TCP or TLS. Driven by one io_context thread; kept alive by its pending
+/// operations until it is closed.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  /// @param tls the context to use, or nullptr for plain TCP. Must outlive the link.
+  Link(Socket socket, boost::asio::ssl::context* tls, LinkHandlers handlers);
+
+  /// Takes an accepted socket. @param on_ready called once messages can flow.
+  void accept(std::function<void(const runtime::PeerIdentity&)> on_ready);
+
+  /// Connects to the address, giving up after the time limit.
+  void connect(const runtime::Address& address, Duration time_limit,
+               std::function<void(const runtime::PeerIdentity&)> on_ready);
+
+  /// Queues one message. Does nothing on a closed link.
+  void send(const wire::EnvelopeT& envelope);
+
+  /// Closes at once; queued messages are dropped. on_closed follows on the executor.
+  void close(const std::string& reason);
+
+  /// Closes once all queued messages are written.
+  void closeAfterWrites();
+
+  std::uint64_t bytesSent() const { return bytes_sent_; }
+  std::uint64_t bytesReceived() const { return bytes_received_; }
+
+ private:
+  using TlsStream = boost::asio::ssl::stream<Socket>;
+  using ReadyHandler = std::function<void(const runtime::PeerIdentity&)>;
+  enum class State { Opening, Open, Closed };
+
+  Socket& socket();
+  void handshake(boost::asio::ssl::stream_base::handshake_type type, ReadyHandler on_ready);
+  void becomeReady(const ReadyHandler& on_ready);
+  runtime::PeerIdentity peerIdentity();
+  void readSome();
+  void deliverFrames();
+  void writeNext();
+
+  /// Exactly one of the two is set.
+  std::optional<Socket> plain_;
+  std::optional<TlsStream> secure_;
+  LinkHandlers handlers_;
+  State state_ = State::Opening;
+  bool close_after_writes_ = false;
+  bool writing_ = false;
+  boost::asio::steady_timer open_timer_;
+  FrameDecoder decoder_;
+  static constexpr std::size_t kReadBufferBytes = 16 * 1024;
+  std::array<std::uint8_t, kReadBufferBytes> read_buffer_{};
+  std::deque<FrameBytes> queue_;
+  std::size_t queued_bytes_ = 0;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+};
+
+}  // namespace cometstand::net
--- /dev/null
+++ b/src/runtime/process_runner.cpp
@@ -0,0 +1,196 @@
+#include "runtime/process_runner.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "runtime/events.h"
+
+namespace cometstand::runtime {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause before the next accept after one failed, for example for want of file descriptors.
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(100);
+
+/// A core whose timer is due at once is still called at most this often.
+constexpr Duration kMinimumTimerDelay = std::chrono::microseconds(200);
+
+void listen(tcp::acceptor& acceptor, const Address& address) {
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+  } catch (const boost::system::system_error& error) {
+    throw Error(ErrorKind::InputOutput,
+                fmt::format("cannot listen on {}:{}: {}", address.host, address.port, error.what()),
+                "set an IP address of this machine and a port that no other process uses");
+  }
+}
+
+}  // namespace
+
+ProcessRunner::ProcessRunner(asio::io_context& io, ProcessCore& core, RunnerOptions options)
+    : io_(io), core_(core), options_(std::move(options)), acceptor_(io), timer_(io), disk_thread_(1) {
+  if (!options_.data_folder.empty()) folder_ = std::make_unique<DataFolder>(options_.data_folder);
+  if (!options_.listen.host.empty()) listen(acceptor_, options_.listen);
+}
+
+ProcessRunner::~ProcessRunner() { disk_thread_.join(); }
+
+void ProcessRunner::start() {
+  const EmptyFileReader no_files;
+  const FileReader& files = folder_ ? static_cast<const FileReader&>(*folder_) : no_files;
+  core_.start(files, SteadyClock::now());
+  if (acceptor_.is_open()) acceptNext();
+  flush();
+}
+
+void ProcessRunner::beginStop() {
+  stopping_ = true;
+  core_.beginStop(SteadyClock::now());
+  flush();
+}
+
+Address ProcessRunner::listenAddress() const {
+  if (!acceptor_.is_open()) return {};
+  const auto endpoint = acceptor_.local_endpoint();
+  return {endpoint.address().to_string(), endpoint.port()};
+}
+
+std::uint64_t ProcessRunner::bytesSent() const {
+  std::uint64_t total = closed_bytes_sent_;
+  for (const auto& [id, link] : links_) total += link->bytesSent();
+  return total;
+}
+
+std::uint64_t ProcessRunner::bytesReceived() const {
+  std::uint64_t total = closed_bytes_received_;
+  for (const auto& [id, link] : links_) total += link->bytesReceived();
+  return total;
+}
+
+void ProcessRunner::acceptNext() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      logEvent(kAcceptFailed, {{"reason", error.message()}});
+      auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptRetryDelay);
+      pause->async_wait([this, pause](error_code) { acceptNext(); });
+      return;
+    }
+    const LinkId id{next_incoming_++};
+    auto link = std::make_shared<net::Link>(std::move(socket), options_.tls, handlersFor(id));
+    addLink(id, link);
+    link->accept([this, id](const PeerIdentity& peer) {
+      core_.onLinkOpened(id, peer, SteadyClock::now());
+      flush();
+    });
+    acceptNext();
+  });
+}
+
+void ProcessRunner::addLink(LinkId id, const std::shared_ptr<net::Link>& link) { links_.emplace(id, link); }
+
+net::LinkHandlers ProcessRunner::handlersFor(LinkId id) {
+  net::LinkHandlers handlers;
+  handlers.on_message = [this, id](const wire::EnvelopeT& envelope) {
+    core_.onMessage(id, envelope, SteadyClock::now());
+    flush();
+  };
+  handlers.on_closed = [this, id](const std::string& reason) {
+    logEvent(kLinkClosed, {{"link", static_cast<std::uint64_t>(id)}, {"reason", reason}});
+    forgetLink(id);
+    core_.onLinkClosed(id, SteadyClock::now());
+    flush();
+  };
+  return handlers;
+}
+
+void ProcessRunner::openLink(const ConnectOrder& order) {
+  auto link = std::make_shared<net::Link>(tcp::socket(io_), options_.tls, handlersFor(order.link));
+  addLink(order.link, link);
+  link->connect(order.address, kConnectTimeLimit, [this, id = order.link](const PeerIdentity& peer) {
+    core_.onLinkOpened(id, peer, SteadyClock::now());
+    flush();
+  });
+}
+
+void ProcessRunner::forgetLink(LinkId id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) return;
+  closed_bytes_sent_ += found->second->bytesSent();
+  closed_bytes_received_ += found->second->bytesReceived();
+  links_.erase(found);
+}
+
+void ProcessRunner::flush() {
+  Actions actions = core_.takeActions();
+  if (!actions.writes.empty()) runWrites(std::move(actions.writes));
+  for (const auto& order : actions.connects) openLink(order);
+  for (const auto& outgoing : actions.messages) {
+    const auto found = links_.find(outgoing.link);
+    if (found != links_.end()) found->second->send(*outgoing.message);
+  }
+  for (const LinkId id : actions.closes) {
+    const auto found = links_.find(id);
+    if (found != links_.end()) found->second->closeAfterWrites();
+  }
+  armTimer();
+  if (stopping_ && core_.stopped()) finishStop();
+}
+
+void ProcessRunner::finishStop() {
+  if (!finishing_) {
+    finishing_ = true;
+    acceptor_.close();
+    for (const auto& [id, link] : links_) link->closeAfterWrites();
+    timer_.expires_after(kLastWritesTimeLimit);
+    timer_.async_wait([this](error_code error) {
+      if (!error) io_.stop();
+    });
+  }
+  if (links_.empty()) io_.stop();
+}
+
+void ProcessRunner::runWrites(std::vector<FileWrite> writes) {
+  asio::post(disk_thread_, [this, writes = std::move(writes)] {
+    auto results = folder_->apply(writes);
+    asio::post(io_, [this, results = std::move(results)] {
+      for (const auto& result : results) {
+        if (result.error.empty()) {
+          core_.onFileWritten(result.id, SteadyClock::now());
+        } else {
+          logEvent(kFileWriteFailed, {{"reason", result.error}});
+          core_.onFileFailed(result.id, result.error, SteadyClock::now());
+        }
+      }
+      flush();
+    });
+  });
+}
+
+void ProcessRunner::armTimer() {
+  if (finishing_) return;
+  const TimePoint due = core_.nextTimer();
+  if (due == TimePoint::max()) {
+    timer_.cancel();
+    return;
+  }
+  const Duration delay = std::max(due - SteadyClock::now(), kMinimumTimerDelay);
+  timer_.expires_after(delay);
+  timer_.async_wait([this](error_code error) {
+    if (error) return;
+    core_.onTimer(SteadyClock::now());
+    flush();
+  });
+}
+
+}  // namespace cometstand::runtime
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
