--- /dev/null
+++ b/tests/runtime/process_runner_test.cpp
@@ -0,0 +1,128 @@
+#include "runtime/process_runner.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "base/time.h"
+
+namespace cometstand::runtime {
+namespace {
+
+constexpr auto kTestTimeLimit = std::chrono::seconds(30);
+
+/// Sends one command to the address it is given and answers every command it receives with its own text.
+class EchoCore : public ProcessCore {
+ public:
+  void connectTo(const Address& address) { actions_.connects.push_back({LinkId{1}, address}); }
+
+  void start(const FileReader& /*files*/, TimePoint /*now*/) override {}
+  void onLinkOpened(LinkId link, const PeerIdentity& /*peer*/, TimePoint /*now*/) override {
+    open_.insert(link);
+    if (link != LinkId{1}) return;
+    wire::CommandRequestT request;
+    request.text = "show version";
+    queue(link, makeEnvelope(request, 5));
+  }
+  void onLinkClosed(LinkId link, TimePoint /*now*/) override {
+    open_.erase(link);
+    ++closed_;
+  }
+  void onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint /*now*/) override {
+    if (const auto* request = message.body.AsCommandRequest()) {
+      wire::CommandReplyT reply;
+      reply.columns = {request->text};
+      queue(link, makeEnvelope(reply, message.request_id));
+    } else if (const auto* reply = message.body.AsCommandReply()) {
+      answer_ = reply->columns.at(0);
+      answered_id_ = message.request_id;
+    }
+  }
+  void onFileWritten(WriteId /*write*/, TimePoint /*now*/) override {}
+  void onFileFailed(WriteId /*write*/, const std::string& /*reason*/, TimePoint /*now*/) override {}
+  void onTimer(TimePoint /*now*/) override {}
+  TimePoint nextTimer() const override { return TimePoint::max(); }
+  Actions takeActions() override { return std::exchange(actions_, {}); }
+  void beginStop(TimePoint /*now*/) override { stopped_ = true; }
+  bool stopped() const override { return stopped_; }
+
+  const std::string& answer() const { return answer_; }
+  std::uint64_t answeredId() const { return answered_id_; }
+  int closed() const { return closed_; }
+
+ private:
+  void queue(LinkId link, wire::EnvelopeT envelope) {
+    actions_.messages.push_back({link, std::make_shared<const wire::EnvelopeT>(std::move(envelope))});
+  }
+
+  Actions actions_;
+  std::set<LinkId> open_;
+  std::string answer_;
+  std::uint64_t answered_id_ = 0;
+  int closed_ = 0;
+  bool stopped_ = false;
+};
+
+template <typename Condition>
+void runUntil(boost::asio::io_context& io, const Condition& condition) {
+  const auto limit = SteadyClock::now() + kTestTimeLimit;
+  while (!condition() && SteadyClock::now() < limit) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(5));
+  }
+  REQUIRE(condition());
+}
+
+TEST_CASE("two runners exchange a request and its answer", "[process_runner]") {
+  boost::asio::io_context io;
+  EchoCore server;
+  ProcessRunner server_runner(io, server, {{"127.0.0.1", 0}, "", nullptr});
+  server_runner.start();
+  EchoCore client;
+  client.connectTo(server_runner.listenAddress());
+  ProcessRunner client_runner(io, client, {{}, "", nullptr});
+  client_runner.start();
+  runUntil(io, [&] { return !client.answer().empty(); });
+  CHECK(client.answer() == "show version");
+  CHECK(client.answeredId() == 5);
+  CHECK(client_runner.bytesSent() > 0);
+}
+
+TEST_CASE("a refused connection is reported as a closed link", "[process_runner]") {
+  boost::asio::io_context io;
+  Address unused;
+  {
+    EchoCore server;
+    const ProcessRunner runner(io, server, {{"127.0.0.1", 0}, "", nullptr});
+    unused = runner.listenAddress();
+  }
+  EchoCore client;
+  client.connectTo(unused);
+  ProcessRunner runner(io, client, {{}, "", nullptr});
+  runner.start();
+  runUntil(io, [&] { return client.closed() == 1; });
+}
+
+TEST_CASE("a planned stop lets the last answer out", "[process_runner]") {
+  boost::asio::io_context server_io;
+  EchoCore server;
+  ProcessRunner server_runner(server_io, server, {{"127.0.0.1", 0}, "", nullptr});
+  server_runner.start();
+  boost::asio::io_context client_io;
+  EchoCore client;
+  client.connectTo(server_runner.listenAddress());
+  ProcessRunner client_runner(client_io, client, {{}, "", nullptr});
+  client_runner.start();
+  runUntil(client_io, [&] {
+    server_io.restart();
+    server_io.run_for(std::chrono::milliseconds(1));
+    return !client.answer().empty();
+  });
+  server_runner.beginStop();
+  server_io.restart();
+  server_io.run_for(kTestTimeLimit);
+  CHECK(server_io.stopped());
+  runUntil(client_io, [&] { return client.closed() == 1; });
+}
+
+}  // namespace
+}  // namespace cometstand::runtime
