Give each data folder of a replica an incarnation

Cause: a voter that lost its disk and starts again under its old id would vote and acknowledge without remembering what it promised, so a committed entry could be lost. Ruled out: relying on operators never to reuse an id, since nothing would notice a mistake; a marker in the replicated log alone, since an empty replica has no log to compare with. Change: Replica, HardState and ConsensusMessage carry the incarnation of the data folder; a message names the one that the sender expects of the receiver.

--- a/src/schema/consensus_generated.h
+++ b/src/schema/consensus_generated.h
@@ -311,6 +311,7 @@
   std::string address{};
   uint16_t port = 0;
   std::string region{};
+  uint64_t incarnation = 0;
 };
 
 struct Replica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -322,7 +323,8 @@
     VT_NAME = 6,
     VT_ADDRESS = 8,
     VT_PORT = 10,
-    VT_REGION = 12
+    VT_REGION = 12,
+    VT_INCARNATION = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -339,6 +341,9 @@
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -349,6 +354,7 @@
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyOffset(verifier, VT_REGION) &&
            verifier.VerifyString(region()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
   ReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -375,6 +381,9 @@
   void add_region(flatbuffers::Offset<flatbuffers::String> region) {
     fbb_.AddOffset(Replica::VT_REGION, region);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Replica::VT_INCARNATION, incarnation, 0);
+  }
   explicit ReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -392,8 +401,10 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
-    flatbuffers::Offset<flatbuffers::String> region = 0) {
+    flatbuffers::Offset<flatbuffers::String> region = 0,
+    uint64_t incarnation = 0) {
   ReplicaBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_id(id);
   builder_.add_region(region);
   builder_.add_address(address);
@@ -413,7 +424,8 @@
     const char *name = nullptr,
     const char *address = nullptr,
     uint16_t port = 0,
-    const char *region = nullptr) {
+    const char *region = nullptr,
+    uint64_t incarnation = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -423,7 +435,8 @@
       name__,
       address__,
       port,
-      region__);
+      region__,
+      incarnation);
 }
 
 flatbuffers::Offset<Replica> CreateReplica(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -627,6 +640,7 @@
 struct HardStateT : public flatbuffers::NativeTable {
   typedef HardState TableType;
   uint64_t replica_id = 0;
+  uint64_t incarnation = 0;
   uint64_t term = 0;
   uint64_t voted_for = 0;
 };
@@ -637,12 +651,16 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REPLICA_ID = 4,
-    VT_TERM = 6,
-    VT_VOTED_FOR = 8
+    VT_INCARNATION = 6,
+    VT_TERM = 8,
+    VT_VOTED_FOR = 10
   };
   uint64_t replica_id() const {
     return GetField<uint64_t>(VT_REPLICA_ID, 0);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
   }
@@ -652,6 +670,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_VOTED_FOR, 8) &&
            verifier.EndTable();
@@ -668,6 +687,9 @@
   void add_replica_id(uint64_t replica_id) {
     fbb_.AddElement<uint64_t>(HardState::VT_REPLICA_ID, replica_id, 0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(HardState::VT_INCARNATION, incarnation, 0);
+  }
   void add_term(uint64_t term) {
     fbb_.AddElement<uint64_t>(HardState::VT_TERM, term, 0);
   }
@@ -688,11 +710,13 @@
 inline flatbuffers::Offset<HardState> CreateHardState(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t replica_id = 0,
+    uint64_t incarnation = 0,
     uint64_t term = 0,
     uint64_t voted_for = 0) {
   HardStateBuilder builder_(_fbb);
   builder_.add_voted_for(voted_for);
   builder_.add_term(term);
+  builder_.add_incarnation(incarnation);
   builder_.add_replica_id(replica_id);
   return builder_.Finish();
 }
@@ -1533,6 +1557,9 @@
   typedef ConsensusMessage TableType;
   uint64_t from = 0;
   uint64_t to = 0;
+  uint64_t from_incarnation = 0;
+  uint64_t to_incarnation = 0;
+  bool to_learner = false;
   cometstand::wire::ConsensusBodyUnion body{};
 };
 
@@ -1543,8 +1570,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM = 4,
     VT_TO = 6,
-    VT_BODY_TYPE = 8,
-    VT_BODY = 10
+    VT_FROM_INCARNATION = 8,
+    VT_TO_INCARNATION = 10,
+    VT_TO_LEARNER = 12,
+    VT_BODY_TYPE = 14,
+    VT_BODY = 16
   };
   uint64_t from() const {
     return GetField<uint64_t>(VT_FROM, 0);
@@ -1552,6 +1582,15 @@
   uint64_t to() const {
     return GetField<uint64_t>(VT_TO, 0);
   }
+  uint64_t from_incarnation() const {
+    return GetField<uint64_t>(VT_FROM_INCARNATION, 0);
+  }
+  uint64_t to_incarnation() const {
+    return GetField<uint64_t>(VT_TO_INCARNATION, 0);
+  }
+  bool to_learner() const {
+    return GetField<uint8_t>(VT_TO_LEARNER, 0) != 0;
+  }
   cometstand::wire::ConsensusBody body_type() const {
     return static_cast<cometstand::wire::ConsensusBody>(GetField<uint8_t>(VT_BODY_TYPE, 0));
   }
@@ -1584,6 +1623,9 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_TO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TO_LEARNER, 1) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            VerifyConsensusBody(verifier, body(), body_type()) &&
@@ -1632,6 +1674,15 @@
   void add_to(uint64_t to) {
     fbb_.AddElement<uint64_t>(ConsensusMessage::VT_TO, to, 0);
   }
+  void add_from_incarnation(uint64_t from_incarnation) {
+    fbb_.AddElement<uint64_t>(ConsensusMessage::VT_FROM_INCARNATION, from_incarnation, 0);
+  }
+  void add_to_incarnation(uint64_t to_incarnation) {
+    fbb_.AddElement<uint64_t>(ConsensusMessage::VT_TO_INCARNATION, to_incarnation, 0);
+  }
+  void add_to_learner(bool to_learner) {
+    fbb_.AddElement<uint8_t>(ConsensusMessage::VT_TO_LEARNER, static_cast<uint8_t>(to_learner), 0);
+  }
   void add_body_type(cometstand::wire::ConsensusBody body_type) {
     fbb_.AddElement<uint8_t>(ConsensusMessage::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
   }
@@ -1653,13 +1704,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t from = 0,
     uint64_t to = 0,
+    uint64_t from_incarnation = 0,
+    uint64_t to_incarnation = 0,
+    bool to_learner = false,
     cometstand::wire::ConsensusBody body_type = cometstand::wire::ConsensusBody::NONE,
     flatbuffers::Offset<void> body = 0) {
   ConsensusMessageBuilder builder_(_fbb);
+  builder_.add_to_incarnation(to_incarnation);
+  builder_.add_from_incarnation(from_incarnation);
   builder_.add_to(to);
   builder_.add_from(from);
   builder_.add_body(body);
   builder_.add_body_type(body_type);
+  builder_.add_to_learner(to_learner);
   return builder_.Finish();
 }
 
@@ -1684,6 +1741,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port(); _o->port = _e; }
   { auto _e = region(); if (_e) _o->region = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
 }
 
 inline flatbuffers::Offset<Replica> Replica::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1699,13 +1757,15 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port = _o->port;
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+  auto _incarnation = _o->incarnation;
   return cometstand::wire::CreateReplica(
       _fbb,
       _id,
       _name,
       _address,
       _port,
-      _region);
+      _region,
+      _incarnation);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o) {
@@ -1795,6 +1855,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = replica_id(); _o->replica_id = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = term(); _o->term = _e; }
   { auto _e = voted_for(); _o->voted_for = _e; }
 }
@@ -1808,11 +1869,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HardStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _replica_id = _o->replica_id;
+  auto _incarnation = _o->incarnation;
   auto _term = _o->term;
   auto _voted_for = _o->voted_for;
   return cometstand::wire::CreateHardState(
       _fbb,
       _replica_id,
+      _incarnation,
       _term,
       _voted_for);
 }
@@ -2172,6 +2235,9 @@
   (void)_resolver;
   { auto _e = from(); _o->from = _e; }
   { auto _e = to(); _o->to = _e; }
+  { auto _e = from_incarnation(); _o->from_incarnation = _e; }
+  { auto _e = to_incarnation(); _o->to_incarnation = _e; }
+  { auto _e = to_learner(); _o->to_learner = _e; }
   { auto _e = body_type(); _o->body.type = _e; }
   { auto _e = body(); if (_e) _o->body.value = cometstand::wire::ConsensusBodyUnion::UnPack(_e, body_type(), _resolver); }
 }
@@ -2186,12 +2252,18 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConsensusMessageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _from = _o->from;
   auto _to = _o->to;
+  auto _from_incarnation = _o->from_incarnation;
+  auto _to_incarnation = _o->to_incarnation;
+  auto _to_learner = _o->to_learner;
   auto _body_type = _o->body.type;
   auto _body = _o->body.Pack(_fbb);
   return cometstand::wire::CreateConsensusMessage(
       _fbb,
       _from,
       _to,
+      _from_incarnation,
+      _to_incarnation,
+      _to_learner,
       _body_type,
       _body);
 }
