Add Raft with its own log storage

Cause: the store needs a replicated log that survives crashes, cuts, freezes and lost disks. Ruled out: committing through time-based leases (a frozen process breaks them), hard state as log records (a reader would have to search for the newest one; it changes with elections only), and sending held acknowledgements of an older term after the term rose.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -1,23 +1,25 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
+#include "consensus/leader_state.h"
+#include "consensus/log_storage.h"
 #include "consensus/membership.h"
 #include "consensus/options.h"
+#include "consensus/outbox.h"
 #include "consensus/output.h"
+#include "consensus/replicated_log.h"
 #include "runtime/process_core.h"
 #include "schema/consensus_generated.h"
 
 namespace cometstand::consensus {
 
-class Engine;
-
 /// One replica's part in the Raft protocol (Ongaro and Ousterhout, "In Search of an Understandable Consensus
 /// Algorithm (Extended Version)"; Ongaro, "Consensus: Bridging Theory and Practice", called the
 /// dissertation). It owns the log, the vote and the snapshot, on disk through LogStorage, and knows nothing
@@ -29,9 +31,8 @@
   /// @param self this replica; its id is never reused, also not after its disk was lost.
   /// @throw Error(Invalid) if an option is out of range or the id is 0.
   Consensus(const ConsensusOptions& options, wire::ReplicaT self, RandomSource random);
-  ~Consensus();
-  Consensus(Consensus&&) noexcept;
-  Consensus& operator=(Consensus&&) noexcept;
+  Consensus(const Consensus&) = delete;
+  Consensus& operator=(const Consensus&) = delete;
 
   /// Recovers from the data folder. Called once, first. An empty folder leaves the role at Joining.
   /// @throw Error(Corrupt) if stored data fails its checks; Error(Mismatch) if the folder belongs to another
@@ -98,7 +99,100 @@
   void checkInvariants() const;
 
  private:
-  std::unique_ptr<Engine> engine_;
+  // consensus.cpp: events in general
+  /// Takes the time over; a leader that lost its quorum, for example while it was frozen, steps down first.
+  void beginEvent(TimePoint now);
+  bool isForThisReplica(const wire::ConsensusMessageT& message);
+  void dispatch(const wire::ConsensusMessageT& message);
+  void setRole(Role role, ReplicaId leader);
+  void adoptTerm(Term term);
+  void saveHardState();
+  void advanceCommit(LogIndex index);
+  void deliverCommitted();
+  void resetElectionDeadline();
+  template <typename Body>
+  void send(ReplicaId to, Body body, runtime::WriteId after);
+  template <typename Body>
+  void reply(const wire::ConsensusMessageT& request, Body body, runtime::WriteId after);
+
+  // consensus_election.cpp: section 5.2 and 5.4 of the paper, 9.6 of the dissertation
+  bool hearsLeader() const;
+  void startPreVote();
+  void startElection(bool is_transfer);
+  void requestVotes(const wire::VoteRequestT& request, runtime::WriteId after);
+  void countVotes();
+  void handlePreVoteRequest(const wire::ConsensusMessageT& message, const wire::VoteRequestT& request);
+  void handleVoteRequest(const wire::ConsensusMessageT& message, const wire::VoteRequestT& request);
+  void handleVoteReply(const wire::ConsensusMessageT& message, const wire::VoteReplyT& vote);
+  void handleTimeoutNow(const wire::TimeoutNowT& request);
+
+  // consensus_follower.cpp: the receiver's side of section 5.3 and 7 of the paper
+  bool followLeader(Term term, ReplicaId leader);
+  void join();
+  void handleAppendRequest(const wire::ConsensusMessageT& message, const wire::AppendRequestT& request);
+  void handleSnapshotRequest(const wire::ConsensusMessageT& message, const wire::SnapshotRequestT& request);
+  void storeEntries(const wire::AppendRequestT& request);
+
+  // consensus_leader.cpp: the sender's side, rounds and reads
+  void becomeLeader();
+  void failReads();
+  LogIndex appendAsLeader(wire::EntryKind kind, std::vector<std::uint8_t> data);
+  void beginRound();
+  void replicate(ReplicaId id, FollowerProgress& progress);
+  void replicateToAll();
+  void sendAppend(ReplicaId id, FollowerProgress& progress, bool with_entries);
+  void sendSnapshot(ReplicaId id, FollowerProgress& progress);
+  bool isExpectedSender(const wire::ConsensusMessageT& message) const;
+  /// @return the sender's progress, its round noted; nullptr if the answer does not count.
+  FollowerProgress* acceptReply(const wire::ConsensusMessageT& message, Term term, std::uint64_t round);
+  void handleAppendReply(const wire::ConsensusMessageT& message, const wire::AppendReplyT& answer);
+  void handleSnapshotReply(const wire::ConsensusMessageT& message, const wire::SnapshotReplyT& answer);
+  void updateLeader();
+  void commitByQuorum();
+  void confirmRounds();
+  void resolveReads();
+  bool hasQuorum() const;
+  template <typename Value, typename OwnValue, typename FollowerValue>
+  Value quorumOf(OwnValue own, FollowerValue of_follower) const;
+
+  // consensus_membership.cpp: chapter 4 and section 3.10 of the dissertation
+  void requireReadyForChange() const;
+  LogIndex appendMembership(const wire::MembershipT& membership);
+  void updateFollowers();
+  bool isCaughtUp(const FollowerProgress& progress) const;
+  void onMembershipCommitted();
+  void continueTransfer();
+
+  ConsensusOptions options_;
+  wire::ReplicaT self_;
+  RandomSource random_;
+  LogStorage storage_;
+  ReplicatedLog log_{storage_};
+  Outbox outbox_;
+  Output output_;
+  TimePoint now_;
+
+  // On disk: the hard state (figure 2 of the paper, "persistent state").
+  Term term_ = 0;
+  ReplicaId voted_for_ = 0;
+  std::uint64_t incarnation_ = 0;
+  /// The operation that stores the newest hard state.
+  runtime::WriteId hard_state_write_{};
+  /// The newest operation that is synced.
+  runtime::WriteId synced_write_{};
+
+  Role role_ = Role::Joining;
+  ReplicaId leader_ = 0;
+  Leadership reported_;
+  LogIndex commit_index_ = 0;
+  /// Last index given out in Output::committed or in a snapshot.
+  LogIndex delivered_index_ = 0;
+  TimePoint election_deadline_;
+  std::optional<TimePoint> last_leader_contact_;
+  /// Voters that granted the running vote or pre-vote.
+  std::set<ReplicaId> votes_;
+  std::optional<LeaderState> leader_state_;
+  bool wrong_incarnation_logged_ = false;
 };
 
 }  // namespace cometstand::consensus
--- /dev/null
+++ b/src/consensus/consensus_membership.cpp
@@ -0,0 +1,179 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "consensus/consensus.h"
+#include "consensus/events.h"
+#include "consensus/messages.h"
+
+/// Membership changes by one replica at a time (chapter 4 of the dissertation), leadership transfer (section
+/// 3.10) and compaction (section 7 of the paper).
+namespace cometstand::consensus {
+namespace {
+
+constexpr runtime::WriteId kNoWrite{};
+
+}  // namespace
+
+void Consensus::requireReadyForChange() const {
+  if (role_ != Role::Leader) {
+    throw Error(ErrorKind::Unavailable, fmt::format("replica {} is not the leader", self_.id),
+                "ask the leader", options_.election_timeout_max);
+  }
+  // Without this, changes of two leaders could overlap (Ongaro, "bug in single-server membership changes",
+  // raft-dev, 2015).
+  if (commit_index_ < leader_state_->first_index) {
+    throw Error(ErrorKind::Unavailable, "the leader has not committed an entry in its term yet",
+                "repeat the change", options_.heartbeat_interval);
+  }
+  if (log_.membershipIndex() > commit_index_ || leader_state_->pending_removal != 0) {
+    throw Error(ErrorKind::Conflict, "another membership change is running", "repeat the change",
+                options_.election_timeout_max);
+  }
+}
+
+LogIndex Consensus::changeMembership(const MembershipChange& change, TimePoint now) {
+  if (role_ != Role::Failed) beginEvent(now);
+  requireReadyForChange();
+  std::uint64_t incarnation = 0;
+  const bool promotes = change.kind == MembershipChangeKind::PromoteLearner ||
+                        change.kind == MembershipChangeKind::ReplaceVoter;
+  if (promotes && isLearner(log_.membership(), change.replica.id)) {
+    const auto& progress = leader_state_->followers.at(change.replica.id);
+    if (!isCaughtUp(progress)) {
+      throw Error(ErrorKind::Conflict, fmt::format("learner {} has not caught up", change.replica.id),
+                  "wait until its match index reaches the commit index", options_.election_timeout_max);
+    }
+    incarnation = *progress.incarnation;
+  }
+  const auto next = applyChange(log_.membership(), change, incarnation);
+  const LogIndex index = appendMembership(next);
+  if (change.kind == MembershipChangeKind::ReplaceVoter) leader_state_->pending_removal = change.replaced;
+  return index;
+}
+
+LogIndex Consensus::appendMembership(const wire::MembershipT& membership) {
+  const LogIndex index = appendAsLeader(wire::EntryKind::Membership, encodeMembership(membership));
+  // In force from the moment it is in the log (section 4.1).
+  updateFollowers();
+  return index;
+}
+
+void Consensus::updateFollowers() {
+  auto& followers = leader_state_->followers;
+  std::erase_if(followers, [this](const auto& follower) {
+    return findReplica(log_.membership(), follower.first) == nullptr;
+  });
+  for (const auto* replicas : {&log_.membership().voters, &log_.membership().learners}) {
+    for (const auto& replica : *replicas) {
+      if (replica->id == self_.id || followers.contains(replica->id)) continue;
+      FollowerProgress progress;
+      progress.next = log_.lastIndex() + 1;
+      // As if it had just been heard, so that a new leader has an election timeout to reach a quorum.
+      progress.acked_round.began_at = now_;
+      if (isVoter(log_.membership(), replica->id)) progress.incarnation = replica->incarnation;
+      followers.emplace(replica->id, progress);
+    }
+  }
+}
+
+bool Consensus::isCaughtUp(const FollowerProgress& progress) const {
+  const bool is_active = now_ <= progress.acked_round.began_at + options_.election_timeout_max;
+  return progress.incarnation && progress.acked_round.number != 0 && is_active &&
+         progress.match >= progress.acked_round.commit_index;
+}
+
+void Consensus::onMembershipCommitted() {
+  logEvent(kMembershipChanged, {{"replica", self_.id},
+                                {"index", log_.membershipIndex()},
+                                {"voters", log_.membership().voters.size()},
+                                {"learners", log_.membership().learners.size()}});
+  if (role_ != Role::Leader) return;
+  if (const ReplicaId removed = std::exchange(leader_state_->pending_removal, 0); removed != 0) {
+    MembershipChange removal;
+    removal.kind = MembershipChangeKind::RemoveReplica;
+    removal.replica.id = removed;
+    if (isVoter(log_.membership(), removed)) appendMembership(applyChange(log_.membership(), removal, 0));
+    return;
+  }
+  if (isVoter(log_.membership(), self_.id)) return;
+  // Section 4.2.2: a leader that removed itself leads until the change is committed; the others learn of that
+  // by one more round.
+  transferLeadershipToAny(now_);
+  beginRound();
+  setRole(Role::Follower, 0);
+}
+
+void Consensus::transferLeadership(ReplicaId target, TimePoint now) {
+  if (role_ != Role::Failed) beginEvent(now);
+  if (role_ != Role::Leader) {
+    throw Error(ErrorKind::Unavailable, fmt::format("replica {} is not the leader", self_.id),
+                "ask the leader", options_.election_timeout_max);
+  }
+  if (!isVoter(log_.membership(), target)) {
+    throw Error(ErrorKind::NotFound, fmt::format("replica {} is not a voter", target), "name a voter");
+  }
+  if (target == self_.id) return;
+  leader_state_->transfer = LeadershipTransfer{target, now_ + options_.election_timeout_max};
+  continueTransfer();
+}
+
+bool Consensus::transferLeadershipToAny(TimePoint now) {
+  if (role_ != Role::Failed) beginEvent(now);
+  if (role_ != Role::Leader) return false;
+  ReplicaId target = 0;
+  LogIndex best_match = 0;
+  for (const auto& voter : log_.membership().voters) {
+    if (voter->id == self_.id) continue;
+    const LogIndex match = leader_state_->followers.at(voter->id).match;
+    if (target != 0 && match <= best_match) continue;
+    target = voter->id;
+    best_match = match;
+  }
+  if (target == 0) return false;
+  leader_state_->transfer = LeadershipTransfer{target, now_ + options_.election_timeout_max};
+  continueTransfer();
+  return true;
+}
+
+void Consensus::continueTransfer() {
+  const ReplicaId target = leader_state_->transfer->target;
+  const auto progress = leader_state_->followers.find(target);
+  const bool is_ready =
+      progress != leader_state_->followers.end() && progress->second.match == log_.lastIndex();
+  if (!is_ready) return;
+  wire::TimeoutNowT request;
+  request.term = term_;
+  request.leader = self_.id;
+  send(target, request, kNoWrite);
+}
+
+void Consensus::compact(LogIndex applied_index, std::vector<std::uint8_t> state) {
+  if (role_ == Role::Failed || applied_index == log_.snapshotIndex()) return;
+  if (applied_index < log_.snapshotIndex() || applied_index > delivered_index_) {
+    throw Error(ErrorKind::Invalid, fmt::format("a snapshot at index {} does not fit the log", applied_index),
+                "take the snapshot at the last applied index");
+  }
+  if (state.size() > options_.max_snapshot_bytes) {
+    throw Error(ErrorKind::Invalid,
+                fmt::format("a state of {} bytes is too large for a snapshot", state.size()),
+                "remove configuration objects; the limit is max_snapshot_bytes");
+  }
+  auto snapshot = std::make_shared<wire::ConsensusSnapshotT>();
+  snapshot->last_index = applied_index;
+  snapshot->last_term = *log_.termAt(applied_index);
+  snapshot->membership = std::make_shared<wire::MembershipT>(log_.membershipAt(applied_index));
+  snapshot->state = std::move(state);
+  log_.compact(std::move(snapshot), options_.entries_kept_after_snapshot);
+}
+
+bool Consensus::snapshotDue() const {
+  return storage_.bytesSinceSnapshot() >= options_.snapshot_after_log_bytes &&
+         delivered_index_ > log_.snapshotIndex();
+}
+
+}  // namespace cometstand::consensus
