Add settings: one declared table a program, TOML files, flags

Each program needs settings with unit, default and range in one place, and errors that name line, key and remedy. A struct per program with hand-written reading was ruled out: documentation and checks would drift apart from the code. Instead a program declares each key once in a SettingsTable, which reads, checks and documents it; runProgram() is the common main(). toml++ reads the file, TCLAP the command line.

--- /dev/null
+++ b/src/settings/common_settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "runtime/process_core.h"
+#include "settings/settings_table.h"
+
+namespace cometstand::settings {
+
+/// Certificates for the links between processes.
+struct TlsSettings {
+  bool enabled = true;
+  /// PEM files.
+  std::string certificate;
+  std::string key;
+  std::string authority;
+};
+
+/// What store, relay and proxy have in common.
+struct CommonSettings {
+  std::string log_level = "info";
+  runtime::Address listen;
+  /// No listener if the host is empty.
+  runtime::Address admin;
+  std::string data_folder;
+  std::string zone;
+  std::string region;
+  TlsSettings tls;
+};
+
+/// Declares log.level, listen.address, admin.address, data.folder, zone, region and tls.*.
+void declareCommonSettings(SettingsTable& table, CommonSettings& settings);
+
+/// Declares tls.* alone.
+void declareTlsSettings(SettingsTable& table, TlsSettings& settings);
+
+/// Carries out log.level.
+void applyLogLevel(const CommonSettings& settings);
+
+}  // namespace cometstand::settings
--- /dev/null
+++ b/src/settings/program.cpp
@@ -0,0 +1,70 @@
+#include "settings/program.h"
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <exception>
+
+#include "base/error.h"
+#include "settings/settings_file.h"
+
+namespace cometstand::settings {
+namespace {
+
+void printError(const ProgramInfo& info, const std::exception& error) {
+  fmt::print(stderr, "{}: {}\n", info.name, error.what());
+}
+
+int runBody(const ProgramInfo& info, const std::function<int()>& body) {
+  try {
+    return body();
+  } catch (const std::exception& error) {
+    printError(info, error);
+    return kExitFailure;
+  }
+}
+
+}  // namespace
+
+std::string programVersion() { return COMETSTAND_VERSION; }
+
+ProgramArguments parseProgramArguments(int argc, const char* const* argv, const ProgramInfo& info) {
+  TCLAP::CmdLine command_line(info.description, ' ', programVersion());
+  command_line.setExceptionHandling(false);
+  TCLAP::ValueArg<std::string> settings("", "settings", "Settings file (TOML); see docs/SETTINGS.md", false,
+                                        "", "FILE", command_line);
+  TCLAP::MultiArg<std::string> set("", "set", "Sets one key, over the file; may be repeated", false,
+                                   "key=value", command_line);
+  TCLAP::SwitchArg check("", "check-settings", "Checks the settings and exits", command_line);
+  TCLAP::SwitchArg describe("", "describe-settings", "Prints every key as a Markdown table and exits",
+                            command_line);
+  try {
+    command_line.parse(argc, argv);
+  } catch (const TCLAP::ArgException& error) {
+    throw Error(ErrorKind::Invalid, fmt::format("{} {}", error.argId(), error.error()), "see --help");
+  }
+  return {settings.getValue(), check.getValue(), describe.getValue(), set.getValue()};
+}
+
+int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
+               const std::function<int()>& body) {
+  try {
+    const auto arguments = parseProgramArguments(argc, argv, info);
+    if (arguments.describe_settings) {
+      fmt::print("{}", describeAsMarkdown(table));
+      return kExitSuccess;
+    }
+    const auto& path = arguments.settings_file;
+    table.load(path.empty() ? SettingGroup() : readSettingsFile(path), arguments.overrides);
+    if (arguments.check_settings) return kExitSuccess;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const std::exception& error) {
+    printError(info, error);
+    return kExitUsage;
+  }
+  return runBody(info, body);
+}
+
+}  // namespace cometstand::settings
--- /dev/null
+++ b/tests/settings/program_test.cpp
@@ -0,0 +1,58 @@
+#include "settings/program.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/error.h"
+
+using namespace cometstand;
+using namespace cometstand::settings;
+
+namespace {
+
+constexpr int kBodyExitCode = 7;
+
+struct Outcome {
+  int exit_code = 0;
+  bool ran = false;
+  std::string name;
+};
+
+Outcome runWith(std::vector<const char*> arguments, bool fail = false) {
+  arguments.insert(arguments.begin(), "example");
+  Outcome outcome;
+  SettingsTable table;
+  table.text("name", outcome.name, "Name.").required();
+  outcome.exit_code =
+      runProgram(static_cast<int>(arguments.size()), arguments.data(), {"example", "An example"}, table, [&] {
+        outcome.ran = true;
+        if (fail) throw Error(ErrorKind::Unavailable, "no", "come back");
+        return kBodyExitCode;
+      });
+  return outcome;
+}
+
+}  // namespace
+
+TEST_CASE("the body runs with its settings and gives the exit code") {
+  const auto outcome = runWith({"--set", "name=x"});
+  CHECK(outcome.exit_code == kBodyExitCode);
+  CHECK(outcome.name == "x");
+  CHECK(runWith({"--set", "name=x"}, true).exit_code == kExitFailure);
+}
+
+TEST_CASE("help, version and checks do not run the body") {
+  for (const auto* flag : {"--help", "--version", "--describe-settings"}) {
+    const auto outcome = runWith({flag});
+    CHECK(outcome.exit_code == kExitSuccess);
+    CHECK_FALSE(outcome.ran);
+  }
+  const auto checked = runWith({"--check-settings", "--set", "name=x"});
+  CHECK(checked.exit_code == kExitSuccess);
+  CHECK_FALSE(checked.ran);
+  CHECK(runWith({"--check-settings"}).exit_code == kExitUsage);
+}
+
+TEST_CASE("wrong flags and files are usage errors") {
+  CHECK(runWith({"--nonsense"}).exit_code == kExitUsage);
+  CHECK(runWith({"--settings", "/does/not/exist.toml"}).exit_code == kExitUsage);
+}
