--- a/src/operator/command.h
+++ b/src/operator/command.h
@@ -83,7 +83,7 @@
 };
 
 struct DeleteObject {
-  wire::ObjectKind kind = wire::ObjectKind_Tenant;
+  wire::ObjectKind kind = wire::ObjectKind::Tenant;
   ObjectName name;
 };
 
@@ -171,7 +171,7 @@
 ///   secrets are in it.
 std::string printCommand(const Command& command);
 
-/// @return true if the command changes nothing, so that any current replica may answer it.
+/// @return true for show and wait, which change nothing.
 bool isQuery(const Command& command);
 
 /// @param own_tenant the tenant of objects that are written without one.
