--- /dev/null
+++ b/src/store/store_core.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "consensus/output.h"
+#include "runtime/process_core.h"
+#include "store/options.h"
+
+namespace cometstand::store {
+
+class StateMachine;
+class StoreParts;
+
+/// One replica of the configuration store. It owns the consensus module, the state machine that the committed
+/// entries drive, the links to the other replicas, and the services for operators and relays. Driven by one
+/// thread or event, see runtime::ProcessCore.
+class StoreCore : public runtime::ProcessCore {
+ public:
+  /// @param seed for jitter and election timeouts.
+  /// @throw Error(Invalid) if an option is out of range.
+  StoreCore(const StoreOptions& options, std::uint64_t seed);
+  ~StoreCore() override;
+
+  void start(const runtime::FileReader& files, TimePoint now) override;
+  void onLinkOpened(runtime::LinkId link, const runtime::PeerIdentity& peer, TimePoint now) override;
+  void onLinkClosed(runtime::LinkId link, TimePoint now) override;
+  void onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now) override;
+  void onFileWritten(runtime::WriteId write, TimePoint now) override;
+  void onFileFailed(runtime::WriteId write, const std::string& reason, TimePoint now) override;
+  void onTimer(TimePoint now) override;
+  TimePoint nextTimer() const override;
+  runtime::Actions takeActions() override;
+  void beginStop(TimePoint now) override;
+  bool stopped() const override;
+
+  /// For tests, simulation and metrics.
+  consensus::Leadership leadership() const;
+  /// @return what the committed entries made so far.
+  const StateMachine& stateMachine() const;
+  /// @throw std::logic_error if an invariant does not hold. For tests and simulation.
+  void checkInvariants() const;
+
+ private:
+  std::unique_ptr<StoreParts> parts_;
+};
+
+}  // namespace cometstand::store
