--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -1089,6 +1089,7 @@
   std::string operator_name{};
   std::string token{};
   std::string text{};
+  bool forwarded = false;
 };
 
 struct CommandRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1100,7 +1101,8 @@
     VT_TENANT = 6,
     VT_OPERATOR_NAME = 8,
     VT_TOKEN = 10,
-    VT_TEXT = 12
+    VT_TEXT = 12,
+    VT_FORWARDED = 14
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -1117,6 +1119,9 @@
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
+  bool forwarded() const {
+    return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
@@ -1129,6 +1134,7 @@
            verifier.VerifyString(token()) &&
            VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
+           VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
            verifier.EndTable();
   }
   CommandRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1155,6 +1161,9 @@
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(CommandRequest::VT_TEXT, text);
   }
+  void add_forwarded(bool forwarded) {
+    fbb_.AddElement<uint8_t>(CommandRequest::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
+  }
   explicit CommandRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1172,13 +1181,15 @@
     flatbuffers::Offset<flatbuffers::String> tenant = 0,
     flatbuffers::Offset<flatbuffers::String> operator_name = 0,
     flatbuffers::Offset<flatbuffers::String> token = 0,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    bool forwarded = false) {
   CommandRequestBuilder builder_(_fbb);
   builder_.add_text(text);
   builder_.add_token(token);
   builder_.add_operator_name(operator_name);
   builder_.add_tenant(tenant);
   builder_.add_request_id(request_id);
+  builder_.add_forwarded(forwarded);
   return builder_.Finish();
 }
 
@@ -1193,7 +1204,8 @@
     const char *tenant = nullptr,
     const char *operator_name = nullptr,
     const char *token = nullptr,
-    const char *text = nullptr) {
+    const char *text = nullptr,
+    bool forwarded = false) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto operator_name__ = operator_name ? _fbb.CreateString(operator_name) : 0;
@@ -1205,7 +1217,8 @@
       tenant__,
       operator_name__,
       token__,
-      text__);
+      text__,
+      forwarded);
 }
 
 flatbuffers::Offset<CommandRequest> CreateCommandRequest(flatbuffers::FlatBufferBuilder &_fbb, const CommandRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4225,6 +4238,7 @@
   { auto _e = operator_name(); if (_e) _o->operator_name = _e->str(); }
   { auto _e = token(); if (_e) _o->token = _e->str(); }
   { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = forwarded(); _o->forwarded = _e; }
 }
 
 inline flatbuffers::Offset<CommandRequest> CommandRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4240,13 +4254,15 @@
   auto _operator_name = _o->operator_name.empty() ? 0 : _fbb.CreateString(_o->operator_name);
   auto _token = _o->token.empty() ? 0 : _fbb.CreateString(_o->token);
   auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _forwarded = _o->forwarded;
   return cometstand::wire::CreateCommandRequest(
       _fbb,
       _request_id,
       _tenant,
       _operator_name,
       _token,
-      _text);
+      _text,
+      _forwarded);
 }
 
 inline RowT *Row::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -604,7 +604,7 @@
 struct TenantRequestsT : public flatbuffers::NativeTable {
   typedef TenantRequests TableType;
   std::string tenant{};
-  uint64_t forgotten_time = 0;
+  uint64_t forgotten_before = 0;
   std::vector<std::shared_ptr<cometstand::wire::AnsweredRequestT>> answered{};
   TenantRequestsT() = default;
   TenantRequestsT(const TenantRequestsT &o);
@@ -618,14 +618,14 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TENANT = 4,
-    VT_FORGOTTEN_TIME = 6,
+    VT_FORGOTTEN_BEFORE = 6,
     VT_ANSWERED = 8
   };
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
   }
-  uint64_t forgotten_time() const {
-    return GetField<uint64_t>(VT_FORGOTTEN_TIME, 0);
+  uint64_t forgotten_before() const {
+    return GetField<uint64_t>(VT_FORGOTTEN_BEFORE, 0);
   }
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>> *answered() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>> *>(VT_ANSWERED);
@@ -634,7 +634,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TENANT) &&
            verifier.VerifyString(tenant()) &&
-           VerifyField<uint64_t>(verifier, VT_FORGOTTEN_TIME, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FORGOTTEN_BEFORE, 8) &&
            VerifyOffset(verifier, VT_ANSWERED) &&
            verifier.VerifyVector(answered()) &&
            verifier.VerifyVectorOfTables(answered()) &&
@@ -652,8 +652,8 @@
   void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
     fbb_.AddOffset(TenantRequests::VT_TENANT, tenant);
   }
-  void add_forgotten_time(uint64_t forgotten_time) {
-    fbb_.AddElement<uint64_t>(TenantRequests::VT_FORGOTTEN_TIME, forgotten_time, 0);
+  void add_forgotten_before(uint64_t forgotten_before) {
+    fbb_.AddElement<uint64_t>(TenantRequests::VT_FORGOTTEN_BEFORE, forgotten_before, 0);
   }
   void add_answered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>>> answered) {
     fbb_.AddOffset(TenantRequests::VT_ANSWERED, answered);
@@ -672,10 +672,10 @@
 inline flatbuffers::Offset<TenantRequests> CreateTenantRequests(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> tenant = 0,
-    uint64_t forgotten_time = 0,
+    uint64_t forgotten_before = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>>> answered = 0) {
   TenantRequestsBuilder builder_(_fbb);
-  builder_.add_forgotten_time(forgotten_time);
+  builder_.add_forgotten_before(forgotten_before);
   builder_.add_answered(answered);
   builder_.add_tenant(tenant);
   return builder_.Finish();
@@ -689,14 +689,14 @@
 inline flatbuffers::Offset<TenantRequests> CreateTenantRequestsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *tenant = nullptr,
-    uint64_t forgotten_time = 0,
+    uint64_t forgotten_before = 0,
     const std::vector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>> *answered = nullptr) {
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto answered__ = answered ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>>(*answered) : 0;
   return cometstand::wire::CreateTenantRequests(
       _fbb,
       tenant__,
-      forgotten_time,
+      forgotten_before,
       answered__);
 }
 
@@ -939,6 +939,7 @@
   std::string tenant{};
   std::string operator_name{};
   std::vector<std::shared_ptr<cometstand::wire::ObjectKeyT>> keys{};
+  uint32_t key_count = 0;
   AcceptedChangeT() = default;
   AcceptedChangeT(const AcceptedChangeT &o);
   AcceptedChangeT(AcceptedChangeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -953,7 +954,8 @@
     VT_VERSION = 4,
     VT_TENANT = 6,
     VT_OPERATOR_NAME = 8,
-    VT_KEYS = 10
+    VT_KEYS = 10,
+    VT_KEY_COUNT = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -967,6 +969,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectKey>> *keys() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectKey>> *>(VT_KEYS);
   }
+  uint32_t key_count() const {
+    return GetField<uint32_t>(VT_KEY_COUNT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -977,6 +982,7 @@
            VerifyOffset(verifier, VT_KEYS) &&
            verifier.VerifyVector(keys()) &&
            verifier.VerifyVectorOfTables(keys()) &&
+           VerifyField<uint32_t>(verifier, VT_KEY_COUNT, 4) &&
            verifier.EndTable();
   }
   AcceptedChangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1000,6 +1006,9 @@
   void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectKey>>> keys) {
     fbb_.AddOffset(AcceptedChange::VT_KEYS, keys);
   }
+  void add_key_count(uint32_t key_count) {
+    fbb_.AddElement<uint32_t>(AcceptedChange::VT_KEY_COUNT, key_count, 0);
+  }
   explicit AcceptedChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1016,9 +1025,11 @@
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::String> tenant = 0,
     flatbuffers::Offset<flatbuffers::String> operator_name = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectKey>>> keys = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectKey>>> keys = 0,
+    uint32_t key_count = 0) {
   AcceptedChangeBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_key_count(key_count);
   builder_.add_keys(keys);
   builder_.add_operator_name(operator_name);
   builder_.add_tenant(tenant);
@@ -1035,7 +1046,8 @@
     uint64_t version = 0,
     const char *tenant = nullptr,
     const char *operator_name = nullptr,
-    const std::vector<flatbuffers::Offset<cometstand::wire::ObjectKey>> *keys = nullptr) {
+    const std::vector<flatbuffers::Offset<cometstand::wire::ObjectKey>> *keys = nullptr,
+    uint32_t key_count = 0) {
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto operator_name__ = operator_name ? _fbb.CreateString(operator_name) : 0;
   auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectKey>>(*keys) : 0;
@@ -1044,7 +1056,8 @@
       version,
       tenant__,
       operator_name__,
-      keys__);
+      keys__,
+      key_count);
 }
 
 flatbuffers::Offset<AcceptedChange> CreateAcceptedChange(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1373,14 +1386,14 @@
 
 inline TenantRequestsT::TenantRequestsT(const TenantRequestsT &o)
       : tenant(o.tenant),
-        forgotten_time(o.forgotten_time) {
+        forgotten_before(o.forgotten_before) {
   answered.reserve(o.answered.size());
   for (const auto &answered_ : o.answered) { answered.emplace_back((answered_) ? new cometstand::wire::AnsweredRequestT(*answered_) : nullptr); }
 }
 
 inline TenantRequestsT &TenantRequestsT::operator=(TenantRequestsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(tenant, o.tenant);
-  std::swap(forgotten_time, o.forgotten_time);
+  std::swap(forgotten_before, o.forgotten_before);
   std::swap(answered, o.answered);
   return *this;
 }
@@ -1395,7 +1408,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
-  { auto _e = forgotten_time(); _o->forgotten_time = _e; }
+  { auto _e = forgotten_before(); _o->forgotten_before = _e; }
   { auto _e = answered(); if (_e) { _o->answered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered[_i] = std::shared_ptr<cometstand::wire::AnsweredRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -1408,12 +1421,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TenantRequestsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
-  auto _forgotten_time = _o->forgotten_time;
+  auto _forgotten_before = _o->forgotten_before;
   auto _answered = _o->answered.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::AnsweredRequest>> (_o->answered.size(), [](size_t i, _VectorArgs *__va) { return CreateAnsweredRequest(*__va->__fbb, __va->__o->answered[i].get(), __va->__rehasher); }, &_va ) : 0;
   return cometstand::wire::CreateTenantRequests(
       _fbb,
       _tenant,
-      _forgotten_time,
+      _forgotten_before,
       _answered);
 }
 
@@ -1522,7 +1535,8 @@
 inline AcceptedChangeT::AcceptedChangeT(const AcceptedChangeT &o)
       : version(o.version),
         tenant(o.tenant),
-        operator_name(o.operator_name) {
+        operator_name(o.operator_name),
+        key_count(o.key_count) {
   keys.reserve(o.keys.size());
   for (const auto &keys_ : o.keys) { keys.emplace_back((keys_) ? new cometstand::wire::ObjectKeyT(*keys_) : nullptr); }
 }
@@ -1532,6 +1546,7 @@
   std::swap(tenant, o.tenant);
   std::swap(operator_name, o.operator_name);
   std::swap(keys, o.keys);
+  std::swap(key_count, o.key_count);
   return *this;
 }
 
@@ -1548,6 +1563,7 @@
   { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
   { auto _e = operator_name(); if (_e) _o->operator_name = _e->str(); }
   { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = std::shared_ptr<cometstand::wire::ObjectKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = key_count(); _o->key_count = _e; }
 }
 
 inline flatbuffers::Offset<AcceptedChange> AcceptedChange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1562,12 +1578,14 @@
   auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
   auto _operator_name = _o->operator_name.empty() ? 0 : _fbb.CreateString(_o->operator_name);
   auto _keys = _o->keys.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectKey>> (_o->keys.size(), [](size_t i, _VectorArgs *__va) { return CreateObjectKey(*__va->__fbb, __va->__o->keys[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _key_count = _o->key_count;
   return cometstand::wire::CreateAcceptedChange(
       _fbb,
       _version,
       _tenant,
       _operator_name,
-      _keys);
+      _keys,
+      _key_count);
 }
 
 inline StoreStateT::StoreStateT(const StoreStateT &o)
