--- /dev/null
+++ b/src/runtime/reconnect_backoff.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+
+#include "base/random.h"
+#include "base/time.h"
+
+namespace cometstand::runtime {
+
+/// Pause before the next connect: exponential with full jitter, so that the processes that lost one peer
+/// together do not come back together.
+class ReconnectBackoff {
+ public:
+  ReconnectBackoff(Duration minimum, Duration maximum) : minimum_(minimum), maximum_(maximum) {}
+
+  /// @return a pause from [0, ceiling]; the ceiling doubles with each call up to the maximum.
+  Duration next(RandomSource& random) {
+    ceiling_ = std::clamp(ceiling_ * 2, minimum_, maximum_);
+    return random.uniform(Duration::zero(), ceiling_);
+  }
+
+  /// @return a pause that honours a peer's wish: from [wish, wish + half of it].
+  static Duration honour(Duration wish, RandomSource& random) {
+    return wish + random.uniform(Duration::zero(), wish / 2);
+  }
+
+  /// Call it when a peer proved useful.
+  void reset() { ceiling_ = Duration::zero(); }
+
+ private:
+  Duration minimum_;
+  Duration maximum_;
+  Duration ceiling_ = Duration::zero();
+};
+
+}  // namespace cometstand::runtime
