--- /dev/null
+++ b/src/proxy/control_claims.cpp
@@ -0,0 +1,115 @@
+#include "proxy/control_claims.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "base/error.h"
+
+namespace cometstand::proxy {
+namespace {
+
+wire::ClaimReplyT failedReply(wire::Outcome outcome, ErrorKind kind, const char* message, const char* remedy,
+                              Duration retry_after) {
+  wire::ClaimReplyT reply;
+  reply.outcome = outcome;
+  reply.error = std::make_shared<wire::ErrorInfoT>();
+  reply.error->kind = static_cast<std::uint16_t>(kind);
+  reply.error->message = message;
+  reply.error->remedy = remedy;
+  reply.error->retry_after_ms = static_cast<std::uint32_t>(ceilMilliseconds(retry_after));
+  return reply;
+}
+
+}  // namespace
+
+void ControlClaims::request(wire::ClaimRequestT request, std::uint64_t callback, TimePoint now) {
+  if (!link_) {
+    on_answer_(callback,
+               failedReply(wire::Outcome::NotRun, ErrorKind::Unavailable, "no relay serves the proxy",
+                           "send the request again later", options_.reconnect_maximum));
+    return;
+  }
+  const std::uint64_t request_id = ++last_request_id_;
+  auto& pending = requests_[request_id];
+  pending = {std::move(request), callback, now + options_.claim_limit, 0};
+  sendRequest(request_id, pending);
+}
+
+void ControlClaims::finish(wire::ClaimFinishT finish, TimePoint now) {
+  const std::uint64_t request_id = ++last_request_id_;
+  auto& pending = finishes_[request_id];
+  pending.finish = std::move(finish);
+  sendFinish(request_id, pending, now);
+}
+
+void ControlClaims::sendRequest(std::uint64_t request_id, PendingRequest& pending) {
+  if (!link_) return;
+  ++pending.times_sent;
+  actions_.send(*link_, pending.request, request_id);
+}
+
+void ControlClaims::sendFinish(std::uint64_t request_id, PendingFinish& pending, TimePoint now) {
+  pending.send_again = now + options_.claim_finish_retry;
+  if (link_) actions_.send(*link_, pending.finish, request_id);
+}
+
+void ControlClaims::onReply(std::uint64_t request_id, const wire::ClaimReplyT& reply, TimePoint now) {
+  const auto finish = finishes_.find(request_id);
+  if (finish != finishes_.end()) {
+    // An answer that is not the store's word is tried again by the timer.
+    if (reply.outcome == wire::Outcome::Completed) finishes_.erase(finish);
+    return;
+  }
+  answer(request_id, reply, now);
+}
+
+void ControlClaims::answer(std::uint64_t request_id, const wire::ClaimReplyT& reply, TimePoint now) {
+  const auto found = requests_.find(request_id);
+  if (found == requests_.end()) return;
+  const PendingRequest pending = std::move(found->second);
+  requests_.erase(found);
+  const bool may_be_held = reply.outcome == wire::Outcome::Unknown ||
+                           (reply.outcome == wire::Outcome::NotRun && pending.times_sent > 1);
+  if (may_be_held) {
+    wire::ClaimFinishT release;
+    release.tenant = pending.request.tenant;
+    release.key = pending.request.key;
+    release.attempt = pending.request.attempt;
+    release.end = wire::ClaimEnd::Released;
+    finish(std::move(release), now);
+  }
+  on_answer_(pending.callback, reply);
+}
+
+void ControlClaims::expire(std::uint64_t request_id, TimePoint now) {
+  answer(request_id,
+         failedReply(wire::Outcome::Unknown, ErrorKind::Timeout, "the store did not answer the claim in time",
+                     "send the request again with the same idempotency key", options_.claim_limit),
+         now);
+}
+
+void ControlClaims::onLinkReady(runtime::LinkId link, TimePoint now) {
+  link_ = link;
+  for (auto& [id, pending] : requests_) sendRequest(id, pending);
+  for (auto& [id, pending] : finishes_) sendFinish(id, pending, now);
+}
+
+void ControlClaims::onTimer(TimePoint now) {
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, pending] : requests_) {
+    if (pending.deadline <= now) expired.push_back(id);
+  }
+  for (const auto id : expired) expire(id, now);
+  for (auto& [id, pending] : finishes_) {
+    if (pending.send_again <= now) sendFinish(id, pending, now);
+  }
+}
+
+TimePoint ControlClaims::nextTimer() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, pending] : requests_) next = std::min(next, pending.deadline);
+  for (const auto& [id, pending] : finishes_) next = std::min(next, pending.send_again);
+  return next;
+}
+
+}  // namespace cometstand::proxy
