--- a/src/proxy/control_claims.cpp
+++ b/src/proxy/control_claims.cpp
@@ -20,6 +20,21 @@
   return reply;
 }
 
+/// @return true if asking again would bring the same answer.
+bool isDecided(const wire::ClaimReplyT& reply) {
+  if (reply.outcome == wire::Outcome::Completed) return true;
+  if (reply.outcome == wire::Outcome::Unknown || !reply.error) return false;
+  switch (static_cast<ErrorKind>(reply.error->kind)) {
+    case ErrorKind::Unavailable:
+    case ErrorKind::Overloaded:
+    case ErrorKind::Timeout:
+    case ErrorKind::Stopping:
+      return false;
+    default:
+      return true;
+  }
+}
+
 }  // namespace
 
 void ControlClaims::request(wire::ClaimRequestT request, std::uint64_t callback, TimePoint now) {
@@ -56,8 +71,8 @@
 void ControlClaims::onReply(std::uint64_t request_id, const wire::ClaimReplyT& reply, TimePoint now) {
   const auto finish = finishes_.find(request_id);
   if (finish != finishes_.end()) {
-    // An answer that is not the store's word is tried again by the timer.
-    if (reply.outcome == wire::Outcome::Completed) finishes_.erase(finish);
+    // What the store has not decided on is tried again by the timer.
+    if (isDecided(reply)) finishes_.erase(finish);
     return;
   }
   answer(request_id, reply, now);
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,29 +61,47 @@
     LinkRole role = LinkRole::Unnamed;
     /// The role that the link's certificate names; empty without one.
     std::string certificate_role;
-    TimePoint opened;
   };
 
-  void onUpstreamMessage(const wire::EnvelopeT& message, TimePoint now);
-  void onUpstreamLost(TimePoint now);
-  void onIncomingMessage(runtime::LinkId link, IncomingLink& incoming, const wire::EnvelopeT& message,
-                         TimePoint now);
+  // Upstream.
+  void onUpstreamMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void useUpstream(runtime::LinkId link, TimePoint now);
+  void loseUpstream(runtime::LinkId link, TimePoint now, const std::function<void()>& action);
+  void applyDelta(runtime::LinkId link, const wire::ConfigurationDeltaT& delta, TimePoint now);
+  void onBeat(runtime::LinkId link, std::uint64_t request_id, const wire::QuorumBeatT& beat, TimePoint now);
+  void configurationChanged(const ConfigurationIndex::Changed& changed, TimePoint now);
+
+  // Incoming links.
   void nameLink(runtime::LinkId link, IncomingLink& incoming, const wire::EnvelopeT& message, TimePoint now);
+  static bool mayBe(const IncomingLink& incoming, const char* role);
+  void onIncomingMessage(runtime::LinkId link, const IncomingLink& incoming, const wire::EnvelopeT& message,
+                         TimePoint now);
   void onProxyMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onClaim(runtime::LinkId link, const std::string& tenant, const wire::EnvelopeT& message,
+               TimePoint now);
+  void onFollowRequest(runtime::LinkId link, const wire::FollowRequestT& request, TimePoint now);
   void onFollowerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void onPeerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
-  void onFollowRequest(runtime::LinkId link, const wire::FollowRequestT& request, TimePoint now);
-  void onStopOrder(const wire::StopOrderT& order, TimePoint now);
-  void onFreshnessAnswer(std::uint64_t request_id, std::uint64_t version, TimePoint now);
-  void configurationChanged(const ConfigurationIndex::Changed& changed, TimePoint now);
-  /// Sends records on to proxies, and to peers if this relay is their origin.
-  void publish(const std::vector<view::EndpointRecordPointer>& records, bool is_origin, TimePoint now);
-  void takeRecords(const std::vector<view::EndpointRecordPointer>& records, bool is_origin, TimePoint now);
-  void reportUpstream(TimePoint now);
-  void shareConnections(TimePoint now);
   void closeSilentLinks(TimePoint now);
+
+  // Reports, orders and membership.
+  void refreshMembership(TimePoint now);
   bool isProber() const;
-  bool mayBe(const IncomingLink& incoming, const char* role) const;
+  FleetSummary ownSummary() const;
+  std::uint32_t meshProxies() const;
+  void reportUpstream(TimePoint now);
+  void shareConnections(TimePoint now);
+  void beginStatus(runtime::LinkId asker, std::uint64_t request_id, TimePoint now);
+  void onStopOrder(const wire::StopOrderT& order, TimePoint now);
+
+  // Endpoint records.
+  void sendWholeTable(runtime::LinkId link);
+  void onSightings(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
+  void onPeerRecords(const wire::EndpointUpdateT& update, TimePoint now);
+  /// Takes records of which this relay is the origin: merges them and sends them to peers and proxies.
+  void publish(const std::vector<view::EndpointRecordPointer>& records, TimePoint now);
+  void sendToProxies(const std::vector<view::EndpointRecordPointer>& records, TimePoint now);
+  void flushRecords();
 
   RelayOptions options_;
   RandomSource random_;
@@ -99,14 +118,21 @@
   StatusCollector status_;
   PeerMesh mesh_;
   std::map<runtime::LinkId, IncomingLink> incoming_;
+  /// Incoming links that have named no role yet, and when they opened.
+  std::map<runtime::LinkId, TimePoint> unnamed_;
 
+  std::vector<view::EndpointRecordPointer> batched_records_;
+  TimePoint records_at_ = TimePoint::max();
   FleetSummary reported_;
   bool has_reported_ = false;
+  TimePoint last_report_;
   TimePoint report_at_ = TimePoint::max();
   std::uint32_t shared_among_ = 0;
+  TimePoint last_share_;
   TimePoint share_at_ = TimePoint::max();
   bool stopping_ = false;
   TimePoint stop_deadline_ = TimePoint::max();
+  bool stop_passed_ = false;
 };
 
 }  // namespace cometstand::relay
--- /dev/null
+++ b/src/relay/view_source.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "relay/configuration_index.h"
+#include "runtime/process_core.h"
+
+namespace cometstand::relay {
+
+/// What the relay believes a proxy holds.
+struct ViewPosition {
+  std::uint64_t version = 0;
+  view::DigestSum digest;
+};
+
+/// A message that brings a proxy to a newer view.
+struct ViewUpdate {
+  runtime::MessagePointer message;
+  ViewPosition result;
+};
+
+/// Makes the messages that bring proxies up to date: a delta where the history reaches the proxy's version
+/// and a snapshot is not smaller. Proxies of equal tenants at equal versions share one message.
+class ViewSource {
+ public:
+  explicit ViewSource(ConfigurationIndex& index) : index_(index) {}
+
+  /// @return true if the proxy holds the present view of the node and its tenants.
+  bool isCurrent(const std::string& node, const std::vector<std::string>& tenants,
+                 const ViewPosition& position) const;
+
+  /// @param snapshot_only true if the proxy asked for a snapshot.
+  /// @return the message; nothing if no view newer than the proxy's can be given yet.
+  std::optional<ViewUpdate> updateFor(const std::string& node, const TenantSet& tenants,
+                                      const ViewPosition& position, bool snapshot_only);
+
+  /// Forgets shared messages; call it when the configuration advanced.
+  void onAdvanced() { shared_deltas_.clear(); }
+
+ private:
+  struct DeltaKey {
+    std::uint64_t from_version;
+    TenantSet tenants;
+    friend auto operator<=>(const DeltaKey&, const DeltaKey&) = default;
+  };
+
+  bool deltaApplies(const std::string& node, const ViewPosition& position) const;
+  std::optional<ViewUpdate> makeDelta(const TenantSet& tenants, const ViewPosition& position);
+  std::optional<ViewUpdate> makeSnapshot(const std::string& node, const std::vector<std::string>& tenants,
+                                         const ViewPosition& position) const;
+
+  ConfigurationIndex& index_;
+  /// Holds no message for positions where a snapshot is the better choice.
+  std::map<DeltaKey, std::optional<ViewUpdate>> shared_deltas_;
+};
+
+}  // namespace cometstand::relay
--- a/src/view/object_digest.cpp
+++ b/src/view/object_digest.cpp
@@ -1,35 +1,32 @@
 #include "view/object_digest.h"
 
-#include <xxhash.h>
+#include "config/object_digest.h"
 
 namespace cometstand::view {
+namespace {
+
+wire::Digest digestValue(const DigestSum& sum) { return {sum.low(), sum.high()}; }
+
+DigestSum sumOf(const wire::Digest& digest) { return {digest.low(), digest.high()}; }
+
+}  // namespace
 
 DigestSum& DigestSum::operator+=(const DigestSum& other) {
-  low_ += other.low_;
-  high_ += other.high_ + (low_ < other.low_ ? 1 : 0);
-  return *this;
+  return *this = sumOf(config::addDigest(digestValue(*this), digestValue(other)));
 }
 
 DigestSum& DigestSum::operator-=(const DigestSum& other) {
-  const std::uint64_t borrow = low_ < other.low_ ? 1 : 0;
-  low_ -= other.low_;
-  high_ -= other.high_ + borrow;
-  return *this;
+  return *this = sumOf(config::subtractDigest(digestValue(*this), digestValue(other)));
 }
 
-std::shared_ptr<wire::Digest> DigestSum::toWire() const {
-  return std::make_shared<wire::Digest>(low_, high_);
-}
+std::shared_ptr<wire::Digest> DigestSum::toWire() const { return std::make_shared<wire::Digest>(low_, high_); }
 
 DigestSum DigestSum::fromWire(const wire::Digest* digest) {
-  return digest == nullptr ? DigestSum() : DigestSum(digest->low(), digest->high());
+  return digest == nullptr ? DigestSum() : sumOf(*digest);
 }
 
-MeasuredObject measureObject(const wire::ObjectChangeT& change) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::ObjectChange::Pack(builder, &change));
-  const XXH128_hash_t hash = XXH3_128bits(builder.GetBufferPointer(), builder.GetSize());
-  return {DigestSum(hash.low64, hash.high64), builder.GetSize()};
+DigestSum digestOf(const wire::ObjectChangeT& change) {
+  return sumOf(config::objectDigest(*change.object, change.version));
 }
 
 }  // namespace cometstand::view
--- a/src/view/object_digest.h
+++ b/src/view/object_digest.h
@@ -29,13 +29,7 @@
   std::uint64_t high_ = 0;
 };
 
-/// An object's digest and its size on the wire.
-struct MeasuredObject {
-  DigestSum digest;
-  std::size_t bytes = 0;
-};
-
-/// @return the XXH3 128-bit hash over the change's key, version and object in FlatBuffers form.
-MeasuredObject measureObject(const wire::ObjectChangeT& change);
+/// @return the digest of a live object at its version; see config/object_digest.h.
+DigestSum digestOf(const wire::ObjectChangeT& change);
 
 }  // namespace cometstand::view
--- a/src/view/view_builder.cpp
+++ b/src/view/view_builder.cpp
@@ -71,7 +71,7 @@
   if (id.kind == wire::ObjectKind::Node) {
     staged_.node_ = nullptr;
   } else {
-    staged_.digest_ -= measureObject(*found->second).digest;
+    staged_.digest_ -= digestOf(*found->second);
   }
   staged_.objects_.erase(found);
 }
@@ -86,7 +86,7 @@
     if (staged_.node_) throw Error(ErrorKind::Reference, "the view has two node objects", kReportRemedy);
     staged_.node_ = change;
   } else {
-    staged_.digest_ += measureObject(*change).digest;
+    staged_.digest_ += digestOf(*change);
   }
   staged_.objects_.emplace(id, change);
 }
