--- a/src/view/object_digest.cpp
+++ b/src/view/object_digest.cpp
@@ -19,7 +19,9 @@
   return *this = sumOf(config::subtractDigest(digestValue(*this), digestValue(other)));
 }
 
-std::shared_ptr<wire::Digest> DigestSum::toWire() const { return std::make_shared<wire::Digest>(low_, high_); }
+std::shared_ptr<wire::Digest> DigestSum::toWire() const {
+  return std::make_shared<wire::Digest>(low_, high_);
+}
 
 DigestSum DigestSum::fromWire(const wire::Digest* digest) {
   return digest == nullptr ? DigestSum() : sumOf(*digest);
