--- a/src/proxy/admission_queue.h
+++ b/src/proxy/admission_queue.h
@@ -13,22 +13,11 @@
 #include "proxy/concurrency_limit.h"
 #include "proxy/data_path_options.h"
 #include "proxy/identifiers.h"
+#include "proxy/metrics.h"
 #include "schema/objects_generated.h"
 
 namespace cometstand::proxy {
 
-/// Why a request was not admitted.
-enum class RefusalReason : std::uint8_t {
-  QueueFull,
-  /// The expected wait passes the request's deadline.
-  WaitTooLong,
-  /// The deadline passed in the queue.
-  DeadlinePassed,
-  /// A request of a higher class took its place in a full queue.
-  Displaced,
-};
-inline constexpr std::size_t kRefusalReasons = 4;
-
 struct AdmissionRequest {
   RequestId id;
   ServiceKey service;
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -50,7 +50,7 @@
   std::vector<EndpointPointer> all;
   std::vector<EndpointPointer> healthy;
   for (const auto& endpoint : usable) {
-    if (!endpoint->mayTakeWork()) continue;
+    if (!endpoint->mayTakeWork(now)) continue;
     all.push_back(endpoint);
     if (!endpoint->outlier.isEjected(now)) healthy.push_back(endpoint);
   }
@@ -111,7 +111,7 @@
       endpoint.load.onShed(now);
       break;
     case AttemptVerdict::Leaving:
-      EndpointSet::markLeaving(endpoint);
+      endpoint.markLeaving(now);
       break;
     case AttemptVerdict::Neutral:
       break;
@@ -123,6 +123,11 @@
   endpoint.load.onReport(load, own, now);
 }
 
+bool Balancer::hasEndpoints(const ServiceKey& service, TimePoint now) const {
+  const auto& all = endpoints_.endpoints(service);
+  return std::any_of(all.begin(), all.end(), [&](const auto& each) { return each->mayTakeWork(now); });
+}
+
 unsigned Balancer::capacity(const ServiceKey& service, TimePoint now) const {
   unsigned total = 0;
   for (const auto& endpoint : candidates(service, now)) total += slotLimit(*endpoint, now);
--- a/src/proxy/balancer.h
+++ b/src/proxy/balancer.h
@@ -67,7 +67,7 @@
   unsigned capacity(const ServiceKey& service, TimePoint now) const;
 
   /// @return true if any endpoint of the service may take work, though its slots may be busy.
-  bool hasEndpoints(const ServiceKey& service) const { return !endpoints_.endpoints(service).empty(); }
+  bool hasEndpoints(const ServiceKey& service, TimePoint now) const;
 
   /// @return ejections so far.
   std::uint64_t ejections() const { return ejections_; }
--- a/src/proxy/endpoint.h
+++ b/src/proxy/endpoint.h
@@ -14,6 +14,9 @@
 
 namespace cometstand::proxy {
 
+/// How long an endpoint without liveness records is left alone after it said that it leaves.
+inline constexpr Duration kLeavingMemory = std::chrono::seconds(30);
+
 /// One endpoint of a service as this proxy knows it: what configuration and liveness records say, and what
 /// the proxy saw itself. Lives on while requests refer to it, also after it left the set.
 struct Endpoint {
@@ -26,8 +29,8 @@
   unsigned max_connections = 1;
   std::uint64_t incarnation = 0;
   wire::EndpointState state = wire::EndpointState::Live;
-  /// Set by the endpoint's own word on a request, for its current incarnation.
-  bool said_leaving = false;
+  /// Until then the endpoint's own word that it leaves, given on a request, counts.
+  TimePoint leaving_until;
   /// When it began to take traffic after it was cold or new; empty if it counts as warm.
   std::optional<TimePoint> warm_since;
 
@@ -36,10 +39,16 @@
   LoadEstimate load;
   OutlierDetector outlier;
 
+  /// @return true if it is in service as far as configuration and records tell.
+  bool inService() const { return state == wire::EndpointState::Live || state == wire::EndpointState::Cold; }
+
   /// @return true if new work may go there at all.
-  bool mayTakeWork() const {
-    const bool in_service = state == wire::EndpointState::Live || state == wire::EndpointState::Cold;
-    return in_service && !said_leaving;
+  bool mayTakeWork(TimePoint now) const { return inService() && now >= leaving_until; }
+
+  /// The endpoint itself said that it leaves. Counts until its next incarnation; where no record tells
+  /// incarnations apart, until it is asked anew after a while.
+  void markLeaving(TimePoint now) {
+    leaving_until = incarnation != 0 ? TimePoint::max() : now + kLeavingMemory;
   }
 };
 
--- a/src/proxy/endpoint_set.cpp
+++ b/src/proxy/endpoint_set.cpp
@@ -38,7 +38,7 @@
 const std::vector<EndpointPointer>& EndpointSet::endpoints(const ServiceKey& service) const {
   static const std::vector<EndpointPointer> none;
   const auto found = services_.find(service);
-  return found == services_.end() ? none : found->second.usable;
+  return found == services_.end() ? none : found->second.in_service;
 }
 
 bool EndpointSet::hasService(const ServiceKey& service) const {
@@ -59,7 +59,7 @@
 void EndpointSet::overlay(Endpoint& endpoint, const wire::EndpointRecordT& record, TimePoint now) {
   const bool restarted = endpoint.incarnation != 0 && record.incarnation > endpoint.incarnation;
   if (restarted) {
-    endpoint.said_leaving = false;
+    endpoint.leaving_until = TimePoint();
     endpoint.outlier.reset();
     endpoint.load = LoadEstimate();
   }
@@ -91,11 +91,11 @@
     overlay(*addKnown(key, service, name, now), record, now);
   }
   std::erase_if(service.known, [&](const auto& entry) { return !present.contains(entry.first); });
-  service.usable.clear();
+  service.in_service.clear();
   for (const auto& [name, endpoint] : service.known) {
-    if (endpoint->mayTakeWork()) service.usable.push_back(endpoint);
+    if (endpoint->inService()) service.in_service.push_back(endpoint);
   }
-  service.built = service.built || !service.usable.empty();
+  service.built = service.built || !service.in_service.empty();
 }
 
 }  // namespace cometstand::proxy
--- a/src/proxy/endpoint_set.h
+++ b/src/proxy/endpoint_set.h
@@ -25,10 +25,7 @@
   /// Takes one record. Ignores it unless it is newer by (incarnation, sequence, state).
   void applyRecord(const wire::EndpointRecordT& record, TimePoint now);
 
-  /// The endpoint itself said, on a request, that it leaves. Counts until it restarts.
-  static void markLeaving(Endpoint& endpoint) { endpoint.said_leaving = true; }
-
-  /// @return the endpoints that may take work, in the order of their names; empty for an unknown service.
+  /// @return the endpoints in service, in the order of their names; empty for an unknown service.
   const std::vector<EndpointPointer>& endpoints(const ServiceKey& service) const;
 
   /// @return true if the configuration holds the service.
@@ -41,7 +38,7 @@
     std::map<std::string, wire::EndpointRecordT> records;
     /// Every endpoint known, whatever its state.
     std::map<std::string, EndpointPointer> known;
-    std::vector<EndpointPointer> usable;
+    std::vector<EndpointPointer> in_service;
     /// Endpoints that appear after the first ones are new to the mesh and start slowly.
     bool built = false;
   };
--- a/src/proxy/request_machine.cpp
+++ b/src/proxy/request_machine.cpp
@@ -237,8 +237,13 @@
 
 void RequestMachine::onStreamStarted(unsigned attempt, const BackendResponsePointer& head) {
   if (!isCurrent(attempt)) return;
+  if (answered_) {
+    // The caller is gone and the answer too large to be recorded: that it ran is all there is to keep.
+    actions_.emplace_back(CancelAttempt{attempt_});
+    finish(wire::ClaimEnd::Completed, nullptr);
+    return;
+  }
   state_ = State::Streaming;
-  if (answered_) return;
   answered_ = true;
   actions_.emplace_back(StartStream{head});
 }
@@ -280,6 +285,7 @@
   const bool past_deadline = now >= traits_.deadline;
   switch (state_) {
     case State::Waiting:
+      return;
     case State::Claiming:
       if (past_deadline && !answered_) answerTimeout();
       return;
@@ -318,13 +324,13 @@
 
 TimePoint RequestMachine::nextTimer() const {
   switch (state_) {
-    case State::Waiting:
     case State::Attempting:
       return traits_.deadline;
     case State::Claiming:
       return answered_ ? TimePoint::max() : traits_.deadline;
     case State::Pausing:
       return std::min(resume_at_, traits_.deadline);
+    case State::Waiting:
     case State::Streaming:
     case State::Done:
       break;
--- a/src/proxy/request_machine.h
+++ b/src/proxy/request_machine.h
@@ -96,11 +96,13 @@
   void onAttemptFailed(unsigned attempt, AttemptFailure failure, TimePoint now);
   /// The whole answer is there.
   void onResponse(unsigned attempt, const BackendResponsePointer& response, TimePoint now);
-  /// The answer is too large to be buffered, and begins with this head.
+  /// The answer is too large to be buffered, and begins with this head. The deadline no longer applies: the
+  /// connection's idle limit does.
   void onStreamStarted(unsigned attempt, const BackendResponsePointer& head);
   void onStreamEnded(unsigned attempt, bool whole);
   void onCallerGone();
   void onTimer(TimePoint now);
+  /// @return when onTimer() is wanted; while the request waits, the admission queue keeps its deadline.
   TimePoint nextTimer() const;
 
   std::vector<RequestAction> takeActions() { return std::exchange(actions_, {}); }
