--- a/rehearsal/standin/backend.cpp
+++ b/rehearsal/standin/backend.cpp
@@ -147,8 +147,7 @@
 }
 
 asio::awaitable<bool> Backend::sendAnswer(Session& session, Response response) {
-  const bool faulty =
-      response.result() == http::status::ok && response.count("X-Body-Digest") > 0 && strikesFault();
+  const bool faulty = response.count("X-Request-Id") > 0 && strikesFault();
   if (faulty && behavior_.truncate_after) {
     co_await sendPart(session.stream, response, *behavior_.truncate_after);
     co_return false;
--- a/rehearsal/standin/backend.h
+++ b/rehearsal/standin/backend.h
@@ -63,7 +63,8 @@
 
 /// A back end that is an HTTP/1.1 server in the one thread of its io_context: it serves every path with work
 /// that does nothing but last, and records what ran. GET /healthz, /load, /executed, /stats and POST /control
-/// are its own. An answer's body starts with the request's identifier; X-Body-Digest is its XXH3 in hex.
+/// are its own. An answer's body is
+/// answerBody() of the request's X-Request-Id and the target's parameter `bytes`.
 class Backend {
  public:
   /// @throw Error(InputOutput) if it cannot listen.
--- a/rehearsal/standin/backend_answers.cpp
+++ b/rehearsal/standin/backend_answers.cpp
@@ -8,8 +8,8 @@
 #include <charconv>
 
 #include "base/error.h"
+#include "rehearsal/standin/answer_body.h"
 #include "rehearsal/standin/backend_session.h"
-#include "rehearsal/standin/body_digest.h"
 
 namespace cometstand::rehearsal {
 
@@ -202,11 +202,8 @@
   response.set(http::field::content_type, "application/octet-stream");
   response.set("X-Request-Id", headerText(request, "X-Request-Id"));
   response.set("X-Load", fmt::format("{:.3f}", load_report_.reported(SteadyClock::now())));
-  std::string body = headerText(request, "X-Request-Id") + "\n";
   const std::string_view target(request.target().data(), request.target().size());
-  body.resize(std::max<std::uint64_t>(answerBytes(target), body.size()), '.');
-  response.set("X-Body-Digest", bodyDigest(body));
-  response.body() = std::move(body);
+  response.body() = answerBody(headerText(request, "X-Request-Id"), answerBytes(target));
   response.prepare_payload();
   return response;
 }
