--- a/rehearsal/standin/backend.cpp
+++ b/rehearsal/standin/backend.cpp
@@ -76,6 +76,13 @@
   asio::co_spawn(io_, acceptLoop(), asio::detached);
 }
 
+void Backend::setBehavior(const BackendBehavior& behavior) {
+  behavior_ = behavior;
+  load_report_.setLag(behavior.load_lag);
+  load_report_.setLie(behavior.load_lie);
+  if (behavior.leaving) beginLeaving();
+}
+
 void Backend::beginLeaving() {
   if (leaving_since_) return;
   leaving_since_ = SteadyClock::now();
--- a/rehearsal/standin/backend.h
+++ b/rehearsal/standin/backend.h
@@ -73,6 +73,9 @@
   /// Accepts connections until the drain is over.
   void start();
 
+  /// Replaces the behavior, as POST /control does.
+  void setBehavior(const BackendBehavior& behavior);
+
   /// Begins the drain; the io_context is stopped once it is over.
   void beginLeaving();
 
--- a/rehearsal/standin/backend_answers.cpp
+++ b/rehearsal/standin/backend_answers.cpp
@@ -157,15 +157,12 @@
 
 Backend::Response Backend::answerControl(const Request& request) {
   try {
-    behavior_ = applyControl(behavior_, json::parse(request.body()));
+    setBehavior(applyControl(behavior_, json::parse(request.body())));
   } catch (const std::exception& error) {
     auto response = jsonAnswer(request, json::object{{"error", error.what()}});
     response.result(http::status::bad_request);
     return response;
   }
-  load_report_.setLag(behavior_.load_lag);
-  load_report_.setLie(behavior_.load_lie);
-  if (behavior_.leaving) beginLeaving();
   return jsonAnswer(request, json::object{{"applied", true}});
 }
 
--- a/rehearsal/standin/caller.cpp
+++ b/rehearsal/standin/caller.cpp
@@ -36,6 +36,9 @@
 /// Largest answer body read, in bytes.
 constexpr std::uint64_t kMaxAnswerBody = 128ULL << 20U;
 
+/// Time left that a first attempt names at least, however late it begins.
+constexpr Duration kLeastTime = std::chrono::milliseconds(1);
+
 /// Time given to a request that is sent again after its deadline, to learn what became of it.
 constexpr Duration kClarifyTime = std::chrono::seconds(1);
 
@@ -118,7 +121,8 @@
 /// Makes one attempt and notes its outcome in the record. @return true if that outcome is final.
 asio::awaitable<bool> Caller::tryOnce(const RequestKind& kind, CallRecord& record, TimePoint due,
                                       std::size_t server) {
-  const Duration time_left = std::max(due - SteadyClock::now(), kClarifyTime);
+  const Duration least_time = record.attempts == 0 ? kLeastTime : kClarifyTime;
+  const Duration time_left = std::max(due - SteadyClock::now(), least_time);
   const Request request = makeRequest(kind, record, time_left);
   Attempt made = co_await attempt(options_.servers[server], request, time_left + kAnswerGrace);
   record.reason = made.reason;
