--- a/src/relay/error_info.cpp
+++ b/src/runtime/error_info.cpp
@@ -1,8 +1,8 @@
-#include "relay/error_info.h"
+#include "runtime/error_info.h"
 
 #include <utility>
 
-namespace cometstand::relay {
+namespace cometstand::runtime {
 
 std::shared_ptr<wire::ErrorInfoT> errorInfo(ErrorKind kind, std::string message, std::string remedy,
                                             Duration retry_after) {
@@ -14,8 +14,11 @@
   return info;
 }
 
-std::vector<std::shared_ptr<wire::NetworkAddressT>> networkAddresses(
-    const std::vector<runtime::Address>& addresses) {
+std::shared_ptr<wire::ErrorInfoT> errorInfo(const Error& error) {
+  return errorInfo(error.kind(), error.message(), error.remedy(), error.retryAfter());
+}
+
+std::vector<std::shared_ptr<wire::NetworkAddressT>> networkAddresses(const std::vector<Address>& addresses) {
   std::vector<std::shared_ptr<wire::NetworkAddressT>> result;
   result.reserve(addresses.size());
   for (const auto& address : addresses) {
@@ -28,11 +31,11 @@
 }
 
 wire::RefusalT makeRefusal(std::shared_ptr<wire::ErrorInfoT> error,
-                           const std::vector<runtime::Address>& alternatives) {
+                           const std::vector<Address>& alternatives) {
   wire::RefusalT refusal;
   refusal.error = std::move(error);
   refusal.alternatives = networkAddresses(alternatives);
   return refusal;
 }
 
-}  // namespace cometstand::relay
+}  // namespace cometstand::runtime
