Add the configuration store: state machine, replica core, program

Cause: relays, proxies and operators have nothing to follow or to talk to. The last of two that stop together hands over to nobody and ends when its quorum is gone.

--- /dev/null
+++ b/src/store/events.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <array>
+
+#include "base/event_log.h"
+
+namespace cometstand::store {
+
+inline constexpr EventDefinition kReaderAdmitted{
+    3001, LogLevel::Info, "reader_admitted",
+    "A relay reads the configuration from this replica from now on. No action is needed."};
+inline constexpr EventDefinition kReaderLost{3002, LogLevel::Info, "reader_lost",
+                                             "A reader's link ended. Another relay of its zone takes over; "
+                                             "check the zone's relays if no reader_admitted follows."};
+inline constexpr EventDefinition kReaderRefused{
+    3003, LogLevel::Info, "reader_refused",
+    "A relay was refused and told when or where to go. Follow the remedy in the event if it repeats."};
+inline constexpr EventDefinition kReaderSilent{3004, LogLevel::Warning, "reader_silent",
+                                               "A reader did not answer while another relay of its zone "
+                                               "asked to read; its link was closed. Check that relay."};
+inline constexpr EventDefinition kSnapshotTooLarge{3005, LogLevel::Error, "snapshot_too_large",
+                                                   "The state does not fit a snapshot, so the log grows "
+                                                   "without bound. Delete configuration objects that are "
+                                                   "not needed."};
+inline constexpr EventDefinition kUnexpectedPeer{
+    3006, LogLevel::Warning, "unexpected_peer",
+    "A link sent what its certificate does not allow and was closed. Check the certificate's role."};
+inline constexpr EventDefinition kStopBegan{
+    3007, LogLevel::Info, "store_stop_began",
+    "A planned stop began; a leader hands leadership over first. No action "
+    "is needed."};
+inline constexpr EventDefinition kReplacementDone{
+    3008, LogLevel::Info, "replica_replaced",
+    "The new replica votes in place of the old one, and both membership changes are committed. The repair is "
+    "complete."};
+
+inline constexpr std::array kStoreEvents{kReaderAdmitted, kReaderLost,       kReaderRefused,
+                                         kReaderSilent,   kSnapshotTooLarge, kUnexpectedPeer,
+                                         kStopBegan,      kReplacementDone};
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/log_writer.cpp
@@ -0,0 +1,147 @@
+#include "store/log_writer.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "base/error.h"
+#include "store/replies.h"
+
+namespace cometstand::store {
+namespace {
+
+/// A batch is closed once its commands take this many bytes, except that one command always goes.
+constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20U;
+
+}  // namespace
+
+void sendReply(StoreContext& context, const Asker& asker, wire::CommandReplyT reply) {
+  switch (reply.outcome) {
+    case wire::Outcome::Completed:
+      ++context.metrics.commands_completed;
+      break;
+    case wire::Outcome::NotRun:
+      ++context.metrics.commands_not_run;
+      break;
+    case wire::Outcome::Unknown:
+      ++context.metrics.commands_unknown;
+      break;
+  }
+  context.actions.send(asker.link, std::move(reply), asker.request_id);
+}
+
+void LogWriter::add(const Asker& asker, wire::StoreCommandT command, std::size_t cost, TimePoint now) {
+  const bool is_claim = command.body.type != wire::StoreCommandBody::ChangeCommand;
+  Waiting waiting{
+      {asker, is_claim, false, now + context_.options.command_time_limit}, std::move(command), cost};
+  if (waiting_.size() >= context_.options.max_commands_waiting) {
+    fail(waiting.pending, wire::Outcome::NotRun,
+         Error(ErrorKind::Overloaded, "too many commands wait for the log", "send the command again later",
+               context_.options.retry_after));
+    return;
+  }
+  waiting_.push_back(std::move(waiting));
+}
+
+void LogWriter::flush(TimePoint now) {
+  while (!waiting_.empty() && in_flight_.size() < context_.options.max_batches_in_flight) {
+    if (!appendBatch(now)) return;
+  }
+}
+
+bool LogWriter::appendBatch(TimePoint now) {
+  wire::StoreCommandBatchT batch;
+  std::size_t bytes = 0;
+  for (const auto& waiting : waiting_) {
+    const bool is_full = batch.commands.size() >= context_.options.max_commands_per_batch ||
+                         (bytes > 0 && bytes + waiting.cost > kMaxBatchBytes);
+    if (is_full) break;
+    bytes += waiting.cost;
+    batch.commands.push_back(std::make_shared<wire::StoreCommandT>(waiting.command));
+  }
+  const auto index = context_.consensus.propose(encodeBatch(batch), now);
+  if (!index) return false;
+  Batch appended{*index, context_.consensus.leadership().term, {}};
+  for (std::size_t i = 0; i < batch.commands.size(); ++i) {
+    appended.commands.push_back(waiting_.front().pending);
+    waiting_.pop_front();
+  }
+  ++context_.metrics.log_entries_proposed;
+  context_.metrics.log_commands_proposed += appended.commands.size();
+  in_flight_.push_back(std::move(appended));
+  return true;
+}
+
+void LogWriter::onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results) {
+  if (in_flight_.empty() || in_flight_.front().index != entry.index) return;
+  Batch batch = std::move(in_flight_.front());
+  in_flight_.pop_front();
+  for (std::size_t i = 0; i < batch.commands.size(); ++i) {
+    if (entry.term == batch.term && i < results.size()) {
+      answer(batch.commands[i], results[i]);
+    } else {
+      answerUnknown(batch.commands[i]);
+    }
+  }
+}
+
+void LogWriter::answer(Pending& pending, const CommandResult& result) {
+  if (std::exchange(pending.answered, true)) return;
+  if (const auto* reply = std::get_if<wire::CommandReplyT>(&result)) {
+    sendReply(context_, pending.asker, *reply);
+  } else {
+    ++context_.metrics.claims_answered;
+    context_.actions.send(pending.asker.link, std::get<wire::ClaimReplyT>(result), pending.asker.request_id);
+  }
+}
+
+void LogWriter::fail(Pending& pending, wire::Outcome outcome, const Error& error) {
+  if (pending.is_claim) {
+    answer(pending, failedReply<wire::ClaimReplyT>(outcome, error));
+  } else {
+    answer(pending, failedReply<wire::CommandReplyT>(outcome, error));
+  }
+}
+
+void LogWriter::answerUnknown(Pending& pending) {
+  fail(pending, wire::Outcome::Unknown,
+       Error(ErrorKind::Unknown, "the command was written, but whether it was accepted is not known",
+             "send it again under the same identifier", context_.options.retry_after));
+}
+
+void LogWriter::onLeadershipLost() {
+  for (auto& batch : in_flight_) {
+    for (auto& pending : batch.commands) answerUnknown(pending);
+  }
+  in_flight_.clear();
+  const Error error(ErrorKind::Unavailable, "this replica no longer leads", "send the command again",
+                    context_.options.retry_after);
+  for (auto& waiting : waiting_) fail(waiting.pending, wire::Outcome::NotRun, error);
+  waiting_.clear();
+}
+
+void LogWriter::onTimer(TimePoint now) {
+  while (!waiting_.empty() && waiting_.front().pending.deadline <= now) {
+    fail(waiting_.front().pending, wire::Outcome::NotRun,
+         Error(ErrorKind::Timeout, "the command was not written to the log in time", "send the command again",
+               context_.options.retry_after));
+    waiting_.pop_front();
+  }
+  for (auto& batch : in_flight_) {
+    for (auto& pending : batch.commands) {
+      if (pending.deadline <= now) answerUnknown(pending);
+    }
+  }
+}
+
+TimePoint LogWriter::nextTimer() const {
+  TimePoint next = waiting_.empty() ? TimePoint::max() : waiting_.front().pending.deadline;
+  for (const auto& batch : in_flight_) {
+    for (const auto& pending : batch.commands) {
+      if (!pending.answered) next = std::min(next, pending.deadline);
+    }
+  }
+  return next;
+}
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/log_writer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "store/store_context.h"
+
+namespace cometstand::store {
+
+/// Puts changes and claims into the replicated log while this replica leads, many to one entry, and answers
+/// them once the entry is applied. What was never appended is answered NotRun; what was appended and whose
+/// commit is not seen is answered Unknown, at once when leadership is lost.
+class LogWriter {
+ public:
+  explicit LogWriter(StoreContext& context) : context_(context) {}
+
+  /// Queues one command. Too many waiting are answered at once.
+  /// @param cost bytes that the command takes in a log entry, about.
+  void add(const Asker& asker, wire::StoreCommandT command, std::size_t cost, TimePoint now);
+
+  /// Appends what waits, if the limit of entries in flight allows.
+  void flush(TimePoint now);
+
+  /// An entry of kind Command was applied.
+  void onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results);
+
+  void onLeadershipLost();
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+
+  std::size_t waiting() const { return waiting_.size(); }
+  bool idle() const { return waiting_.empty() && in_flight_.empty(); }
+
+ private:
+  struct Pending {
+    Asker asker;
+    bool is_claim = false;
+    bool answered = false;
+    TimePoint deadline;
+  };
+  struct Waiting {
+    Pending pending;
+    wire::StoreCommandT command;
+    std::size_t cost = 0;
+  };
+  struct Batch {
+    consensus::LogIndex index = 0;
+    consensus::Term term = 0;
+    std::vector<Pending> commands;
+  };
+
+  bool appendBatch(TimePoint now);
+  void fail(Pending& pending, wire::Outcome outcome, const Error& error);
+  void answer(Pending& pending, const CommandResult& result);
+  void answerUnknown(Pending& pending);
+
+  StoreContext& context_;
+  std::deque<Waiting> waiting_;
+  std::deque<Batch> in_flight_;
+};
+
+/// Counts an operator's answer in the metrics and sends it.
+void sendReply(StoreContext& context, const Asker& asker, wire::CommandReplyT reply);
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/metrics.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cometstand::store {
+
+/// Counters and gauges of one replica, for the admin pages. Counters only rise while the process runs.
+struct StoreMetrics {
+  // Gauges.
+  bool is_leader = false;
+  std::uint64_t term = 0;
+  std::uint64_t version = 0;
+  std::uint64_t commit_index = 0;
+  std::uint64_t readers = 0;
+  std::uint64_t answered_requests = 0;
+  std::uint64_t claims_in_progress = 0;
+  std::uint64_t claims_finished = 0;
+  std::uint64_t commands_waiting = 0;
+
+  // Counters.
+  std::uint64_t commands_completed = 0;
+  std::uint64_t commands_not_run = 0;
+  std::uint64_t commands_unknown = 0;
+  std::uint64_t commands_forwarded = 0;
+  std::uint64_t claims_answered = 0;
+  std::uint64_t log_entries_proposed = 0;
+  std::uint64_t log_commands_proposed = 0;
+  std::uint64_t readers_admitted = 0;
+  std::uint64_t readers_refused = 0;
+  std::uint64_t deltas_sent = 0;
+  std::uint64_t snapshots_sent = 0;
+  std::uint64_t beats_sent = 0;
+  std::uint64_t leadership_changes = 0;
+};
+
+}  // namespace cometstand::store
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -41,7 +41,8 @@
   /// Time between two QuorumBeats to one reader. Microseconds, default 1 s, range 10 ms to 60 s.
   Duration beat_interval = std::chrono::seconds(1);
 
-  /// Log entries of commands in flight at once; later commands share the next entry. Default 4, range 1 to 64.
+  /// Log entries of commands in flight at once; later commands share the next entry. Default 4, range 1
+  /// to 64.
   std::size_t max_batches_in_flight = 4;
   /// Commands in one log entry. Default 256, range 1 to 10,000.
   std::size_t max_commands_per_batch = 256;
@@ -62,8 +63,8 @@
   /// When refused operators and relays should come back. Microseconds, default 500 ms, range 1 ms to 60 s.
   Duration retry_after = std::chrono::milliseconds(500);
 
-  /// Reconnects to other replicas: exponential with full jitter between these. Microseconds, defaults 50 ms and
-  /// 2 s, range 1 ms to 60 s.
+  /// Reconnects to other replicas: exponential with full jitter between these. Microseconds, defaults 50 ms
+  /// and 2 s, range 1 ms to 60 s.
   Duration reconnect_minimum = std::chrono::milliseconds(50);
   Duration reconnect_maximum = std::chrono::seconds(2);
 
--- /dev/null
+++ b/src/store/replies.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "runtime/error_info.h"
+
+/// Answers in their wire form.
+namespace cometstand::store {
+
+/// @return a CommandReply or ClaimReply without content.
+template <typename Reply>
+Reply failedReply(wire::Outcome outcome, const Error& error) {
+  Reply reply;
+  reply.outcome = outcome;
+  reply.error = runtime::errorInfo(error);
+  return reply;
+}
+
+template <typename Reply>
+Reply notRun(const Error& error) {
+  return failedReply<Reply>(wire::Outcome::NotRun, error);
+}
+
+template <typename Reply>
+Reply unknownOutcome(const Error& error) {
+  return failedReply<Reply>(wire::Outcome::Unknown, error);
+}
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/state_machine.cpp
@@ -0,0 +1,157 @@
+#include "store/state_machine.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "config/object_key.h"
+#include "store/limits.h"
+#include "store/replies.h"
+#include "store/request_id.h"
+
+namespace cometstand::store {
+namespace {
+
+// Deep enough for a batch of transactions; the bytes come from a replica's own log.
+constexpr flatbuffers::uoffset_t kMaxDepth = 64;
+constexpr flatbuffers::uoffset_t kMaxTables = 100'000'000;
+
+/// @throw Error(Corrupt)
+template <typename Table>
+const Table& verified(const std::vector<std::uint8_t>& bytes, const char* what) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size(), kMaxDepth, kMaxTables);
+  if (bytes.empty() || !verifier.VerifyBuffer<Table>(nullptr)) {
+    throw Error(ErrorKind::Corrupt, fmt::format("the {} cannot be read", what),
+                "run the same release on all replicas; else join this replica anew under a new identifier");
+  }
+  return *flatbuffers::GetRoot<Table>(bytes.data());
+}
+
+template <typename Table, typename Object>
+std::vector<std::uint8_t> encode(const Object& object) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(Table::Pack(builder, &object));
+  return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> encodeBatch(const wire::StoreCommandBatchT& batch) {
+  return encode<wire::StoreCommandBatch>(batch);
+}
+
+std::vector<CommandResult> StateMachine::apply(const std::vector<std::uint8_t>& batch) {
+  wire::StoreCommandBatchT commands;
+  verified<wire::StoreCommandBatch>(batch, "log entry").UnPackTo(&commands);
+  std::vector<CommandResult> results;
+  results.reserve(commands.commands.size());
+  for (const auto& command : commands.commands) results.push_back(applyOne(*command));
+  return results;
+}
+
+CommandResult StateMachine::applyOne(const wire::StoreCommandT& command) {
+  if (const auto* change = command.body.AsChangeCommand()) return applyChange(*change);
+  if (const auto* request = command.body.AsClaimRequest()) {
+    return applyClaim(*request, [&] { return claims_.request(*request); });
+  }
+  if (const auto* finish = command.body.AsClaimFinish()) {
+    return applyClaim(*finish, [&] { return claims_.finish(*finish); });
+  }
+  return notRun<wire::CommandReplyT>(
+      Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
+}
+
+wire::CommandReplyT StateMachine::applyChange(const wire::ChangeCommandT& command) {
+  if (command.transaction == nullptr || command.text_digest == nullptr || !requestTime(command.request_id)) {
+    return notRun<wire::CommandReplyT>(
+        Error(ErrorKind::Malformed, "the change lacks a part", "use a client of this release"));
+  }
+  const auto actor = actorOf(command);
+  if (!actor) {
+    return notRun<wire::CommandReplyT>(Error(ErrorKind::Unauthenticated,
+                                             "the credential changed while the change was on its way",
+                                             "send the change again with the new token"));
+  }
+  if (auto answer = requests_.answerFor(command)) return *std::move(answer);
+  wire::CommandReplyT reply = decideChange(command, *actor);
+  requests_.record(command, reply);
+  return reply;
+}
+
+wire::CommandReplyT StateMachine::decideChange(const wire::ChangeCommandT& command,
+                                               const config::Actor& actor) {
+  try {
+    config::checkTransaction(catalog_, actor, *command.transaction);
+  } catch (const Error& error) {
+    auto reply = notRun<wire::CommandReplyT>(error);
+    reply.version = catalog_.version();
+    return reply;
+  }
+  wire::CommandReplyT reply;
+  reply.version = catalog_.apply(*command.transaction);
+  addHistory(command, reply.version);
+  return reply;
+}
+
+std::optional<config::Actor> StateMachine::actorOf(const wire::ChangeCommandT& command) const {
+  if (command.credential_version == 0) {
+    const bool is_bootstrap =
+        command.tenant == config::kMeshTenant && command.operator_name == kBootstrapOperator;
+    return is_bootstrap ? std::optional(config::Actor{command.tenant, true}) : std::nullopt;
+  }
+  const auto key = config::makeKey(wire::ObjectKind::Credential, command.tenant, command.operator_name);
+  const auto object = catalog_.find(key);
+  if (object == nullptr || catalog_.versionOf(key) != command.credential_version) return std::nullopt;
+  const auto* credential = object->spec.AsCredentialSpec();
+  return config::Actor{command.tenant, credential != nullptr && credential->administrator};
+}
+
+template <typename ClaimCommand, typename Action>
+wire::ClaimReplyT StateMachine::applyClaim(const ClaimCommand& command, Action action) {
+  try {
+    const auto tenant = config::makeKey(wire::ObjectKind::Tenant, command.tenant, "");
+    if (catalog_.find(tenant) == nullptr) {
+      throw Error(ErrorKind::NotFound, fmt::format("tenant {} does not exist", command.tenant),
+                  "create the tenant first");
+    }
+    return action();
+  } catch (const Error& error) {
+    return notRun<wire::ClaimReplyT>(error);
+  }
+}
+
+void StateMachine::addHistory(const wire::ChangeCommandT& command, std::uint64_t version) {
+  auto change = std::make_shared<wire::AcceptedChangeT>();
+  change->version = version;
+  change->tenant = command.tenant;
+  change->operator_name = command.operator_name;
+  const auto& operations = command.transaction->operations;
+  change->key_count = static_cast<std::uint32_t>(operations.size());
+  const std::size_t named = std::min(operations.size(), kMaxHistoryKeys);
+  for (std::size_t i = 0; i < named; ++i) change->keys.push_back(operations[i]->key);
+  history_.push_back(std::move(change));
+  if (history_.size() > kMaxHistory) history_.pop_front();
+}
+
+std::vector<std::uint8_t> StateMachine::save() const {
+  wire::StoreStateT state;
+  state.version = catalog_.version();
+  state.pruned_version = catalog_.prunedVersion();
+  state.changes = catalog_.everything();
+  state.requests = requests_.save();
+  state.claims = claims_.save();
+  state.history.assign(history_.begin(), history_.end());
+  return encode<wire::StoreState>(state);
+}
+
+void StateMachine::restore(const std::vector<std::uint8_t>& bytes) {
+  wire::StoreStateT state;
+  verified<wire::StoreState>(bytes, "state of a snapshot").UnPackTo(&state);
+  catalog_.restore(state.version, state.pruned_version, state.changes);
+  requests_.restore(state.requests);
+  claims_.restore(state.claims);
+  history_.assign(state.history.begin(), state.history.end());
+}
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/state_machine.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "config/catalog.h"
+#include "config/transaction_check.h"
+#include "schema/store_generated.h"
+#include "store/claim_table.h"
+#include "store/request_table.h"
+
+namespace cometstand::store {
+
+/// Name of the first administrator's credential, of the tenant mesh. It is kept in settings, not in the
+/// state.
+inline constexpr const char* kBootstrapOperator = "bootstrap";
+
+/// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end.
+using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT>;
+
+/// The replicated state: catalog, answered requests, claims, history. Owns no input or output and never looks
+/// at a clock or a random number: equal sequences of apply() give equal states and results on every replica.
+/// Driven by the committed log entries, one after another.
+class StateMachine {
+ public:
+  /// Applies the commands of one log entry in order.
+  /// @param batch bytes of a StoreCommandBatch.
+  /// @return one result a command.
+  /// @throw Error(Corrupt) if the bytes are no batch.
+  std::vector<CommandResult> apply(const std::vector<std::uint8_t>& batch);
+
+  const config::Catalog& catalog() const { return catalog_; }
+  const RequestTable& requests() const { return requests_; }
+  const ClaimTable& claims() const { return claims_; }
+  /// @return the newest accepted changes, the oldest first.
+  const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
+
+  /// @return bytes of a StoreState; equal states give equal bytes.
+  std::vector<std::uint8_t> save() const;
+  /// Replaces the whole state.
+  /// @throw Error(Corrupt) if the bytes are no StoreState.
+  void restore(const std::vector<std::uint8_t>& bytes);
+
+ private:
+  CommandResult applyOne(const wire::StoreCommandT& command);
+  wire::CommandReplyT applyChange(const wire::ChangeCommandT& command);
+  wire::CommandReplyT decideChange(const wire::ChangeCommandT& command, const config::Actor& actor);
+  std::optional<config::Actor> actorOf(const wire::ChangeCommandT& command) const;
+  template <typename ClaimCommand, typename Action>
+  wire::ClaimReplyT applyClaim(const ClaimCommand& command, Action action);
+  void addHistory(const wire::ChangeCommandT& command, std::uint64_t version);
+
+  config::Catalog catalog_;
+  RequestTable requests_;
+  ClaimTable claims_;
+  std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
+};
+
+/// @return the bytes of a log entry.
+std::vector<std::uint8_t> encodeBatch(const wire::StoreCommandBatchT& batch);
+
+}  // namespace cometstand::store
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -6,6 +6,7 @@
 
 #include "consensus/output.h"
 #include "runtime/process_core.h"
+#include "store/metrics.h"
 #include "store/options.h"
 
 namespace cometstand::store {
@@ -39,6 +40,7 @@
   consensus::Leadership leadership() const;
   /// @return what the committed entries made so far.
   const StateMachine& stateMachine() const;
+  StoreMetrics metrics() const;
   /// @throw std::logic_error if an invariant does not hold. For tests and simulation.
   void checkInvariants() const;
 
--- /dev/null
+++ b/src/store/store_parts.cpp
@@ -0,0 +1,313 @@
+#include "store/store_parts.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "store/events.h"
+#include "store/replies.h"
+
+namespace cometstand::store {
+
+using runtime::LinkId;
+
+namespace {
+
+/// About what a claim takes in a log entry besides its texts, in bytes.
+constexpr std::size_t kClaimCost = 512;
+
+const StoreOptions& checked(const StoreOptions& options) {
+  options.check();
+  return options;
+}
+
+std::size_t costOf(const wire::ClaimRequestT& /*request*/) { return kClaimCost; }
+
+std::size_t costOf(const wire::ClaimFinishT& finish) {
+  return kClaimCost + (finish.answer == nullptr ? 0 : finish.answer->body.size());
+}
+
+}  // namespace
+
+StoreParts::StoreParts(const StoreOptions& options, std::uint64_t seed)
+    : options_(checked(options)),
+      random_(seed),
+      consensus_(options.consensus, options.self, RandomSource(random_.uniform(0, UINT64_MAX))) {}
+
+void StoreParts::start(const runtime::FileReader& files, TimePoint now) {
+  consensus_.recover(files, now);
+  drain(now);
+  bootstrapIfAsked(now);
+  drain(now);
+}
+
+void StoreParts::bootstrapIfAsked(TimePoint now) {
+  if (!options_.bootstrap || consensus_.leadership().role != consensus::Role::Joining) return;
+  wire::MembershipT membership;
+  for (const auto& voter : options_.initial_voters) {
+    membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
+  }
+  consensus_.bootstrap(membership, now);
+}
+
+void StoreParts::onLinkOpened(LinkId link, const runtime::PeerIdentity& peer, TimePoint now) {
+  if (replicas_.owns(link)) {
+    if (!peer.role.empty() && peer.role != "store") {
+      logEvent(kUnexpectedPeer, {{"role", peer.role}, {"name", peer.name}});
+      actions_.close(link);
+    } else {
+      replicas_.onLinkOpened(link);
+    }
+  } else {
+    incoming_[link] = peer;
+  }
+  drain(now);
+}
+
+void StoreParts::onLinkClosed(LinkId link, TimePoint now) {
+  replicas_.onLinkClosed(link, now);
+  forwarder_.onLinkClosed(link);
+  readers_.onLinkClosed(link);
+  statuses_.onLinkClosed(link);
+  incoming_.erase(link);
+  drain(now);
+}
+
+void StoreParts::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (replicas_.owns(link)) {
+    onOwnLinkMessage(link, message, now);
+  } else if (incoming_.contains(link)) {
+    onIncomingMessage(link, message, now);
+  }
+  drain(now);
+}
+
+void StoreParts::onOwnLinkMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (const auto* consensus_message = message.body.AsConsensusMessage()) {
+    consensus_.onMessage(*consensus_message, now);
+  } else if (const auto* reply = message.body.AsCommandReply()) {
+    forwarder_.onReply(link, message.request_id, *reply);
+  }
+}
+
+bool StoreParts::requireRole(LinkId link, const char* role, const char* other_role) {
+  const auto& peer = incoming_.at(link);
+  if (peer.role.empty() || peer.role == role || peer.role == other_role) return true;
+  logEvent(kUnexpectedPeer, {{"role", peer.role}, {"name", peer.name}, {"wanted", role}});
+  actions_.close(link);
+  return false;
+}
+
+void StoreParts::onIncomingMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const auto& body = message.body;
+  if (const auto* consensus_message = body.AsConsensusMessage()) {
+    if (requireRole(link, "store")) onConsensusMessage(link, *consensus_message, now);
+  } else if (const auto* request = body.AsCommandRequest()) {
+    if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
+  } else if (requireRole(link, "relay")) {
+    onRelayMessage(link, message, now);
+  }
+}
+
+void StoreParts::onConsensusMessage(LinkId link, const wire::ConsensusMessageT& message, TimePoint now) {
+  replicas_.onHeard(message.from, link);
+  consensus_.onMessage(message, now);
+}
+
+void StoreParts::onCommand(LinkId link, std::uint64_t request_id, const wire::CommandRequestT& request,
+                           TimePoint now) {
+  const auto& peer = incoming_.at(link);
+  const bool is_other_tenant =
+      peer.role == "operator" && !peer.tenant.empty() && peer.tenant != request.tenant;
+  const bool is_false_forward = request.forwarded && peer.role == "operator";
+  if (is_other_tenant || is_false_forward) {
+    sendReply(context_, {link, request_id},
+              notRun<wire::CommandReplyT>(Error(ErrorKind::Forbidden,
+                                                "the certificate does not allow the command's tenant",
+                                                "use the certificate of that tenant's operator")));
+    return;
+  }
+  commands_.onCommand({link, request_id}, request, now);
+}
+
+void StoreParts::onRelayMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const auto& body = message.body;
+  readers_.onHeard(link);
+  if (const auto* request = body.AsFollowRequest()) {
+    readers_.onFollowRequest(link, *request, now);
+  } else if (const auto* claim = body.AsClaimRequest()) {
+    onClaim(link, message.request_id, *claim, now);
+  } else if (const auto* finish = body.AsClaimFinish()) {
+    onClaim(link, message.request_id, *finish, now);
+  } else if (body.AsFreshnessRequest() != nullptr) {
+    readers_.onFreshnessRequest(link, message.request_id, now);
+  } else if (const auto* report = body.AsInForceReport()) {
+    readers_.onReport(link, *report);
+    waits_.check();
+  } else if (const auto* status = body.AsStatusReply()) {
+    statuses_.onReply(link, message.request_id, *status);
+  }
+}
+
+template <typename Claim>
+void StoreParts::onClaim(LinkId link, std::uint64_t request_id, const Claim& claim, TimePoint now) {
+  if (!context_.isLeader() || !readers_.isReader(link)) {
+    actions_.send(
+        link,
+        notRun<wire::ClaimReplyT>(Error(ErrorKind::Unavailable, "this replica does not lead",
+                                        "send the request again with the same key", options_.retry_after)),
+        request_id);
+    return;
+  }
+  wire::StoreCommandT command;
+  command.body.Set(Claim(claim));
+  writer_.add({link, request_id}, std::move(command), costOf(claim), now);
+}
+
+void StoreParts::onFileWritten(runtime::WriteId write, TimePoint now) {
+  consensus_.onFileWritten(write, now);
+  drain(now);
+}
+
+void StoreParts::onFileFailed(runtime::WriteId write, const std::string& reason, TimePoint now) {
+  consensus_.onFileFailed(write, reason, now);
+  drain(now);
+}
+
+void StoreParts::onTimer(TimePoint now) {
+  consensus_.onTimer(now);
+  replicas_.onTimer(now);
+  readers_.onTimer(now);
+  writer_.onTimer(now);
+  statuses_.onTimer(now);
+  waits_.onTimer(now);
+  admin_.onTimer(now);
+  forwarder_.onTimer(now);
+  drain(now);
+}
+
+TimePoint StoreParts::nextTimer() const {
+  return std::min({consensus_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(), writer_.nextTimer(),
+                   statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(), forwarder_.nextTimer(),
+                   stop_passed_ ? TimePoint::max() : stop_deadline_});
+}
+
+void StoreParts::drain(TimePoint now) {
+  do {
+    if (context_.isLeader()) writer_.flush(now);
+    admin_.step(now);
+    stepStop(now);
+  } while (drainOnce(now));
+  replicas_.refresh(now);
+}
+
+bool StoreParts::drainOnce(TimePoint now) {
+  consensus::Output output = consensus_.takeOutput();
+  const bool has_output = !output.messages.empty() || output.leadership || output.installed_snapshot ||
+                          !output.committed.empty() || !output.reads.empty() || output.quorum_round;
+  writes_.insert(writes_.end(), std::make_move_iterator(output.writes.begin()),
+                 std::make_move_iterator(output.writes.end()));
+  for (auto& message : output.messages) replicas_.send(std::move(message));
+  if (output.leadership) onLeadership(*output.leadership, now);
+  if (output.installed_snapshot) {
+    state_.restore(output.installed_snapshot->state);
+    applied_index_ = output.installed_snapshot->last_index;
+  }
+  applyCommitted(output.committed);
+  for (const auto& read : output.reads) reads_.onResult(read, now);
+  if (output.quorum_round) readers_.onQuorumRound(*output.quorum_round, now);
+  return has_output;
+}
+
+void StoreParts::onLeadership(const consensus::Leadership& leadership, TimePoint now) {
+  const bool was_leader = leadership_.role == consensus::Role::Leader;
+  const bool same_term = leadership.term == leadership_.term;
+  const bool still_leads = leadership.role == consensus::Role::Leader && same_term;
+  leadership_ = leadership;
+  if (!was_leader || still_leads) return;
+  ++metrics_.leadership_changes;
+  writer_.onLeadershipLost();
+  admin_.onLeadershipLost(same_term);
+  statuses_.onLeadershipLost();
+  waits_.onLeadershipLost();
+  readers_.onLeadershipLost(now);
+}
+
+void StoreParts::applyCommitted(const std::vector<consensus::LogEntryPointer>& entries) {
+  if (entries.empty()) return;
+  for (const auto& entry : entries) {
+    applied_index_ = entry->index;
+    if (entry->kind != wire::EntryKind::Command) continue;
+    writer_.onApplied(*entry, state_.apply(entry->data));
+  }
+  readers_.sendChanges();
+  waits_.check();
+  takeSnapshotIfDue();
+}
+
+void StoreParts::takeSnapshotIfDue() {
+  if (!consensus_.snapshotDue() || snapshot_failed_) return;
+  try {
+    consensus_.compact(applied_index_, state_.save());
+  } catch (const Error& error) {
+    snapshot_failed_ = true;
+    logEvent(kSnapshotTooLarge, {{"reason", error.what()}});
+  }
+}
+
+runtime::Actions StoreParts::takeActions() {
+  runtime::Actions actions = actions_.take();
+  actions.writes = std::exchange(writes_, {});
+  return actions;
+}
+
+void StoreParts::beginStop(TimePoint now) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_deadline_ = now + options_.stop_time_limit;
+  logEvent(kStopBegan, {{"replica", options_.self.id}, {"leads", context_.isLeader()}});
+  commands_.beginStop();
+  readers_.beginStop();
+  drain(now);
+}
+
+/// Leadership is handed over once what is in the log is answered, so that no answer becomes Unknown by it.
+void StoreParts::stepStop(TimePoint now) {
+  if (!stopping_) return;
+  if (now >= stop_deadline_) stop_passed_ = true;
+  if (transferred_ || !context_.isLeader() || !writer_.idle() || !admin_.idle()) return;
+  transferred_ = true;
+  if (!consensus_.transferLeadershipToAny(now)) stop_passed_ = true;
+}
+
+bool StoreParts::stopped() const {
+  if (!stopping_) return false;
+  return stop_passed_ || (!context_.isLeader() && writer_.idle() && forwarder_.idle());
+}
+
+StoreMetrics StoreParts::metrics() const {
+  StoreMetrics metrics = metrics_;
+  const auto leadership = consensus_.leadership();
+  metrics.is_leader = leadership.role == consensus::Role::Leader;
+  metrics.term = leadership.term;
+  metrics.version = state_.catalog().version();
+  metrics.commit_index = consensus_.commitIndex();
+  metrics.readers = readers_.size();
+  metrics.answered_requests = state_.requests().size();
+  metrics.claims_in_progress = state_.claims().inProgressCount();
+  metrics.claims_finished = state_.claims().finishedCount();
+  metrics.commands_waiting = writer_.waiting();
+  return metrics;
+}
+
+void StoreParts::checkInvariants() const {
+  consensus_.checkInvariants();
+  if (applied_index_ > consensus_.commitIndex()) throw std::logic_error("an uncommitted entry was applied");
+  const bool serves_as_follower =
+      !context_.isLeader() && leadership_.role != consensus::Role::Leader && readers_.size() > 0;
+  if (serves_as_follower) throw std::logic_error("a replica that does not lead has readers");
+}
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/store_parts.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+
+#include "store/command_service.h"
+#include "store/store_context.h"
+
+namespace cometstand::store {
+
+/// The parts of one replica and the order in which an event goes through them. After each event drain() hands
+/// the consensus module's output on until there is none left.
+class StoreParts {
+ public:
+  StoreParts(const StoreOptions& options, std::uint64_t seed);
+
+  void start(const runtime::FileReader& files, TimePoint now);
+  void onLinkOpened(runtime::LinkId link, const runtime::PeerIdentity& peer, TimePoint now);
+  void onLinkClosed(runtime::LinkId link, TimePoint now);
+  void onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onFileWritten(runtime::WriteId write, TimePoint now);
+  void onFileFailed(runtime::WriteId write, const std::string& reason, TimePoint now);
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+  runtime::Actions takeActions();
+  void beginStop(TimePoint now);
+  bool stopped() const;
+
+  const consensus::Consensus& consensus() const { return consensus_; }
+  const StateMachine& state() const { return state_; }
+  StoreMetrics metrics() const;
+  void checkInvariants() const;
+
+ private:
+  void drain(TimePoint now);
+  /// @return true if there was any output.
+  bool drainOnce(TimePoint now);
+  void onLeadership(const consensus::Leadership& leadership, TimePoint now);
+  void applyCommitted(const std::vector<consensus::LogEntryPointer>& entries);
+  void takeSnapshotIfDue();
+  void bootstrapIfAsked(TimePoint now);
+  void stepStop(TimePoint now);
+  /// @return true if the link's certificate allows this role; else the link is closed.
+  bool requireRole(runtime::LinkId link, const char* role, const char* other_role = "");
+  void onOwnLinkMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onIncomingMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onRelayMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onConsensusMessage(runtime::LinkId link, const wire::ConsensusMessageT& message, TimePoint now);
+  void onCommand(runtime::LinkId link, std::uint64_t request_id, const wire::CommandRequestT& request,
+                 TimePoint now);
+  template <typename Claim>
+  void onClaim(runtime::LinkId link, std::uint64_t request_id, const Claim& claim, TimePoint now);
+
+  const StoreOptions options_;
+  RandomSource random_;
+  runtime::ActionQueue actions_;
+  std::vector<runtime::FileWrite> writes_;
+  consensus::Consensus consensus_;
+  StateMachine state_;
+  LeaderReads reads_{consensus_};
+  StoreMetrics metrics_;
+  StoreContext context_{options_, actions_, random_, consensus_, state_, reads_, metrics_};
+  ReplicaLinks replicas_{context_};
+  ReaderHub readers_{context_, replicas_};
+  LogWriter writer_{context_};
+  StatusCollector statuses_{context_};
+  InForceWaits waits_{context_, readers_};
+  ReplicaAdmin admin_{context_};
+  CommandForwarder forwarder_{context_, replicas_};
+  CommandService commands_{context_, {readers_, writer_, statuses_, waits_, admin_, forwarder_}};
+
+  /// Certificates of the open incoming links.
+  std::map<runtime::LinkId, runtime::PeerIdentity> incoming_;
+  consensus::Leadership leadership_;
+  consensus::LogIndex applied_index_ = 0;
+  bool snapshot_failed_ = false;
+  bool stopping_ = false;
+  bool transferred_ = false;
+  TimePoint stop_deadline_ = TimePoint::max();
+  bool stop_passed_ = false;
+};
+
+}  // namespace cometstand::store
--- /dev/null
+++ b/src/store/store_settings.cpp
@@ -0,0 +1,178 @@
+#include "store/store_settings.h"
+
+#include <algorithm>
+#include <boost/algorithm/hex.hpp>
+#include <iterator>
+#include <limits>
+
+#include "base/error.h"
+#include "config/limits.h"
+
+namespace cometstand::store {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kMaxId = std::numeric_limits<std::int64_t>::max();
+
+void declareReplicas(settings::SettingsTable& table, StoreSettings& store) {
+  table
+      .integer("store.id", store.id, {1, kMaxId},
+               "Identifier of this replica, never reused: a replica whose disk was lost gets a new one.")
+      .required();
+  table.text("store.name", store.name, "Name of this replica, for logs and show replicas.").required();
+  table.address(
+      "store.advertise", store.advertise,
+      "Where other replicas, relays and operators reach this replica; listen.address if not given.");
+  table.rows<ReplicaSettings>(
+      "store.replicas", store.replicas,
+      "The first voters of the cluster, this replica included if it is one; also where a new replica answers "
+      "to.",
+      [](settings::SettingsTable& row, ReplicaSettings& replica) {
+        row.integer("id", replica.id, {1, kMaxId}, "Identifier, never reused.").required();
+        row.text("name", replica.name, "Name, for logs and show replicas.").required();
+        row.address("address", replica.address, "Where it listens.").required();
+        row.text("region", replica.region, "Its region.");
+      });
+  table.flag("store.bootstrap", store.options.bootstrap,
+             "True only on the very first start of the first voters. Take it out of the file afterwards.");
+  table.text("store.bootstrap_salt", store.bootstrap_salt,
+             "Salt of the credential bootstrap of the tenant mesh, in hexadecimal.");
+  table.text("store.bootstrap_token_hash", store.bootstrap_token_hash,
+             "SHA-256 of salt followed by token, in hexadecimal, as cometctl hash-token prints it; none "
+             "disables the "
+             "credential bootstrap.");
+}
+
+void declareConsensus(settings::SettingsTable& table, consensus::ConsensusOptions& options) {
+  table.duration("store.election_timeout_min", options.election_timeout_min, {milliseconds(10), minutes(1)},
+                 "Shortest time without a leader before an election; at least three heartbeat intervals.");
+  table.duration("store.election_timeout_max", options.election_timeout_max, {milliseconds(11), minutes(2)},
+                 "Longest time without a leader before an election.");
+  table.duration("store.heartbeat_interval", options.heartbeat_interval, {milliseconds(1), seconds(20)},
+                 "Interval of a leader's heartbeats.");
+  table.integer<std::size_t>("store.snapshot_after_log_bytes", options.snapshot_after_log_bytes,
+                             {std::size_t{4} << 10U, std::size_t{1} << 30U},
+                             "Bytes of log after which a snapshot is taken.");
+  table.integer<std::size_t>("store.segment_bytes", options.segment_bytes,
+                             {std::size_t{4} << 10U, std::size_t{1} << 30U},
+                             "Bytes after which a log file is closed and the next one begun.");
+}
+
+void declareCommands(settings::SettingsTable& table, StoreOptions& options) {
+  table.duration(
+      "store.command_time_limit", options.command_time_limit, {milliseconds(100), minutes(10)},
+      "Longest time that a command may take before its answer is unknown, or not_run if nothing was "
+      "written.");
+  table.duration("store.status_time_limit", options.status_time_limit, {milliseconds(10), minutes(1)},
+                 "Longest time that a query waits for the relays' answers.");
+  table.duration("store.repair_time_limit", options.repair_time_limit, {seconds(1), hours(24)},
+                 "Longest time that replace replica waits for the new replica to catch up.");
+  table.duration("store.max_wait", options.max_wait, {seconds(1), hours(24)},
+                 "Longest wait for a version to be in force, whatever the command asks.");
+  table.duration("store.retry_after", options.retry_after, {milliseconds(1), minutes(1)},
+                 "When refused operators and relays should come back.");
+  table.duration("store.stop_time_limit", options.stop_time_limit, {milliseconds(0), minutes(1)},
+                 "Longest time that a planned stop waits for another leader.");
+  table.integer<std::size_t>(
+      "store.max_batches_in_flight", options.max_batches_in_flight, {1, 64},
+      "Log entries of commands in flight at once; later commands share the next entry.");
+  table.integer<std::size_t>("store.max_commands_per_batch", options.max_commands_per_batch, {1, 10'000},
+                             "Commands in one log entry.");
+  table.integer<std::size_t>("store.max_commands_waiting", options.max_commands_waiting, {1, 1'000'000},
+                             "Commands waiting for their log entry; more are refused.");
+}
+
+void declareLinks(settings::SettingsTable& table, StoreOptions& options) {
+  table.integer<std::size_t>("store.max_readers", options.max_readers, {1, 1'000},
+                             "Relays that read the leader at once, one a zone.");
+  table.number("store.reader_join_rate", options.reader_join_rate, {0.1, 10'000},
+               "Readers admitted each second after the burst.");
+  table.number("store.reader_join_burst", options.reader_join_burst, {1, 10'000},
+               "Readers admitted at once after a quiet time.");
+  table.duration("store.beat_interval", options.beat_interval, {milliseconds(10), minutes(1)},
+                 "Interval of the beats that tell readers that a quorum confirmed the leader.");
+  table.duration("store.reconnect_minimum", options.reconnect_minimum, {milliseconds(1), minutes(1)},
+                 "Smallest ceiling of the random pause before a connect to another replica.");
+  table.duration("store.reconnect_maximum", options.reconnect_maximum, {milliseconds(1), minutes(1)},
+                 "Largest ceiling of the random pause before a connect to another replica.");
+}
+
+std::vector<std::uint8_t> readHex(const std::string& key, const std::string& text) {
+  std::vector<std::uint8_t> bytes;
+  try {
+    boost::algorithm::unhex(text, std::back_inserter(bytes));
+  } catch (const boost::algorithm::hex_decode_error&) {
+    throw Error(ErrorKind::Invalid, key + " is not hexadecimal",
+                "copy it from the output of cometctl hash-token");
+  }
+  return bytes;
+}
+
+void checkBootstrap(const StoreSettings& store) {
+  const auto hash = readHex("store.bootstrap_token_hash", store.bootstrap_token_hash);
+  const auto salt = readHex("store.bootstrap_salt", store.bootstrap_salt);
+  const bool fits =
+      hash.empty() || (hash.size() == config::kTokenHashBytes && salt.size() >= config::kMinSaltBytes);
+  if (fits) return;
+  throw Error(ErrorKind::Invalid, "store.bootstrap_token_hash or store.bootstrap_salt has the wrong length",
+              "copy both from the output of cometctl hash-token");
+}
+
+void checkStore(const StoreSettings& store) {
+  if (store.common.listen.host.empty()) {
+    throw Error(ErrorKind::Invalid, "listen.address is not set",
+                "set listen.address to an IP address and port");
+  }
+  if (store.common.data_folder.empty()) {
+    throw Error(ErrorKind::Invalid, "data.folder is not set",
+                "set data.folder to a folder of this replica alone");
+  }
+  const bool is_first_voter =
+      std::any_of(store.replicas.begin(), store.replicas.end(),
+                  [&](const ReplicaSettings& replica) { return replica.id == store.id; });
+  if (store.options.bootstrap && !is_first_voter) {
+    throw Error(ErrorKind::Invalid, "store.bootstrap is true, but store.replicas does not list store.id",
+                "list this replica, or start it without bootstrap and add it with add replica");
+  }
+  checkBootstrap(store);
+  StoreSettings copy = store;
+  completeStoreOptions(copy);
+  copy.options.check();
+}
+
+wire::ReplicaT toReplica(const ReplicaSettings& settings) {
+  wire::ReplicaT replica;
+  replica.id = settings.id;
+  replica.name = settings.name;
+  replica.address = settings.address.host;
+  replica.port = settings.address.port;
+  replica.region = settings.region;
+  return replica;
+}
+
+}  // namespace
+
+void declareStoreSettings(settings::SettingsTable& table, StoreSettings& store) {
+  settings::declareCommonSettings(table, store.common);
+  declareReplicas(table, store);
+  declareConsensus(table, store.options.consensus);
+  declareCommands(table, store.options);
+  declareLinks(table, store.options);
+  table.check([&store] { checkStore(store); });
+}
+
+void completeStoreOptions(StoreSettings& store) {
+  if (store.advertise.host.empty()) store.advertise = store.common.listen;
+  store.options.self = toReplica({store.id, store.name, store.advertise, store.common.region});
+  store.options.initial_voters.clear();
+  for (const auto& replica : store.replicas) store.options.initial_voters.push_back(toReplica(replica));
+  store.options.bootstrap_salt = readHex("store.bootstrap_salt", store.bootstrap_salt);
+  store.options.bootstrap_token_hash = readHex("store.bootstrap_token_hash", store.bootstrap_token_hash);
+}
+
+}  // namespace cometstand::store
