Test the store's commands on three replicas in memory

Cause: the store's promises to operators had no test. Ruled out: real sockets for these (no control over freezes and cuts; the fleet runner covers them).

--- a/src/store/claim_table.cpp
+++ b/src/store/claim_table.cpp
@@ -88,7 +88,7 @@
     return stateReply(wire::ClaimState::Granted);
   }
   end(tenant->second, claim, finish);
-  const wire::ClaimReplyT reply = stateReply(claim.record->state);
+  wire::ClaimReplyT reply = stateReply(claim.record->state);
   prune(tenant->second);
   return reply;
 }
--- a/src/store/command_service.cpp
+++ b/src/store/command_service.cpp
@@ -14,13 +14,6 @@
 #include "store/request_id.h"
 
 namespace cometstand::store {
-namespace {
-
-template <typename Type, typename... Types>
-constexpr bool kIsOneOf = (std::is_same_v<Type, Types> || ...);
-
-}  // namespace
-
 void CommandService::onCommand(const Asker& asker, const wire::CommandRequestT& request, TimePoint now) {
   try {
     if (stopping_) {
--- /dev/null
+++ b/tests/store/command_test.cpp
@@ -0,0 +1,243 @@
+// Operators' commands against three replicas in memory.
+#include <catch2/catch.hpp>
+
+#include "net/frame_codec.h"
+#include "store_fixture.h"
+
+namespace cometstand::store::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::size_t otherThan(std::size_t replica) { return (replica + 1) % 3; }
+
+/// Waits until all running replicas applied the same, and compares their states byte for byte.
+void requireEqualStates(Trio& trio) {
+  const auto is_equal = [&] {
+    for (std::size_t i = 1; i < 3; ++i) {
+      if (trio.network.core(i).stateMachine().save() != trio.network.core(0).stateMachine().save())
+        return false;
+    }
+    return true;
+  };
+  REQUIRE(trio.network.runUntil(is_equal));
+}
+
+TEST_CASE("a change is accepted by a quorum and reaches every replica") {
+  Trio trio;
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  const auto reply = trio.run(otherThan(leader), "change { put tenant wspolnota }");
+  REQUIRE(reply.outcome == wire::Outcome::Completed);
+  REQUIRE(reply.version == 1);
+  requireEqualStates(trio);
+  REQUIRE(trio.run(leader, "show tenants").rows.at(0)->cells.at(0) == "wspolnota");
+}
+
+TEST_CASE("of two changes that build on one version the first is accepted") {
+  Trio trio;
+  trio.begin();
+  REQUIRE(trio.run(0, "change { put tenant wspolnota }").version == 1);
+  const auto one = trio.send(0, Trio::command("change if version 1 { put tenant fundacja }", trio.nextId()));
+  const auto two = trio.send(1, Trio::command("change if version 1 { put tenant studio }", trio.nextId()));
+  const auto first = trio.answer(one);
+  const auto second = trio.answer(two);
+  const bool first_won = first.outcome == wire::Outcome::Completed;
+  const auto& loser = first_won ? second : first;
+  REQUIRE((first_won ? first : second).version == 2);
+  REQUIRE(loser.outcome == wire::Outcome::NotRun);
+  REQUIRE(kindOf(loser) == ErrorKind::Conflict);
+  REQUIRE(loser.error->message.find("current version is 2") != std::string::npos);
+  REQUIRE(trio.run(2, "show tenants").rows.size() == 2);
+}
+
+TEST_CASE("a resend after a lost answer gets the first answer") {
+  Trio trio;
+  trio.begin();
+  const auto id = trio.nextId();
+  const auto request = Trio::command("change { put tenant wspolnota }", id);
+  const auto lost = trio.send(0, request);
+  REQUIRE(
+      trio.network.runUntil([&] { return trio.network.core(0).stateMachine().catalog().version() == 1; }));
+  trio.network.disconnect(lost);
+  REQUIRE(trio.run(1, "change { put tenant fundacja }").version == 2);
+  REQUIRE(trio.answer(trio.send(2, request)).version == 1);
+
+  SECTION("also from a new leader") {
+    trio.network.crash(*trio.network.leader());
+    const auto leader = trio.waitForLeader();
+    REQUIRE(trio.answer(trio.send(leader, request)).version == 1);
+    REQUIRE(trio.network.core(leader).stateMachine().catalog().version() == 2);
+  }
+  SECTION("another command under the identifier is refused") {
+    const auto reply = trio.answer(trio.send(0, Trio::command("change { put tenant studio }", id)));
+    REQUIRE(reply.outcome == wire::Outcome::NotRun);
+    REQUIRE(kindOf(reply) == ErrorKind::Mismatch);
+  }
+}
+
+TEST_CASE("a leader that loses its quorum after the append answers unknown, and the resend finds out") {
+  const std::uint64_t seed = GENERATE(1, 2, 3, 4, 5);
+  Trio trio(seed);
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  const auto request = Trio::command("change { put tenant wspolnota }", trio.nextId());
+  const auto client = trio.send(old_leader, request);
+  // Seeds differ in how far the entry gets before the cut.
+  trio.network.runFor(milliseconds(seed));
+  trio.network.cut(old_leader);
+  const auto reply = trio.answer(client);
+  REQUIRE(reply.outcome != wire::Outcome::NotRun);
+  if (reply.outcome == wire::Outcome::Unknown) REQUIRE(reply.error->retry_after_ms > 0);
+  const auto leader = trio.waitForLeader();
+  const auto found = trio.answer(trio.send(leader, request));
+  REQUIRE(found.outcome == wire::Outcome::Completed);
+  REQUIRE(found.version == 1);
+  trio.network.mend(old_leader);
+  requireEqualStates(trio);
+  REQUIRE(trio.network.core(leader).stateMachine().catalog().version() == 1);
+}
+
+TEST_CASE("a leader that was frozen answers nothing from its stale state") {
+  Trio trio;
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  REQUIRE(trio.run(old_leader, "change { put tenant wspolnota }").version == 1);
+  // It also hears nothing of the new leader once it wakes up.
+  trio.network.cut(old_leader);
+  trio.network.freeze(old_leader);
+  REQUIRE(
+      trio.network.runUntil([&] { return trio.network.leader() && *trio.network.leader() != old_leader; }));
+  REQUIRE(trio.run(*trio.network.leader(), "change { delete tenant wspolnota }").version == 2);
+  // These wait in its socket when it wakes up.
+  const auto query = trio.send(old_leader, Trio::command("show tenants", trio.nextId()));
+  auto wrong = Trio::command("show tenants", trio.nextId());
+  wrong.token = "wrong";
+  const auto refusal = trio.send(old_leader, wrong);
+  trio.network.runFor(seconds(1));
+  trio.network.thaw(old_leader);
+  REQUIRE(kindOf(trio.answer(query)) == ErrorKind::Unavailable);
+  REQUIRE(kindOf(trio.answer(refusal)) == ErrorKind::Unavailable);
+}
+
+TEST_CASE("a leader that is cut off soon stops answering queries") {
+  Trio trio;
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  trio.network.cut(old_leader);
+  const auto reply = trio.run(old_leader, "show version");
+  REQUIRE(reply.outcome == wire::Outcome::NotRun);
+  REQUIRE(kindOf(reply) == ErrorKind::Unavailable);
+  REQUIRE(reply.error->retry_after_ms > 0);
+}
+
+TEST_CASE("all replicas recover from their disks") {
+  Trio trio;
+  trio.begin();
+  const auto request = Trio::command("change { put tenant wspolnota }", trio.nextId());
+  REQUIRE(trio.answer(trio.send(0, request)).version == 1);
+  for (std::size_t i = 0; i < 3; ++i) trio.network.crash(i);
+  trio.begin();
+  REQUIRE(trio.answer(trio.send(1, request)).version == 1);
+  REQUIRE(trio.run(0, "show version").version == 1);
+}
+
+TEST_CASE("a replica that was away takes a snapshot and equals the others") {
+  Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) {
+    trio.network.options(i).consensus.snapshot_after_log_bytes = 4096;
+    trio.network.options(i).consensus.entries_kept_after_snapshot = 0;
+  }
+  trio.begin();
+  const auto away = otherThan(trio.waitForLeader());
+  trio.network.crash(away);
+  const auto leader = trio.waitForLeader();
+  for (int i = 0; i < 40; ++i) {
+    const bool deletes = i % 3 == 2;
+    const auto name = "t" + std::to_string(deletes ? i - 1 : i);
+    REQUIRE(trio.run(leader, "change { " + std::string(deletes ? "delete" : "put") + " tenant " + name + " }")
+                .outcome == wire::Outcome::Completed);
+  }
+  trio.network.start(away);
+  requireEqualStates(trio);
+  StateMachine restored;
+  const auto bytes = trio.network.core(leader).stateMachine().save();
+  restored.restore(bytes);
+  REQUIRE(restored.save() == bytes);
+}
+
+TEST_CASE("a planned stop of the leader cuts no command and hands leadership over") {
+  Trio trio;
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  std::vector<MemoryNetwork::ClientId> clients;
+  for (int i = 0; i < 20; ++i) {
+    clients.push_back(trio.send(
+        old_leader, Trio::command("change { put tenant t" + std::to_string(i) + " }", trio.nextId())));
+  }
+  // The links are open and the commands arrive.
+  trio.network.runFor(milliseconds(2));
+  trio.network.beginStop(old_leader);
+  REQUIRE(trio.network.runUntil([&] { return trio.network.core(old_leader).stopped(); }, seconds(2)));
+  for (const auto client : clients) REQUIRE(trio.answer(client).outcome == wire::Outcome::Completed);
+  trio.network.crash(old_leader);
+  REQUIRE(trio.waitForLeader() != old_leader);
+}
+
+TEST_CASE("credentials bind operators to their tenant, and no answer holds a secret") {
+  Trio trio;
+  trio.begin();
+  const std::string secret = "Sesame-Street-42";
+  const auto hex = [](const std::vector<std::uint8_t>& bytes) {
+    std::string text;
+    for (const auto byte : bytes) text += fmt::format("{:02x}", byte);
+    return text;
+  };
+  const std::vector<std::uint8_t> salt(16, 9);
+  const auto hash = hex(config::hashToken(salt, "anna-token"));
+  REQUIRE(trio.run(0,
+                   "change { put tenant wspolnota; put tenant fundacja; put credential wspolnota/anna "
+                   "token_hash " +
+                       hash + " salt " + hex(salt) + "; put secret fundacja/key value \"" + secret + "\" }")
+              .outcome == wire::Outcome::Completed);
+  std::vector<MemoryNetwork::ClientId> clients;
+  const auto asAnna = [&](const std::string& text, const std::string& token = "anna-token") {
+    auto request = Trio::command(text, trio.nextId());
+    request.tenant = "wspolnota";
+    request.operator_name = "anna";
+    request.token = token;
+    clients.push_back(trio.send(clients.size() % 3, request));
+    return trio.answer(clients.back());
+  };
+  REQUIRE(asAnna("change { put secret key value \"" + secret + "\" }").outcome == wire::Outcome::Completed);
+  REQUIRE(kindOf(asAnna("change { put secret key value \"" + secret + "\" }", "wrong")) ==
+          ErrorKind::Unauthenticated);
+  REQUIRE(kindOf(asAnna("change { put secret fundacja/key value \"" + secret + "\" }")) ==
+          ErrorKind::Forbidden);
+  // This answer names what the operator named.
+  clients.pop_back();
+  REQUIRE(kindOf(asAnna("change { put secret key value \"" + secret + "\" oops }")) == ErrorKind::Malformed);
+  REQUIRE(kindOf(asAnna("change { put route r path /a to nowhere secret key; put secret k2 value \"" +
+                        secret + "\" }")) == ErrorKind::Reference);
+  REQUIRE(kindOf(asAnna("stop proxy n1")) == ErrorKind::Forbidden);
+  for (const auto* query :
+       {"show secrets", "show routes", "show services", "show changes last 50", "show nodes", "show tenants",
+        "show proxies", "show route /a", "show version", "show replicas"}) {
+    REQUIRE(asAnna(query).outcome == wire::Outcome::Completed);
+  }
+  REQUIRE(asAnna("show secrets").rows.size() == 1);
+  REQUIRE(asAnna("show tenants").rows.size() == 1);
+  for (const auto client : clients) {
+    for (const auto& message : trio.network.received(client)) {
+      const auto frame = net::encodeFrame(message);
+      const std::string bytes(frame.begin(), frame.end());
+      REQUIRE(bytes.find(secret) == std::string::npos);
+      REQUIRE(bytes.find(hash) == std::string::npos);
+      REQUIRE(bytes.find("fundacja") == std::string::npos);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cometstand::store::test
