--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -139,6 +139,14 @@
 struct ClaimFinishBuilder;
 struct ClaimFinishT;
 
+struct FormationRequest;
+struct FormationRequestBuilder;
+struct FormationRequestT;
+
+struct FormationReply;
+struct FormationReplyBuilder;
+struct FormationReplyT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -374,11 +382,13 @@
   ClaimReply = 23,
   ClaimFinish = 24,
   ConsensusMessage = 25,
+  FormationRequest = 26,
+  FormationReply = 27,
   MIN = NONE,
-  MAX = ConsensusMessage
+  MAX = FormationReply
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[28] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -405,13 +415,15 @@
     Body::ClaimRequest,
     Body::ClaimReply,
     Body::ClaimFinish,
-    Body::ConsensusMessage
+    Body::ConsensusMessage,
+    Body::FormationRequest,
+    Body::FormationReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[29] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -438,13 +450,15 @@
     "ClaimReply",
     "ClaimFinish",
     "ConsensusMessage",
+    "FormationRequest",
+    "FormationReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ConsensusMessage)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FormationReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -553,6 +567,14 @@
   static const Body enum_value = Body::ConsensusMessage;
 };
 
+template<> struct BodyTraits<cometstand::wire::FormationRequest> {
+  static const Body enum_value = Body::FormationRequest;
+};
+
+template<> struct BodyTraits<cometstand::wire::FormationReply> {
+  static const Body enum_value = Body::FormationReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -657,6 +679,14 @@
   static const Body enum_value = Body::ConsensusMessage;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::FormationRequestT> {
+  static const Body enum_value = Body::FormationRequest;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::FormationReplyT> {
+  static const Body enum_value = Body::FormationReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -887,6 +917,22 @@
     return type == Body::ConsensusMessage ?
       reinterpret_cast<const cometstand::wire::ConsensusMessageT *>(value) : nullptr;
   }
+  cometstand::wire::FormationRequestT *AsFormationRequest() {
+    return type == Body::FormationRequest ?
+      reinterpret_cast<cometstand::wire::FormationRequestT *>(value) : nullptr;
+  }
+  const cometstand::wire::FormationRequestT *AsFormationRequest() const {
+    return type == Body::FormationRequest ?
+      reinterpret_cast<const cometstand::wire::FormationRequestT *>(value) : nullptr;
+  }
+  cometstand::wire::FormationReplyT *AsFormationReply() {
+    return type == Body::FormationReply ?
+      reinterpret_cast<cometstand::wire::FormationReplyT *>(value) : nullptr;
+  }
+  const cometstand::wire::FormationReplyT *AsFormationReply() const {
+    return type == Body::FormationReply ?
+      reinterpret_cast<const cometstand::wire::FormationReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3904,6 +3950,120 @@
 
 flatbuffers::Offset<ClaimFinish> CreateClaimFinish(flatbuffers::FlatBufferBuilder &_fbb, const ClaimFinishT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct FormationRequestT : public flatbuffers::NativeTable {
+  typedef FormationRequest TableType;
+};
+
+struct FormationRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FormationRequestT NativeTableType;
+  typedef FormationRequestBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  FormationRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FormationRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FormationRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FormationRequestBuilder {
+  typedef FormationRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit FormationRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FormationRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FormationRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FormationRequest> CreateFormationRequest(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  FormationRequestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct FormationRequest::Traits {
+  using type = FormationRequest;
+  static auto constexpr Create = CreateFormationRequest;
+};
+
+flatbuffers::Offset<FormationRequest> CreateFormationRequest(flatbuffers::FlatBufferBuilder &_fbb, const FormationRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FormationReplyT : public flatbuffers::NativeTable {
+  typedef FormationReply TableType;
+  uint64_t replica = 0;
+  uint64_t term = 0;
+};
+
+struct FormationReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FormationReplyT NativeTableType;
+  typedef FormationReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4,
+    VT_TERM = 6
+  };
+  uint64_t replica() const {
+    return GetField<uint64_t>(VT_REPLICA, 0);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           verifier.EndTable();
+  }
+  FormationReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FormationReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FormationReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FormationReplyBuilder {
+  typedef FormationReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(uint64_t replica) {
+    fbb_.AddElement<uint64_t>(FormationReply::VT_REPLICA, replica, 0);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(FormationReply::VT_TERM, term, 0);
+  }
+  explicit FormationReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FormationReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FormationReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FormationReply> CreateFormationReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t replica = 0,
+    uint64_t term = 0) {
+  FormationReplyBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_replica(replica);
+  return builder_.Finish();
+}
+
+struct FormationReply::Traits {
+  using type = FormationReply;
+  static auto constexpr Create = CreateFormationReply;
+};
+
+flatbuffers::Offset<FormationReply> CreateFormationReply(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   uint64_t request_id = 0;
@@ -4004,6 +4164,12 @@
   const cometstand::wire::ConsensusMessage *body_as_ConsensusMessage() const {
     return body_type() == cometstand::wire::Body::ConsensusMessage ? static_cast<const cometstand::wire::ConsensusMessage *>(body()) : nullptr;
   }
+  const cometstand::wire::FormationRequest *body_as_FormationRequest() const {
+    return body_type() == cometstand::wire::Body::FormationRequest ? static_cast<const cometstand::wire::FormationRequest *>(body()) : nullptr;
+  }
+  const cometstand::wire::FormationReply *body_as_FormationReply() const {
+    return body_type() == cometstand::wire::Body::FormationReply ? static_cast<const cometstand::wire::FormationReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4117,6 +4283,14 @@
   return body_as_ConsensusMessage();
 }
 
+template<> inline const cometstand::wire::FormationRequest *Envelope::body_as<cometstand::wire::FormationRequest>() const {
+  return body_as_FormationRequest();
+}
+
+template<> inline const cometstand::wire::FormationReply *Envelope::body_as<cometstand::wire::FormationReply>() const {
+  return body_as_FormationReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5362,6 +5536,58 @@
       _answer);
 }
 
+inline FormationRequestT *FormationRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FormationRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FormationRequest::UnPackTo(FormationRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<FormationRequest> FormationRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFormationRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FormationRequest> CreateFormationRequest(flatbuffers::FlatBufferBuilder &_fbb, const FormationRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FormationRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return cometstand::wire::CreateFormationRequest(
+      _fbb);
+}
+
+inline FormationReplyT *FormationReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FormationReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FormationReply::UnPackTo(FormationReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replica(); _o->replica = _e; }
+  { auto _e = term(); _o->term = _e; }
+}
+
+inline flatbuffers::Offset<FormationReply> FormationReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFormationReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FormationReply> CreateFormationReply(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FormationReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replica = _o->replica;
+  auto _term = _o->term;
+  return cometstand::wire::CreateFormationReply(
+      _fbb,
+      _replica,
+      _term);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -5499,6 +5725,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ConsensusMessage *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FormationRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::FormationReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5618,6 +5852,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ConsensusMessage *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::FormationRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::FormationReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5725,6 +5967,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ConsensusMessageT *>(value);
       return CreateConsensusMessage(_fbb, ptr, _rehasher).Union();
     }
+    case Body::FormationRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationRequestT *>(value);
+      return CreateFormationRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::FormationReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::FormationReplyT *>(value);
+      return CreateFormationReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5831,6 +6081,14 @@
       value = new cometstand::wire::ConsensusMessageT(*reinterpret_cast<cometstand::wire::ConsensusMessageT *>(u.value));
       break;
     }
+    case Body::FormationRequest: {
+      value = new cometstand::wire::FormationRequestT(*reinterpret_cast<cometstand::wire::FormationRequestT *>(u.value));
+      break;
+    }
+    case Body::FormationReply: {
+      value = new cometstand::wire::FormationReplyT(*reinterpret_cast<cometstand::wire::FormationReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5963,6 +6221,16 @@
       delete ptr;
       break;
     }
+    case Body::FormationRequest: {
+      auto ptr = reinterpret_cast<cometstand::wire::FormationRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::FormationReply: {
+      auto ptr = reinterpret_cast<cometstand::wire::FormationReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
