Let a replica bootstrap only if all first voters agree

Cause: a replica whose disk was lost, started again with bootstrap, took its old identity (incarnation 0) and could vote away an accepted change. Ruled out: a marker outside the data folder; trust in the operator alone; asking a quorum only (two that lost their disks, or one and a voter that is behind, would agree). Change: ClusterFormation asks all other first voters before it bootstraps, and holds elections back until every first voter has bootstrapped.

--- a/src/store/events.h
+++ b/src/store/events.h
@@ -33,9 +33,14 @@
     3008, LogLevel::Info, "replica_replaced",
     "The new replica votes in place of the old one, and both membership changes are committed. The repair is "
     "complete."};
+inline constexpr EventDefinition kBootstrapRefused{
+    3009, LogLevel::Error, "bootstrap_refused",
+    "The folder is empty, but the cluster runs already: this replica's disk was lost. Start it under a new "
+    "id "
+    "without bootstrap, add it with add replica, and let it replace the old id with replace replica."};
 
 inline constexpr std::array kStoreEvents{kReaderAdmitted, kReaderLost,       kReaderRefused,
                                          kReaderSilent,   kSnapshotTooLarge, kUnexpectedPeer,
-                                         kStopBegan,      kReplacementDone};
+                                         kStopBegan,      kReplacementDone,  kBootstrapRefused};
 
 }  // namespace cometstand::store
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -39,19 +39,10 @@
 void StoreParts::start(const runtime::FileReader& files, TimePoint now) {
   consensus_.recover(files, now);
   drain(now);
-  bootstrapIfAsked(now);
+  formation_.begin(now);
   drain(now);
 }
 
-void StoreParts::bootstrapIfAsked(TimePoint now) {
-  if (!options_.bootstrap || consensus_.leadership().role != consensus::Role::Joining) return;
-  wire::MembershipT membership;
-  for (const auto& voter : options_.initial_voters) {
-    membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
-  }
-  consensus_.bootstrap(membership, now);
-}
-
 void StoreParts::onLinkOpened(LinkId link, const runtime::PeerIdentity& peer, TimePoint now) {
   if (replicas_.owns(link)) {
     if (!peer.role.empty() && peer.role != "store") {
@@ -89,6 +80,8 @@
     consensus_.onMessage(*consensus_message, now);
   } else if (const auto* reply = message.body.AsCommandReply()) {
     forwarder_.onReply(link, message.request_id, *reply);
+  } else if (const auto* formation = message.body.AsFormationReply()) {
+    formation_.onReply(*formation, now);
   }
 }
 
@@ -104,6 +97,8 @@
   const auto& body = message.body;
   if (const auto* consensus_message = body.AsConsensusMessage()) {
     if (requireRole(link, "store")) onConsensusMessage(link, *consensus_message, now);
+  } else if (body.AsFormationRequest() != nullptr) {
+    if (requireRole(link, "store")) formation_.onRequest({link, message.request_id});
   } else if (const auto* request = body.AsCommandRequest()) {
     if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
   } else if (requireRole(link, "relay")) {
@@ -177,7 +172,8 @@
 }
 
 void StoreParts::onTimer(TimePoint now) {
-  consensus_.onTimer(now);
+  if (!formation_.holdsElections()) consensus_.onTimer(now);
+  formation_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
   writer_.onTimer(now);
@@ -189,9 +185,10 @@
 }
 
 TimePoint StoreParts::nextTimer() const {
-  return std::min({consensus_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(), writer_.nextTimer(),
-                   statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(), forwarder_.nextTimer(),
-                   stop_passed_ ? TimePoint::max() : stop_deadline_});
+  const TimePoint consensus_timer = formation_.holdsElections() ? TimePoint::max() : consensus_.nextTimer();
+  return std::min({consensus_timer, formation_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
+                   writer_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
+                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "store/cluster_formation.h"
 #include "store/command_service.h"
 #include "store/store_context.h"
 
@@ -37,7 +38,6 @@
   void onLeadership(const consensus::Leadership& leadership, TimePoint now);
   void applyCommitted(const std::vector<consensus::LogEntryPointer>& entries);
   void takeSnapshotIfDue();
-  void bootstrapIfAsked(TimePoint now);
   void stepStop(TimePoint now);
   /// @return true if the link's certificate allows this role; else the link is closed.
   bool requireRole(runtime::LinkId link, const char* role, const char* other_role = "");
@@ -60,6 +60,7 @@
   StoreMetrics metrics_;
   StoreContext context_{options_, actions_, random_, consensus_, state_, reads_, metrics_};
   ReplicaLinks replicas_{context_};
+  ClusterFormation formation_{context_, replicas_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   StatusCollector statuses_{context_};
