Listen in one place, and name object kinds in one place

Cause: the opening of a listening socket stood three times (process runner, proxy, stand-ins) with the same typed error, and the names of the object kinds twice (config and the command printer); a copy that is mended leaves the others. Ruled out: a base class of the servers; they share nothing but these five lines. Change: net/listener.h holds the one listenOn(); the printer takes config::objectKindName().

--- a/rehearsal/standin/listen_address.cpp
+++ b/rehearsal/standin/listen_address.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "base/error.h"
+#include "net/listener.h"
 
 namespace cometstand::rehearsal {
 
@@ -28,19 +29,10 @@
 }
 
 tcp::acceptor listenOn(boost::asio::io_context& io, const tcp::endpoint& endpoint) {
-  try {
-    tcp::acceptor acceptor(io);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-    return acceptor;
-  } catch (const boost::system::system_error& error) {
-    throw Error(ErrorKind::InputOutput,
-                fmt::format("cannot listen on {}:{}: {}", endpoint.address().to_string(), endpoint.port(),
-                            error.what()),
+  tcp::acceptor acceptor(io);
+  net::listenOn(acceptor, endpoint.address().to_string(), endpoint.port(),
                 "choose an address of this machine and a free port");
-  }
+  return acceptor;
 }
 
 }  // namespace cometstand::rehearsal
--- a/src/operator/printer.cpp
+++ b/src/operator/printer.cpp
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "config/object_key.h"
 #include "operator/binary_text.h"
 #include "operator/command.h"
 #include "settings/units.h"
@@ -14,24 +15,6 @@
   return name.tenant.empty() ? name.name : fmt::format("{}/{}", name.tenant, name.name);
 }
 
-std::string_view print(wire::ObjectKind kind) {
-  switch (kind) {
-    case wire::ObjectKind::Tenant:
-      return "tenant";
-    case wire::ObjectKind::Credential:
-      return "credential";
-    case wire::ObjectKind::Node:
-      return "node";
-    case wire::ObjectKind::Service:
-      return "service";
-    case wire::ObjectKind::Route:
-      return "route";
-    case wire::ObjectKind::Secret:
-      return "secret";
-  }
-  return "object";
-}
-
 std::string_view print(wire::RequestClass request_class) {
   switch (request_class) {
     case wire::RequestClass::Interactive:
@@ -146,7 +129,7 @@
 }
 
 std::string printStep(const DeleteObject& step) {
-  return fmt::format("delete {} {}", print(step.kind), print(step.name));
+  return fmt::format("delete {} {}", config::objectKindName(step.kind), print(step.name));
 }
 
 /// Prints each kind of command.
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 #include <variant>
 
-#include "base/error.h"
 #include "base/event_log.h"
+#include "net/listener.h"
 #include "proxy/events.h"
 
 namespace cometstand::proxy {
@@ -22,20 +22,6 @@
 /// How often a draining server looks whether anything is left in flight.
 constexpr auto kDrainCheckInterval = std::chrono::milliseconds(20);
 
-void listen(tcp::acceptor& acceptor, const runtime::Address& address) {
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    throw Error(ErrorKind::InputOutput,
-                fmt::format("cannot listen on {}:{}: {}", address.host, address.port, error.what()),
-                "set proxy.listen to an IP address of this machine and a port that no other process uses");
-  }
-}
-
 }  // namespace
 
 HttpServer::HttpServer(asio::io_context& io, const HttpOptions& options,
@@ -49,7 +35,8 @@
       timer_(io),
       accept_pause_(io),
       drain_timer_(io) {
-  listen(acceptor_, options_.listen);
+  net::listenOn(acceptor_, options_.listen.host, options_.listen.port,
+                "set proxy.listen to an IP address of this machine and a port that no other process uses");
 }
 
 HttpServer::~HttpServer() = default;
--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -3,8 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "base/error.h"
 #include "base/event_log.h"
+#include "net/listener.h"
 #include "runtime/events.h"
 
 namespace cometstand::runtime {
@@ -21,26 +21,15 @@
 /// A core whose timer is due at once is still called at most this often.
 constexpr Duration kMinimumTimerDelay = std::chrono::microseconds(200);
 
-void listen(tcp::acceptor& acceptor, const Address& address) {
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    throw Error(ErrorKind::InputOutput,
-                fmt::format("cannot listen on {}:{}: {}", address.host, address.port, error.what()),
-                "set an IP address of this machine and a port that no other process uses");
-  }
-}
-
 }  // namespace
 
 ProcessRunner::ProcessRunner(asio::io_context& io, ProcessCore& core, RunnerOptions options)
     : io_(io), core_(core), options_(std::move(options)), acceptor_(io), timer_(io), disk_thread_(1) {
   if (!options_.data_folder.empty()) folder_ = std::make_unique<DataFolder>(options_.data_folder);
-  if (!options_.listen.host.empty()) listen(acceptor_, options_.listen);
+  if (!options_.listen.host.empty()) {
+    net::listenOn(acceptor_, options_.listen.host, options_.listen.port,
+                  "set an IP address of this machine and a port that no other process uses");
+  }
 }
 
 ProcessRunner::~ProcessRunner() { disk_thread_.join(); }
