Schema: name the replaced voter in a membership

Cause: the second step of a voter's replacement was known to one leader's memory only. Change: Membership.replaced, written by the promotion's entry, so that any leader can finish. No code reads it yet.

--- a/src/schema/consensus_generated.h
+++ b/src/schema/consensus_generated.h
@@ -445,6 +445,7 @@
   typedef Membership TableType;
   std::vector<std::shared_ptr<cometstand::wire::ReplicaT>> voters{};
   std::vector<std::shared_ptr<cometstand::wire::ReplicaT>> learners{};
+  uint64_t replaced = 0;
   MembershipT() = default;
   MembershipT(const MembershipT &o);
   MembershipT(MembershipT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -457,7 +458,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VOTERS = 4,
-    VT_LEARNERS = 6
+    VT_LEARNERS = 6,
+    VT_REPLACED = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>> *voters() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>> *>(VT_VOTERS);
@@ -465,6 +467,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>> *learners() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>> *>(VT_LEARNERS);
   }
+  uint64_t replaced() const {
+    return GetField<uint64_t>(VT_REPLACED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VOTERS) &&
@@ -473,6 +478,7 @@
            VerifyOffset(verifier, VT_LEARNERS) &&
            verifier.VerifyVector(learners()) &&
            verifier.VerifyVectorOfTables(learners()) &&
+           VerifyField<uint64_t>(verifier, VT_REPLACED, 8) &&
            verifier.EndTable();
   }
   MembershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -490,6 +496,9 @@
   void add_learners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>>> learners) {
     fbb_.AddOffset(Membership::VT_LEARNERS, learners);
   }
+  void add_replaced(uint64_t replaced) {
+    fbb_.AddElement<uint64_t>(Membership::VT_REPLACED, replaced, 0);
+  }
   explicit MembershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -504,8 +513,10 @@
 inline flatbuffers::Offset<Membership> CreateMembership(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>>> voters = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>>> learners = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::Replica>>> learners = 0,
+    uint64_t replaced = 0) {
   MembershipBuilder builder_(_fbb);
+  builder_.add_replaced(replaced);
   builder_.add_learners(learners);
   builder_.add_voters(voters);
   return builder_.Finish();
@@ -519,13 +530,15 @@
 inline flatbuffers::Offset<Membership> CreateMembershipDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<cometstand::wire::Replica>> *voters = nullptr,
-    const std::vector<flatbuffers::Offset<cometstand::wire::Replica>> *learners = nullptr) {
+    const std::vector<flatbuffers::Offset<cometstand::wire::Replica>> *learners = nullptr,
+    uint64_t replaced = 0) {
   auto voters__ = voters ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::Replica>>(*voters) : 0;
   auto learners__ = learners ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::Replica>>(*learners) : 0;
   return cometstand::wire::CreateMembership(
       _fbb,
       voters__,
-      learners__);
+      learners__,
+      replaced);
 }
 
 flatbuffers::Offset<Membership> CreateMembership(flatbuffers::FlatBufferBuilder &_fbb, const MembershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1768,7 +1781,8 @@
       _incarnation);
 }
 
-inline MembershipT::MembershipT(const MembershipT &o) {
+inline MembershipT::MembershipT(const MembershipT &o)
+      : replaced(o.replaced) {
   voters.reserve(o.voters.size());
   for (const auto &voters_ : o.voters) { voters.emplace_back((voters_) ? new cometstand::wire::ReplicaT(*voters_) : nullptr); }
   learners.reserve(o.learners.size());
@@ -1778,6 +1792,7 @@
 inline MembershipT &MembershipT::operator=(MembershipT o) FLATBUFFERS_NOEXCEPT {
   std::swap(voters, o.voters);
   std::swap(learners, o.learners);
+  std::swap(replaced, o.replaced);
   return *this;
 }
 
@@ -1792,6 +1807,7 @@
   (void)_resolver;
   { auto _e = voters(); if (_e) { _o->voters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->voters[_i] = std::shared_ptr<cometstand::wire::ReplicaT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = learners(); if (_e) { _o->learners.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->learners[_i] = std::shared_ptr<cometstand::wire::ReplicaT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = replaced(); _o->replaced = _e; }
 }
 
 inline flatbuffers::Offset<Membership> Membership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MembershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1804,10 +1820,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MembershipT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _voters = _o->voters.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::Replica>> (_o->voters.size(), [](size_t i, _VectorArgs *__va) { return CreateReplica(*__va->__fbb, __va->__o->voters[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _learners = _o->learners.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::Replica>> (_o->learners.size(), [](size_t i, _VectorArgs *__va) { return CreateReplica(*__va->__fbb, __va->__o->learners[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _replaced = _o->replaced;
   return cometstand::wire::CreateMembership(
       _fbb,
       _voters,
-      _learners);
+      _learners,
+      _replaced);
 }
 
 inline LogEntryT *LogEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
