Consensus: any leader finishes a voter's replacement

Cause: ReplaceVoter takes two entries (promotion, then removal). The second one was remembered by the leader that began it; after a change of leader between the two, the lost voter stayed a voter for good: with three voters the cluster then had four, one of them dead, and needed all the others. Ruled out: swapping both voters in one entry; quorums of the old and the new membership need not meet. Change: the entry of the promotion names the replaced voter; whoever leads once it is committed, and has committed in its own term, appends the removal.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -71,7 +71,9 @@
 
   /// Changes the membership by one replica (chapter 4 of the dissertation); one change at a time.
   /// @return the index of the membership entry; the change holds once that index is committed. ReplaceVoter
-  /// takes two entries, the second one is proposed once the first is committed.
+  /// takes two entries: the second one, which removes the replaced voter, is appended by whoever leads once
+  /// the first is committed. The replacement is complete once membership() no longer names that voter and its
+  /// index is committed.
   /// @throw Error(Unavailable) if this replica is not the leader or has not committed in its term yet;
   /// Error(Conflict) if a change is running or the learner has not caught up; Error(NotFound),
   /// Error(Invalid).
@@ -161,6 +163,8 @@
   void updateFollowers();
   bool isCaughtUp(const FollowerProgress& progress) const;
   void onMembershipCommitted();
+  /// Second step of ReplaceVoter, by whichever leader sees the first one committed.
+  void finishReplacement();
   void continueTransfer();
 
   ConsensusOptions options_;
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -176,6 +176,7 @@
 void Consensus::updateLeader() {
   commitByQuorum();
   if (role_ != Role::Leader) return;
+  finishReplacement();
   confirmRounds();
   resolveReads();
   if (leader_state_->transfer) continueTransfer();
--- a/src/consensus/consensus_membership.cpp
+++ b/src/consensus/consensus_membership.cpp
@@ -30,7 +30,7 @@
     throw Error(ErrorKind::Unavailable, "the leader has not committed an entry in its term yet",
                 "repeat the change", options_.heartbeat_interval);
   }
-  if (log_.membershipIndex() > commit_index_ || leader_state_->pending_removal != 0) {
+  if (log_.membershipIndex() > commit_index_ || log_.membership().replaced != 0) {
     throw Error(ErrorKind::Conflict, "another membership change is running", "repeat the change",
                 options_.election_timeout_max);
   }
@@ -51,9 +51,7 @@
     incarnation = *progress.incarnation;
   }
   const auto next = applyChange(log_.membership(), change, incarnation);
-  const LogIndex index = appendMembership(next);
-  if (change.kind == MembershipChangeKind::ReplaceVoter) leader_state_->pending_removal = change.replaced;
-  return index;
+  return appendMembership(next);
 }
 
 LogIndex Consensus::appendMembership(const wire::MembershipT& membership) {
@@ -92,15 +90,7 @@
                                 {"index", log_.membershipIndex()},
                                 {"voters", log_.membership().voters.size()},
                                 {"learners", log_.membership().learners.size()}});
-  if (role_ != Role::Leader) return;
-  if (const ReplicaId removed = std::exchange(leader_state_->pending_removal, 0); removed != 0) {
-    MembershipChange removal;
-    removal.kind = MembershipChangeKind::RemoveReplica;
-    removal.replica.id = removed;
-    if (isVoter(log_.membership(), removed)) appendMembership(applyChange(log_.membership(), removal, 0));
-    return;
-  }
-  if (isVoter(log_.membership(), self_.id)) return;
+  if (role_ != Role::Leader || isVoter(log_.membership(), self_.id)) return;
   // Section 4.2.2: a leader that removed itself leads until the change is committed; the others learn of that
   // by one more round.
   transferLeadershipToAny(now_);
@@ -108,6 +98,17 @@
   setRole(Role::Follower, 0);
 }
 
+void Consensus::finishReplacement() {
+  const wire::MembershipT& membership = log_.membership();
+  const bool is_ready =
+      commit_index_ >= leader_state_->first_index && log_.membershipIndex() <= commit_index_;
+  if (membership.replaced == 0 || !is_ready) return;
+  MembershipChange removal;
+  removal.kind = MembershipChangeKind::RemoveReplica;
+  removal.replica.id = membership.replaced;
+  appendMembership(applyChange(membership, removal, 0));
+}
+
 void Consensus::transferLeadership(ReplicaId target, TimePoint now) {
   if (role_ != Role::Failed) beginEvent(now);
   if (role_ != Role::Leader) {
--- a/src/consensus/leader_state.h
+++ b/src/consensus/leader_state.h
@@ -93,8 +93,6 @@
   /// Index of the no-op that began the term (section 8 of the paper).
   LogIndex first_index = 0;
   std::optional<LeadershipTransfer> transfer;
-  /// The voter to remove once the promotion of its replacement is committed.
-  ReplicaId pending_removal = 0;
 };
 
 }  // namespace cometstand::consensus
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -48,6 +48,7 @@
   }
   std::erase_if(membership.learners, [id](const auto& replica) { return replica->id == id; });
   std::erase_if(membership.voters, [id](const auto& replica) { return replica->id == id; });
+  if (membership.replaced == id) membership.replaced = 0;
   if (membership.voters.empty()) {
     throw Error(ErrorKind::Invalid, "the last voter cannot be removed", "promote another replica first");
   }
@@ -101,6 +102,7 @@
                     "name the voter that is to be replaced");
       }
       promoteLearner(result, change.replica.id, learned_incarnation);
+      result.replaced = change.replaced;
       break;
     case MembershipChangeKind::PromoteLearner:
       promoteLearner(result, change.replica.id, learned_incarnation);
