--- a/rehearsal/standin/caller.cpp
+++ b/rehearsal/standin/caller.cpp
@@ -140,6 +140,9 @@
     if (may_resend) co_await pause(kResendPause);
     co_return !may_resend;
   }
+  if (record.first_answer == Duration::zero()) {
+    record.first_answer = SteadyClock::now() - (due - kind.deadline);
+  }
   const AnswerVerdict verdict = checkAnswer(kind, record.request_id, made.answer);
   record.outcome = verdict.outcome;
   record.reason = verdict.reason;
--- a/rehearsal/standin/caller_report.cpp
+++ b/rehearsal/standin/caller_report.cpp
@@ -41,6 +41,7 @@
                       {"lost_answers", record.lost_answers},
                       {"connect_failures", record.connect_failures},
                       {"latency_us", record.latency.count()},
+                      {"first_answer_us", record.first_answer.count()},
                       {"within_deadline", record.within_deadline}};
 }
 
@@ -56,6 +57,7 @@
   record.lost_answers = value.at("lost_answers").to_number<std::uint32_t>();
   record.connect_failures = value.at("connect_failures").to_number<std::uint32_t>();
   record.latency = Duration(value.at("latency_us").to_number<Duration::rep>());
+  record.first_answer = Duration(value.at("first_answer_us").to_number<Duration::rep>());
   record.within_deadline = value.at("within_deadline").as_bool();
   return record;
 }
--- a/rehearsal/standin/caller_report.h
+++ b/rehearsal/standin/caller_report.h
@@ -47,6 +47,9 @@
   std::uint32_t connect_failures = 0;
   /// From the intended start to the final outcome.
   Duration latency = Duration::zero();
+  /// From the intended start to the first answer of any kind; zero if there was none. A keyed request may go
+  /// on after it, to learn what became of an attempt.
+  Duration first_answer = Duration::zero();
   bool within_deadline = false;
 };
 
