--- a/src/consensus/log_storage.cpp
+++ b/src/consensus/log_storage.cpp
@@ -67,14 +67,14 @@
   return true;
 }
 
-/// Drops entries that do not continue the snapshot (section 7 of the paper).
-void fitEntries(const wire::ConsensusSnapshotT& snapshot, std::vector<LogEntryPointer>& entries) {
-  if (entries.empty()) return;
+/// @return whether the entries continue the snapshot (section 7 of the paper).
+bool continuesSnapshot(const wire::ConsensusSnapshotT& snapshot,
+                       const std::vector<LogEntryPointer>& entries) {
+  if (entries.empty()) return true;
   const LogIndex first = entries.front()->index;
-  if (first == snapshot.last_index + 1) return;
+  if (first == snapshot.last_index + 1) return true;
   const bool reaches = snapshot.last_index <= entries.back()->index;
-  if (reaches && entries[snapshot.last_index - first]->term == snapshot.last_term) return;
-  entries.clear();
+  return reaches && entries[snapshot.last_index - first]->term == snapshot.last_term;
 }
 
 }  // namespace
@@ -87,14 +87,13 @@
     state.snapshot = std::make_shared<const wire::ConsensusSnapshotT>(std::move(*snapshot));
   }
   readSegments(files, state.snapshot ? state.snapshot->last_index : 0, state);
-  if (state.snapshot) fitEntries(*state.snapshot, state.entries);
+  if (state.snapshot && !continuesSnapshot(*state.snapshot, state.entries)) dropLog(state);
 
   if (!state.hard_state) {
     // A bootstrap writes the first entry before the hard state; if it was interrupted, nothing was promised.
     const bool is_unused = !state.snapshot && state.entries.size() <= 1;
     if (!is_unused) throwCorrupt(kHardStateFile, "the file is missing");
-    state.entries.clear();
-    while (!segments_.empty()) removeSegment(segments_.size() - 1);
+    dropLog(state);
     return state;
   }
   const bool is_newer = !state.entries.empty() && state.entries.back()->term > state.hard_state->term;
@@ -102,6 +101,14 @@
   return state;
 }
 
+void LogStorage::dropLog(StoredState& state) {
+  state.entries.clear();
+  // On disk too: entries appended later must not be read after those that they do not follow. From the back:
+  // a crash in between then leaves entries without gaps.
+  while (!segments_.empty()) removeSegment(segments_.size() - 1);
+  bytes_since_snapshot_ = 0;
+}
+
 void LogStorage::readSegments(const runtime::FileReader& files, LogIndex snapshot_index, StoredState& state) {
   std::vector<std::string> names = files.list();
   std::erase_if(names, [](const std::string& name) { return !isSegmentName(name); });
@@ -174,7 +181,7 @@
 
 void LogStorage::saveSnapshot(const wire::ConsensusSnapshotT& snapshot, bool keep_log) {
   addWrite(kSnapshotFile, runtime::FileWriteMode::Replace).bytes = encodeRecord(snapshot);
-  // From the back if all go: a crash in between then leaves entries without gaps.
+  // From the back if all go, as in dropLog().
   while (!segments_.empty() && !keep_log) removeSegment(segments_.size() - 1);
   // Otherwise only from the front, so that the numbers stay without gaps.
   while (!segments_.empty() && segments_.front().last_index <= snapshot.last_index) removeSegment(0);
--- a/src/consensus/log_storage.h
+++ b/src/consensus/log_storage.h
@@ -62,6 +62,7 @@
     LogIndex last_index = 0;
   };
 
+  void dropLog(StoredState& state);
   void readSegments(const runtime::FileReader& files, LogIndex snapshot_index, StoredState& state);
   void readSegment(const std::string& file, const std::vector<std::uint8_t>& bytes, bool is_last,
                    LogIndex snapshot_index, StoredState& state);
--- a/tests/consensus/simulated_cluster.cpp
+++ b/tests/consensus/simulated_cluster.cpp
@@ -126,7 +126,8 @@
         const auto& other = *replicas_.at(voter->id);
         following += other.leadership.leader == id && other.leadership.term == replica->leadership.term;
       }
-      if (following >= quorumSize(replica->consensus->membership())) leader = id;
+      const bool is_settled = replica->consensus->commitIndex() == replica->consensus->lastIndex();
+      if (is_settled && following >= quorumSize(replica->consensus->membership())) leader = id;
     }
     return leader != 0;
   });
--- a/tests/consensus/simulated_cluster.h
+++ b/tests/consensus/simulated_cluster.h
@@ -54,7 +54,7 @@
   void runFor(Duration duration);
   /// @return whether the condition held within the limit of simulated time.
   bool runUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(60));
-  /// @return the leader of the newest term that a quorum follows, once there is one; 0 if the limit passes.
+  /// @return the leader that a quorum follows, once it has committed its log; 0 if the limit passes.
   ReplicaId waitForLeader(ReplicaId other_than = 0);
 
   SimulatedReplica& at(ReplicaId id) { return *replicas_.at(id); }
