Test elections, reads, membership and disk failures of consensus one by one

Change: directed tests for pre-vote, check-quorum, freezes, own and given votes synced first, log order of candidates, commit of the own term only, synced entries only, leadership transfer, reads by a later round, learners, replacement (also under the next leader), removal of the leader, an empty folder under an old id, a failed disk.

--- /dev/null
+++ b/tests/consensus/membership_test.cpp
@@ -0,0 +1,176 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "simulated_cluster.h"
+
+namespace cometstand::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<ReplicaId> voters(const Consensus& consensus) {
+  std::vector<ReplicaId> result;
+  for (const auto& voter : consensus.membership().voters) result.push_back(voter->id);
+  std::sort(result.begin(), result.end());
+  return result;
+}
+
+/// Adds an empty replica as a learner and waits until it has the log.
+void addLearner(SimulatedCluster& cluster, ReplicaId leader, ReplicaId id) {
+  cluster.start(id);
+  cluster.change(leader, MembershipChangeKind::AddLearner, id);
+  REQUIRE(cluster.commitEverywhere({leader, id}));
+  cluster.runFor(milliseconds(200));
+}
+
+/// Runs until the membership of exactly these voters is committed. @return whether it was.
+bool waitForVoters(SimulatedCluster& cluster, const std::vector<ReplicaId>& wanted) {
+  return cluster.runUntil([&] {
+    return std::all_of(wanted.begin(), wanted.end(), [&](ReplicaId id) {
+      const auto& consensus = cluster.consensus(id);
+      return voters(consensus) == wanted && consensus.commitIndex() == consensus.lastIndex();
+    });
+  });
+}
+
+}  // namespace
+
+TEST_CASE("a learner gets the log and does not count for the quorum") {
+  SimulatedCluster cluster(3, 1);
+  const ReplicaId leader = cluster.waitForLeader();
+  addLearner(cluster, leader, 4);
+  for (const ReplicaId id : {1, 2, 3}) {
+    if (id != leader) cluster.crash(id);
+  }
+  const LogIndex before = cluster.checker().lastApplied();
+  cluster.propose(leader);
+  cluster.runFor(seconds(3));
+  CHECK(cluster.checker().lastApplied() == before);
+  CHECK(cluster.at(4).leadership.role == Role::Follower);
+}
+
+TEST_CASE("a learner replaces a voter only once it caught up") {
+  SimulatedCluster cluster(3, 2);
+  const ReplicaId leader = cluster.waitForLeader();
+  cluster.start(4);
+  cluster.isolate(4);
+  cluster.change(leader, MembershipChangeKind::AddLearner, 4);
+  cluster.runFor(milliseconds(200));
+  const ReplicaId lost = leader % 3 + 1;
+  try {
+    cluster.change(leader, MembershipChangeKind::ReplaceVoter, 4, lost);
+    FAIL("an empty learner became a voter");
+  } catch (const Error& error) {
+    CHECK(error.kind() == ErrorKind::Conflict);
+    CHECK(error.remedy().find("wait") != std::string::npos);
+  }
+}
+
+TEST_CASE("after a repair the loss of a second machine costs nothing") {
+  SimulatedCluster cluster(3, 3);
+  ReplicaId leader = cluster.waitForLeader();
+  REQUIRE(cluster.commitEverywhere(cluster.ids()));
+  const ReplicaId lost = leader % 3 + 1;
+  const ReplicaId second = 6 - leader - lost;
+  cluster.crash(lost);
+  cluster.at(lost).disk.lose();
+  addLearner(cluster, leader, 4);
+  cluster.change(leader, MembershipChangeKind::ReplaceVoter, 4, lost);
+  std::vector<ReplicaId> wanted{leader, second, 4};
+  std::sort(wanted.begin(), wanted.end());
+  REQUIRE(waitForVoters(cluster, wanted));
+  const ReplicaId next = GENERATE(0, 1) == 0 ? leader : second;
+  cluster.crash(next);
+  cluster.at(next).disk.lose();
+  const ReplicaId survivor = leader + second - next;
+  REQUIRE(cluster.waitForLeader() != 0);
+  CHECK(cluster.commitEverywhere({survivor, 4}));
+}
+
+TEST_CASE("a replacement goes on under the next leader") {
+  SimulatedCluster cluster(5, 4);
+  const ReplicaId leader = cluster.waitForLeader();
+  const ReplicaId lost = leader % 5 + 1;
+  cluster.crash(lost);
+  cluster.at(lost).disk.lose();
+  addLearner(cluster, leader, 6);
+  const LogIndex promotion = cluster.change(leader, MembershipChangeKind::ReplaceVoter, 6, lost);
+  REQUIRE(cluster.runUntil([&] {
+    const auto has_it = [&](ReplicaId id) {
+      return cluster.isUp(id) && cluster.consensus(id).lastIndex() >= promotion;
+    };
+    const auto ids = cluster.ids();
+    return std::count_if(ids.begin(), ids.end(), has_it) >= 5;
+  }));
+  REQUIRE(cluster.consensus(leader).lastIndex() == promotion);
+  cluster.crash(leader);
+  cluster.waitForLeader();
+  cluster.start(leader);
+  std::vector<ReplicaId> wanted{1, 2, 3, 4, 5, 6};
+  std::erase(wanted, lost);
+  CHECK(waitForVoters(cluster, wanted));
+}
+
+TEST_CASE("a leader that is removed hands over") {
+  SimulatedCluster cluster(3, 5);
+  const ReplicaId leader = cluster.waitForLeader();
+  cluster.change(leader, MembershipChangeKind::RemoveReplica, leader);
+  const ReplicaId next = cluster.waitForLeader(leader);
+  REQUIRE(next != 0);
+  CHECK(voters(cluster.consensus(next)).size() == 2);
+  CHECK(cluster.at(leader).leadership.role != Role::Leader);
+}
+
+TEST_CASE("one membership change runs at a time") {
+  SimulatedCluster cluster(3, 6);
+  const ReplicaId leader = cluster.waitForLeader();
+  REQUIRE(cluster.commitEverywhere(cluster.ids()));
+  cluster.change(leader, MembershipChangeKind::AddLearner, 4);
+  try {
+    cluster.change(leader, MembershipChangeKind::AddLearner, 5);
+    FAIL("two changes ran at once");
+  } catch (const Error& error) {
+    CHECK(error.kind() == ErrorKind::Conflict);
+  }
+}
+
+TEST_CASE("a replica whose folder is empty takes no part under its old id") {
+  SimulatedCluster cluster(3, 7);
+  const ReplicaId leader = cluster.waitForLeader();
+  REQUIRE(cluster.commitEverywhere(cluster.ids()));
+  const ReplicaId lost = leader % 3 + 1;
+  cluster.crash(lost);
+  cluster.at(lost).disk.lose();
+  cluster.crash(6 - leader - lost);
+  std::size_t sent = 0;
+  cluster.on_send = [&](const wire::ConsensusMessageT& message) { sent += message.from == lost; };
+  cluster.start(lost);
+  const LogIndex before = cluster.checker().lastApplied();
+  cluster.propose(leader);
+  cluster.runFor(seconds(10));
+  CHECK(sent == 0);
+  CHECK(cluster.checker().lastApplied() == before);
+  CHECK(cluster.consensus(lost).leadership().role == Role::Joining);
+}
+
+TEST_CASE("a replica whose disk failed takes no part any more") {
+  SimulatedCluster cluster(3, 8);
+  const ReplicaId leader = cluster.waitForLeader();
+  REQUIRE(cluster.commitEverywhere(cluster.ids()));
+  const ReadTicket ticket = cluster.requestRead(leader);
+  cluster.failDisk(leader);
+  CHECK(cluster.at(leader).leadership.role == Role::Failed);
+  CHECK_FALSE(cluster.at(leader).reads.at(ticket).confirmed);
+  CHECK_FALSE(cluster.propose(leader));
+  std::size_t sent = 0;
+  cluster.on_send = [&](const wire::ConsensusMessageT& message) { sent += message.from == leader; };
+  const ReplicaId next = cluster.waitForLeader(leader);
+  REQUIRE(next != 0);
+  CHECK(cluster.commitEverywhere({next}));
+  CHECK(sent == 0);
+}
+
+}  // namespace cometstand::consensus
--- /dev/null
+++ b/tests/consensus/solo_replica.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "consensus/consensus.h"
+#include "simulated_cluster.h"
+#include "simulated_disk.h"
+
+namespace cometstand::consensus {
+
+/// Replica 1 of three; the test writes the messages of the other two.
+class SoloReplica {
+ public:
+  SoloReplica() : consensus_(SimulatedCluster::testOptions(), member(1), RandomSource(1)) {
+    consensus_.recover(disk, now);
+    wire::MembershipT membership;
+    for (const ReplicaId id : {1, 2, 3}) {
+      membership.voters.push_back(std::make_shared<wire::ReplicaT>(member(id)));
+    }
+    consensus_.bootstrap(membership, now);
+    settle();
+  }
+
+  /// Takes outputs; finishes file operations unless the disk is held.
+  void settle() {
+    do {
+      if (!disk.isIdle() && !disk.held) consensus_.onFileWritten(disk.finishNext(), now);
+      Output output = consensus_.takeOutput();
+      for (auto& write : output.writes) disk.enqueue(std::move(write));
+      for (auto& message : output.messages) sent.push_back(std::move(message));
+      reads.insert(reads.end(), output.reads.begin(), output.reads.end());
+    } while (!disk.isIdle() && !disk.held);
+  }
+
+  template <typename Body>
+  void receive(ReplicaId from, Body body) {
+    wire::ConsensusMessageT message;
+    message.from = from;
+    message.to = 1;
+    message.body.Set(std::move(body));
+    consensus_.onMessage(message, now);
+    settle();
+  }
+
+  void receiveVote(ReplicaId from, Term term, bool pre_vote) {
+    wire::VoteReplyT vote;
+    vote.term = term;
+    vote.voter = from;
+    vote.granted = true;
+    vote.pre_vote = pre_vote;
+    receive(from, vote);
+  }
+
+  void receiveAck(ReplicaId from, LogIndex match, std::uint64_t round) {
+    wire::AppendReplyT answer;
+    answer.term = consensus_.leadership().term;
+    answer.follower = from;
+    answer.success = true;
+    answer.match_index = match;
+    answer.round = round;
+    receive(from, answer);
+  }
+
+  /// Waits for the election timeout: the replica asks for pre-votes.
+  void timeOut() {
+    now = consensus_.nextTimer();
+    consensus_.onTimer(now);
+    settle();
+  }
+
+  /// Wins an election with the vote of replica 2.
+  void becomeLeader() {
+    timeOut();
+    const Term term = consensus_.leadership().term + 1;
+    receiveVote(2, term, true);
+    receiveVote(2, term, false);
+  }
+
+  /// @return the messages of one type sent since the last call; drops the others.
+  template <typename Body>
+  std::vector<Body> takeSent(const Body* (wire::ConsensusBodyUnion::*as)() const) {
+    std::vector<Body> result;
+    for (const auto& message : sent) {
+      if (const auto* body = (message.body.*as)()) result.push_back(*body);
+    }
+    sent.clear();
+    return result;
+  }
+
+  Consensus& operator*() { return consensus_; }
+  Consensus* operator->() { return &consensus_; }
+
+  SimulatedDisk disk;
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<wire::ConsensusMessageT> sent;
+  std::vector<ReadResult> reads;
+
+ private:
+  static wire::ReplicaT member(ReplicaId id) {
+    wire::ReplicaT replica;
+    replica.id = id;
+    return replica;
+  }
+
+  Consensus consensus_;
+};
+
+}  // namespace cometstand::consensus
