--- a/src/proxy/data_path.cpp
+++ b/src/proxy/data_path.cpp
@@ -16,7 +16,8 @@
 constexpr unsigned kStatusUnavailable = 503;
 
 /// Seeds of the parts differ, so that their choices are independent.
-enum SeedOffset : std::uint64_t { kBalancerSeed = 0, kAdmissionSeed = 1, kRetrySeed = 2 };
+constexpr std::uint64_t kAdmissionSeedOffset = 1;
+constexpr std::uint64_t kRetrySeedOffset = 2;
 
 struct RefusalText {
   ErrorKind kind;
@@ -43,6 +44,9 @@
       return {ErrorKind::Unavailable, "the service has no endpoint that takes work", kWait};
     case RefusalReason::Stopping:
       return {ErrorKind::Stopping, "the proxy is stopping", "send it again through another proxy"};
+    case RefusalReason::NotReady:
+      return {ErrorKind::Unavailable, "the proxy has no configuration yet",
+              "send it again after the given time, or through another proxy"};
   }
   return {ErrorKind::Unavailable, "the request was refused", kWait};
 }
@@ -59,6 +63,21 @@
   return answer;
 }
 
+wire::EndpointRecordT sightingOf(const Endpoint& endpoint) {
+  wire::EndpointRecordT record;
+  record.tenant = endpoint.key.service.tenant;
+  record.service = endpoint.key.service.service;
+  record.endpoint = endpoint.key.endpoint;
+  record.address = endpoint.address.host;
+  record.port = endpoint.address.port;
+  record.zone = endpoint.zone;
+  record.incarnation = endpoint.incarnation;
+  record.state = wire::EndpointState::Leaving;
+  record.slots = endpoint.slots;
+  record.max_connections = endpoint.max_connections;
+  return record;
+}
+
 }  // namespace
 
 DataPath::Request::Request(CallerRequestPointer caller_message, RoutePointer matched_route,
@@ -71,10 +90,9 @@
 
 DataPath::DataPath(const DataPathOptions& options, std::uint64_t seed)
     : options_(options),
-      router_(std::make_shared<Router>()),
-      balancer_(options.balancer, seed + kBalancerSeed),
-      admission_(options.admission, seed + kAdmissionSeed),
-      retries_(options.retry, seed + kRetrySeed),
+      balancer_(options.balancer, seed),
+      admission_(options.admission, seed + kAdmissionSeedOffset),
+      retries_(options.retry, seed + kRetrySeedOffset),
       drain_(options) {}
 
 void DataPath::setRouter(std::shared_ptr<const Router> router, TimePoint now) {
@@ -111,22 +129,25 @@
   return traits;
 }
 
-RequestId DataPath::onRequest(CallerRequestPointer message, TimePoint now) {
+RequestId DataPath::onRequest(const CallerRequestPointer& message, TimePoint now) {
   const RequestId id{next_request_++};
+  if (router_ == nullptr) return refuseAtOnce(id, RefusalReason::NotReady, retries_.retryAfter());
   const auto route = router_->find(message->host, message->target, message->method);
-  if (route == nullptr) {
-    metrics_.countRefusal(RefusalReason::NoRoute);
-    orders_.emplace_back(AnswerOrder{id, refusalAnswer(RefusalReason::NoRoute, Duration::zero())});
-    return id;
-  }
+  if (route == nullptr) return refuseAtOnce(id, RefusalReason::NoRoute, Duration::zero());
   const auto traits = traitsOf(*message, *route, now);
-  const auto position = requests_.try_emplace(id, std::move(message), route, traits, retries_, now).first;
+  const auto position = requests_.try_emplace(id, message, route, traits, retries_, now).first;
   admitOrRefuse(id, position->second, now);
   processAdmission(now);
   process(id, now);
   return id;
 }
 
+RequestId DataPath::refuseAtOnce(RequestId id, RefusalReason reason, Duration retry_after) {
+  metrics_.countRefusal(reason);
+  orders_.emplace_back(AnswerOrder{id, refusalAnswer(reason, retry_after)});
+  return id;
+}
+
 void DataPath::admitOrRefuse(RequestId id, Request& request, TimePoint now) {
   const auto& service = request.route->service;
   if (drain_.refusing(now)) {
@@ -196,6 +217,7 @@
   if (request.endpoint == nullptr) return;
   balancer_.finish(*request.endpoint, verdict, now);
   if (verdict == AttemptVerdict::Success) request.result = WorkResult::Success;
+  if (verdict == AttemptVerdict::Leaving) orders_.emplace_back(SightingOrder{sightingOf(*request.endpoint)});
   if (verdict == AttemptVerdict::Shed) admission_.onOverload(request.route->service, now);
   request.endpoint = nullptr;
 }
--- a/src/proxy/data_path.h
+++ b/src/proxy/data_path.h
@@ -64,9 +64,13 @@
 struct ClaimFinishOrder {
   wire::ClaimFinishT finish;
 };
+/// Tell the relay that an endpoint said itself that it leaves.
+struct SightingOrder {
+  wire::EndpointRecordT record;
+};
 
 using DataPathOrder = std::variant<SendOrder, CancelOrder, AnswerOrder, StreamOrder, EndStreamOrder,
-                                   AbortOrder, ClaimOrder, ClaimFinishOrder>;
+                                   AbortOrder, ClaimOrder, ClaimFinishOrder, SightingOrder>;
 
 /// The decisions of a proxy's data path for all its requests: routing, admission, balancing, retries, claims,
 /// drain. It owns no socket and no clock: HttpServer drives it in the program, the simulator in rehearsal.
@@ -82,7 +86,7 @@
   void onClaimReply(RequestId request, const wire::ClaimReplyT& reply, TimePoint now);
 
   // What callers and back ends do.
-  RequestId onRequest(CallerRequestPointer message, TimePoint now);
+  RequestId onRequest(const CallerRequestPointer& message, TimePoint now);
   void onCallerGone(RequestId request, TimePoint now);
   /// Called right before the first byte of an attempt may leave. @return false if it must not.
   [[nodiscard]] bool beginSending(RequestId request, unsigned attempt);
@@ -129,6 +133,7 @@
   Request* find(RequestId id);
   RequestTraits traitsOf(const CallerRequest& message, const ResolvedRoute& route, TimePoint now) const;
   void refuse(RequestId id, Request& request, RefusalReason reason, Duration retry_after);
+  RequestId refuseAtOnce(RequestId id, RefusalReason reason, Duration retry_after);
   void admitOrRefuse(RequestId id, Request& request, TimePoint now);
   void endAttempt(Request& request, AttemptVerdict verdict, TimePoint now);
   AttemptVerdict verdictOf(const BackendResponse& response) const;
@@ -144,6 +149,7 @@
   void updateGauges();
 
   DataPathOptions options_;
+  /// Null until a view is in force.
   std::shared_ptr<const Router> router_;
   Balancer balancer_;
   AdmissionQueue admission_;
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -106,7 +106,7 @@
 }
 
 RequestId HttpServer::submit(const HttpSessionPointer& session, CallerRequestPointer request) {
-  const RequestId id = data_path_.onRequest(std::move(request), SteadyClock::now());
+  const RequestId id = data_path_.onRequest(request, SteadyClock::now());
   sessions_.emplace(id, session);
   pump();
   return id;
@@ -195,6 +195,8 @@
           claims_.takeClaim(each.request, each.claim);
         } else if constexpr (std::is_same_v<Order, ClaimFinishOrder>) {
           claims_.finishClaim(each.finish);
+        } else if constexpr (std::is_same_v<Order, SightingOrder>) {
+          claims_.reportSighting(each.record);
         }
       },
       order);
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -21,8 +21,10 @@
   NoRoute = 4,
   NoEndpoint = 5,
   Stopping = 6,
+  /// No view is in force yet.
+  NotReady = 7,
 };
-inline constexpr std::size_t kRefusalReasons = 7;
+inline constexpr std::size_t kRefusalReasons = 8;
 
 inline constexpr std::size_t kOutcomes = 3;
 inline constexpr std::size_t kRequestClasses = 4;
