--- a/rehearsal/fleet/operator_console.cpp
+++ b/rehearsal/fleet/operator_console.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <utility>
@@ -80,6 +81,12 @@
                      errorKindName(static_cast<ErrorKind>(reply.error->kind)), reply.error->message);
 }
 
+std::string CommandResult::cell(std::size_t row, const std::string& column) const {
+  const auto found = std::find(reply.columns.begin(), reply.columns.end(), column);
+  if (found == reply.columns.end() || row >= reply.rows.size()) return "";
+  return reply.rows[row]->cells.at(static_cast<std::size_t>(found - reply.columns.begin()));
+}
+
 OperatorConsole::OperatorConsole(OperatorIdentity identity, std::vector<runtime::Address> stores,
                                  boost::asio::ssl::context* tls)
     : identity_(std::move(identity)), stores_(std::move(stores)), tls_(tls) {}
--- a/rehearsal/fleet/operator_console.h
+++ b/rehearsal/fleet/operator_console.h
@@ -27,6 +27,8 @@
   bool completed() const { return answered && reply.outcome == wire::Outcome::Completed; }
   /// @return the value of cometstand::ErrorKind in the answer.
   std::uint16_t errorKind() const { return reply.error ? reply.error->kind : 0; }
+  /// @return the cell of the named column; empty if there is none.
+  std::string cell(std::size_t row, const std::string& column) const;
   /// @return outcome, kind and message for reports.
   std::string text() const;
 };
