Add the admin server and one host for the programs

Cause: each program would have repeated the relay's io_context, TLS, signals and runner, and none served /metrics, /live and /ready. A relay that was told to stop by `stop relay` never ended: the runner looked at ProcessCore::stopped() only after its own beginStop().

Weighed: a prometheus::Registry that the cores increment; it would put a library and its locks into cores that the simulator runs by the thousand. Chosen: cores keep plain counters, and AdminPages::addMetrics() reads them for each GET /metrics, written by prometheus-cpp's text serializer. The library's own pull server was ruled out: it starts threads of its own, so /live would not show whether the program's thread makes progress.

Change: src/admin (AdminServer over Beast, MetricSet, AdminPages, ProgramHost), RelayPages, the relay on the host. Outside: the runner ends whenever the core has stopped; ProgramInfo holds string views, so that a program's constant can be constexpr; RelayCore::isFresh(). The setting's key stays `admin.address`, beside `listen.address`.

Tests: test_admin, test_runtime and test_settings pass. With the runner's change taken back, "a core that stops by itself" did not end; with readiness deaf to a planned stop, "a planned stop runs its steps" did not end; both tests now have limits of 30 s of their own. cometstand-relay was started and stopped with SIGTERM by hand.

Conclusion: store and proxy need an AdminPages each and a main of some fifteen lines.

--- /dev/null
+++ b/src/admin/program_host.cpp
@@ -0,0 +1,108 @@
+#include "admin/program_host.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <utility>
+
+#include "admin/events.h"
+#include "admin/process_usage.h"
+#include "net/tls_context.h"
+#include "settings/program.h"
+#include "settings/units.h"
+
+namespace cometstand::admin {
+
+/// The program's own pages, with what is true of every program.
+class ProgramHost::HostPages : public AdminPages {
+ public:
+  HostPages(const ProgramHost& host, const AdminPages& program) : host_(host), program_(program) {}
+
+  Health liveness() const override { return program_.liveness(); }
+
+  Health readiness() const override {
+    if (host_.stopping_) return {false, "a planned stop is under way"};
+    return program_.readiness();
+  }
+
+  void addMetrics(MetricSet& metrics) const override {
+    metrics.gauge("cometstand_build_info", "Always 1; the labels tell program and version.", 1,
+                  {{"program", host_.program_}, {"version", settings::programVersion()}});
+    metrics.gauge("cometstand_ready", "1 if /ready answers 200, else 0.", readiness().ok ? 1 : 0);
+    metrics.counter("cometstand_link_bytes_total",
+                    "Bytes on links between processes, frame headers included.",
+                    static_cast<double>(host_.runner_->bytesSent()), {{"direction", "sent"}});
+    metrics.counter("cometstand_link_bytes_total", "", static_cast<double>(host_.runner_->bytesReceived()),
+                    {{"direction", "received"}});
+    addProcessUsage(metrics);
+    program_.addMetrics(metrics);
+  }
+
+ private:
+  const ProgramHost& host_;
+  const AdminPages& program_;
+};
+
+ProgramHost::ProgramHost(std::string program, const settings::CommonSettings& common,
+                         runtime::ProcessCore& core, const AdminPages& pages)
+    : program_(std::move(program)), signals_(io_, SIGTERM, SIGINT) {
+  settings::applyLogLevel(common);
+  if (common.tls.enabled) {
+    tls_ = net::makeTlsContext({common.tls.certificate, common.tls.key, common.tls.authority});
+  } else {
+    logEvent(kTlsDisabled, {{"program", program_}});
+  }
+  runner_ = std::make_unique<runtime::ProcessRunner>(
+      io_, core, runtime::RunnerOptions{common.listen, common.data_folder, tls_.get()});
+  pages_ = std::make_unique<HostPages>(*this, pages);
+  if (!common.admin.host.empty()) admin_ = std::make_unique<AdminServer>(io_, common.admin, *pages_);
+}
+
+ProgramHost::~ProgramHost() = default;
+
+void ProgramHost::requestStop(const std::string& reason) {
+  if (stopping_) return;
+  stopping_ = true;
+  logEvent(kStopRequested, {{"reason", reason}});
+  // The caller may stand within the core.
+  boost::asio::post(io_, [this] { runStopStep(0); });
+}
+
+int ProgramHost::run() {
+  runner_->start();
+  for (const auto& begin : starts_) begin();
+  if (admin_) admin_->start();
+  awaitSignal();
+  logStart();
+  io_.run();
+  logEvent(kProgramStopped, {{"program", program_}});
+  return settings::kExitSuccess;
+}
+
+runtime::Address ProgramHost::adminAddress() const {
+  return admin_ ? admin_->listenAddress() : runtime::Address();
+}
+
+void ProgramHost::awaitSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    requestStop(signal == SIGINT ? "SIGINT" : "SIGTERM");
+    awaitSignal();
+  });
+}
+
+void ProgramHost::runStopStep(std::size_t index) {
+  if (index == stop_steps_.size()) return runner_->beginStop();
+  stop_steps_[index]([this, index] { boost::asio::post(io_, [this, index] { runStopStep(index + 1); }); });
+}
+
+void ProgramHost::logStart() const {
+  const auto text = [](const runtime::Address& address) {
+    return address.host.empty() ? std::string("none") : settings::formatAddress(address);
+  };
+  logEvent(kProgramStarted, {{"program", program_},
+                             {"version", settings::programVersion()},
+                             {"listen", text(runner_->listenAddress())},
+                             {"admin", text(adminAddress())}});
+}
+
+}  // namespace cometstand::admin
--- a/src/relay/main_relay.cpp
+++ b/src/relay/main_relay.cpp
@@ -1,11 +1,8 @@
 // cometstand-relay: one zone's fan-out of configuration and endpoint liveness.
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
-
-#include "net/tls_context.h"
+#include "admin/program_host.h"
 #include "relay/prober.h"
 #include "relay/relay_core.h"
+#include "relay/relay_pages.h"
 #include "relay/relay_settings.h"
 #include "runtime/process_runner.h"
 #include "settings/program.h"
@@ -14,8 +11,8 @@
 
 using namespace cometstand;
 
-const settings::ProgramInfo kProgram{"cometstand-relay",
-                                     "Follows the configuration store and serves the proxies of one zone."};
+constexpr settings::ProgramInfo kProgram{
+    "cometstand-relay", "Follows the configuration store and serves the proxies of one zone."};
 
 /// Joins the prober's results with the core.
 relay::Prober::Handlers proberHandlers(relay::RelayCore& core, runtime::ProcessRunner& runner) {
@@ -33,28 +30,18 @@
 }
 
 int runRelay(relay::RelaySettings& relay) {
-  settings::applyLogLevel(relay.common);
   relay::completeRelayOptions(relay);
   relay.options.seed = systemSeed();
-  std::unique_ptr<boost::asio::ssl::context> tls;
-  if (relay.common.tls.enabled) {
-    tls =
-        net::makeTlsContext({relay.common.tls.certificate, relay.common.tls.key, relay.common.tls.authority});
-  }
-  boost::asio::io_context io(1);
   relay::RelayCore core(relay.options);
-  runtime::ProcessRunner runner(io, core, {relay.common.listen, {}, tls.get()});
-  relay::Prober prober(io, relay.prober, proberHandlers(core, runner));
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code error, int) {
-    if (error) return;
+  const relay::RelayPages pages(core);
+  admin::ProgramHost host(std::string(kProgram.name), relay.common, core, pages);
+  relay::Prober prober(host.io(), relay.prober, proberHandlers(core, host.runner()));
+  host.addStart([&prober] { prober.start(); });
+  host.addStopStep([&prober](const std::function<void()>& done) {
     prober.stop();
-    runner.beginStop();
+    done();
   });
-  runner.start();
-  prober.start();
-  io.run();
-  return settings::kExitSuccess;
+  return host.run();
 }
 
 }  // namespace
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -46,6 +46,8 @@
   /// @return the version up to which the relay has followed the store.
   std::uint64_t version() const { return index_.version(); }
   std::size_t proxyCount() const { return proxies_.count(); }
+  /// @return true while beats of a quorum arrive.
+  bool isFresh(TimePoint now) const { return upstream_.isFresh(now); }
   const EndpointTable& endpointTable() const { return table_; }
 
   /// @return the endpoints this relay is to probe now; none while another relay of the zone probes.
--- a/src/runtime/process_core.h
+++ b/src/runtime/process_core.h
@@ -128,7 +128,7 @@
   /// Begins a planned stop: nothing in flight is cut. May be called twice.
   virtual void beginStop(TimePoint now) = 0;
 
-  /// @return true once the process may exit after a planned stop.
+  /// @return true once the process may exit after a planned stop; false before one began.
   virtual bool stopped() const = 0;
 };
 
--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -54,7 +54,6 @@
 }
 
 void ProcessRunner::beginStop() {
-  stopping_ = true;
   core_.beginStop(SteadyClock::now());
   flush();
 }
@@ -144,7 +143,7 @@
     if (found != links_.end()) found->second->closeAfterWrites();
   }
   armTimer();
-  if (stopping_ && core_.stopped()) finishStop();
+  if (core_.stopped()) finishStop();
 }
 
 void ProcessRunner::finishStop() {
--- a/src/runtime/process_runner.h
+++ b/src/runtime/process_runner.h
@@ -47,7 +47,8 @@
   /// @throw Error(Corrupt) from the core.
   void start();
 
-  /// Begins the core's planned stop. The io_context is stopped once the core says so.
+  /// Begins the core's planned stop. The io_context is stopped once the core says that it has stopped, also
+  /// if the core began the stop itself, on an operator's order.
   void beginStop();
 
   /// Carries out the core's pending actions. Call it after calling the core from outside the runner.
@@ -82,7 +83,6 @@
   std::uint64_t next_incoming_ = kFirstIncomingLink;
   std::uint64_t closed_bytes_sent_ = 0;
   std::uint64_t closed_bytes_received_ = 0;
-  bool stopping_ = false;
   bool finishing_ = false;
 };
 
--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -30,7 +30,7 @@
 std::string programVersion() { return COMETSTAND_VERSION; }
 
 ProgramArguments parseProgramArguments(int argc, const char* const* argv, const ProgramInfo& info) {
-  TCLAP::CmdLine command_line(info.description, ' ', programVersion());
+  TCLAP::CmdLine command_line(std::string(info.description), ' ', programVersion());
   command_line.setExceptionHandling(false);
   TCLAP::ValueArg<std::string> settings("", "settings", "Settings file (TOML); see docs/SETTINGS.md", false,
                                         "", "FILE", command_line);
--- a/src/settings/program.h
+++ b/src/settings/program.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "settings/settings_table.h"
@@ -16,8 +17,8 @@
 
 /// What `--help` and `--version` say.
 struct ProgramInfo {
-  std::string name;
-  std::string description;
+  std::string_view name;
+  std::string_view description;
 };
 
 /// The command line that all programs share.
