Serve the connections that a planned stop finds unaccepted

Cause: closing the listening socket resets connections that were made but not accepted, with the requests on them; a test with such a connection failed with "connection reset by peer".

Change: at the end of the grace a socket filter lets the listener ignore new handshakes, those begun before go on for 100 ms, then what was made is accepted and only then is the listener closed. Ruled out: a longer grace, which leaves the same window at its end.

--- a/src/proxy/backend_pool.cpp
+++ b/src/proxy/backend_pool.cpp
@@ -77,7 +77,7 @@
   }
   if (!observer_.beginSending(exchange->order.request, exchange->order.attempt)) {
     forget(*exchange);
-    parkConnection(std::move(exchange->connection));
+    parkConnection(std::exchange(exchange->connection, nullptr));
     co_return;
   }
   // A back end that refuses early may close before it has read everything: its answer counts all the same.
@@ -228,7 +228,7 @@
   parkConnection(connection);
 }
 
-void BackendPool::parkConnection(BackendConnectionPointer connection) {
+void BackendPool::parkConnection(const BackendConnectionPointer& connection) {
   connection->setIdleSince(SteadyClock::now());
   idle_[connection->address()].push_back(connection);
   watchIdle(connection);
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -76,7 +76,7 @@
   void makeRoom(const SendOrder& order);
   /// Keeps the connection for reuse if the answer left it usable.
   void park(Exchange& exchange, const ResponseParser& parser);
-  void parkConnection(BackendConnectionPointer connection);
+  void parkConnection(const BackendConnectionPointer& connection);
   void watchIdle(const BackendConnectionPointer& connection);
   void dropIdle(const BackendConnectionPointer& connection);
   void sweepIdle();
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/event_log.h"
 #include "proxy/events.h"
+#include "proxy/listen_filter.h"
 
 namespace cometstand::proxy {
 
@@ -21,6 +22,8 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(100);
 /// How often a draining server looks whether anything is left in flight.
 constexpr auto kDrainCheckInterval = std::chrono::milliseconds(20);
+/// How long a handshake that has begun may take to its end.
+constexpr auto kHandshakeTime = std::chrono::milliseconds(100);
 
 void listen(tcp::acceptor& acceptor, const runtime::Address& address) {
   try {
@@ -78,16 +81,38 @@
       });
       return;
     }
-    const bool over_limit = connections_ >= options_.max_connections;
-    ++connections_;
-    auto session = std::make_shared<HttpSession>(std::move(socket), options_,
-                                                 static_cast<SessionHost&>(*this), over_limit);
-    asio::co_spawn(
-        io_, [session]() { return session->run(); }, asio::detached);
+    startSession(std::move(socket));
     acceptNext();
   });
 }
 
+void HttpServer::startSession(tcp::socket socket) {
+  const bool over_limit = connections_ >= options_.max_connections;
+  ++connections_;
+  auto session = std::make_shared<HttpSession>(std::move(socket), options_, static_cast<SessionHost&>(*this),
+                                               over_limit);
+  asio::co_spawn(
+      io_, [session]() { return session->run(); }, asio::detached);
+}
+
+/// Ends accepting without a reset for any caller: first no new handshake begins, then, once those begun have
+/// had their time, every connection that was made is accepted.
+void HttpServer::stopAccepting(TimePoint now) {
+  if (!handshakes_end_at_) {
+    ignoreNewHandshakes(acceptor_.native_handle());
+    handshakes_end_at_ = now + kHandshakeTime;
+  }
+  if (now < *handshakes_end_at_) return;
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) startSession(std::move(socket));
+  }
+  acceptor_.close(error);
+}
+
 void HttpServer::setRouter(std::shared_ptr<const Router> router) {
   data_path_.setRouter(std::move(router), SteadyClock::now());
   pump();
@@ -240,11 +265,10 @@
 void HttpServer::checkDrain() {
   const auto now = SteadyClock::now();
   const auto& drain = data_path_.drain();
-  if (!drain.accepting(now) && acceptor_.is_open()) {
-    error_code ignored;
-    acceptor_.close(ignored);
-  }
-  if (drain.finished(data_path_.unsettled() + busy_sessions_, connections_, now)) {
+  // Connections accepted last are looked at by the next check, once their first bytes are read.
+  const bool was_open = acceptor_.is_open();
+  if (was_open && !drain.accepting(now)) stopAccepting(now);
+  if (!was_open && drain.finished(data_path_.unsettled() + busy_sessions_, connections_, now)) {
     logEvent(kDrainFinished, {{"left_in_flight", data_path_.unsettled() + busy_sessions_}});
     pool_.closeIdle();
     if (on_drained_) std::exchange(on_drained_, nullptr)();
--- a/src/proxy/http_server.h
+++ b/src/proxy/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "proxy/backend_pool.h"
@@ -66,6 +67,8 @@
   void onSessionEnded() override { --connections_; }
 
   void acceptNext();
+  void startSession(boost::asio::ip::tcp::socket socket);
+  void stopAccepting(TimePoint now);
   void pump();
   void carryOut(DataPathOrder& order);
   void startStream(const StreamOrder& order);
@@ -92,6 +95,8 @@
   std::map<RequestId, HttpSessionPointer> sessions_;
   std::map<RequestId, BodyStreamPointer> streams_;
   std::function<void()> on_drained_;
+  /// Set once no new connection is taken.
+  std::optional<TimePoint> handshakes_end_at_;
 };
 
 }  // namespace cometstand::proxy
--- a/tests/proxy/balancer_test.cpp
+++ b/tests/proxy/balancer_test.cpp
@@ -143,6 +143,18 @@
   CHECK(chosen["e0"] < 600 / 3 * 1.25);
 }
 
+TEST_CASE("reports below what the proxy itself has in work lose their weight", "[balancer]") {
+  LoadEstimate load;
+  const TimePoint now{seconds(1000)};
+  load.onReport(0, 0.1, now);
+  CHECK(load.trust() == 1);
+  for (int i = 0; i < 3; ++i) load.onReport(0, 0.8, now);
+  CHECK(load.trust() < 0.2);
+  CHECK(load.othersLoad(now, seconds(1)) > 0.2);
+  load.onShed(now);
+  CHECK(load.othersLoad(now, seconds(1)) == Approx(1));
+}
+
 TEST_CASE("a retry goes to another endpoint and another zone while there is one", "[balancer]") {
   Fixture fixture(2);
   const auto first = fixture.balancer.pick(service(), {}, fixture.now);
