--- a/src/relay/endpoint_monitor.cpp
+++ b/src/relay/endpoint_monitor.cpp
@@ -142,11 +142,13 @@
                                                         TimePoint now) {
   Records records;
   if (!active_) return records;
-  std::map<runtime::Address, bool> leaving;
-  for (const auto& machine : machines) leaving[machine.address] = machine.leaving;
+  std::vector<runtime::Address> leaving;
+  for (const auto& machine : machines) {
+    if (machine.leaving) leaving.push_back(machine.address);
+  }
   for (auto& [id, watched] : watched_) {
-    const auto listed = leaving.find({watched.spec.address, watched.spec.port});
-    if (listed == leaving.end() || !listed->second) continue;
+    const runtime::Address address{watched.spec.address, watched.spec.port};
+    if (std::find(leaving.begin(), leaving.end(), address) == leaving.end()) continue;
     // A probe that was answered lately outranks the list.
     if (watched.lease_until > now + options_.lease / 2) continue;
     const auto known = table_.find(id);
@@ -185,12 +187,13 @@
   if (!active_ || check_at_ > now) return records;
   check_at_ = TimePoint::max();
   for (auto& [id, watched] : watched_) {
-    check_at_ = std::min(check_at_, std::max(watched.lease_until, now + options_.lease / 2));
-    if (watched.lease_until > now) continue;
-    const auto known = table_.find(id);
-    loseOnHint(id, watched, known ? known->incarnation : 0, records);
-    // Looked at again later: others of the service may have come back by then.
-    watched.lease_until = now + options_.lease / 2;
+    if (watched.lease_until <= now) {
+      const auto known = table_.find(id);
+      loseOnHint(id, watched, known ? known->incarnation : 0, records);
+      // Looked at again later: others of the service may have come back by then.
+      watched.lease_until = now + options_.lease / 2;
+    }
+    check_at_ = std::min(check_at_, watched.lease_until);
   }
   return records;
 }
--- a/src/relay/proxy_fan_out.h
+++ b/src/relay/proxy_fan_out.h
@@ -106,7 +106,7 @@
   bool isAffected() const;
   void flush(TimePoint now);
   void refuseOverdue(TimePoint now);
-  void handOverNext(TimePoint now);
+  void handOverDue(TimePoint now);
   std::uint64_t inForce(const Subscriber& subscriber) const;
 
   const RelayOptions& options_;
--- a/src/relay/proxy_messages.cpp
+++ b/src/relay/proxy_messages.cpp
@@ -83,15 +83,20 @@
   handover_at_ = now;
 }
 
-void ProxyFanOut::handOverNext(TimePoint now) {
-  handover_at_ = TimePoint::max();
-  if (handover_.empty()) return;
+/// Sends the goodbyes that are due by now.
+void ProxyFanOut::handOverDue(TimePoint now) {
+  if (handover_at_ > now) return;
   wire::GoodbyeT goodbye;
   goodbye.alternatives = networkAddresses(alternatives_);
-  actions_.send(handover_.front(), std::move(goodbye), 0);
-  handover_.pop_front();
-  const std::chrono::duration<double> pause(1 / options_.handover_rate);
-  handover_at_ = now + std::chrono::duration_cast<Duration>(pause);
+  const auto message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(goodbye)));
+  const auto pause =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / options_.handover_rate));
+  while (handover_at_ <= now && !handover_.empty()) {
+    actions_.send(handover_.front(), message);
+    handover_.pop_front();
+    handover_at_ += pause;
+  }
+  if (handover_.empty()) handover_at_ = TimePoint::max();
 }
 
 /// What was sent and acknowledged is in force, and nothing up to the published version changes it.
@@ -136,7 +141,7 @@
 void ProxyFanOut::onTimer(TimePoint now) {
   if (flush_at_ <= now) flush(now);
   refuseOverdue(now);
-  while (handover_at_ <= now && !handover_.empty()) handOverNext(now);
+  handOverDue(now);
   if (beat_at_ == TimePoint::max()) beat_at_ = now;
   if (beat_at_ > now) return;
   sendBeats();
