Test that a new leader's first membership change waits for its term

Cause: no test brought about two leaders' overlapping membership changes (Ongaro, raft-dev, 2015); and two tests proposed without limit while they waited, so that a mutant made them run for minutes instead of failing. Change: a directed test; those tests propose a fixed number of entries.

--- a/tests/consensus/election_test.cpp
+++ b/tests/consensus/election_test.cpp
@@ -113,7 +113,7 @@
   const ReplicaId leader = cluster.waitForLeader();
   const ReplicaId behind = leader % 3 + 1;
   cluster.isolate(behind);
-  cluster.runUntil([&] { return cluster.propose(leader) && cluster.checker().lastApplied() > 10; });
+  REQUIRE(cluster.commitMany(leader, 10));
   cluster.crash(leader);
   cluster.heal();
   cluster.runFor(seconds(5));
--- a/tests/consensus/log_storage_test.cpp
+++ b/tests/consensus/log_storage_test.cpp
@@ -183,8 +183,7 @@
   }
   cluster.runFor(std::chrono::seconds(1));
   const LogIndex before = cluster.checker().lastApplied();
-  cluster.runUntil(
-      [&] { return cluster.propose(leader, 200) && cluster.checker().lastApplied() > before + 300; });
+  REQUIRE(cluster.commitMany(leader, 300));
   cluster.heal();
   CHECK(cluster.commitEverywhere(cluster.ids()));
   cluster.crash(behind);
--- a/tests/consensus/membership_test.cpp
+++ b/tests/consensus/membership_test.cpp
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "simulated_cluster.h"
+#include "solo_replica.h"
 
 namespace cometstand::consensus {
 namespace {
@@ -137,6 +138,21 @@
   }
 }
 
+TEST_CASE("a new leader changes the membership only once it committed an entry of its term") {
+  SoloReplica replica;
+  replica.becomeLeader();
+  MembershipChange change;
+  change.replica.id = 4;
+  try {
+    replica->changeMembership(change, replica.now);
+    FAIL("a change of an earlier leader may still be running");
+  } catch (const Error& error) {
+    CHECK(error.kind() == ErrorKind::Unavailable);
+  }
+  replica.receiveAck(2, 2, 1);
+  CHECK(replica->changeMembership(change, replica.now) == 3);
+}
+
 TEST_CASE("a replica whose folder is empty takes no part under its old id") {
   SimulatedCluster cluster(3, 7);
   const ReplicaId leader = cluster.waitForLeader();
--- a/tests/consensus/simulated_cluster.cpp
+++ b/tests/consensus/simulated_cluster.cpp
@@ -268,6 +268,13 @@
   collect(id);
 }
 
+bool SimulatedCluster::commitMany(ReplicaId leader, std::size_t count) {
+  constexpr std::size_t kBytes = 200;
+  const LogIndex target = consensus(leader).lastIndex() + count;
+  for (std::size_t i = 0; i < count; ++i) propose(leader, kBytes);
+  return runUntil([&] { return at(leader).applied_index >= target; });
+}
+
 bool SimulatedCluster::commitEverywhere(const std::vector<ReplicaId>& replicas) {
   constexpr int kTries = 30;
   for (int attempt = 0; attempt < kTries; ++attempt) {
--- a/tests/consensus/simulated_cluster.h
+++ b/tests/consensus/simulated_cluster.h
@@ -85,6 +85,8 @@
   void transfer(ReplicaId from, ReplicaId to);
   LogIndex change(ReplicaId leader, MembershipChangeKind kind, ReplicaId id, ReplicaId replaced = 0);
   void compact(ReplicaId id);
+  /// Proposes this many entries at the leader. @return whether it applied them.
+  bool commitMany(ReplicaId leader, std::size_t count);
   /// Proposes at the leader until an entry is applied by every listed replica.
   bool commitEverywhere(const std::vector<ReplicaId>& replicas);
 
