--- a/tests/consensus/log_storage_test.cpp
+++ b/tests/consensus/log_storage_test.cpp
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "consensus/log_storage.h"
 #include "simulated_cluster.h"
+#include "solo_replica.h"
 
 namespace cometstand::consensus {
 namespace {
@@ -169,6 +170,23 @@
   }
 }
 
+TEST_CASE("a snapshot is synced before it is acknowledged") {
+  SoloReplica replica;
+  wire::SnapshotRequestT request;
+  request.term = 1;
+  request.leader = 2;
+  request.snapshot = std::make_shared<wire::ConsensusSnapshotT>();
+  request.snapshot->last_index = 50;
+  request.snapshot->last_term = 1;
+  request.snapshot->membership = std::make_shared<wire::MembershipT>(replica->membership());
+  replica.disk.held = true;
+  replica.receive(2, request);
+  CHECK(replica.takeSent(&wire::ConsensusBodyUnion::AsSnapshotReply).empty());
+  replica.disk.held = false;
+  replica.settle();
+  CHECK(replica.takeSent(&wire::ConsensusBodyUnion::AsSnapshotReply).at(0).match_index == 50);
+}
+
 TEST_CASE("a follower that is too far behind gets a snapshot") {
   SimulatedCluster cluster(3, 9);
   ReplicaId leader = cluster.waitForLeader();
--- a/tests/consensus/membership_test.cpp
+++ b/tests/consensus/membership_test.cpp
@@ -153,6 +153,23 @@
   CHECK(replica->changeMembership(change, replica.now) == 3);
 }
 
+TEST_CASE("votes and acknowledgements from another data folder than the voter's do not count") {
+  SoloReplica replica;
+  SECTION("votes") {
+    replica.timeOut();
+    replica.receiveVote(2, 2, true);
+    replica.peer_incarnation = 77;
+    replica.receiveVote(2, 2, false);
+    CHECK(replica->leadership().role == Role::Candidate);
+  }
+  SECTION("acknowledgements") {
+    replica.becomeLeader();
+    replica.peer_incarnation = 77;
+    replica.receiveAck(2, 2, 1);
+    CHECK(replica->commitIndex() == 0);
+  }
+}
+
 TEST_CASE("a replica whose folder is empty takes no part under its old id") {
   SimulatedCluster cluster(3, 7);
   const ReplicaId leader = cluster.waitForLeader();
--- a/tests/consensus/solo_replica.h
+++ b/tests/consensus/solo_replica.h
@@ -38,6 +38,7 @@
   void receive(ReplicaId from, Body body) {
     wire::ConsensusMessageT message;
     message.from = from;
+    message.from_incarnation = peer_incarnation;
     message.to = 1;
     message.body.Set(std::move(body));
     consensus_.onMessage(message, now);
@@ -94,6 +95,8 @@
 
   SimulatedDisk disk;
   TimePoint now{std::chrono::hours(1)};
+  /// Of the data folders that the other two answer from; the membership names 0.
+  std::uint64_t peer_incarnation = 0;
   std::vector<wire::ConsensusMessageT> sent;
   std::vector<ReadResult> reads;
 
