Test the scale run with the real store

Cause: the run was tested with the memory store alone, before the store was there. Change: the outcomes of a small fleet are checked with three real replicas, and with the memory store.

--- a/tests/rehearsal_scale/scale_run_test.cpp
+++ b/tests/rehearsal_scale/scale_run_test.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 /// A small fleet over three zones, one of them with two relays.
-ScaleOptions smallRun() {
+ScaleOptions smallRun(StoreMode store_mode) {
   ScaleOptions options;
   options.shape = {60, 20, 3, 10, 3};
-  options.store_mode = StoreMode::Memory;
-  options.stores = 1;
+  options.store_mode = store_mode;
+  options.stores = store_mode == StoreMode::Real ? 3 : 1;
   options.relays = 4;
   options.proxies_per_process = 30;
   options.changes = 12;
@@ -34,7 +34,7 @@
 }
 
 TEST_CASE("A fleet of hollow proxies takes every change and comes back from a herd restart", "[scale]") {
-  const auto options = smallRun();
+  const auto options = smallRun(GENERATE(StoreMode::Real, StoreMode::Memory));
   ScaleRun scale(options);
   const auto report = scale.run();
 
