--- a/rehearsal/checkers/change_groups.h
+++ b/rehearsal/checkers/change_groups.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "rehearsal/checkers/observed_view.h"
 
@@ -14,7 +15,9 @@
 struct GroupName {
   std::string tenant;
   unsigned group = 0;
-  friend auto operator<=>(const GroupName&, const GroupName&) = default;
+  friend bool operator<(const GroupName& left, const GroupName& right) {
+    return std::tie(left.tenant, left.group) < std::tie(right.tenant, right.group);
+  }
 };
 
 /// Written into the objects; 0 stands for a deleted group.
