--- a/src/store/cluster_formation.cpp
+++ b/src/store/cluster_formation.cpp
@@ -44,7 +44,7 @@
   wire::FormationReplyT reply;
   reply.replica = context_.options.self.id;
   reply.term = storedTerm();
-  context_.actions.send(asker.link, std::move(reply), asker.request_id);
+  context_.actions.send(asker.link, reply, asker.request_id);
 }
 
 void ClusterFormation::onReply(const wire::FormationReplyT& reply, TimePoint now) {
--- a/src/store/command_service.cpp
+++ b/src/store/command_service.cpp
@@ -14,6 +14,18 @@
 #include "store/request_id.h"
 
 namespace cometstand::store {
+namespace {
+
+/// Joins lambdas into one visitor.
+template <typename... Functions>
+struct Overloaded : Functions... {
+  using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+}  // namespace
+
 void CommandService::onCommand(const Asker& asker, const wire::CommandRequestT& request, TimePoint now) {
   try {
     if (stopping_) {
@@ -72,7 +84,12 @@
             throw Error(ErrorKind::Unauthenticated, "tenant, operator name or token is wrong",
                         "check the three, or ask an administrator for a new credential");
           }
-          carryOut(asker, *command, *identity, confirmed_at);
+          const Call call{asker, *identity, confirmed_at};
+          std::visit(Overloaded{[&](const command::Change& /*change*/) {
+                                  addChange(asker, *command, *identity, confirmed_at);
+                                },
+                                [&](const auto& one) { run(call, one); }},
+                     command->parsed);
         } catch (const Error& error) {
           sendReply(context_, asker, notRun<wire::CommandReplyT>(error));
         }
@@ -113,121 +130,4 @@
   parts_.writer.add(asker, std::move(logged), request.text.size(), now);
 }
 
-void CommandService::carryOut(const Asker& asker, const Command& command, const Identity& identity,
-                              TimePoint now) {
-  if (std::holds_alternative<command::Change>(command.parsed)) {
-    addChange(asker, command, identity, now);
-    return;
-  }
-  std::visit([&](const auto& one) { run(one, asker, identity, now); }, command.parsed);
-}
-
-void CommandService::requireAdministrator(const Identity& identity) const {
-  if (identity.scope.administrator) return;
-  throw Error(ErrorKind::Forbidden, "only an administrator of the mesh may do that",
-              "ask an administrator of the mesh");
-}
-
-void CommandService::requireNode(const std::string& node) const {
-  const auto key = config::makeKey(wire::ObjectKind::Node, "", node);
-  if (context_.state.catalog().find(key) != nullptr) return;
-  throw Error(ErrorKind::NotFound, fmt::format("{} does not exist", config::formatKey(key)),
-              "check the name");
-}
-
-void CommandService::sendStopOrder(const Asker& asker, const wire::StopOrderT& order) {
-  const auto links = parts_.readers.links();
-  if (links.empty()) {
-    throw Error(ErrorKind::Unavailable, "no relay reads from the store",
-                "send the command again once one does", context_.options.retry_after);
-  }
-  for (const auto link : links) context_.actions.send(link, order, 0);
-  sendReply(context_, asker,
-            makeTable(context_.state.catalog().version(), {"order", "name", "relays_told"},
-                      {{wire::EnumNameStopKind(order.kind), order.name, std::to_string(links.size())}}));
-}
-
-template <typename Query>
-void CommandService::run(const Query& query, const Asker& asker, const Identity& identity, TimePoint now) {
-  const auto& state = context_.state;
-  const Scope& scope = identity.scope;
-  using namespace command;
-  if constexpr (std::is_same_v<Query, ShowVersion>) {
-    sendReply(context_, asker, showVersion(state));
-  } else if constexpr (std::is_same_v<Query, ShowRoute>) {
-    sendReply(context_, asker, showRoute(state, scope, query));
-  } else if constexpr (std::is_same_v<Query, ShowRoutes>) {
-    sendReply(context_, asker, showRoutes(state, scope));
-  } else if constexpr (std::is_same_v<Query, ShowServices>) {
-    sendReply(context_, asker, showServices(state, scope));
-  } else if constexpr (std::is_same_v<Query, ShowNodes>) {
-    sendReply(context_, asker, showNodes(state, scope));
-  } else if constexpr (std::is_same_v<Query, ShowTenants>) {
-    sendReply(context_, asker, showTenants(state, scope));
-  } else if constexpr (std::is_same_v<Query, ShowSecrets>) {
-    sendReply(context_, asker, showSecrets(state, scope));
-  } else if constexpr (std::is_same_v<Query, ShowChanges>) {
-    sendReply(context_, asker, showChanges(state, scope, query));
-  } else if constexpr (std::is_same_v<Query, ShowProxies>) {
-    parts_.statuses.begin(
-        asker, parts_.readers.links(),
-        [&state, scope, query](const wire::StatusReplyT& status) {
-          return showProxies(state, scope, query, status);
-        },
-        now);
-  } else if constexpr (std::is_same_v<Query, ShowEndpoints>) {
-    parts_.statuses.begin(
-        asker, parts_.readers.links(),
-        [&state, scope, query](const wire::StatusReplyT& status) {
-          return showEndpoints(state, scope, query, status);
-        },
-        now);
-  } else if constexpr (std::is_same_v<Query, ShowReplicas>) {
-    sendReply(context_, asker, parts_.replicas.showReplicas());
-  } else if constexpr (std::is_same_v<Query, WaitInForce>) {
-    parts_.waits.add(asker, query.version, query.timeout, now);
-  } else if constexpr (std::is_same_v<Query, DrainEndpoint>) {
-    const std::string tenant = query.service.tenant.empty() ? scope.tenant : query.service.tenant;
-    // Answers like showEndpoints() if the service is not there or not the operator's.
-    const auto endpoints = showEndpoints(state, scope, {query.service}, {});
-    const bool is_known = std::any_of(endpoints.rows.begin(), endpoints.rows.end(),
-                                      [&](const auto& row) { return row->cells.front() == query.endpoint; });
-    if (!is_known) {
-      throw Error(ErrorKind::NotFound,
-                  fmt::format("service {} has no endpoint {}", query.service.name, query.endpoint),
-                  "see show endpoints");
-    }
-    wire::StopOrderT order;
-    order.kind = wire::StopKind::Endpoint;
-    order.tenant = tenant;
-    order.name = query.service.name;
-    order.endpoint = query.endpoint;
-    sendStopOrder(asker, order);
-  } else if constexpr (std::is_same_v<Query, Change>) {
-    // Carried out through the log.
-  } else {
-    requireAdministrator(identity);
-    if constexpr (std::is_same_v<Query, StopProxy>) {
-      requireNode(query.node);
-      wire::StopOrderT order;
-      order.kind = wire::StopKind::Proxy;
-      order.name = query.node;
-      sendStopOrder(asker, order);
-    } else if constexpr (std::is_same_v<Query, StopRelay>) {
-      wire::StopOrderT order;
-      order.kind = wire::StopKind::Relay;
-      order.name = query.relay;
-      sendStopOrder(asker, order);
-    } else if constexpr (std::is_same_v<Query, TransferLeader>) {
-      parts_.replicas.transferLeader(asker, query.replica, now);
-    } else if constexpr (std::is_same_v<Query, AddReplica>) {
-      parts_.replicas.addReplica(asker, query.replica, now);
-    } else if constexpr (std::is_same_v<Query, ReplaceReplica>) {
-      parts_.replicas.replaceReplica(asker, query.old_id, query.new_id, now);
-    } else if constexpr (std::is_same_v<Query, RemoveReplica>) {
-      parts_.replicas.removeReplica(asker, query.id, now);
-    }
-  }
-}
-
 }  // namespace cometstand::store
--- a/src/store/command_service.h
+++ b/src/store/command_service.h
@@ -47,17 +47,42 @@
     command::Command parsed;
   };
 
+  /// A command that a quorum-confirmed leader carries out.
+  struct Call {
+    Asker asker;
+    Identity identity;
+    TimePoint now;
+  };
+
   void lead(const Asker& asker, std::shared_ptr<const Command> command, TimePoint now);
-  void carryOut(const Asker& asker, const Command& command, const Identity& identity, TimePoint now);
   void addChange(const Asker& asker, const Command& command, const Identity& identity, TimePoint now);
   std::optional<Identity> authenticate(const wire::CommandRequestT& request) const;
   Duration forwardLimit(const command::Command& command) const;
-  void requireAdministrator(const Identity& identity) const;
-  void requireNode(const std::string& node) const;
-  void sendStopOrder(const Asker& asker, const wire::StopOrderT& order);
 
-  template <typename Query>
-  void run(const Query& query, const Asker& asker, const Identity& identity, TimePoint now);
+  // command_execution.cpp: one overload a command.
+  void run(const Call& call, const command::ShowVersion& query);
+  void run(const Call& call, const command::ShowProxies& query);
+  void run(const Call& call, const command::ShowRoute& query);
+  void run(const Call& call, const command::ShowRoutes& query);
+  void run(const Call& call, const command::ShowServices& query);
+  void run(const Call& call, const command::ShowEndpoints& query);
+  void run(const Call& call, const command::ShowChanges& query);
+  void run(const Call& call, const command::ShowNodes& query);
+  void run(const Call& call, const command::ShowTenants& query);
+  void run(const Call& call, const command::ShowSecrets& query);
+  void run(const Call& call, const command::ShowReplicas& query);
+  void run(const Call& call, const command::WaitInForce& query);
+  void run(const Call& call, const command::DrainEndpoint& order);
+  void run(const Call& call, const command::StopProxy& order);
+  void run(const Call& call, const command::StopRelay& order);
+  void run(const Call& call, const command::TransferLeader& order);
+  void run(const Call& call, const command::AddReplica& order);
+  void run(const Call& call, const command::ReplaceReplica& order);
+  void run(const Call& call, const command::RemoveReplica& order);
+  /// @throw Error(Forbidden)
+  static void requireAdministrator(const Call& call);
+  /// @throw Error(Unavailable) if there is no reader.
+  void sendStopOrder(const Call& call, const wire::StopOrderT& order);
 
   StoreContext& context_;
   CommandParts parts_;
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -27,10 +27,10 @@
   std::uint64_t log_commands_proposed = 0;
   std::uint64_t readers_admitted = 0;
   std::uint64_t readers_refused = 0;
-  std::uint64_t deltas_sent = 0;
-  std::uint64_t snapshots_sent = 0;
+  std::uint64_t deltas_made = 0;
+  std::uint64_t snapshots_made = 0;
   std::uint64_t beats_sent = 0;
-  std::uint64_t leadership_changes = 0;
+  std::uint64_t leaderships_lost = 0;
 };
 
 }  // namespace cometstand::store
--- a/src/store/reader_hub.cpp
+++ b/src/store/reader_hub.cpp
@@ -199,14 +199,14 @@
   const bool may_be_larger = !changes || changes->size() * 2 > catalog.entries().size();
   auto living = may_be_larger ? catalog.livingObjects() : config::Catalog::Changes();
   if (changes && (!may_be_larger || changes->size() <= living.size())) {
-    ++context_.metrics.deltas_sent;
+    ++context_.metrics.deltas_made;
     wire::ConfigurationDeltaT delta;
     delta.from_version = version;
     delta.to_version = catalog.version();
     delta.changes = *std::move(changes);
     message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(delta)));
   } else {
-    ++context_.metrics.snapshots_sent;
+    ++context_.metrics.snapshots_made;
     wire::ConfigurationSnapshotT snapshot;
     snapshot.version = catalog.version();
     snapshot.changes = std::move(living);
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -224,7 +224,7 @@
   const bool still_leads = leadership.role == consensus::Role::Leader && same_term;
   leadership_ = leadership;
   if (!was_leader || still_leads) return;
-  ++metrics_.leadership_changes;
+  ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
