Consensus: hand leadership to a voter that still answers

Cause: transferLeadershipToAny() took the first of the voters with the longest log, also one that had stopped a second before: the planned stop of a leader then ended in the loss of its quorum. Seen with three processes on loopback that stop one after another. Ruled out: the flag is_active alone (it stays for an election timeout after the last answer). Change: the voter whose answered round is the newest, of several the one with the longest log.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -65,7 +65,7 @@
   /// took over or an election timeout passed.
   /// @throw Error(Unavailable) if this replica is not the leader; Error(NotFound) if the target is no voter.
   void transferLeadership(ReplicaId target, TimePoint now);
-  /// Hands leadership to the voter with the longest log.
+  /// Hands leadership to the voter that was heard last, of several to the one with the longest log.
   /// @return false if this replica is not the leader or there is no other voter.
   bool transferLeadershipToAny(TimePoint now);
 
--- a/src/consensus/consensus_membership.cpp
+++ b/src/consensus/consensus_membership.cpp
@@ -127,13 +127,15 @@
   if (role_ != Role::Failed) beginEvent(now);
   if (role_ != Role::Leader) return false;
   ReplicaId target = 0;
-  LogIndex best_match = 0;
+  // The one heard last, so that a voter that is gone is not waited for; then the one with the longest log.
+  std::pair<std::uint64_t, LogIndex> best;
   for (const auto& voter : log_.membership().voters) {
     if (voter->id == self_.id) continue;
-    const LogIndex match = leader_state_->followers.at(voter->id).match;
-    if (target != 0 && match <= best_match) continue;
+    const auto& progress = leader_state_->followers.at(voter->id);
+    const std::pair candidate(progress.acked_round.number, progress.match);
+    if (target != 0 && candidate <= best) continue;
     target = voter->id;
-    best_match = match;
+    best = candidate;
   }
   if (target == 0) return false;
   leader_state_->transfer = LeadershipTransfer{target, now_ + options_.election_timeout_max};
