Try to hand leadership over again while a stop has time

Cause: a leader that stops tried one transfer; one to a replica that died within the last heartbeat cannot be told from a good one, and the rest of the time limit was spent waiting. Change: the transfer is tried again once the last one was given up. Conclusion: the leader goes within the stop's time limit although another replica is gone.

--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -274,11 +274,18 @@
 void StoreParts::stepStop(TimePoint now) {
   if (!stopping_) return;
   if (now >= stop_deadline_) stop_passed_ = true;
-  if (transferred_ || !context_.isLeader() || !writer_.idle() || !admin_.idle()) return;
-  transferred_ = true;
+  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !admin_.idle()) return;
+  // By then a transfer to a replica that does not answer has been given up.
+  next_transfer_ = now + 2 * options_.consensus.election_timeout_max;
   if (!consensus_.transferLeadershipToAny(now)) stop_passed_ = true;
 }
 
+TimePoint StoreParts::stopTimer() const {
+  if (!stopping_ || stop_passed_) return TimePoint::max();
+  return context_.isLeader() && next_transfer_ > TimePoint() ? std::min(next_transfer_, stop_deadline_)
+                                                             : stop_deadline_;
+}
+
 bool StoreParts::stopped() const {
   if (!stopping_) return false;
   return stop_passed_ || (!context_.isLeader() && writer_.idle() && forwarder_.idle());
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -39,6 +39,7 @@
   void applyCommitted(const std::vector<consensus::LogEntryPointer>& entries);
   void takeSnapshotIfDue();
   void stepStop(TimePoint now);
+  TimePoint stopTimer() const;
   /// @return true if the link's certificate allows this role; else the link is closed.
   bool requireRole(runtime::LinkId link, const char* role, const char* other_role = "");
   void onOwnLinkMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
@@ -75,7 +76,8 @@
   consensus::LogIndex applied_index_ = 0;
   bool snapshot_failed_ = false;
   bool stopping_ = false;
-  bool transferred_ = false;
+  /// When leadership may be handed over, or again; the beginning of time before the first try.
+  TimePoint next_transfer_;
   TimePoint stop_deadline_ = TimePoint::max();
   bool stop_passed_ = false;
 };
--- a/tests/store/command_test.cpp
+++ b/tests/store/command_test.cpp
@@ -185,6 +185,23 @@
   REQUIRE(trio.waitForLeader() != old_leader);
 }
 
+TEST_CASE("a leader that stops does not hand over to a replica that is gone") {
+  // How long the other one has been gone: longer and shorter than a heartbeat.
+  const auto gone_for = GENERATE(milliseconds(200), milliseconds(1));
+  Trio trio;
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  // Of equals the first voter would be chosen.
+  const std::size_t gone = old_leader == 0 ? 1 : 0;
+  trio.network.crash(gone);
+  trio.network.runFor(gone_for);
+  trio.network.beginStop(old_leader);
+  REQUIRE(trio.network.runUntil([&] { return trio.network.core(old_leader).stopped(); },
+                                gone_for > milliseconds(50) ? milliseconds(100) : seconds(2)));
+  REQUIRE(trio.network.runUntil([&] { return trio.network.leader().has_value(); }));
+  REQUIRE(*trio.network.leader() == 3 - old_leader - gone);
+}
+
 TEST_CASE("credentials bind operators to their tenant, and no answer holds a secret") {
   Trio trio;
   trio.begin();
