--- a/tests/proxy_control/claims_test.cpp
+++ b/tests/proxy_control/claims_test.cpp
@@ -60,10 +60,10 @@
   auto& driver = fixture.proxy.driver;
   const auto first = fixture.ask("a", 101);
   const auto second = fixture.ask("b", 102);
+  driver.receive(fixture.link, granted(), 77);
   driver.receive(fixture.link, failed(wire::Outcome::NotRun, ErrorKind::Forbidden), second);
   driver.receive(fixture.link, granted(), first);
   driver.receive(fixture.link, granted(), second);
-  driver.receive(fixture.link, granted(), 77);
   const auto& answers = fixture.proxy.listener.answers;
   REQUIRE(answers.size() == 2);
   CHECK(answers[0].callback == 102);
