--- a/rehearsal/simulator/faults.cpp
+++ b/rehearsal/simulator/faults.cpp
@@ -238,8 +238,10 @@
   auto& process = *fleet_.machine(name).process;
   if (!process.running()) return;
   ++active_;
+  // A process with nothing left to do ends at once.
+  const auto run = process.run();
   process.beginStop();
-  waitForStop(name, process.run(), fleet_.queue().now() + kStopLimit);
+  waitForStop(name, run, fleet_.queue().now() + kStopLimit);
 }
 
 /// @param run of the process that is stopping; another fault may end it first.
