--- a/rehearsal/checkers/convergence_checker.cpp
+++ b/rehearsal/checkers/convergence_checker.cpp
@@ -13,6 +13,11 @@
   return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
 }
 
+ConvergenceTimes summarize(std::vector<Duration> samples) {
+  std::sort(samples.begin(), samples.end());
+  return {quantile(samples, kMedian), quantile(samples, kNinetyNinth), quantile(samples, 1), samples.size()};
+}
+
 }  // namespace
 
 void ConvergenceChecker::onInForce(const std::string& name, std::uint64_t as_of, TimePoint when) {
@@ -25,7 +30,11 @@
   for (auto next = accepted_.upper_bound(node.counted); next != accepted_.end() && next->first <= as_of;
        ++next) {
     // The store's answer may leave later than its word to the relays.
-    samples_.push_back(std::max(when - next->second, Duration::zero()));
+    const auto taken = std::max(when - next->second, Duration::zero());
+    samples_.push_back(taken);
+    auto& spread = spreads_[next->first];
+    ++spread.proxies;
+    spread.longest = std::max(spread.longest, taken);
   }
   node.counted = std::max(node.counted, as_of);
 }
@@ -42,10 +51,19 @@
   }
 }
 
-ConvergenceTimes ConvergenceChecker::times() const {
-  auto sorted = samples_;
-  std::sort(sorted.begin(), sorted.end());
-  return {quantile(sorted, kMedian), quantile(sorted, kNinetyNinth), quantile(sorted, 1), sorted.size()};
+void ConvergenceChecker::beginMeasuring() {
+  samples_.clear();
+  spreads_.clear();
+}
+
+ConvergenceTimes ConvergenceChecker::times() const { return summarize(samples_); }
+
+ConvergenceTimes ConvergenceChecker::timesToLastProxy() const {
+  std::vector<Duration> longest;
+  for (const auto& [version, spread] : spreads_) {
+    if (spread.proxies == nodes_.size()) longest.push_back(spread.longest);
+  }
+  return summarize(std::move(longest));
 }
 
 }  // namespace cometstand::checkers
--- a/rehearsal/checkers/convergence_checker.h
+++ b/rehearsal/checkers/convergence_checker.h
@@ -35,8 +35,11 @@
   void checkConverged(TimePoint accepted_by, TimePoint now) const;
 
   /// Forgets what was measured so far, for example while the mesh was set up.
-  void beginMeasuring() { samples_.clear(); }
+  void beginMeasuring();
+  /// @return over all accepted versions and proxies.
   ConvergenceTimes times() const;
+  /// @return over all versions that reached every proxy: until the last one of them.
+  ConvergenceTimes timesToLastProxy() const;
   std::uint64_t newestAccepted() const { return accepted_.empty() ? 0 : accepted_.rbegin()->first; }
 
  private:
@@ -45,10 +48,16 @@
     /// Highest version ever in force, so that each counts once.
     std::uint64_t counted = 0;
   };
+  /// How far one version got.
+  struct Spread {
+    std::size_t proxies = 0;
+    Duration longest{};
+  };
   ViolationLog& log_;
   std::map<std::uint64_t, TimePoint> accepted_;
   std::map<std::string, Node> nodes_;
   std::vector<Duration> samples_;
+  std::map<std::uint64_t, Spread> spreads_;
 };
 
 }  // namespace cometstand::checkers
--- a/rehearsal/simulator/deployment.h
+++ b/rehearsal/simulator/deployment.h
@@ -55,6 +55,8 @@
   BackendBehavior backend;
   /// relay.batch_window.
   Duration batch_window{};
+  /// relay.beat_interval.
+  Duration beat_interval = std::chrono::seconds(1);
   /// Operators of each tenant, who race each other.
   unsigned operators = 2;
   /// Mean pause between the changes of one operator.
--- a/rehearsal/simulator/fleet.cpp
+++ b/rehearsal/simulator/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 #include "config/token.h"
 #include "relay/relay_core.h"
@@ -112,6 +114,7 @@
             options.stores = storeAddresses();
             for (const auto& peer : names("relay")) options.peers.push_back(machines_.at(peer).address);
             options.batch_window = deployment_.batch_window;
+            options.beat_interval = deployment_.beat_interval;
             options.seed = mixSeed(seed_, name, run);
             return std::make_unique<relay::RelayCore>(options);
           },
@@ -191,6 +194,14 @@
   for (auto& prober : probers_) prober->start();
 }
 
+bool Fleet::everyProxyAt(std::uint64_t version) {
+  const auto proxies = names("proxy");
+  return std::all_of(proxies.begin(), proxies.end(), [&](const std::string& name) {
+    const auto* node = dynamic_cast<const ProxyNode*>(machine(name).process->core());
+    return node != nullptr && node->control().asOf() >= version;
+  });
+}
+
 Machine& Fleet::machine(const std::string& name) {
   const auto found = machines_.find(name);
   if (found != machines_.end()) return found->second;
--- a/rehearsal/simulator/fleet.h
+++ b/rehearsal/simulator/fleet.h
@@ -66,6 +66,8 @@
   HostId httpHost(const std::string& proxy) const { return http_hosts_.at(proxy); }
   /// @return the store replica that leads now; empty if there is none.
   std::string leader();
+  /// @return true if every proxy runs and has the version in force.
+  bool everyProxyAt(std::uint64_t version);
 
   /// Adds a client outside the zones.
   HostId addClient(const std::string& name) { return network_.addHost(name, "", "", "client"); }
--- a/rehearsal/simulator/run.cpp
+++ b/rehearsal/simulator/run.cpp
@@ -72,7 +72,7 @@
     setup_.start();
     const bool done = advanceUntil(kSetupLimit, [this] { return setup_.done(); });
     const bool in_force =
-        done && advanceUntil(kSetupLimit, [this] { return everyProxyAt(setup_.version()); });
+        done && advanceUntil(kSetupLimit, [this] { return fleet_.everyProxyAt(setup_.version()); });
     if (!in_force) {
       fleet_.checkers().log.add("setup", fleet_.queue().now(),
                                 fmt::format("the mesh was not set up: {}", setup_.refusal()));
@@ -80,14 +80,6 @@
     return in_force;
   }
 
-  bool everyProxyAt(std::uint64_t version) {
-    for (const auto& name : fleet_.names("proxy")) {
-      const auto* node = dynamic_cast<const ProxyNode*>(fleet_.machine(name).process->core());
-      if (node == nullptr || node->control().asOf() < version) return false;
-    }
-    return true;
-  }
-
   void strike() {
     plan_ = makeFaultPlan(fleet_, fleet_.random(), options_.faults, options_.fault_window);
     const TimePoint begin = fleet_.queue().now();
