Bound the store's state by bytes, end claims of dead holders, share the queue among tenants

Ruled out: freeing a claim after a time (the request could run twice); the time in the state machine (replicas would need a common clock). Change: the leader ends claims that it has seen in progress for claim_time_limit as unknown, through the log; a holder that lives may still report completed. Catalog, claims and answers have bounds in bytes. A tenant takes at most a quarter of the waiting places. Conclusion: every claim gets a final answer, and no tenant keeps another out.

--- a/src/store/claim_table.cpp
+++ b/src/store/claim_table.cpp
@@ -24,10 +24,14 @@
   return reply;
 }
 
-void checkText(const std::string& text, const char* what) {
-  if (!text.empty() && text.size() <= kMaxClaimTextBytes) return;
+void checkLength(const std::string& text, const char* what, std::size_t limit) {
+  if (!text.empty() && text.size() <= limit) return;
   throw Error(ErrorKind::Invalid, fmt::format("the claim's {} has {} bytes", what, text.size()),
-              fmt::format("use 1 to {} bytes", kMaxClaimTextBytes));
+              fmt::format("use 1 to {} bytes", limit));
+}
+
+std::size_t recordBytes(const wire::ClaimRecordT& record) {
+  return record.key.size() + record.attempt.size() + kClaimRecordBytes;
 }
 
 std::size_t answerBytes(const wire::ClaimRecordT& record) {
@@ -42,25 +46,15 @@
 }  // namespace
 
 wire::ClaimReplyT ClaimTable::request(const wire::ClaimRequestT& request) {
-  checkText(request.key, "key");
-  checkText(request.attempt, "attempt");
+  checkLength(request.key, "key", kMaxClaimKeyBytes);
+  checkLength(request.attempt, "attempt", kMaxClaimAttemptBytes);
   if (request.request_digest == nullptr) {
     throw Error(ErrorKind::Malformed, "the claim lacks its request's digest", "use a proxy of this release");
   }
   auto& tenant = tenants_[request.tenant];
   const auto found = tenant.claims.find(request.key);
   if (found == tenant.claims.end()) {
-    if (tenant.inProgress() >= bounds_.in_progress_per_tenant) {
-      throw Error(ErrorKind::Overloaded,
-                  fmt::format("tenant {} has {} claims in progress", request.tenant, tenant.inProgress()),
-                  "send the request again later, with the same idempotency key", std::chrono::seconds(1));
-    }
-    auto record = std::make_shared<wire::ClaimRecordT>();
-    record->key = request.key;
-    record->request_digest = request.request_digest;
-    record->attempt = request.attempt;
-    record->state = wire::ClaimState::InProgress;
-    tenant.claims[request.key].record = std::move(record);
+    grant(tenant, request);
     return stateReply(wire::ClaimState::Granted);
   }
   const auto& record = *found->second.record;
@@ -71,6 +65,24 @@
   return is_holder ? stateReply(wire::ClaimState::Granted) : recordReply(record);
 }
 
+void ClaimTable::grant(Tenant& tenant, const wire::ClaimRequestT& request) {
+  const bool is_full = tenant.inProgress() >= bounds_.in_progress_per_tenant ||
+                       in_progress_count_ >= bounds_.in_progress_total;
+  if (is_full) {
+    throw Error(ErrorKind::Overloaded,
+                fmt::format("{} claims of tenant {} are in progress, {} of all tenants", tenant.inProgress(),
+                            request.tenant, in_progress_count_),
+                "send the request again later, with the same idempotency key", std::chrono::seconds(1));
+  }
+  auto record = std::make_shared<wire::ClaimRecordT>();
+  record->key = request.key;
+  record->request_digest = request.request_digest;
+  record->attempt = request.attempt;
+  record->state = wire::ClaimState::InProgress;
+  tenant.claims[request.key].record = std::move(record);
+  ++in_progress_count_;
+}
+
 wire::ClaimReplyT ClaimTable::finish(const wire::ClaimFinishT& finish) {
   const auto tenant = tenants_.find(finish.tenant);
   const bool is_known = tenant != tenants_.end() && tenant->second.claims.contains(finish.key);
@@ -85,6 +97,7 @@
   }
   if (finish.end == wire::ClaimEnd::Released && claim.finish_number == 0) {
     tenant->second.claims.erase(finish.key);
+    --in_progress_count_;
     return stateReply(wire::ClaimState::Granted);
   }
   end(tenant->second, claim, finish);
@@ -104,14 +117,19 @@
       is_completed && finish.answer != nullptr && finish.answer->body.size() <= kMaxRecordedAnswerBytes;
   if (keeps_answer) record->answer = finish.answer;
   claim.record = std::move(record);
-  if (claim.finish_number == 0) addFinished(tenant, claim);
+  if (claim.finish_number == 0) {
+    --in_progress_count_;
+    addFinished(tenant, claim);
+  }
   keepAnswer(tenant, claim);
 }
 
 void ClaimTable::addFinished(Tenant& tenant, Claim& claim) {
   claim.finish_number = ++tenant.last_finish_number;
   tenant.finished[claim.finish_number] = claim.record->key;
-  ++finished_count_;
+  const std::size_t bytes = recordBytes(*claim.record);
+  tenant.finished_bytes += bytes;
+  finished_bytes_ += bytes;
 }
 
 void ClaimTable::keepAnswer(Tenant& tenant, const Claim& claim) {
@@ -133,25 +151,27 @@
   const auto oldest = tenant.finished.begin();
   const auto claim = tenant.claims.find(oldest->second);
   dropAnswer(tenant, claim->second);
+  const std::size_t bytes = recordBytes(*claim->second.record);
+  tenant.finished_bytes -= bytes;
+  finished_bytes_ -= bytes;
   tenant.claims.erase(claim);
   tenant.finished.erase(oldest);
-  --finished_count_;
 }
 
 void ClaimTable::prune(Tenant& tenant) {
-  if (tenant.finished.size() > bounds_.finished_per_tenant) dropOldestFinished(tenant);
-  if (finished_count_ > bounds_.finished_total) {
-    const auto largest =
-        std::max_element(tenants_.begin(), tenants_.end(), [](const auto& left, const auto& right) {
-          return left.second.finished.size() < right.second.finished.size();
-        });
-    dropOldestFinished(largest->second);
+  const auto largestBy = [this](std::size_t Tenant::*bytes) -> Tenant& {
+    return std::max_element(tenants_.begin(), tenants_.end(),
+                            [bytes](const auto& left, const auto& right) {
+                              return left.second.*bytes < right.second.*bytes;
+                            })
+        ->second;
+  };
+  while (tenant.finished_bytes > bounds_.finished_bytes_per_tenant) dropOldestFinished(tenant);
+  while (finished_bytes_ > bounds_.finished_bytes_total) {
+    dropOldestFinished(largestBy(&Tenant::finished_bytes));
   }
   while (answer_bytes_ > bounds_.answer_bytes_total) {
-    auto& largest =
-        std::max_element(tenants_.begin(), tenants_.end(), [](const auto& left, const auto& right) {
-          return left.second.answer_bytes < right.second.answer_bytes;
-        })->second;
+    auto& largest = largestBy(&Tenant::answer_bytes);
     auto& claim = largest.claims[largest.finished.at(*largest.with_answer.begin())];
     dropAnswer(largest, claim);
     claim.record = std::make_shared<wire::ClaimRecordT>(*claim.record);
@@ -159,12 +179,22 @@
   }
 }
 
-std::size_t ClaimTable::inProgressCount() const {
+std::size_t ClaimTable::finishedCount() const {
   std::size_t count = 0;
-  for (const auto& [name, tenant] : tenants_) count += tenant.inProgress();
+  for (const auto& [name, tenant] : tenants_) count += tenant.finished.size();
   return count;
 }
 
+void ClaimTable::forEachInProgress(
+    const std::function<void(const std::string& tenant, const wire::ClaimRecordT& record)>& action) const {
+  for (const auto& [name, tenant] : tenants_) {
+    if (tenant.inProgress() == 0) continue;
+    for (const auto& [key, claim] : tenant.claims) {
+      if (claim.finish_number == 0) action(name, *claim.record);
+    }
+  }
+}
+
 std::vector<std::shared_ptr<wire::TenantClaimsT>> ClaimTable::save() const {
   std::vector<std::shared_ptr<wire::TenantClaimsT>> saved;
   for (const auto& [name, tenant] : tenants_) {
@@ -184,7 +214,8 @@
 void ClaimTable::restore(const std::vector<std::shared_ptr<wire::TenantClaimsT>>& tenants) {
   tenants_.clear();
   answer_bytes_ = 0;
-  finished_count_ = 0;
+  finished_bytes_ = 0;
+  in_progress_count_ = 0;
   for (const auto& saved : tenants) {
     auto& tenant = tenants_[saved->tenant];
     for (const auto* records : {&saved->in_progress, &saved->finished}) {
@@ -192,7 +223,10 @@
         if (record == nullptr || record->request_digest == nullptr) throwCorrupt();
         auto& claim = tenant.claims[record->key];
         claim.record = record;
-        if (records == &saved->in_progress) continue;
+        if (records == &saved->in_progress) {
+          ++in_progress_count_;
+          continue;
+        }
         addFinished(tenant, claim);
         keepAnswer(tenant, claim);
       }
--- a/src/store/claim_table.h
+++ b/src/store/claim_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,18 +19,19 @@
 /// A claim is granted to one attempt. It ends Released (no byte went out; the key is free again), Completed
 /// (with the recorded answer) or Unknown. Time alone never frees a key.
 ///
-/// Pruning rule: claims in progress are never dropped; a tenant with kMaxClaimsInProgressPerTenant of them
-/// gets no new ones. Finished claims are kept per tenant up to kMaxFinishedClaimsPerTenant, over all tenants
-/// up to kMaxFinishedClaimsTotal, where the tenant with the most gives way first; the first to finish go
-/// first. Beyond kMaxRecordedAnswerBytesTotal the tenant with the most bytes loses its oldest recorded
-/// answer; that claim stays Completed, without its answer. Each rule looks at the order within one tenant
-/// alone, which a snapshot keeps.
+/// Pruning rule: claims in progress are never dropped; beyond kMaxClaimsInProgressPerTenant of a tenant or
+/// kMaxClaimsInProgressTotal no new ones are granted. Finished claims are kept per tenant up to
+/// kMaxFinishedClaimBytesPerTenant, over all tenants up to kMaxFinishedClaimBytesTotal, where the tenant with
+/// the most bytes gives way first; the first to finish go first. Beyond kMaxRecordedAnswerBytesTotal the
+/// tenant with the most bytes of answers loses its oldest one; that claim stays Completed, without its
+/// answer. Each rule looks at the order within one tenant alone, which a snapshot keeps.
 class ClaimTable {
  public:
   struct Bounds {
     std::size_t in_progress_per_tenant = kMaxClaimsInProgressPerTenant;
-    std::size_t finished_per_tenant = kMaxFinishedClaimsPerTenant;
-    std::size_t finished_total = kMaxFinishedClaimsTotal;
+    std::size_t in_progress_total = kMaxClaimsInProgressTotal;
+    std::size_t finished_bytes_per_tenant = kMaxFinishedClaimBytesPerTenant;
+    std::size_t finished_bytes_total = kMaxFinishedClaimBytesTotal;
     std::size_t answer_bytes_total = kMaxRecordedAnswerBytesTotal;
   };
 
@@ -43,8 +45,12 @@
   /// Ends a claim. May be repeated: the same end of the same attempt is answered alike.
   wire::ClaimReplyT finish(const wire::ClaimFinishT& finish);
 
-  std::size_t inProgressCount() const;
-  std::size_t finishedCount() const { return finished_count_; }
+  std::size_t inProgressCount() const { return in_progress_count_; }
+  std::size_t finishedCount() const;
+
+  /// Calls the action with tenant and record of each claim in progress.
+  void forEachInProgress(
+      const std::function<void(const std::string& tenant, const wire::ClaimRecordT& record)>& action) const;
 
   std::vector<std::shared_ptr<wire::TenantClaimsT>> save() const;
   /// @throw Error(Corrupt)
@@ -63,12 +69,14 @@
     std::map<std::uint64_t, std::string> finished;
     /// Finish numbers of claims whose answer is kept.
     std::set<std::uint64_t> with_answer;
+    std::size_t finished_bytes = 0;
     std::size_t answer_bytes = 0;
     std::uint64_t last_finish_number = 0;
 
     std::size_t inProgress() const { return claims.size() - finished.size(); }
   };
 
+  void grant(Tenant& tenant, const wire::ClaimRequestT& request);
   void end(Tenant& tenant, Claim& claim, const wire::ClaimFinishT& finish);
   void addFinished(Tenant& tenant, Claim& claim);
   void dropOldestFinished(Tenant& tenant);
@@ -79,7 +87,8 @@
   Bounds bounds_;
   std::map<std::string, Tenant> tenants_;
   std::size_t answer_bytes_ = 0;
-  std::size_t finished_count_ = 0;
+  std::size_t finished_bytes_ = 0;
+  std::size_t in_progress_count_ = 0;
 };
 
 }  // namespace cometstand::store
--- a/src/store/log_writer.cpp
+++ b/src/store/log_writer.cpp
@@ -13,6 +13,15 @@
 /// A batch is closed once its commands take this many bytes, except that one command always goes.
 constexpr std::size_t kMaxBatchBytes = std::size_t{1} << 20U;
 
+/// A tenant may take this part of the places of waiting commands.
+constexpr std::size_t kTenantShare = 4;
+
+const std::string& tenantOf(const wire::StoreCommandT& command) {
+  if (const auto* request = command.body.AsClaimRequest()) return request->tenant;
+  if (const auto* finish = command.body.AsClaimFinish()) return finish->tenant;
+  return command.body.AsChangeCommand()->tenant;
+}
+
 }  // namespace
 
 void sendReply(StoreContext& context, const Asker& asker, wire::CommandReplyT reply) {
@@ -32,17 +41,32 @@
 
 void LogWriter::add(const Asker& asker, wire::StoreCommandT command, std::size_t cost, TimePoint now) {
   const bool is_claim = command.body.type != wire::StoreCommandBody::ChangeCommand;
-  Waiting waiting{
-      {asker, is_claim, false, now + context_.options.command_time_limit}, std::move(command), cost};
-  if (waiting_.size() >= context_.options.max_commands_waiting) {
+  const std::string tenant = tenantOf(command);
+  const TimePoint deadline = now + context_.options.command_time_limit;
+  Waiting waiting{{asker, is_claim, false, deadline}, tenant, std::move(command), cost};
+  if (isFull(tenant)) {
     fail(waiting.pending, wire::Outcome::NotRun,
          Error(ErrorKind::Overloaded, "too many commands wait for the log", "send the command again later",
                context_.options.retry_after));
     return;
   }
+  ++waiting_by_tenant_[tenant];
   waiting_.push_back(std::move(waiting));
 }
 
+bool LogWriter::isFull(const std::string& tenant) const {
+  const std::size_t places = context_.options.max_commands_waiting;
+  const auto own = waiting_by_tenant_.find(tenant);
+  const std::size_t own_count = own == waiting_by_tenant_.end() ? 0 : own->second;
+  return waiting_.size() >= places || own_count >= std::max<std::size_t>(1, places / kTenantShare);
+}
+
+void LogWriter::popWaiting() {
+  const auto own = waiting_by_tenant_.find(waiting_.front().tenant);
+  if (--own->second == 0) waiting_by_tenant_.erase(own);
+  waiting_.pop_front();
+}
+
 void LogWriter::flush(TimePoint now) {
   while (!waiting_.empty() && in_flight_.size() < context_.options.max_batches_in_flight) {
     if (!appendBatch(now)) return;
@@ -64,7 +88,7 @@
   Batch appended{*index, context_.consensus.leadership().term, {}};
   for (std::size_t i = 0; i < batch.commands.size(); ++i) {
     appended.commands.push_back(waiting_.front().pending);
-    waiting_.pop_front();
+    popWaiting();
   }
   ++context_.metrics.log_entries_proposed;
   context_.metrics.log_commands_proposed += appended.commands.size();
@@ -118,6 +142,7 @@
                     context_.options.retry_after);
   for (auto& waiting : waiting_) fail(waiting.pending, wire::Outcome::NotRun, error);
   waiting_.clear();
+  waiting_by_tenant_.clear();
 }
 
 void LogWriter::onTimer(TimePoint now) {
@@ -125,7 +150,7 @@
     fail(waiting_.front().pending, wire::Outcome::NotRun,
          Error(ErrorKind::Timeout, "the command was not written to the log in time", "send the command again",
                context_.options.retry_after));
-    waiting_.pop_front();
+    popWaiting();
   }
   for (auto& batch : in_flight_) {
     for (auto& pending : batch.commands) {
--- a/src/store/log_writer.h
+++ b/src/store/log_writer.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "store/store_context.h"
@@ -16,7 +18,8 @@
  public:
   explicit LogWriter(StoreContext& context) : context_(context) {}
 
-  /// Queues one command. Too many waiting are answered at once.
+  /// Queues one command. Too many waiting are answered at once; one tenant alone may take a part of the
+  /// places, so that it cannot keep others out.
   /// @param cost bytes that the command takes in a log entry, about.
   void add(const Asker& asker, wire::StoreCommandT command, std::size_t cost, TimePoint now);
 
@@ -42,6 +45,7 @@
   };
   struct Waiting {
     Pending pending;
+    std::string tenant;
     wire::StoreCommandT command;
     std::size_t cost = 0;
   };
@@ -52,12 +56,15 @@
   };
 
   bool appendBatch(TimePoint now);
+  bool isFull(const std::string& tenant) const;
+  void popWaiting();
   void fail(Pending& pending, wire::Outcome outcome, const Error& error);
   void answer(Pending& pending, const CommandResult& result);
   void answerUnknown(Pending& pending);
 
   StoreContext& context_;
   std::deque<Waiting> waiting_;
+  std::map<std::string, std::size_t> waiting_by_tenant_;
   std::deque<Batch> in_flight_;
 };
 
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -10,6 +10,7 @@
   bool is_leader = false;
   std::uint64_t term = 0;
   std::uint64_t version = 0;
+  std::uint64_t catalog_bytes = 0;
   std::uint64_t commit_index = 0;
   std::uint64_t readers = 0;
   std::uint64_t answered_requests = 0;
@@ -23,6 +24,7 @@
   std::uint64_t commands_unknown = 0;
   std::uint64_t commands_forwarded = 0;
   std::uint64_t claims_answered = 0;
+  std::uint64_t claims_expired = 0;
   std::uint64_t log_entries_proposed = 0;
   std::uint64_t log_commands_proposed = 0;
   std::uint64_t readers_admitted = 0;
--- a/src/store/options.cpp
+++ b/src/store/options.cpp
@@ -36,6 +36,7 @@
   checkRange<std::size_t>("max_commands_waiting", max_commands_waiting, 1, 1'000'000);
   checkRange("command_time_limit", command_time_limit, milliseconds(100), minutes(10));
   checkRange("status_time_limit", status_time_limit, milliseconds(10), minutes(1));
+  checkRange("claim_time_limit", claim_time_limit, seconds(1), hours(24));
   checkRange("repair_time_limit", repair_time_limit, seconds(1), hours(24));
   checkRange("max_wait", max_wait, seconds(1), hours(24));
   checkRange("retry_after", retry_after, milliseconds(1), minutes(1));
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -55,6 +55,9 @@
   Duration command_time_limit = std::chrono::seconds(5);
   /// Longest time that a query waits for the relays' answers. Microseconds, default 2 s, range 10 ms to 60 s.
   Duration status_time_limit = std::chrono::seconds(2);
+  /// A claim that has been in progress for this long ends as unknown; longer than any request runs.
+  /// Microseconds, default 15 min, range 1 s to 24 h.
+  Duration claim_time_limit = std::chrono::minutes(15);
   /// Longest time that a replacement waits for the new replica to catch up. Microseconds, default 10 min,
   /// range 1 s to 24 h.
   Duration repair_time_limit = std::chrono::minutes(10);
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -35,6 +35,10 @@
   return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
+std::size_t bytesOf(const std::shared_ptr<const wire::ObjectT>& object) {
+  return object == nullptr ? 0 : encode<wire::Object>(*object).size();
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> encodeBatch(const wire::StoreCommandBatchT& batch) {
@@ -81,8 +85,14 @@
 
 wire::CommandReplyT StateMachine::decideChange(const wire::ChangeCommandT& command,
                                                const config::Actor& actor) {
+  std::size_t bytes = 0;
   try {
     config::checkTransaction(catalog_, actor, *command.transaction);
+    bytes = bytesAfter(*command.transaction);
+    if (bytes > kMaxCatalogBytes && bytes > catalog_bytes_) {
+      throw Error(ErrorKind::Overloaded, fmt::format("the catalog would take {} bytes", bytes),
+                  fmt::format("delete objects that are not needed; the limit is {} bytes", kMaxCatalogBytes));
+    }
   } catch (const Error& error) {
     auto reply = notRun<wire::CommandReplyT>(error);
     reply.version = catalog_.version();
@@ -90,10 +100,20 @@
   }
   wire::CommandReplyT reply;
   reply.version = catalog_.apply(*command.transaction);
+  catalog_bytes_ = bytes;
   addHistory(command, reply.version);
   return reply;
 }
 
+std::size_t StateMachine::bytesAfter(const wire::TransactionT& transaction) const {
+  std::size_t bytes = catalog_bytes_;
+  for (const auto& operation : transaction.operations) {
+    bytes += bytesOf(operation->object);
+    bytes -= bytesOf(catalog_.find(*operation->key));
+  }
+  return bytes;
+}
+
 std::optional<config::Actor> StateMachine::actorOf(const wire::ChangeCommandT& command) const {
   if (command.credential_version == 0) {
     const bool is_bootstrap =
@@ -149,6 +169,8 @@
   wire::StoreStateT state;
   verified<wire::StoreState>(bytes, "state of a snapshot").UnPackTo(&state);
   catalog_.restore(state.version, state.pruned_version, state.changes);
+  catalog_bytes_ = 0;
+  for (const auto& change : state.changes) catalog_bytes_ += bytesOf(change->object);
   requests_.restore(state.requests);
   claims_.restore(state.claims);
   history_.assign(state.history.begin(), state.history.end());
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -35,6 +35,7 @@
   std::vector<CommandResult> apply(const std::vector<std::uint8_t>& batch);
 
   const config::Catalog& catalog() const { return catalog_; }
+  std::size_t catalogBytes() const { return catalog_bytes_; }
   const RequestTable& requests() const { return requests_; }
   const ClaimTable& claims() const { return claims_; }
   /// @return the newest accepted changes, the oldest first.
@@ -53,9 +54,13 @@
   std::optional<config::Actor> actorOf(const wire::ChangeCommandT& command) const;
   template <typename ClaimCommand, typename Action>
   wire::ClaimReplyT applyClaim(const ClaimCommand& command, Action action);
+  /// @return bytes of the catalog's objects if the transaction is applied.
+  std::size_t bytesAfter(const wire::TransactionT& transaction) const;
   void addHistory(const wire::ChangeCommandT& command, std::uint64_t version);
 
   config::Catalog catalog_;
+  /// Bytes of the objects in the catalog.
+  std::size_t catalog_bytes_ = 0;
   RequestTable requests_;
   ClaimTable claims_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
--- a/src/store/store_pages.cpp
+++ b/src/store/store_pages.cpp
@@ -14,6 +14,7 @@
   add("is_leader", "1 if this replica leads.", metrics.is_leader ? 1 : 0);
   add("term", "Term of the consensus module.", metrics.term);
   add("version", "Version of the configuration that this replica applied.", metrics.version);
+  add("catalog_bytes", "Bytes of all configuration objects.", metrics.catalog_bytes);
   add("commit_index", "Last committed index of the log.", metrics.commit_index);
   add("readers", "Relays that read from this replica.", metrics.readers);
   add("answered_requests", "Answers kept for resends of changes.", metrics.answered_requests);
@@ -38,6 +39,8 @@
   };
   add("commands_forwarded_total", "Commands passed on to the leader.", metrics.commands_forwarded);
   add("claims_answered_total", "Answers to claims and their ends.", metrics.claims_answered);
+  add("claims_expired_total", "Claims ended as unknown because their holder was not heard of.",
+      metrics.claims_expired);
   add("log_entries_proposed_total", "Log entries with commands that this replica appended.",
       metrics.log_entries_proposed);
   add("log_commands_proposed_total", "Changes and claims in these entries.", metrics.log_commands_proposed);
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -177,6 +177,7 @@
   replicas_.onTimer(now);
   readers_.onTimer(now);
   writer_.onTimer(now);
+  claim_expiry_.onTimer(now);
   statuses_.onTimer(now);
   waits_.onTimer(now);
   admin_.onTimer(now);
@@ -187,8 +188,9 @@
 TimePoint StoreParts::nextTimer() const {
   const TimePoint consensus_timer = formation_.holdsElections() ? TimePoint::max() : consensus_.nextTimer();
   return std::min({consensus_timer, formation_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
-                   writer_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
-                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
+                   writer_.nextTimer(), claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(),
+                   admin_.nextTimer(), forwarder_.nextTimer(),
+                   stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
@@ -226,6 +228,7 @@
   if (!was_leader || still_leads) return;
   ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
+  claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
   waits_.onLeadershipLost();
@@ -297,6 +300,7 @@
   metrics.is_leader = leadership.role == consensus::Role::Leader;
   metrics.term = leadership.term;
   metrics.version = state_.catalog().version();
+  metrics.catalog_bytes = state_.catalogBytes();
   metrics.commit_index = consensus_.commitIndex();
   metrics.readers = readers_.size();
   metrics.answered_requests = state_.requests().size();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "store/claim_expiry.h"
 #include "store/cluster_formation.h"
 #include "store/command_service.h"
 #include "store/store_context.h"
@@ -64,6 +65,7 @@
   ClusterFormation formation_{context_, replicas_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
+  ClaimExpiry claim_expiry_{context_, writer_};
   StatusCollector statuses_{context_};
   InForceWaits waits_{context_, readers_};
   ReplicaAdmin admin_{context_};
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -70,6 +70,10 @@
       "written.");
   table.duration("store.status_time_limit", options.status_time_limit, {milliseconds(10), minutes(1)},
                  "Longest time that a query waits for the relays' answers.");
+  table.duration(
+      "store.claim_time_limit", options.claim_time_limit, {seconds(1), hours(24)},
+      "A claim that has been in progress for this long ends as unknown; set it longer than any request "
+      "runs.");
   table.duration("store.repair_time_limit", options.repair_time_limit, {seconds(1), hours(24)},
                  "Longest time that replace replica waits for the new replica to catch up.");
   table.duration("store.max_wait", options.max_wait, {seconds(1), hours(24)},
--- a/tests/store/command_test.cpp
+++ b/tests/store/command_test.cpp
@@ -202,6 +202,41 @@
   REQUIRE(*trio.network.leader() == 3 - old_leader - gone);
 }
 
+TEST_CASE("one tenant's commands cannot keep another's out of the log") {
+  Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) {
+    trio.network.options(i).max_commands_waiting = 40;
+    trio.network.options(i).max_batches_in_flight = 1;
+    trio.network.options(i).max_commands_per_batch = 1;
+  }
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  REQUIRE(trio.run(leader, "change { put tenant wspolnota; put tenant fundacja }").version == 1);
+  const auto relay = trio.follow(leader, "relay-1", "krk-a");
+  const auto sendClaim = [&](const std::string& tenant, std::uint64_t number) {
+    wire::ClaimRequestT request;
+    request.tenant = tenant;
+    request.key = std::to_string(number);
+    request.request_digest = std::make_shared<wire::Digest>(1, 1);
+    request.attempt = "a";
+    trio.network.send(relay, runtime::makeEnvelope(std::move(request), number));
+  };
+  for (std::uint64_t i = 1; i <= 100; ++i) sendClaim("wspolnota", i);
+  sendClaim("fundacja", 101);
+  auto& received = trio.network.received(relay);
+  std::map<std::uint64_t, wire::ClaimReplyT> replies;
+  REQUIRE(trio.network.runUntil([&] {
+    for (const auto& message : received) {
+      if (const auto* reply = message.body.AsClaimReply()) replies[message.request_id] = *reply;
+    }
+    return replies.size() == 101;
+  }));
+  REQUIRE(replies[101].state == wire::ClaimState::Granted);
+  REQUIRE(replies[101].outcome == wire::Outcome::Completed);
+  REQUIRE(replies[100].outcome == wire::Outcome::NotRun);
+  REQUIRE(replies[100].error->retry_after_ms > 0);
+}
+
 TEST_CASE("credentials bind operators to their tenant, and no answer holds a secret") {
   Trio trio;
   trio.begin();
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -154,6 +154,7 @@
 
 TEST_CASE("a claim is granted to one attempt and ends released, completed or unknown") {
   Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) trio.network.options(i).claim_time_limit = seconds(20);
   trio.begin();
   auto leader = trio.waitForLeader();
   REQUIRE(trio.run(leader, "change { put tenant wspolnota }").version == 1);
@@ -193,6 +194,13 @@
     trio.claim(relay, claimFinish("a", wire::ClaimEnd::Completed));
     REQUIRE(state("b") == wire::ClaimState::Completed);
   }
+  SECTION("a holder that died leaves unknown, and a late word of it counts") {
+    trio.network.runFor(seconds(30));
+    REQUIRE(state("b") == wire::ClaimState::Unknown);
+    REQUIRE(state("a") == wire::ClaimState::Unknown);
+    trio.claim(relay, claimFinish("a", wire::ClaimEnd::Completed));
+    REQUIRE(state("b") == wire::ClaimState::Completed);
+  }
   SECTION("no quorum: unknown for what was appended, not run for what comes later") {
     trio.network.cut(leader);
     REQUIRE(trio.claim(relay, claimRequest("c")).outcome == wire::Outcome::Unknown);
