--- a/src/store/claim_table.cpp
+++ b/src/store/claim_table.cpp
@@ -159,7 +159,7 @@
 }
 
 void ClaimTable::prune(Tenant& tenant) {
-  const auto largestBy = [this](std::size_t Tenant::*bytes) -> Tenant& {
+  const auto largest_by = [this](std::size_t Tenant::*bytes) -> Tenant& {
     return std::max_element(tenants_.begin(), tenants_.end(),
                             [bytes](const auto& left, const auto& right) {
                               return left.second.*bytes < right.second.*bytes;
@@ -168,10 +168,10 @@
   };
   while (tenant.finished_bytes > bounds_.finished_bytes_per_tenant) dropOldestFinished(tenant);
   while (finished_bytes_ > bounds_.finished_bytes_total) {
-    dropOldestFinished(largestBy(&Tenant::finished_bytes));
+    dropOldestFinished(largest_by(&Tenant::finished_bytes));
   }
   while (answer_bytes_ > bounds_.answer_bytes_total) {
-    auto& largest = largestBy(&Tenant::answer_bytes);
+    auto& largest = largest_by(&Tenant::answer_bytes);
     auto& claim = largest.claims[largest.finished.at(*largest.with_answer.begin())];
     dropAnswer(largest, claim);
     claim.record = std::make_shared<wire::ClaimRecordT>(*claim.record);
--- a/tests/store/command_test.cpp
+++ b/tests/store/command_test.cpp
@@ -151,6 +151,8 @@
   }
   trio.begin();
   const auto away = otherThan(trio.waitForLeader());
+  const auto early = Trio::command("change { put tenant early }", trio.nextId());
+  REQUIRE(trio.answer(trio.send(0, early)).version == 1);
   trio.network.crash(away);
   const auto leader = trio.waitForLeader();
   for (int i = 0; i < 40; ++i) {
@@ -165,6 +167,10 @@
   const auto bytes = trio.network.core(leader).stateMachine().save();
   restored.restore(bytes);
   REQUIRE(restored.save() == bytes);
+  // The answer is long gone from the logs.
+  for (std::size_t i = 0; i < 3; ++i) trio.network.crash(i);
+  trio.begin();
+  REQUIRE(trio.answer(trio.send(away, early)).version == 1);
 }
 
 TEST_CASE("a planned stop of the leader cuts no command and hands leadership over") {
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -43,6 +43,7 @@
 
 TEST_CASE("a relay gets a snapshot, then deltas, beats and freshness") {
   Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) trio.network.options(i).beat_interval = milliseconds(50);
   trio.begin();
   const auto leader = trio.waitForLeader();
   REQUIRE(trio.run(leader, "change { put tenant wspolnota }").version == 1);
@@ -70,12 +71,15 @@
   REQUIRE(trio.network.runUntil([&] { return received.back().request_id == 77; }));
   REQUIRE(received.back().body.AsQuorumBeat()->version == 2);
 
-  // No beat without a quorum.
+  // No beat without a quorum, also while the leader that is cut off still believes that it leads.
   trio.network.cut(leader);
-  trio.network.runFor(seconds(2));
+  trio.network.runFor(milliseconds(3));
   received.clear();
-  trio.network.runFor(seconds(5));
-  REQUIRE(received.empty());
+  trio.network.send(relay, runtime::makeEnvelope(wire::FreshnessRequestT(), 78));
+  trio.network.runFor(seconds(2));
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsQuorumBeat) == nullptr);
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsRefusal) != nullptr);
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsGoodbye) != nullptr);
 }
 
 TEST_CASE("one relay a zone reads; one that died without a trace is replaced") {
--- a/tests/store/replica_test.cpp
+++ b/tests/store/replica_test.cpp
@@ -59,46 +59,57 @@
   trio.waitForLeader();
 }
 
+/// A trio of which one lost its disk, and a new replica.
+struct Repair {
+  explicit Repair(Trio& trio)
+      : leader(trio.waitForLeader()), lost((leader + 1) % 3), other((leader + 2) % 3) {
+    trio.network.crash(lost);
+    trio.network.loseDisk(lost);
+    repaired = trio.network.addReplica(4);
+    auto options = trio.network.options(leader);
+    options.self = trio.network.options(repaired).self;
+    options.bootstrap = false;
+    trio.network.options(repaired) = options;
+    replace = "replace replica " + std::to_string(lost + 1) + " with 4";
+  }
+  std::size_t leader;
+  std::size_t lost;
+  std::size_t other;
+  std::size_t repaired = 0;
+  std::string replace;
+};
+
+constexpr const char* kAddReplica = "add replica 4 store-4 at 127.0.0.1:103 region south";
+
 TEST_CASE("a repair is reported complete only when the loss of a second machine costs nothing") {
   // Bit 0: lose the leader right after, else another voter. Bit 1: the repair runs under load.
   const int variant = GENERATE(0, 1, 2, 3);
   Trio trio(variant + 1);
   for (std::size_t i = 0; i < 3; ++i) trio.network.options(i).consensus.snapshot_after_log_bytes = 4096;
   trio.begin();
-  const auto leader = trio.waitForLeader();
-  const std::size_t lost = (leader + 1) % 3;
-  const std::size_t other = (leader + 2) % 3;
+  const auto before = trio.waitForLeader();
   for (int i = 0; i < 30; ++i) {
-    REQUIRE(trio.run(leader, "change { put tenant t" + std::to_string(i) + " }").outcome ==
+    REQUIRE(trio.run(before, "change { put tenant t" + std::to_string(i) + " }").outcome ==
             wire::Outcome::Completed);
   }
-  trio.network.crash(lost);
-  trio.network.loseDisk(lost);
-
-  const auto repaired = trio.network.addReplica(4);
-  auto options = trio.network.options(leader);
-  options.self = trio.network.options(repaired).self;
-  options.bootstrap = false;
-  trio.network.options(repaired) = options;
-  const std::string lost_id = std::to_string(lost + 1);
-  REQUIRE(trio.run(leader, "replace replica " + lost_id + " with 4").outcome == wire::Outcome::NotRun);
-  REQUIRE(trio.run(other, "add replica 4 store-4 at 127.0.0.1:103 region south").outcome ==
-          wire::Outcome::Completed);
+  const Repair repair(trio);
+  const auto [leader, other] = std::pair(repair.leader, repair.other);
+  REQUIRE(trio.run(leader, repair.replace).outcome == wire::Outcome::NotRun);
+  REQUIRE(trio.run(other, kAddReplica).outcome == wire::Outcome::Completed);
   // The new replica is not there yet: nothing is reported.
-  const auto repair =
-      trio.send(other, Trio::command("replace replica " + lost_id + " with 4", trio.nextId()));
+  const auto client = trio.send(other, Trio::command(repair.replace, trio.nextId()));
   trio.network.runFor(seconds(3));
-  REQUIRE(trio.network.received(repair).empty());
-  trio.network.start(repaired);
+  REQUIRE(trio.network.received(client).empty());
+  trio.network.start(repair.repaired);
   std::vector<MemoryNetwork::ClientId> load;
   for (int i = 0; (variant & 2) != 0 && i < 50; ++i) {
     load.push_back(
         trio.send(leader, Trio::command("change { put tenant l" + std::to_string(i) + " }", trio.nextId())));
   }
-  const auto done = trio.answer(repair);
+  const auto done = trio.answer(client);
   REQUIRE(done.outcome == wire::Outcome::Completed);
   std::uint64_t accepted = trio.run(leader, "show version").version;
-  for (const auto client : load) accepted = std::max(accepted, trio.answer(client).version);
+  for (const auto each : load) accepted = std::max(accepted, trio.answer(each).version);
 
   const std::size_t second = (variant & 1) != 0 ? leader : other;
   trio.network.crash(second);
@@ -110,7 +121,34 @@
   REQUIRE(reply.version == accepted);
   REQUIRE(trio.run(survivor, "change { put tenant after }").version == accepted + 1);
   // A resend of the repair is answered alike.
-  REQUIRE(trio.run(survivor, "replace replica " + lost_id + " with 4").outcome == wire::Outcome::Completed);
+  REQUIRE(trio.run(survivor, repair.replace).outcome == wire::Outcome::Completed);
+}
+
+TEST_CASE("a repair that is cut off half-way is not reported complete") {
+  const int cut_after = GENERATE(range(0, 24));
+  Trio trio;
+  trio.begin();
+  REQUIRE(trio.run(0, "change { put tenant wspolnota }").version == 1);
+  const Repair repair(trio);
+  trio.network.start(repair.repaired);
+  REQUIRE(trio.run(repair.leader, kAddReplica).outcome == wire::Outcome::Completed);
+  trio.network.runFor(seconds(2));
+  const auto client = trio.send(repair.leader, Trio::command(repair.replace, trio.nextId()));
+  trio.network.runFor(std::chrono::milliseconds(cut_after));
+  trio.network.cut(repair.leader);
+  const bool is_complete = trio.answer(client).outcome == wire::Outcome::Completed;
+  if (is_complete) {
+    // Then the loss of the second machine costs nothing.
+    trio.network.crash(repair.leader);
+    trio.network.loseDisk(repair.leader);
+  } else {
+    trio.network.mend(repair.leader);
+  }
+  REQUIRE(trio.network.runUntil([&] { return trio.network.leader().has_value(); }));
+  trio.network.runFor(seconds(2));
+  const auto leader = *trio.network.leader();
+  REQUIRE(trio.run(leader, repair.replace).outcome == wire::Outcome::Completed);
+  REQUIRE(trio.run(leader, "show version").version == 1);
 }
 
 }  // namespace
