--- a/src/relay/proxy_fan_out.h
+++ b/src/relay/proxy_fan_out.h
@@ -102,11 +102,11 @@
   void sendBeat(const Subscriber& subscriber);
   void sendBeats();
   void sendAllEndpoints(const Subscriber& subscriber);
-  std::set<runtime::LinkId> affectedLinks() const;
+  std::vector<runtime::LinkId> affectedLinks() const;
   bool isAffected() const;
   void flush(TimePoint now);
   void refuseOverdue(TimePoint now);
-  void handOverNext(TimePoint now);
+  void handOverDue(TimePoint now);
   std::uint64_t inForce(const Subscriber& subscriber) const;
 
   const RelayOptions& options_;
