Honour a peer's wish to come back later for a minute at most

Cause: a refusal whose retry_after_ms was damaged or wrong kept a proxy, or a relay, away from its upstreams for up to 49 days. Found by the fuzz run over the proxy's control side: after 3,502 messages it never connected again.

Ruled out: a cap at each caller (two today); the wish is honoured in one place.

Change: ReconnectBackoff::honour() takes wishes up to one minute.

--- a/src/runtime/reconnect_backoff.h
+++ b/src/runtime/reconnect_backoff.h
@@ -19,8 +19,12 @@
     return random.uniform(Duration::zero(), ceiling_);
   }
 
-  /// @return a pause that honours a peer's wish: from [wish, wish + half of it].
+  /// Longest wish of a peer that is honoured: a wrong one must not keep a process away for days.
+  static constexpr Duration kLongestWish = std::chrono::minutes(1);
+
+  /// @return a pause that honours a peer's wish up to kLongestWish: from [wish, wish + half of it].
   static Duration honour(Duration wish, RandomSource& random) {
+    wish = std::min(wish, kLongestWish);
     return wish + random.uniform(Duration::zero(), wish / 2);
   }
 
