Add cometstand-bench, a benchmark of the data path

Claims are kept in memory, so the way to the store is not measured. The in-memory claims and the makers of objects move from the tests to here.

--- a/tests/proxy/http_server_test.cpp
+++ b/tests/proxy/http_server_test.cpp
@@ -2,16 +2,15 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
-#include <map>
 
 #include "proxy/proxy_process.h"
 #include "proxy/view_file.h"
+#include "rehearsal/bench/claims_in_memory.h"
 #include "rehearsal/standin/backend.h"
 #include "rehearsal/standin/caller.h"
 #include "tests/proxy/objects.h"
@@ -27,33 +26,6 @@
 using rehearsal::CallOutcome;
 using std::chrono::milliseconds;
 
-/// Keeps claims as the store does, less its disk.
-class ClaimsInMemory : public ClaimService {
- public:
-  explicit ClaimsInMemory(asio::io_context& io) : io_(io) {}
-
-  void takeClaim(RequestId request, const wire::ClaimRequestT& claim) override {
-    const auto [position, taken] = states.try_emplace(claim.key, wire::ClaimState::InProgress);
-    wire::ClaimReplyT reply;
-    reply.state = taken ? wire::ClaimState::Granted : position->second;
-    reply.answer = answers_[claim.key];
-    asio::post(io_, [this, request, reply] { server->onClaimReply(request, reply); });
-  }
-  void finishClaim(const wire::ClaimFinishT& finish) override {
-    answers_[finish.key] = finish.answer;
-    if (finish.end == wire::ClaimEnd::Released) states.erase(finish.key);
-    if (finish.end == wire::ClaimEnd::Completed) states[finish.key] = wire::ClaimState::Completed;
-    if (finish.end == wire::ClaimEnd::Unknown) states[finish.key] = wire::ClaimState::Unknown;
-  }
-
-  HttpServer* server = nullptr;
-  std::map<std::string, wire::ClaimState> states;
-
- private:
-  asio::io_context& io_;
-  std::map<std::string, std::shared_ptr<wire::RecordedAnswerT>> answers_;
-};
-
 /// A proxy between a caller and two back ends, over loopback in one thread.
 struct Rig {
   Rig() {
@@ -89,7 +61,7 @@
   void run(const std::function<void(HttpServer&)>& at_half = {}) {
     kind.path = "/s";
     server = std::make_unique<HttpServer>(io, http, DataPathOptions(), 1, claims);
-    claims.server = server.get();
+    claims.setServer(*server);
     server->setRouter(router());
     server->start();
     caller_options.servers = {
@@ -115,7 +87,7 @@
 
   asio::io_context io{1};
   HttpOptions http;
-  ClaimsInMemory claims{io};
+  rehearsal::ClaimsInMemory claims{io};
   std::vector<std::unique_ptr<Backend>> back_ends;
   rehearsal::CallerOptions caller_options;
   rehearsal::RequestKind kind;
@@ -233,8 +205,8 @@
   rig.run();
   CHECK(rig.count(CallOutcome::Unknown) > 0);
   CHECK(rig.count(CallOutcome::Completed) + rig.count(CallOutcome::Unknown) == rig.report.all().total());
-  CHECK(rig.claims.states.size() == rig.report.all().total());
-  for (const auto& [key, state] : rig.claims.states) CHECK(state != wire::ClaimState::InProgress);
+  CHECK(rig.claims.states().size() == rig.report.all().total());
+  for (const auto& [key, state] : rig.claims.states()) CHECK(state != wire::ClaimState::InProgress);
   rig.checkNothingRanTwice();
 }
 
