Let slow start shape an endpoint's share instead of capping its slots

A restarted endpoint kept a tenth of its slots at first and had them all only after 10 s, so after seven restarts the admission limit was far below what the targets could carry, while they stood idle. And while others were idle, an endpoint in slow start got no work at all, since its score was divided by its warmth.

Ruled out: a shorter slow start, which helps only while restarts are rarer.

Change: an endpoint in slow start takes part in a choice with a probability that grows with its warmth, up to a growing number of slots; its other slots are used only when no warm endpoint has a free one. An endpoint that calls itself cold keeps the hard cap.

Test: the one on slow start asked for a hard cap; it is replaced by one that asks for the growing share at low load, the warm slots first at high load, and that nothing waits while the endpoint has free slots.

--- a/rehearsal/bench/bench_mesh.cpp
+++ b/rehearsal/bench/bench_mesh.cpp
@@ -109,7 +109,6 @@
       makeRecord(deployment_.service, fmt::format("e{}", target), state, ++sequence_, incarnations_[target]);
   record.address = "127.0.0.1";
   record.port = targets_[target]->address().port();
-  record.zone = "a";
   record.slots = deployment_.slots;
   record.max_connections = deployment_.max_connections;
   asio::post(io_, [this, record] { server_->applyEndpointRecord(record); });
--- a/rehearsal/bench/configuration_objects.h
+++ b/rehearsal/bench/configuration_objects.h
@@ -73,6 +73,7 @@
   record.incarnation = incarnation;
   record.sequence = sequence;
   record.state = state;
+  record.zone = "a";
   return record;
 }
 
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -32,17 +32,30 @@
 }
 
 unsigned Balancer::slotLimit(const Endpoint& endpoint, TimePoint now) const {
+  if (endpoint.state == wire::EndpointState::Cold) return warmSlots(endpoint, now);
+  return std::min(endpoint.slots, connectionBudget(endpoint));
+}
+
+unsigned Balancer::warmSlots(const Endpoint& endpoint, TimePoint now) const {
   const unsigned most = std::min(endpoint.slots, connectionBudget(endpoint));
   const auto warm = static_cast<unsigned>(std::lround(most * warmth(endpoint, now)));
   return std::clamp(warm, 1U, most);
 }
 
+/// Draws whether an endpoint in slow start takes part in this choice, so that it gets a growing share also
+/// while others are idle.
+bool Balancer::takesPart(const Endpoint& endpoint, TimePoint now) {
+  const double warm = warmth(endpoint, now);
+  if (warm >= 1) return true;
+  return endpoint.outstanding < warmSlots(endpoint, now) && random_.chance(warm);
+}
+
 double Balancer::score(const Endpoint& endpoint, TimePoint now) const {
   // The request to be placed counts, so that among idle endpoints larger ones come first.
   const double own = (endpoint.outstanding + 1.0) / endpoint.slots;
   const double others = endpoint.load.othersLoad(now, options_.load_report_half_life);
   const bool remote = !options_.zone.empty() && endpoint.zone != options_.zone;
-  return (own + others) / warmth(endpoint, now) + (remote ? options_.remote_zone_penalty : 0);
+  return own + others + (remote ? options_.remote_zone_penalty : 0);
 }
 
 std::vector<EndpointPointer> Balancer::candidates(const ServiceKey& service, TimePoint now) const {
@@ -76,6 +89,8 @@
   if (!avoid.zone.empty()) {
     free = preferring(std::move(free), [&](const auto& each) { return each->zone != avoid.zone; });
   }
+  // Work that the warm ones have no slots for goes to the others rather than wait.
+  free = preferring(std::move(free), [&](const auto& each) { return takesPart(*each, now); });
   std::vector<EndpointPointer> local;
   std::copy_if(free.begin(), free.end(), std::back_inserter(local),
                [&](const auto& endpoint) { return endpoint->zone == options_.zone; });
--- a/src/proxy/balancer.h
+++ b/src/proxy/balancer.h
@@ -55,7 +55,8 @@
   /// Takes the value of an X-Load header. Call it before finish().
   static void onLoadReport(Endpoint& endpoint, double load, TimePoint now);
 
-  /// @return requests that this proxy may have outstanding at the endpoint.
+  /// @return requests that this proxy may have outstanding at the endpoint. One that says itself that it is
+  /// cold gets a part of its slots; one in slow start gets the others only while no warm one has a free slot.
   unsigned slotLimit(const Endpoint& endpoint, TimePoint now) const;
 
   /// @return connections that this proxy may hold to the endpoint; at least 1.
@@ -76,6 +77,8 @@
   std::vector<EndpointPointer> candidates(const ServiceKey& service, TimePoint now) const;
   EndpointPointer betterOfTwo(const std::vector<EndpointPointer>& from, TimePoint now);
   double score(const Endpoint& endpoint, TimePoint now) const;
+  unsigned warmSlots(const Endpoint& endpoint, TimePoint now) const;
+  bool takesPart(const Endpoint& endpoint, TimePoint now);
   double warmth(const Endpoint& endpoint, TimePoint now) const;
   bool mayEject(const ServiceKey& service, TimePoint now) const;
 
