--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -65,13 +65,15 @@
   /// took over or an election timeout passed.
   /// @throw Error(Unavailable) if this replica is not the leader; Error(NotFound) if the target is no voter.
   void transferLeadership(ReplicaId target, TimePoint now);
-  /// Hands leadership to the voter with the longest log.
+  /// Hands leadership to the voter that was heard last, of several to the one with the longest log.
   /// @return false if this replica is not the leader or there is no other voter.
   bool transferLeadershipToAny(TimePoint now);
 
   /// Changes the membership by one replica (chapter 4 of the dissertation); one change at a time.
   /// @return the index of the membership entry; the change holds once that index is committed. ReplaceVoter
-  /// takes two entries, the second one is proposed once the first is committed.
+  /// takes two entries: the second one, which removes the replaced voter, is appended by whoever leads once
+  /// the first is committed. The replacement is complete once membership() no longer names that voter and its
+  /// index is committed.
   /// @throw Error(Unavailable) if this replica is not the leader or has not committed in its term yet;
   /// Error(Conflict) if a change is running or the learner has not caught up; Error(NotFound),
   /// Error(Invalid).
@@ -161,6 +163,8 @@
   void updateFollowers();
   bool isCaughtUp(const FollowerProgress& progress) const;
   void onMembershipCommitted();
+  /// Second step of ReplaceVoter, by whichever leader sees the first one committed.
+  void finishReplacement();
   void continueTransfer();
 
   ConsensusOptions options_;
--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 #include <variant>
 
-#include "base/error.h"
 #include "base/event_log.h"
+#include "net/listener.h"
 #include "proxy/events.h"
 #include "proxy/listen_filter.h"
 
@@ -25,20 +25,6 @@
 /// How long a handshake that has begun may take to its end.
 constexpr auto kHandshakeTime = std::chrono::milliseconds(100);
 
-void listen(tcp::acceptor& acceptor, const runtime::Address& address) {
-  try {
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    throw Error(ErrorKind::InputOutput,
-                fmt::format("cannot listen on {}:{}: {}", address.host, address.port, error.what()),
-                "set proxy.listen to an IP address of this machine and a port that no other process uses");
-  }
-}
-
 }  // namespace
 
 HttpServer::HttpServer(asio::io_context& io, const HttpOptions& options,
@@ -52,7 +38,8 @@
       timer_(io),
       accept_pause_(io),
       drain_timer_(io) {
-  listen(acceptor_, options_.listen);
+  net::listenOn(acceptor_, options_.listen.host, options_.listen.port,
+                "set proxy.listen to an IP address of this machine and a port that no other process uses");
 }
 
 HttpServer::~HttpServer() = default;
