Test relays against stale rounds and incomplete deltas

Cause: scratch edits that take one protection away showed two that no test saw: an upstream's beats of a round that passed counted as fresh; a proxy whose node names another tenant got a delta without that tenant's older objects.

Change: a test for each. The two edits now fail a test.

--- a/src/relay/view_source.h
+++ b/src/relay/view_source.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -47,7 +48,9 @@
   struct DeltaKey {
     std::uint64_t from_version;
     TenantSet tenants;
-    friend auto operator<=>(const DeltaKey&, const DeltaKey&) = default;
+    friend bool operator<(const DeltaKey& left, const DeltaKey& right) {
+      return std::tie(left.from_version, left.tenants) < std::tie(right.from_version, right.tenants);
+    }
   };
 
   bool deltaApplies(const std::string& node, const ViewPosition& position) const;
--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -122,10 +122,12 @@
     const LinkId behind = relay.join("proxy-1", 10, digest);
     CHECK(relay.driver.takeOne<wire::ViewSnapshotT>(behind).version == 11);
   }
-  SECTION("its node names other tenants now") {
-    relay.receiveDelta({changeAt(11, config::test::putNode("proxy-1", {"protokoly"}))}, 11);
+  SECTION("its node names other tenants now, one of which changed as well") {
+    relay.receiveDelta({changeAt(11, config::test::putSecret("protokoly", "token", "x")),
+                        changeAt(12, config::test::putNode("proxy-1", {"protokoly"}))},
+                       12);
     const auto sent = relay.driver.takeOne<wire::ViewSnapshotT>(link);
-    CHECK(sent.version == 11);
+    CHECK(sent.version == 12);
     CHECK(std::none_of(sent.changes.begin(), sent.changes.end(),
                        [](const auto& change) { return change->key->tenant == "napisy"; }));
   }
--- a/tests/relay/following_test.cpp
+++ b/tests/relay/following_test.cpp
@@ -72,7 +72,15 @@
   relay.follow();
   relay.advanceWithBeats(10);
   CHECK(relay.driver.connects().empty());
-  relay.driver.advance(seconds(5));
+  SECTION("in silence") { relay.driver.advance(seconds(5)); }
+  SECTION("with the beats of a round that passed") {
+    const auto last = relay.round;
+    for (int i = 0; i < 5; ++i) {
+      relay.driver.advance(seconds(1));
+      relay.round = last - 1;
+      relay.beat(10);
+    }
+  }
   CHECK(relay.driver.closed(*relay.store));
   CHECK_NOTHROW(relay.takeConnects());
 }
