Share beats among proxies at equal view versions

Cause: a round of beats made and encoded a message for each proxy, though they differ only by the view version.

Ruled out: beats spread over the interval (no less work), and beats only on change (the beat is the evidence of freshness and of a live link).

--- a/src/relay/proxy_fan_out.h
+++ b/src/relay/proxy_fan_out.h
@@ -99,6 +99,7 @@
   void subscribe(Subscriber& subscriber);
   void unsubscribe(const Subscriber& subscriber);
   void bringUpToDate(Subscriber& subscriber);
+  wire::ViewBeatT beatFor(const Subscriber& subscriber) const;
   void sendBeat(const Subscriber& subscriber);
   void sendBeats();
   void sendAllEndpoints(const Subscriber& subscriber);
--- a/src/relay/proxy_messages.cpp
+++ b/src/relay/proxy_messages.cpp
@@ -1,6 +1,7 @@
 // The part of ProxyFanOut that sends beats, endpoint records and goodbyes, and sums up what proxies run.
 #include <algorithm>
 #include <limits>
+#include <unordered_map>
 
 #include "relay/error_info.h"
 #include "relay/proxy_fan_out.h"
@@ -16,18 +17,33 @@
 
 }  // namespace
 
-void ProxyFanOut::sendBeat(const Subscriber& subscriber) {
+wire::ViewBeatT ProxyFanOut::beatFor(const Subscriber& subscriber) const {
   wire::ViewBeatT beat;
   beat.view_version = subscriber.position.version;
   beat.as_of = subscriber.snapshot_needed ? subscriber.in_force_version : published_version_;
   beat.term = term_;
   beat.round = round_;
-  actions_.send(subscriber.link, beat, 0);
+  return beat;
+}
+
+void ProxyFanOut::sendBeat(const Subscriber& subscriber) {
+  actions_.send(subscriber.link, beatFor(subscriber), 0);
 }
 
 void ProxyFanOut::sendBeats() {
+  // Proxies at equal view versions share one message.
+  std::unordered_map<std::uint64_t, runtime::MessagePointer> messages;
   for (const auto& [link, subscriber] : subscribers_) {
-    if (subscriber.serving) sendBeat(subscriber);
+    if (!subscriber.serving) continue;
+    if (subscriber.snapshot_needed) {
+      sendBeat(subscriber);
+      continue;
+    }
+    auto& message = messages[subscriber.position.version];
+    if (!message) {
+      message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(beatFor(subscriber)));
+    }
+    actions_.send(link, message);
   }
 }
 
