Let a due timer fire while messages come in quick succession

Cause: after each event the runner set the core's timer anew, at least 200 us ahead. With messages less than 200 us apart a timer that was due was put off again and again: a relay in a storm of joins would send no beats and let no lease run out.

Ruled out: dropping the minimum delay (a core whose timer is always due would keep the loop busy).

Change: a timer that is set for the core's time already is left alone.

Test: two cores that send each other one message to and fro and always want their timer.

--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -170,14 +170,19 @@
 void ProcessRunner::armTimer() {
   if (finishing_) return;
   const TimePoint due = core_.nextTimer();
+  const bool is_armed = std::exchange(armed_for_, due) == due;
   if (due == TimePoint::max()) {
     timer_.cancel();
     return;
   }
   const Duration delay = std::max(due - SteadyClock::now(), kMinimumTimerDelay);
-  timer_.expires_after(delay);
+  const auto expiry = std::chrono::steady_clock::now() + delay;
+  // A timer that is set already is left alone: events in quick succession must not put it off.
+  if (is_armed && timer_.expiry() <= expiry) return;
+  timer_.expires_at(expiry);
   timer_.async_wait([this](error_code error) {
     if (error) return;
+    armed_for_ = TimePoint::max();
     core_.onTimer(SteadyClock::now());
     flush();
   });
--- a/src/runtime/process_runner.h
+++ b/src/runtime/process_runner.h
@@ -77,6 +77,8 @@
   RunnerOptions options_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
+  /// The core's time for which timer_ is set; max() if it is not.
+  TimePoint armed_for_ = TimePoint::max();
   std::unique_ptr<DataFolder> folder_;
   boost::asio::thread_pool disk_thread_;
   std::map<LinkId, std::shared_ptr<net::Link>> links_;
--- a/tests/runtime/process_runner_test.cpp
+++ b/tests/runtime/process_runner_test.cpp
@@ -1,5 +1,6 @@
 #include "runtime/process_runner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -62,6 +63,33 @@
   bool stopped_ = false;
 };
 
+/// Sends each message back, and wants its timer at once all the time.
+class BusyCore : public EchoCore {
+ public:
+  void onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint /*now*/) override {
+    ++messages_;
+    longest_wait_ = std::max(longest_wait_, ++messages_since_timer_);
+    back_.messages.push_back({link, std::make_shared<const wire::EnvelopeT>(message)});
+  }
+  void onTimer(TimePoint /*now*/) override { messages_since_timer_ = 0; }
+  TimePoint nextTimer() const override { return TimePoint(); }
+  Actions takeActions() override {
+    Actions actions = EchoCore::takeActions();
+    for (auto& message : std::exchange(back_, {}).messages) actions.messages.push_back(std::move(message));
+    return actions;
+  }
+
+  unsigned messages() const { return messages_; }
+  /// @return the most messages that came between two calls of the timer.
+  unsigned longestWait() const { return longest_wait_; }
+
+ private:
+  Actions back_;
+  unsigned messages_ = 0;
+  unsigned messages_since_timer_ = 0;
+  unsigned longest_wait_ = 0;
+};
+
 template <typename Condition>
 void runUntil(boost::asio::io_context& io, const Condition& condition) {
   const auto limit = SteadyClock::now() + kTestTimeLimit;
@@ -124,5 +152,19 @@
   runUntil(client_io, [&] { return client.closed() == 1; });
 }
 
+TEST_CASE("messages in quick succession do not put the timer off", "[process_runner]") {
+  constexpr unsigned message_count = 20'000;
+  boost::asio::io_context io;
+  BusyCore server;
+  ProcessRunner server_runner(io, server, {{"127.0.0.1", 0}, "", nullptr});
+  server_runner.start();
+  BusyCore client;
+  client.connectTo(server_runner.listenAddress());
+  ProcessRunner client_runner(io, client, {{}, "", nullptr});
+  client_runner.start();
+  runUntil(io, [&] { return server.messages() > message_count; });
+  CHECK(server.longestWait() < message_count / 20);
+}
+
 }  // namespace
 }  // namespace cometstand::runtime
