--- a/tests/runtime/process_runner_test.cpp
+++ b/tests/runtime/process_runner_test.cpp
@@ -153,7 +153,7 @@
 }
 
 TEST_CASE("messages in quick succession do not put the timer off", "[process_runner]") {
-  constexpr unsigned message_count = 20'000;
+  constexpr unsigned kMessageCount = 20'000;
   boost::asio::io_context io;
   BusyCore server;
   ProcessRunner server_runner(io, server, {{"127.0.0.1", 0}, "", nullptr});
@@ -162,8 +162,8 @@
   client.connectTo(server_runner.listenAddress());
   ProcessRunner client_runner(io, client, {{}, "", nullptr});
   client_runner.start();
-  runUntil(io, [&] { return server.messages() > message_count; });
-  CHECK(server.longestWait() < message_count / 20);
+  runUntil(io, [&] { return server.messages() > kMessageCount; });
+  CHECK(server.longestWait() < kMessageCount / 20);
 }
 
 }  // namespace
