Test that a tenant works on no more requests at once than its limit

Cause: a mutant that ignores the tenant's limit was not caught: the tests filled the whole proxy or one service, never one tenant's share. Change: a test of AdmissionQueue with two tenants and a limit on one.

--- a/tests/proxy/admission_queue_test.cpp
+++ b/tests/proxy/admission_queue_test.cpp
@@ -81,6 +81,17 @@
   CHECK(fixture.admitted.back() == 100);
 }
 
+TEST_CASE("a tenant works on no more requests at once than its limit", "[admission]") {
+  Fixture fixture;
+  for (const auto* tenant : {"a", "b"}) fixture.queue.setCapacity({tenant, "s"}, 10);
+  fixture.queue.setTenantLimit("a", 2);
+  for (std::uint64_t id = 1; id <= 4; ++id) fixture.offer(id, "a");
+  fixture.offer(5, "b");
+  CHECK(fixture.admitted == std::vector<std::uint64_t>{1, 2, 5});
+  fixture.release("a");
+  CHECK(fixture.admitted.back() == 3);
+}
+
 TEST_CASE("a full queue gives up its lowest class first", "[admission]") {
   AdmissionOptions options;
   options.tenant_max_queued = 2;
