Ask for a claim again while the store changes its leader

Cause: on a planned stop of the store's leader, two of some 150 requests under load were refused: those that need a claim, asked for between the old leader's goodbye and the new one's first round. The relay or the stopping leader says not_run, and the proxy passed that on at once.

Ruled out: holding claims in the relay, since the same refusal also comes from the store itself and when a proxy changes its relay; a longer stop of the leader, since no moment exists at which both may decide.

Change: what no leader decided on is asked for again every 100 ms under the same attempt, which the store grants again, for proxy.claim_retry_limit (1 s). A proxy between two relays waits as long. In an outage that is longer than that, claims are refused at once: nobody is held back for an answer that is known.

--- a/src/proxy/control_claims.h
+++ b/src/proxy/control_claims.h
@@ -11,7 +11,9 @@
 namespace cometstand::proxy {
 
 /// Carries claims to the store by way of the relay. Each request gets exactly one answer. A request that was
-/// on a lost link is sent again on the next one: the store grants the same attempt its claim again. A claim
+/// on a lost link is sent again on the next one: the store grants the same attempt its claim again. So is,
+/// after a pause, one that no leader decided on, until claim_retry_limit is over: a planned change of the
+/// leader then refuses nobody. In an outage that is longer than that, claims are refused at once. A claim
 /// whose answer is not known when the time is up is released, since no request was sent under it.
 class ControlClaims {
  public:
@@ -28,7 +30,7 @@
 
   /// Sends what is pending on the new link.
   void onLinkReady(runtime::LinkId link, TimePoint now);
-  void onLinkLost() { link_.reset(); }
+  void onLinkLost(TimePoint now);
 
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
@@ -41,6 +43,10 @@
     wire::ClaimRequestT request;
     std::uint64_t callback = 0;
     TimePoint deadline;
+    /// Until then it is asked for again.
+    TimePoint retry_until;
+    /// When it is sent again; TimePoint::max() while an answer is awaited.
+    TimePoint send_again = TimePoint::max();
     unsigned times_sent = 0;
   };
   struct PendingFinish {
@@ -50,6 +56,12 @@
 
   void sendRequest(std::uint64_t request_id, PendingRequest& pending);
   void sendFinish(std::uint64_t request_id, PendingFinish& pending, TimePoint now);
+  /// @return true if the claim will be asked for again.
+  bool retryLater(std::uint64_t request_id, TimePoint now);
+  /// Notes whether the store decided on a claim.
+  void noteDecided(bool decided, TimePoint now);
+  bool inOutage(TimePoint now) const;
+  static TimePoint expiryOf(const PendingRequest& pending);
   void answer(std::uint64_t request_id, const wire::ClaimReplyT& reply, TimePoint now);
   void expire(std::uint64_t request_id, TimePoint now);
 
@@ -57,7 +69,10 @@
   runtime::ActionQueue& actions_;
   AnswerHandler on_answer_;
   std::optional<runtime::LinkId> link_;
+  std::optional<TimePoint> link_lost_at_;
   std::uint64_t last_request_id_ = 0;
+  /// Since when every claim stayed undecided; nothing if the last one was decided.
+  std::optional<TimePoint> undecided_since_;
   std::map<std::uint64_t, PendingRequest> requests_;
   std::map<std::uint64_t, PendingFinish> finishes_;
 };
--- a/src/proxy/control_core.cpp
+++ b/src/proxy/control_core.cpp
@@ -41,7 +41,7 @@
 void ControlCore::onLinkOpened(LinkId link, const runtime::PeerIdentity& peer, TimePoint now) {
   if (!candidate_ || candidate_->link != link) return;
   if (!peer.role.empty() && peer.role != "relay") {
-    dropSession(candidate_);
+    dropSession(candidate_, now);
     scheduleConnect(now, backoff_.next(random_));
     return;
   }
@@ -59,7 +59,7 @@
   if (!isServing(link)) return;
   logEvent(kRelayLost, {{"relay", addressText(serving_->address)}});
   serving_.reset();
-  claims_.onLinkLost();
+  claims_.onLinkLost(now);
   if (!candidate_) scheduleConnect(now, backoff_.next(random_));
 }
 
@@ -81,7 +81,7 @@
   const bool is_view = message.body.AsViewDelta() != nullptr || message.body.AsViewSnapshot() != nullptr;
   if (beat == nullptr && !is_view) return;
   if (candidate_must_be_fresher_ && serving_ && beat != nullptr && !isFresher(beat->term, beat->round)) {
-    dropSession(candidate_);
+    dropSession(candidate_, now);
     return;
   }
   promoteCandidate(now);
@@ -136,11 +136,11 @@
 
 runtime::Actions ControlCore::takeActions() { return actions_.take(); }
 
-void ControlCore::beginStop(TimePoint /*now*/) {
+void ControlCore::beginStop(TimePoint now) {
   if (stopping_) return;
   stopping_ = true;
   connect_at_ = TimePoint::max();
-  dropSession(candidate_);
+  dropSession(candidate_, now);
   announceStop();
 }
 
--- a/src/proxy/control_core.h
+++ b/src/proxy/control_core.h
@@ -107,7 +107,7 @@
   Session* sessionOf(runtime::LinkId link);
   bool isServing(runtime::LinkId link) const;
   void promoteCandidate(TimePoint now);
-  void dropSession(std::optional<Session>& session);
+  void dropSession(std::optional<Session>& session, TimePoint now);
   void scheduleConnect(TimePoint now, Duration pause);
   void checkSilence(TimePoint now);
   void checkStale(TimePoint now);
--- a/src/proxy/control_options.h
+++ b/src/proxy/control_options.h
@@ -34,6 +34,9 @@
   Duration reconnect_maximum = std::chrono::seconds(5);
   /// How long a claim request may take before it counts as unknown.
   Duration claim_limit = std::chrono::seconds(2);
+  /// While the store changes its leader, or the relay its upstream, a claim is asked for again for this long.
+  /// Once no claim was decided for this long, further ones are refused at once.
+  Duration claim_retry_limit = std::chrono::seconds(1);
   /// Pause before a ClaimFinish without an answer is sent again.
   Duration claim_finish_retry = std::chrono::seconds(2);
   /// Changes with each start of the process.
--- a/src/proxy/control_session.cpp
+++ b/src/proxy/control_session.cpp
@@ -49,7 +49,7 @@
 bool ControlCore::isServing(LinkId link) const { return serving_ && serving_->link == link; }
 
 void ControlCore::promoteCandidate(TimePoint now) {
-  dropSession(serving_);
+  dropSession(serving_, now);
   serving_ = std::move(candidate_);
   candidate_.reset();
   candidate_must_be_fresher_ = false;
@@ -62,9 +62,9 @@
   logEvent(kRelayInUse, {{"host", serving_->address.host}, {"port", serving_->address.port}});
 }
 
-void ControlCore::dropSession(std::optional<Session>& session) {
+void ControlCore::dropSession(std::optional<Session>& session, TimePoint now) {
   if (!session) return;
-  if (isServing(session->link)) claims_.onLinkLost();
+  if (isServing(session->link)) claims_.onLinkLost(now);
   actions_.close(session->link);
   session.reset();
 }
@@ -77,11 +77,11 @@
 void ControlCore::checkSilence(TimePoint now) {
   if (serving_ && serving_->last_heard + options_.beat_limit <= now) {
     logEvent(kRelayLost, {{"host", serving_->address.host}, {"port", serving_->address.port}});
-    dropSession(serving_);
+    dropSession(serving_, now);
     if (!candidate_) scheduleConnect(now, backoff_.next(random_));
   }
   if (candidate_ && candidate_->started + options_.hello_limit <= now) {
-    dropSession(candidate_);
+    dropSession(candidate_, now);
     if (!serving_) scheduleConnect(now, backoff_.next(random_));
   }
 }
@@ -112,7 +112,7 @@
                            {"port", session->address.port},
                            {"message", error == nullptr ? "" : error->message},
                            {"remedy", error == nullptr ? "" : error->remedy}});
-  dropSession(session);
+  dropSession(session, now);
   choice_.addAlternatives(refusal.alternatives, random_);
   if (serving_) return;
   const auto wish = std::chrono::milliseconds(error == nullptr ? 0 : error->retry_after_ms);
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -40,6 +40,10 @@
                  "Largest ceiling of the random pause before a connect.");
   table.duration("proxy.claim_limit", control.claim_limit, {milliseconds(50), minutes(1)},
                  "How long the store's answer to a claim may take; without it the request is not sent.");
+  table.duration(
+      "proxy.claim_retry_limit", control.claim_retry_limit, {milliseconds(0), minutes(1)},
+      "How long a claim is asked for again while the store has no leader; in a longer outage claims "
+      "are refused at once.");
   table.duration("proxy.claim_finish_retry", control.claim_finish_retry, {milliseconds(100), minutes(5)},
                  "Pause before the end of a claim is reported again when no answer came.");
 }
