Test failures on real processes

Eight cases over a small fleet (3 stores, 2 relays, 2 proxies, 5 targets, mutual TLS): kill -9 of leader, relay and proxy under load; all processes killed and started again from disk, the proxies first and alone; a leader frozen past its election timeout, with a query and a change waiting in its socket when it wakes; a proxy that lost its folder while the relay it asks first is behind; a store that lost its folder, its replacement, and the loss of a second machine right after; SIGTERM of proxy, relay and leader under load; a back end that leaves; a secret's bytes in logs and queries.

The console now gives one replica 3 s, so that a frozen one does not hold a command up for 15 s.

--- a/rehearsal/fleet/operator_console.cpp
+++ b/rehearsal/fleet/operator_console.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr Duration kConnectLimit = std::chrono::seconds(3);
-/// How long one attempt may take, so that a frozen replica holds nobody up for long.
-constexpr Duration kAttemptLimit = std::chrono::seconds(15);
+/// How long a `wait` waits, and one replica is given to answer it.
+constexpr const char* kWaitLimitText = "5s";
+constexpr Duration kWaitAttemptLimit = std::chrono::seconds(8);
 /// Pause before a command is sent again when the answer names none.
 constexpr Duration kResendPause = std::chrono::milliseconds(100);
 
@@ -109,12 +110,12 @@
   return exchange.run(stores_.at(store), limit);
 }
 
-CommandResult OperatorConsole::run(const std::string& text) {
+CommandResult OperatorConsole::run(const std::string& text, Duration attempt_limit) {
   const std::string request_id = newRequestId();
   CommandResult result;
   waitUntil("a command has its final answer: " + text.substr(0, text.find('\n')), [&] {
     const std::size_t store = next_store_++ % stores_.size();
-    result = tryOnce(store, request_id, text, kAttemptLimit);
+    result = tryOnce(store, request_id, text, attempt_limit);
     if (!waitingMayHelp(result)) return true;
     pauseFor(pauseAfter(result));
     return false;
@@ -130,8 +131,9 @@
 }
 
 void OperatorConsole::waitInForce(std::uint64_t version) {
-  const std::string text = fmt::format("wait version {} in force timeout 5s", version);
-  waitUntil(fmt::format("version {} is in force everywhere", version), [&] { return run(text).completed(); });
+  const std::string text = fmt::format("wait version {} in force timeout {}", version, kWaitLimitText);
+  waitUntil(fmt::format("version {} is in force everywhere", version),
+            [&] { return run(text, kWaitAttemptLimit).completed(); });
 }
 
 }  // namespace cometstand::rehearsal
--- a/rehearsal/fleet/operator_console.h
+++ b/rehearsal/fleet/operator_console.h
@@ -33,6 +33,9 @@
   std::string text() const;
 };
 
+/// How long one replica has to answer a command that waits for nothing.
+inline constexpr Duration kAttemptLimit = std::chrono::seconds(3);
+
 /// Gives an operator's commands to any store replica that answers.
 class OperatorConsole {
  public:
@@ -49,9 +52,10 @@
                         Duration limit = std::chrono::seconds(10));
 
   /// Sends the command, under one request identifier, until it completed.
+  /// @param attempt_limit how long one replica is given, so that a frozen one holds nobody up for long.
   /// @return the completed answer, or the first refusal that waiting cannot help.
   /// @throw Error(Timeout) if neither comes in time.
-  CommandResult run(const std::string& text);
+  CommandResult run(const std::string& text, Duration attempt_limit = kAttemptLimit);
 
   /// Like run(), but anything else than "completed" is an error.
   /// @return the version of the answer.
