--- a/src/proxy/control_view.cpp
+++ b/src/proxy/control_view.cpp
@@ -73,7 +73,7 @@
   for (const auto& record : update.records) {
     if (!record) continue;
     auto& known = endpoints_[view::endpointId(*record)];
-    if (known && view::compareRecords(*record, *known) <= 0) continue;
+    if (known && std::is_lteq(view::compareRecords(*record, *known))) continue;
     known = record;
     changed.push_back(record);
   }
