--- a/rehearsal/scale/child_process.cpp
+++ b/rehearsal/scale/child_process.cpp
@@ -78,6 +78,8 @@
       return "store";
     case ProcessRole::Relay:
       return "relay";
+    case ProcessRole::Proxy:
+      return "proxy";
     case ProcessRole::Hollow:
       return "hollow";
   }
--- a/rehearsal/scale/child_process.h
+++ b/rehearsal/scale/child_process.h
@@ -9,9 +9,7 @@
 namespace cometstand::rehearsal {
 
 /// The programs of a scale run, by what they do.
-enum class ProcessRole : std::uint8_t { Store, Relay, Hollow };
-
-inline constexpr std::array kProcessRoles{ProcessRole::Store, ProcessRole::Relay, ProcessRole::Hollow};
+enum class ProcessRole : std::uint8_t { Store, Relay, Proxy, Hollow };
 
 const char* roleName(ProcessRole role);
 
--- a/rehearsal/scale/fleet_usage.cpp
+++ b/rehearsal/scale/fleet_usage.cpp
@@ -62,16 +62,18 @@
   std::map<ProcessRole, RoleUsage> roles;
   for (const auto& [role, processes] : after.processes) {
     auto& sum = roles[role];
-    const auto& earlier = before.processes.at(role);
+    const auto known = before.processes.find(role);
+    const bool is_new = known == before.processes.end();
     for (std::size_t i = 0; i < processes.size(); ++i) {
-      const double cpu_seconds = processes[i].cpu_seconds - earlier[i].cpu_seconds;
+      const ProcessUsage earlier = is_new ? ProcessUsage() : known->second[i];
+      const double cpu_seconds = processes[i].cpu_seconds - earlier.cpu_seconds;
       ++sum.processes;
       sum.cpu_seconds += cpu_seconds;
       sum.largest_cpu_seconds = std::max(sum.largest_cpu_seconds, cpu_seconds);
       sum.resident_bytes += processes[i].resident_bytes;
       sum.largest_resident_bytes = std::max(sum.largest_resident_bytes, processes[i].resident_bytes);
-      sum.write_calls += processes[i].write_calls - earlier[i].write_calls;
-      sum.disk_bytes += processes[i].disk_bytes - earlier[i].disk_bytes;
+      sum.write_calls += processes[i].write_calls - earlier.write_calls;
+      sum.disk_bytes += processes[i].disk_bytes - earlier.disk_bytes;
     }
   }
   return roles;
@@ -101,6 +103,8 @@
           {"bytes_a_second_to_a_proxy", per_proxy_second("bytes_received")},
           {"bytes_a_second_from_a_proxy", per_proxy_second("bytes_sent")},
           {"messages_a_second_to_a_proxy", per_proxy_second("messages_received")},
+          {"bytes_to_a_reader_of_the_store", after.reader_bytes - before.reader_bytes},
+          {"messages_to_a_reader_of_the_store", after.reader_messages - before.reader_messages},
           {"hollow", counters},
           {"roles", roles}};
 }
--- a/rehearsal/scale/fleet_usage.h
+++ b/rehearsal/scale/fleet_usage.h
@@ -27,6 +27,9 @@
   std::map<ProcessRole, std::vector<ProcessUsage>> processes;
   /// Sums over the hollow processes' counters, by name; see HollowHost::report().
   std::map<std::string, std::uint64_t> hollow;
+  /// What the store has sent to one reader.
+  std::uint64_t reader_bytes = 0;
+  std::uint64_t reader_messages = 0;
 };
 
 /// When one version came into force, over all hollow processes.
--- a/rehearsal/scale/hollow_host.cpp
+++ b/rehearsal/scale/hollow_host.cpp
@@ -35,6 +35,7 @@
     proxy_options.seed = options.seed + i;
     proxies_.push_back(std::make_unique<HollowProxy>(io, std::move(proxy_options), tracker_, counters_));
   }
+  claims_ = std::make_unique<ClaimLoad>(proxies_, options.seed + options.first);
 }
 
 json::object HollowHost::execute(const std::string& line) {
@@ -48,6 +49,8 @@
   if (command == "restart") return restart(first, second);
   if (command == "sight") return sight(static_cast<std::size_t>(first));
   if (command == "churn") return churn(static_cast<std::size_t>(first));
+  if (command == "claims") return claims(static_cast<std::size_t>(first));
+  if (command == "claim-report") return claims_->report();
   if (command == "report") return report();
   return {{"error", "unknown command: " + command}};
 }
@@ -100,6 +103,11 @@
   return {{"restarted", count}};
 }
 
+json::object HollowHost::claims(std::size_t in_flight) {
+  claims_->setInFlight(in_flight);
+  return {{"in_flight", in_flight}};
+}
+
 json::object HollowHost::report() const {
   std::size_t objects = 0;
   for (const auto& proxy : proxies_) objects += proxy->viewObjects();
--- a/rehearsal/scale/hollow_host.h
+++ b/rehearsal/scale/hollow_host.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "rehearsal/scale/claim_load.h"
 #include "rehearsal/scale/hollow_backends.h"
 #include "rehearsal/scale/hollow_proxy.h"
 
@@ -31,6 +32,8 @@
 ///     restart A B      a share A of the proxies dies and starts again, a share B of those without their disk
 ///     sight N          N endpoints are reported as leaving
 ///     churn N          N back ends start anew
+///     claims N         N claims are kept in flight; 0 takes no new ones
+///     claim-report     what became of the claims
 ///     report           counters, and when each version was in force
 class HollowHost {
  public:
@@ -48,6 +51,7 @@
   boost::json::object restart(double share, double without_disk);
   boost::json::object sight(std::size_t count);
   boost::json::object churn(std::size_t count);
+  boost::json::object claims(std::size_t in_flight);
   boost::json::object report() const;
 
   RandomSource random_;
@@ -55,6 +59,7 @@
   HollowCounters counters_;
   HollowBackends backends_;
   std::vector<std::unique_ptr<HollowProxy>> proxies_;
+  std::unique_ptr<ClaimLoad> claims_;
 };
 
 }  // namespace cometstand::rehearsal
--- a/rehearsal/scale/hollow_proxy.cpp
+++ b/rehearsal/scale/hollow_proxy.cpp
@@ -72,6 +72,29 @@
   counters_.endpoint_records += records.size();
 }
 
+void HollowProxy::requestClaim(wire::ClaimRequestT request, std::uint64_t callback) {
+  core_->requestClaim(std::move(request), callback, SteadyClock::now());
+  flush();
+}
+
+void HollowProxy::finishClaim(wire::ClaimFinishT finish) {
+  core_->finishClaim(std::move(finish), SteadyClock::now());
+  flush();
+}
+
+std::string HollowProxy::randomTenant(RandomSource& random) const {
+  const auto view = core_->currentView();
+  const auto* node = view->node();
+  if (node == nullptr || node->tenants.empty()) return {};
+  return node->tenants[random.uniform(0, node->tenants.size() - 1)];
+}
+
+/// The handler may ask for the next claim of this proxy, so it is called once the core is left.
+void HollowProxy::onClaimAnswer(std::uint64_t callback, const wire::ClaimReplyT& reply) {
+  if (!claim_handler_) return;
+  asio::post(io_, [this, callback, reply] { claim_handler_(callback, reply); });
+}
+
 void HollowProxy::flush() {
   auto actions = core_->takeActions();
   for (auto& order : actions.writes) write(std::move(order));
--- a/rehearsal/scale/hollow_proxy.h
+++ b/rehearsal/scale/hollow_proxy.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -53,6 +54,14 @@
   /// @param choice picks the endpoint. @return false if the proxy knows none that lives or has no relay.
   bool sightLeaving(std::uint64_t choice);
 
+  using ClaimHandler = std::function<void(std::uint64_t callback, const wire::ClaimReplyT& reply)>;
+  /// Called with the one answer to each requestClaim().
+  void setClaimHandler(ClaimHandler handler) { claim_handler_ = std::move(handler); }
+  void requestClaim(wire::ClaimRequestT request, std::uint64_t callback);
+  void finishClaim(wire::ClaimFinishT finish);
+  /// @return one of the tenants that the node serves; empty without a view.
+  std::string randomTenant(RandomSource& random) const;
+
   bool connected() const { return core_ && core_->connected(); }
   bool ready() const { return core_ && core_->ready(); }
   /// @return true until a restarted proxy has a relay and a view again.
@@ -70,6 +79,7 @@
 
   void onView(const view::ViewPointer& view) override;
   void onEndpointRecords(const std::vector<proxy::EndpointRecordPointer>& records) override;
+  void onClaimAnswer(std::uint64_t callback, const wire::ClaimReplyT& reply) override;
 
   /// Carries out the core's actions and notes what came of it. Call it after each event.
   void flush();
@@ -96,6 +106,7 @@
   std::uint64_t tracked_as_of_ = 0;
   std::uint64_t highest_view_ = 0;
   bool recovering_ = false;
+  ClaimHandler claim_handler_;
 };
 
 }  // namespace cometstand::rehearsal
--- a/rehearsal/scale/scale_fleet.cpp
+++ b/rehearsal/scale/scale_fleet.cpp
@@ -179,8 +179,8 @@
   }
   const auto relays_file = writeFile("relays.txt", relays);
   const std::size_t per_process = options_.proxies_per_process;
-  for (std::size_t first = 0; first < options_.shape.proxies; first += per_process) {
-    const auto count = std::min(per_process, options_.shape.proxies - first);
+  for (std::size_t first = 0; first < options_.hollowProxies(); first += per_process) {
+    const auto count = std::min(per_process, options_.hollowProxies() - first);
     const auto backends = (count + options_.targets_per_backend - 1) / options_.targets_per_backend;
     const std::vector<std::string> arguments{"--first",    std::to_string(first),
                                              "--count",    std::to_string(count),
@@ -198,6 +198,37 @@
   }
 }
 
+void ScaleFleet::startRealProxies() {
+  for (std::size_t node = options_.hollowProxies(); node < options_.shape.proxies; ++node) {
+    const auto settings = writeFile(nodeName(node) + ".toml", proxySettings(node));
+    control_.push_back(std::make_unique<ChildProcess>(ProcessRole::Proxy, program("cometstand-proxy"),
+                                                      std::vector<std::string>{"--settings", settings},
+                                                      logOf(nodeName(node))));
+  }
+}
+
+std::string ScaleFleet::proxySettings(std::size_t node) {
+  std::string relays;
+  for (std::size_t i = 0; i < relays_.size(); ++i) {
+    relays += fmt::format(R"(
+[[proxy.relays]]
+address = "{}"
+zone = "{}"
+)",
+                          addressText(relays_[i]), zoneName(i % options_.shape.zones));
+  }
+  return fmt::format(R"(data.folder = "{}"
+zone = "{}"
+tls.enabled = false
+log.level = "warning"
+[proxy]
+node = "{}"
+listen = "{}"
+{})",
+                     (folder_ / nodeName(node)).string(), zoneName(node % options_.shape.zones),
+                     nodeName(node), addressText(ports_.take()), relays);
+}
+
 CommandClient ScaleFleet::makeClient() const {
   return {stores_, {kAdministratorTenant, kAdministratorName, kAdministratorToken}};
 }
--- a/rehearsal/scale/scale_fleet.h
+++ b/rehearsal/scale/scale_fleet.h
@@ -35,8 +35,12 @@
   /// @return ports of all hollow back ends, in the order of the targets that they stand for.
   const std::vector<std::uint16_t>& backendPorts() const { return backend_ports_; }
 
+  const std::vector<runtime::Address>& stores() const { return stores_; }
   CommandClient makeClient() const;
 
+  /// Starts the proxies that are processes of the product.
+  void startRealProxies();
+
   /// Gives one command to all hollow processes. @return their answers.
   std::vector<boost::json::object> askAll(const std::string& line);
   /// Gives one command to one hollow process.
@@ -56,6 +60,7 @@
   std::string writeFile(const std::string& name, const std::string& text) const;
   std::string storeSettings(std::size_t index) const;
   std::string relaySettings(std::size_t index) const;
+  std::string proxySettings(std::size_t node);
 
   const ScaleOptions& options_;
   std::filesystem::path folder_;
--- a/rehearsal/scale/scale_options.cpp
+++ b/rehearsal/scale/scale_options.cpp
@@ -26,7 +26,11 @@
     throw Error(ErrorKind::Invalid, "targets of one service would share a back end",
                 fmt::format("give at least {} services", options.targets_per_backend));
   }
-  const auto processes = options.stores + options.relayCount() + options.hollowProcesses();
+  if (options.real_proxies >= shape.proxies) {
+    throw Error(ErrorKind::Invalid, "no proxy is hollow", "give fewer real proxies than proxies");
+  }
+  const auto processes =
+      options.stores + options.relayCount() + options.real_proxies + options.hollowProcesses();
   if (processes > kMaxProcesses) {
     throw Error(ErrorKind::Invalid, fmt::format("the run needs {} processes", processes),
                 fmt::format("stay at {}: raise --proxies-per-process", kMaxProcesses));
@@ -65,6 +69,11 @@
                       "0 to 1");
   Option<double> disk_loss(line, "herd-disk-loss", "Share of those that lose their disk",
                            options.herd_disk_loss, "0 to 1");
+  Option<std::size_t> real(line, "real-proxies", "Proxies, of all, that are processes of the product",
+                           options.real_proxies, "number");
+  Option<std::size_t> claims(line, "claims", "Claims in flight; 0 for none", options.claims_in_flight,
+                             "number");
+  Option<double> claims_time(line, "claims-seconds", "How long claims are taken", 10, "s");
   Option<double> idle(line, "idle-seconds", "Time watched without changes", 10, "s");
   Option<double> batch(line, "batch-window-ms", "Batching window of the relays", 50, "ms");
   Option<double> beat(line, "beat-interval-ms", "Interval of the relays' beats", 1000, "ms");
@@ -85,6 +94,9 @@
   options.sightings = *sightings;
   options.herd_restart = *herd;
   options.herd_disk_loss = *disk_loss;
+  options.real_proxies = *real;
+  options.claims_in_flight = *claims;
+  options.claims_time = fromMilliseconds(*claims_time * 1000);
   options.idle = fromMilliseconds(*idle * 1000);
   options.batch_window = fromMilliseconds(*batch);
   options.beat_interval = fromMilliseconds(*beat);
--- a/rehearsal/scale/scale_options.h
+++ b/rehearsal/scale/scale_options.h
@@ -22,6 +22,9 @@
   /// Targets that share one hollow back end.
   std::size_t targets_per_backend = 10;
 
+  /// Targets, the last ones, whose proxy is a process of the product; the others are hollow.
+  std::size_t real_proxies = 0;
+
   std::size_t changes = 100;
   /// Pause between two changes. A day's 58,000 are one each 1.49 s.
   Duration change_interval = std::chrono::milliseconds(500);
@@ -31,6 +34,9 @@
   /// Share of the proxies that die at once, and share of those that lose their disk.
   double herd_restart = 0.5;
   double herd_disk_loss = 0.05;
+  /// Claims in flight over all hollow proxies, and for how long; 0 for no claims.
+  std::size_t claims_in_flight = 0;
+  Duration claims_time = std::chrono::seconds(10);
   /// How long the fleet is watched while nothing changes.
   Duration idle = std::chrono::seconds(10);
 
@@ -47,8 +53,9 @@
   std::string program_folder;
 
   std::size_t relayCount() const { return relays == 0 ? shape.zones : relays; }
+  std::size_t hollowProxies() const { return shape.proxies - real_proxies; }
   std::size_t hollowProcesses() const {
-    return (shape.proxies + proxies_per_process - 1) / proxies_per_process;
+    return (hollowProxies() + proxies_per_process - 1) / proxies_per_process;
   }
 };
 
--- a/rehearsal/scale/scale_run.cpp
+++ b/rehearsal/scale/scale_run.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration kStatusPoll = std::chrono::milliseconds(100);
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kMicrosecondsPerMillisecond = 1000;
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -40,20 +41,22 @@
       random_(options.seed),
       fleet_(options),
       plan_(options.shape, started(fleet_).backendPorts()),
-      client_(fleet_.makeClient()) {}
+      client_(fleet_.makeClient()),
+      reader_(fleet_.stores()) {}
 
 json::object ScaleRun::run() {
   createCatalog();
   joinAll();
   watchIdle();
   makeChanges();
+  if (options_.claims_in_flight > 0) takeClaims();
   if (options_.herd_restart > 0) restartHerd();
   return report();
 }
 
 void ScaleRun::createCatalog() {
   logEvent(kScalePhase, {{"phase", "creation"}});
-  phase_start_ = readReport(fleet_).usage;
+  phase_start_ = takeReport().usage;
   for (const auto& command : plan_.creation()) {
     version_ = client_.execute(command, options_.phase_limit).version;
   }
@@ -64,9 +67,10 @@
 void ScaleRun::joinAll() {
   logEvent(kScalePhase, {{"phase", "join"}});
   const TimePoint begin = SteadyClock::now();
+  fleet_.startRealProxies();
   fleet_.askAll("start");
   waitForStatus("all proxies to join", [this](const HollowStatus& status) {
-    return status.connected == options_.shape.proxies && status.ready == options_.shape.proxies &&
+    return status.connected == options_.hollowProxies() && status.ready == options_.hollowProxies() &&
            status.lowest_as_of >= version_;
   });
   join_seconds_ = seconds(SteadyClock::now() - begin);
@@ -115,6 +119,36 @@
     fleet_.ask(process, "sight " + std::to_string(count));
 }
 
+void ScaleRun::takeClaims() {
+  logEvent(kScalePhase, {{"phase", "claims"}});
+  const auto processes = fleet_.hollowProcesses();
+  const auto each = (options_.claims_in_flight + processes - 1) / processes;
+  const TimePoint begin = SteadyClock::now();
+  fleet_.askAll("claims " + std::to_string(each));
+  std::this_thread::sleep_for(options_.claims_time);
+  endPhase("claims");
+  std::uint64_t granted = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::vector<double> times;
+  for (const auto& answer : fleet_.askAll("claim-report")) {
+    granted += answer.at("granted").to_number<std::uint64_t>();
+    not_run += answer.at("not_run").to_number<std::uint64_t>();
+    unknown += answer.at("unknown").to_number<std::uint64_t>();
+    for (const auto& time : answer.at("times_us").as_array())
+      times.push_back(time.to_number<double>() / kMicrosecondsPerMillisecond);
+  }
+  const double duration = seconds(SteadyClock::now() - begin);
+  claims_ = {{"in_flight", each * processes},
+             {"seconds", duration},
+             {"granted", granted},
+             {"granted_a_second", static_cast<double>(granted) / duration},
+             {"not_run", not_run},
+             {"unknown", unknown},
+             {"grant_ms", distribution(times)}};
+  fleet_.askAll("claims 0");
+}
+
 void ScaleRun::restartHerd() {
   logEvent(kScalePhase, {{"phase", "herd restart"}});
   const TimePoint begin = SteadyClock::now();
@@ -125,7 +159,7 @@
     restarted += answer.at("restarted").to_number<std::uint64_t>();
   }
   waitForStatus("the herd to come back", [this](const HollowStatus& status) {
-    return status.recovering == 0 && status.connected == options_.shape.proxies;
+    return status.recovering == 0 && status.connected == options_.hollowProxies();
   });
   const auto report = endPhase("herd restart");
   recovered_all_ = report.usage.hollow.at("recovered") >= restarted;
@@ -149,8 +183,15 @@
   }
 }
 
-FleetReport ScaleRun::endPhase(const std::string& name) {
+FleetReport ScaleRun::takeReport() {
   auto report = readReport(fleet_);
+  report.usage.reader_bytes = reader_.bytesReceived();
+  report.usage.reader_messages = reader_.messagesReceived();
+  return report;
+}
+
+FleetReport ScaleRun::endPhase(const std::string& name) {
+  auto report = takeReport();
   phases_.push_back(phaseToJson(name, phase_start_, report.usage));
   phase_start_ = report.usage;
   return report;
@@ -189,14 +230,15 @@
 }
 
 json::object ScaleRun::report() {
-  const auto last = readReport(fleet_);
+  const auto last = takeReport();
   const bool is_everywhere = std::all_of(accepted_.begin(), accepted_.end(), [&](const auto& change) {
     const auto found = after_changes_.versions.find(change.version);
-    return found != after_changes_.versions.end() && found->second.in_force_count == options_.shape.proxies;
+    return found != after_changes_.versions.end() && found->second.in_force_count == options_.hollowProxies();
   });
   const auto moved_back = last.usage.hollow.at("views_moved_back");
   const auto& shape = options_.shape;
   return {{"proxies", shape.proxies},
+          {"real_proxies", options_.real_proxies},
           {"services", shape.services},
           {"zones", shape.zones},
           {"tenants", shape.tenants},
@@ -204,14 +246,16 @@
           {"stores", options_.stores},
           {"relays", options_.relayCount()},
           {"store_mode", options_.store_mode == StoreMode::Real ? "real" : "memory"},
-          {"processes", options_.stores + options_.relayCount() + options_.hollowProcesses()},
-          {"view_objects_a_proxy",
-           static_cast<double>(last.usage.hollow.at("view_objects")) / static_cast<double>(shape.proxies)},
+          {"processes",
+           options_.stores + options_.relayCount() + options_.real_proxies + options_.hollowProcesses()},
+          {"view_objects_a_proxy", static_cast<double>(last.usage.hollow.at("view_objects")) /
+                                       static_cast<double>(options_.hollowProxies())},
           {"creation_seconds", creation_seconds_},
           {"join_seconds", join_seconds_},
           {"changes", accepted_.size()},
           {"convergence", convergenceToJson()},
           {"convergence_by_fan_out", fanOutToJson()},
+          {"claims", claims_},
           {"herd_restart", herd_},
           {"phases", phases_},
           {"outcomes", json::object{{"in_force_everywhere", is_everywhere},
--- a/rehearsal/scale/scale_run.h
+++ b/rehearsal/scale/scale_run.h
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "rehearsal/scale/catalog_plan.h"
 #include "rehearsal/scale/fleet_usage.h"
+#include "rehearsal/scale/reader_probe.h"
 #include "rehearsal/scale/scale_fleet.h"
 #include "rehearsal/scale/scale_options.h"
 
@@ -35,6 +36,7 @@
   void joinAll();
   void watchIdle();
   void makeChanges();
+  void takeClaims();
   void restartHerd();
   boost::json::object report();
 
@@ -43,6 +45,7 @@
   void churnStep(std::size_t change);
   /// Closes the phase that began with the last call. @return its report.
   FleetReport endPhase(const std::string& name);
+  FleetReport takeReport();
   boost::json::object convergenceToJson() const;
   boost::json::array fanOutToJson() const;
 
@@ -51,12 +54,14 @@
   ScaleFleet fleet_;
   CatalogPlan plan_;
   CommandClient client_;
+  ReaderProbe reader_;
   std::uint64_t version_ = 0;
   std::vector<AcceptedChange> accepted_;
   FleetUsage phase_start_;
   FleetReport after_changes_;
   boost::json::array phases_;
   boost::json::object herd_;
+  boost::json::object claims_;
   double creation_seconds_ = 0;
   double join_seconds_ = 0;
   bool recovered_all_ = true;
