Relay: records of a new relay outrank what proxies remember

Cause: a relay without memory numbered the records of an endpoint from 1 again.

Ruled out: proxies sending their tables with each join (640 proxies by 14,000 records in a storm); taking any record of a new relay (a relay that lags would undo newer news).

The first number is now taken from the system's clock in microseconds (RelayOptions::first_sequence), so that it is above all that earlier runs gave. Machines whose clocks differ by more than the time since the lost relays' start are not covered. The simulator gives each relay a clock that is off by up to 100 ms.

--- a/rehearsal/simulator/fleet.cpp
+++ b/rehearsal/simulator/fleet.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint16_t kBackendPort = 9000;
 /// Clocks run fast or slow by up to this share.
 constexpr double kClockRateError = 0.002;
+/// Machines keep the time of day to within this.
+constexpr Duration kWallClockError = std::chrono::milliseconds(100);
 constexpr int kClockSteps = 1000;
 /// Share of seeds with drawn sizes.
 constexpr double kRareSizes = 0.7;
@@ -133,6 +135,9 @@
             for (const auto& peer : names("relay")) options.peers.push_back(machines_.at(peer).address);
             options.batch_window = deployment_.batch_window;
             options.max_tombstones = tuning_.relay_tombstones;
+            // The machine's clock, which the others' do not agree with to the last.
+            const auto clock = queue_.now() + random_.uniform(Duration::zero(), kWallClockError);
+            options.first_sequence = static_cast<std::uint64_t>(clock.time_since_epoch().count());
             options.seed = mixSeed(seed_, name, run);
             return std::make_unique<relay::RelayCore>(options);
           },
--- a/src/relay/endpoint_monitor.cpp
+++ b/src/relay/endpoint_monitor.cpp
@@ -77,7 +77,7 @@
   record->slots = watched.spec.slots;
   record->max_connections = watched.spec.max_connections;
   record->incarnation = incarnation;
-  record->sequence = is_same_incarnation ? known->sequence + 1 : 1;
+  record->sequence = is_same_incarnation ? known->sequence + 1 : options_.first_sequence;
   record->state = state;
   return record;
 }
--- a/src/relay/endpoint_monitor.h
+++ b/src/relay/endpoint_monitor.h
@@ -37,6 +37,7 @@
   std::string zone;
   Duration lease;
   Duration sighting_hold;
+  std::uint64_t first_sequence = 1;
 };
 
 /// Decides the liveness of the own zone's endpoints: holds a lease for each, renewed by probes. Evidence
--- a/src/relay/main_relay.cpp
+++ b/src/relay/main_relay.cpp
@@ -1,6 +1,7 @@
 // cometstand-relay: one zone's fan-out of configuration and endpoint liveness.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 
 #include "net/tls_context.h"
@@ -32,10 +33,16 @@
   return handlers;
 }
 
+std::uint64_t microsecondsSince1970() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 int runRelay(relay::RelaySettings& relay) {
   settings::applyLogLevel(relay.common);
   relay::completeRelayOptions(relay);
   relay.options.seed = systemSeed();
+  relay.options.first_sequence = microsecondsSince1970();
   std::unique_ptr<boost::asio::ssl::context> tls;
   if (relay.common.tls.enabled) {
     tls =
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -56,6 +56,10 @@
   std::size_t max_tombstones = 20'000;
   /// Longest time that a planned stop waits for proxies to leave.
   Duration stop_limit = std::chrono::seconds(5);
+  /// Sequence number of the records that this run makes for endpoints it knows nothing of. It must be above
+  /// what earlier runs and other relays gave, since proxies remember those: the program takes it from the
+  /// system's clock, in microseconds since 1970.
+  std::uint64_t first_sequence = 1;
   std::uint64_t seed = 1;
 };
 
