--- /dev/null
+++ b/src/store/snapshot_writer.cpp
@@ -0,0 +1,49 @@
+#include "store/snapshot_writer.h"
+
+#include <utility>
+
+namespace cometstand::store {
+
+SnapshotWriter::SnapshotWriter(wire::StoreStateT state) : state_(std::move(state)) {}
+
+bool SnapshotWriter::step(std::size_t records) {
+  const std::size_t enough = records_packed_ + records;
+  while (!finished_ && records_packed_ < enough) packNext();
+  return finished_;
+}
+
+void SnapshotWriter::packNext() {
+  if (changes_.size() < state_.changes.size()) {
+    changes_.push_back(wire::CreateObjectChange(builder_, state_.changes[changes_.size()].get()));
+    ++records_packed_;
+  } else if (requests_.size() < state_.requests.size()) {
+    const auto& requests = *state_.requests[requests_.size()];
+    requests_.push_back(wire::CreateTenantRequests(builder_, &requests));
+    records_packed_ += 1 + requests.answered.size();
+  } else if (claims_.size() < state_.claims.size()) {
+    const auto& claims = *state_.claims[claims_.size()];
+    claims_.push_back(wire::CreateTenantClaims(builder_, &claims));
+    records_packed_ += 1 + claims.in_progress.size() + claims.finished.size();
+  } else if (history_.size() < state_.history.size()) {
+    history_.push_back(wire::CreateAcceptedChange(builder_, state_.history[history_.size()].get()));
+    ++records_packed_;
+  } else {
+    finish();
+  }
+}
+
+void SnapshotWriter::finish() {
+  const auto changes = builder_.CreateVector(changes_);
+  const auto requests = builder_.CreateVector(requests_);
+  const auto claims = builder_.CreateVector(claims_);
+  const auto history = builder_.CreateVector(history_);
+  builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
+                                         claims, history));
+  finished_ = true;
+}
+
+std::vector<std::uint8_t> SnapshotWriter::take() {
+  return {builder_.GetBufferPointer(), builder_.GetBufferPointer() + builder_.GetSize()};
+}
+
+}  // namespace cometstand::store
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -3,12 +3,14 @@
 #include <flatbuffers/flatbuffers.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "base/error.h"
 #include "config/object_key.h"
 #include "store/limits.h"
 #include "store/replies.h"
 #include "store/request_id.h"
+#include "store/snapshot_writer.h"
 
 namespace cometstand::store {
 namespace {
@@ -154,7 +156,7 @@
   if (history_.size() > kMaxHistory) history_.pop_front();
 }
 
-std::vector<std::uint8_t> StateMachine::save() const {
+wire::StoreStateT StateMachine::capture() const {
   wire::StoreStateT state;
   state.version = catalog_.version();
   state.pruned_version = catalog_.prunedVersion();
@@ -162,7 +164,13 @@
   state.requests = requests_.save();
   state.claims = claims_.save();
   state.history.assign(history_.begin(), history_.end());
-  return encode<wire::StoreState>(state);
+  return state;
+}
+
+std::vector<std::uint8_t> StateMachine::save() const {
+  SnapshotWriter writer(capture());
+  writer.step(std::numeric_limits<std::size_t>::max());
+  return writer.take();
 }
 
 void StateMachine::restore(const std::vector<std::uint8_t>& bytes) {
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -41,6 +41,8 @@
   /// @return the newest accepted changes, the oldest first.
   const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
 
+  /// @return the state, its records shared with this object: cheap, for a SnapshotWriter.
+  wire::StoreStateT capture() const;
   /// @return bytes of a StoreState; equal states give equal bytes.
   std::vector<std::uint8_t> save() const;
   /// Replaces the whole state.
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -18,6 +18,10 @@
 /// About what a claim takes in a log entry besides its texts, in bytes.
 constexpr std::size_t kClaimCost = 512;
 
+/// Records that are packed into a snapshot at once, a few milliseconds' work, and the pause for other events.
+constexpr std::size_t kSnapshotSlice = 4'000;
+constexpr Duration kSnapshotPause = std::chrono::milliseconds(5);
+
 const StoreOptions& checked(const StoreOptions& options) {
   options.check();
   return options;
@@ -182,6 +186,7 @@
   waits_.onTimer(now);
   admin_.onTimer(now);
   forwarder_.onTimer(now);
+  continueSnapshot(now);
   drain(now);
 }
 
@@ -213,8 +218,9 @@
   if (output.installed_snapshot) {
     state_.restore(output.installed_snapshot->state);
     applied_index_ = output.installed_snapshot->last_index;
+    snapshot_.reset();
   }
-  applyCommitted(output.committed);
+  applyCommitted(output.committed, now);
   for (const auto& read : output.reads) reads_.onResult(read, now);
   if (output.quorum_round) readers_.onQuorumRound(*output.quorum_round, now);
   return has_output;
@@ -235,7 +241,7 @@
   readers_.onLeadershipLost(now);
 }
 
-void StoreParts::applyCommitted(const std::vector<consensus::LogEntryPointer>& entries) {
+void StoreParts::applyCommitted(const std::vector<consensus::LogEntryPointer>& entries, TimePoint now) {
   if (entries.empty()) return;
   for (const auto& entry : entries) {
     applied_index_ = entry->index;
@@ -244,17 +250,25 @@
   }
   readers_.sendChanges();
   waits_.check();
-  takeSnapshotIfDue();
+  beginSnapshotIfDue(now);
+}
+
+void StoreParts::beginSnapshotIfDue(TimePoint now) {
+  if (snapshot_ || snapshot_failed_ || !consensus_.snapshotDue()) return;
+  snapshot_.emplace(Snapshot{applied_index_, SnapshotWriter(state_.capture()), now});
 }
 
-void StoreParts::takeSnapshotIfDue() {
-  if (!consensus_.snapshotDue() || snapshot_failed_) return;
+void StoreParts::continueSnapshot(TimePoint now) {
+  if (!snapshot_ || now < snapshot_->continue_at) return;
+  snapshot_->continue_at = now + kSnapshotPause;
+  if (!snapshot_->writer.step(kSnapshotSlice)) return;
   try {
-    consensus_.compact(applied_index_, state_.save());
+    consensus_.compact(snapshot_->index, snapshot_->writer.take());
   } catch (const Error& error) {
     snapshot_failed_ = true;
     logEvent(kSnapshotTooLarge, {{"reason", error.what()}});
   }
+  snapshot_.reset();
 }
 
 runtime::Actions StoreParts::takeActions() {
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "store/claim_expiry.h"
 #include "store/cluster_formation.h"
 #include "store/command_service.h"
+#include "store/snapshot_writer.h"
 #include "store/store_context.h"
 
 namespace cometstand::store {
@@ -37,8 +39,9 @@
   /// @return true if there was any output.
   bool drainOnce(TimePoint now);
   void onLeadership(const consensus::Leadership& leadership, TimePoint now);
-  void applyCommitted(const std::vector<consensus::LogEntryPointer>& entries);
-  void takeSnapshotIfDue();
+  void applyCommitted(const std::vector<consensus::LogEntryPointer>& entries, TimePoint now);
+  void beginSnapshotIfDue(TimePoint now);
+  void continueSnapshot(TimePoint now);
   void stepStop(TimePoint now);
   TimePoint stopTimer() const;
   /// @return true if the link's certificate allows this role; else the link is closed.
@@ -76,6 +79,13 @@
   std::map<runtime::LinkId, runtime::PeerIdentity> incoming_;
   consensus::Leadership leadership_;
   consensus::LogIndex applied_index_ = 0;
+  /// A snapshot on its way.
+  struct Snapshot {
+    consensus::LogIndex index = 0;
+    SnapshotWriter writer;
+    TimePoint continue_at;
+  };
+  std::optional<Snapshot> snapshot_;
   bool snapshot_failed_ = false;
   bool stopping_ = false;
   /// When leadership may be handed over, or again; the beginning of time before the first try.
--- a/tests/store/tables_test.cpp
+++ b/tests/store/tables_test.cpp
@@ -5,6 +5,8 @@
 #include "config/object_digest.h"
 #include "store/claim_table.h"
 #include "store/request_table.h"
+#include "store/snapshot_writer.h"
+#include "store/state_machine.h"
 
 namespace cometstand::store {
 namespace {
@@ -90,5 +92,42 @@
   REQUIRE(restored.request(other).answer == nullptr);
 }
 
+TEST_CASE("a snapshot in slices holds the state from when it began") {
+  StateMachine state;
+  const auto apply = [&state](const std::string& tenant, std::uint64_t time) {
+    auto command = change("mesh", time);
+    command.operator_name = kBootstrapOperator;
+    command.transaction = std::make_shared<wire::TransactionT>();
+    auto operation = std::make_shared<wire::OperationT>();
+    operation->key = std::make_shared<wire::ObjectKeyT>();
+    operation->key->tenant = tenant;
+    operation->object = std::make_shared<wire::ObjectT>();
+    operation->object->key = operation->key;
+    operation->object->spec.Set(wire::TenantSpecT());
+    command.transaction->operations.push_back(std::move(operation));
+    wire::StoreCommandBatchT batch;
+    const auto add = [&batch](auto body) {
+      batch.commands.push_back(std::make_shared<wire::StoreCommandT>());
+      batch.commands.back()->body.Set(std::move(body));
+    };
+    add(std::move(command));
+    add(claim(tenant, 1));
+    if (time > 1) add(finishOf(claim("t1", 1), 10));
+    state.apply(encodeBatch(batch));
+  };
+  apply("t1", 1);
+  apply("t2", 2);
+  const auto whole = state.save();
+  SnapshotWriter writer(state.capture());
+  std::uint64_t time = 3;
+  while (!writer.step(1)) {
+    apply("t" + std::to_string(time), time);
+    ++time;
+  }
+  REQUIRE(time > 6);
+  REQUIRE(writer.take() == whole);
+  REQUIRE(state.save() != whole);
+}
+
 }  // namespace
 }  // namespace cometstand::store
