Run the proxy by the program host, with admin pages and metrics

Cause: the proxy ran its own io_context and had neither /metrics nor /live nor /ready, although admin.address was among its settings.

Change: ProxyProcess is attached to a host's io_context and runner; draining is a step of the host's planned stop, before the core's own. Ready means that a view is in force and no stop has begun; a relay need not be reachable. Refusal reasons have one name for metrics and reports.

--- a/rehearsal/bench/run_report.cpp
+++ b/rehearsal/bench/run_report.cpp
@@ -4,7 +4,6 @@
 #include <boost/json/array.hpp>
 #include <cmath>
 #include <numeric>
-#include <string_view>
 
 namespace cometstand::rehearsal {
 
@@ -12,28 +11,6 @@
 
 namespace {
 
-std::string_view refusalName(proxy::RefusalReason reason) {
-  switch (reason) {
-    case proxy::RefusalReason::QueueFull:
-      return "queue_full";
-    case proxy::RefusalReason::WaitTooLong:
-      return "wait_too_long";
-    case proxy::RefusalReason::DeadlinePassed:
-      return "deadline_passed";
-    case proxy::RefusalReason::Displaced:
-      return "displaced";
-    case proxy::RefusalReason::NoRoute:
-      return "no_route";
-    case proxy::RefusalReason::NoEndpoint:
-      return "no_endpoint";
-    case proxy::RefusalReason::Stopping:
-      return "stopping";
-    case proxy::RefusalReason::NotReady:
-      return "not_ready";
-  }
-  return "other";
-}
-
 double rounded(double value) {
   constexpr double kDigits = 1000;
   return std::round(value * kDigits) / kDigits;
@@ -49,7 +26,8 @@
   json::object refusals;
   for (std::size_t reason = 0; reason < proxy::kRefusalReasons; ++reason) {
     if (metrics.refusals.at(reason) == 0) continue;
-    refusals[refusalName(static_cast<proxy::RefusalReason>(reason))] = metrics.refusals.at(reason);
+    refusals[proxy::refusalReasonName(static_cast<proxy::RefusalReason>(reason))] =
+        metrics.refusals.at(reason);
   }
   return refusals;
 }
--- a/src/proxy/main_proxy.cpp
+++ b/src/proxy/main_proxy.cpp
@@ -1,11 +1,7 @@
 // cometstand-proxy: stands between callers and back ends, by the configuration that it follows.
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
-#include <memory>
-
+#include "admin/program_host.h"
 #include "base/random.h"
-#include "net/tls_context.h"
+#include "proxy/proxy_pages.h"
 #include "proxy/proxy_process.h"
 #include "proxy/proxy_settings.h"
 #include "settings/program.h"
@@ -14,27 +10,21 @@
 
 using namespace cometstand;
 
-settings::ProgramInfo programInfo() {
-  return {"cometstand-proxy", "Serves callers: routes, limits, balances and retries their requests."};
-}
+constexpr settings::ProgramInfo kProgram{
+    "cometstand-proxy", "Serves callers: routes, limits, balances and retries their requests."};
 
 int runProxy(proxy::ProxySettings& settings) {
-  settings::applyLogLevel(settings.common);
   proxy::completeProxyOptions(settings, systemSeed());
-  std::unique_ptr<boost::asio::ssl::context> tls;
-  if (settings.common.tls.enabled) {
-    const auto& files = settings.common.tls;
-    tls = net::makeTlsContext({files.certificate, files.key, files.authority});
-  }
-  boost::asio::io_context io(1);
-  proxy::ProxyProcess process(io, settings, tls.get(), systemSeed());
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&process](boost::system::error_code error, int) {
-    if (!error) process.beginStop();
-  });
-  process.start();
-  io.run();
-  return settings::kExitSuccess;
+  proxy::ProxyProcess process(settings, systemSeed());
+  const proxy::ProxyPages pages(process);
+  // A proxy accepts no links from other processes.
+  auto common = settings.common;
+  common.listen = {};
+  admin::ProgramHost host(std::string(kProgram.name), common, process.core(), pages);
+  process.attach(host.io(), host.runner(), [&host] { host.requestStop("an operator's order"); });
+  host.addStart([&process] { process.start(); });
+  host.addStopStep([&process](const std::function<void()>& done) { process.drain(done); });
+  return host.run();
 }
 
 }  // namespace
@@ -43,5 +33,5 @@
   proxy::ProxySettings proxy;
   settings::SettingsTable table;
   proxy::declareProxySettings(table, proxy);
-  return settings::runProgram(argc, argv, programInfo(), table, [&proxy] { return runProxy(proxy); });
+  return settings::runProgram(argc, argv, kProgram, table, [&proxy] { return runProxy(proxy); });
 }
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include "schema/control_generated.h"
 #include "schema/objects_generated.h"
@@ -26,6 +27,9 @@
 };
 inline constexpr std::size_t kRefusalReasons = 8;
 
+/// @return the name in metrics and reports, for example "queue_full".
+std::string_view refusalReasonName(RefusalReason reason);
+
 inline constexpr std::size_t kOutcomes = 3;
 inline constexpr std::size_t kRequestClasses = 4;
 
--- a/src/proxy/proxy_process.h
+++ b/src/proxy/proxy_process.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ssl/context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
+#include <memory>
 
 #include "proxy/claim_service.h"
 #include "proxy/control_core.h"
@@ -18,28 +19,33 @@
 /// the other way. All on the io_context's one thread. Must live until the io_context has stopped running.
 class ProxyProcess : private ControlListener, private ClaimService {
  public:
-  /// @param proxy as completeProxyOptions() left them.
-  /// @param tls nullptr for plain TCP; must outlive the process.
-  /// @throw Error(InputOutput) if the address or the data folder cannot be used.
-  ProxyProcess(boost::asio::io_context& io, const ProxySettings& proxy, boost::asio::ssl::context* tls,
-               std::uint64_t seed);
+  /// @param settings as completeProxyOptions() left them.
+  ProxyProcess(const ProxySettings& settings, std::uint64_t seed);
 
-  /// Recovers the stored view, follows a relay, and accepts callers. Until a view is in force, callers are
-  /// refused with a time to come back.
-  /// @throw Error(InputOutput) if the stored view cannot be read.
-  void start();
+  /// The core to be run; attach() must follow before its runner starts.
+  ControlCore& core() { return core_; }
 
-  /// Begins a planned stop: tells the relay, finishes what is in flight, settles claims, then stops the
-  /// io_context. May be called twice.
-  void beginStop();
+  /// Binds the callers' address.
+  /// @param runner of core(); must outlive the process's last event.
+  /// @param on_stop_order called when an operator asks for a planned stop, from within the core.
+  /// @throw Error(InputOutput) if the address cannot be used.
+  void attach(boost::asio::io_context& io, runtime::ProcessRunner& runner,
+              std::function<void()> on_stop_order);
+
+  /// Accepts callers. Until a view is in force they are refused with a time to come back.
+  void start() { server_->start(); }
+
+  /// Begins a planned stop: tells the relay and finishes what is in flight.
+  /// @param done called once nothing is in flight; the core's own stop, which settles claims, comes next. If
+  /// the store does not confirm them in time, the io_context is stopped.
+  void drain(std::function<void()> done);
 
   /// @return true once a view is in force and no stop has begun.
-  bool ready() const { return core_.ready() && !stopping_; }
+  bool ready() const { return core_.ready() && !server_->dataPath().drain().begun(); }
   /// @return where callers connect, with the port that the system picked.
-  runtime::Address listenAddress() const { return server_.listenAddress(); }
+  runtime::Address listenAddress() const { return server_->listenAddress(); }
   const ControlCore& control() const { return core_; }
-  const HttpServer& server() const { return server_; }
-  const runtime::ProcessRunner& runner() const { return runner_; }
+  const HttpServer& server() const { return *server_; }
 
  private:
   // ControlListener
@@ -47,22 +53,21 @@
   void onEndpointRecords(const std::vector<EndpointRecordPointer>& records) override;
   void onConnectionShare(std::uint32_t proxies) override;
   void onClaimAnswer(std::uint64_t callback, const wire::ClaimReplyT& reply) override;
-  void onStopOrder() override;
+  void onStopOrder() override { on_stop_order_(); }
 
   // ClaimService
   void takeClaim(RequestId request, const wire::ClaimRequestT& claim) override;
   void finishClaim(const wire::ClaimFinishT& finish) override;
   void reportSighting(const wire::EndpointRecordT& record) override;
 
-  void onDrained();
-
-  boost::asio::io_context& io_;
-  Duration claim_settle_limit_;
+  ProxySettings settings_;
+  std::uint64_t seed_;
   ControlCore core_;
-  runtime::ProcessRunner runner_;
-  HttpServer server_;
-  boost::asio::steady_timer settle_timer_;
-  bool stopping_ = false;
+  boost::asio::io_context* io_ = nullptr;
+  runtime::ProcessRunner* runner_ = nullptr;
+  std::function<void()> on_stop_order_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<boost::asio::steady_timer> settle_timer_;
 };
 
 }  // namespace cometstand::proxy
--- a/tests/proxy/http_server_test.cpp
+++ b/tests/proxy/http_server_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "proxy/proxy_pages.h"
 #include "proxy/proxy_process.h"
 #include "proxy/view_file.h"
 #include "rehearsal/bench/claims_in_memory.h"
@@ -250,9 +251,13 @@
     ready = true;
   }
   SECTION("without one") {}
-  ProxyProcess process(rig.io, settings, nullptr, 1);
+  ProxyProcess process(settings, 1);
+  runtime::ProcessRunner runner(rig.io, process.core(), {{}, folder, nullptr});
+  process.attach(rig.io, runner, [] {});
+  runner.start();
   process.start();
   CHECK(process.ready() == ready);
+  CHECK(ProxyPages(process).readiness().ok == ready);
   BackendBehavior behavior;
   // So slow that some requests are in work at any moment.
   behavior.slow_factor = 10;
@@ -266,7 +271,7 @@
   Caller caller(rig.io, rig.caller_options, {{rig.kind, keyed}});
   // A planned stop in the middle of the load cuts nothing.
   asio::steady_timer half(rig.io, rig.caller_options.duration / 2);
-  half.async_wait([&](boost::system::error_code) { process.beginStop(); });
+  half.async_wait([&](boost::system::error_code) { process.drain([&runner] { runner.beginStop(); }); });
   caller.start();
   rig.io.run();
   CHECK_FALSE(process.ready());
