Test that the token goes to no process but a store

Cause: cometctl closes a link whose certificate does not name a store before it sends anything, but no test showed it.

--- a/tests/operator/command_client_test.cpp
+++ b/tests/operator/command_client_test.cpp
@@ -150,6 +150,23 @@
   CHECK(exitCode(query_bench.run()) == kExitNotRun);
 }
 
+TEST_CASE("the token goes to no process but a store", "[command_client]") {
+  ClientOptions options;
+  options.stores = {{"127.0.0.1", 7001}, {"127.0.0.1", 7002}};
+  CommandClient client(options);
+  const TimePoint now{1h};
+  client.start(runtime::EmptyFileReader(), now);
+  const auto first = client.takeActions().connects.at(0).link;
+  client.onLinkOpened(first, {"relay", "relay-krk-a", ""}, now);
+  const auto actions = client.takeActions();
+  CHECK(actions.messages.empty());
+  CHECK(actions.closes == std::vector<LinkId>{first});
+  client.onTimer(client.nextTimer());
+  const auto second = client.takeActions().connects.at(0).link;
+  client.onLinkOpened(second, {"store", "store-1", ""}, now);
+  CHECK(client.takeActions().messages.size() == 1);
+}
+
 TEST_CASE("no replica within reach is told apart from a refusal", "[command_client]") {
   Bench bench({});
   bench.options.stores = {{"127.0.0.1", 1}};
