Cut the limit of the endpoint that sheds, not of its whole service

Ruled out: a smaller cut, which only slows the same fall.

Change: each endpoint has a limit of its own, cut when that endpoint sheds and raised by its successes. The service's limit is cut only when time runs out.

--- a/src/proxy/admission_queue.cpp
+++ b/src/proxy/admission_queue.cpp
@@ -150,7 +150,7 @@
   auto& tenant = tenants_[key.tenant];
   auto& service = tenant.services[key.service];
   if (result == WorkResult::Success) service.limit.onSuccess(service.in_flight);
-  if (result == WorkResult::Overload) service.limit.onOverload(options_, now);
+  if (result == WorkResult::Overload) service.limit.onOverload(options_.limit, now);
   if (service.in_flight > 0) --service.in_flight;
   if (tenant.in_flight > 0) --tenant.in_flight;
   if (in_flight_ > 0) --in_flight_;
@@ -162,10 +162,6 @@
   onTimer(now);
 }
 
-void AdmissionQueue::onOverload(const ServiceKey& service, TimePoint now) {
-  serviceState(service).limit.onOverload(options_, now);
-}
-
 void AdmissionQueue::remove(RequestId id) { dequeue(id); }
 
 void AdmissionQueue::onTimer(TimePoint now) {
--- a/src/proxy/admission_queue.h
+++ b/src/proxy/admission_queue.h
@@ -61,9 +61,6 @@
   /// An admitted request ended. @param work_time how long it was in work.
   void release(const ServiceKey& service, WorkResult result, Duration work_time, TimePoint now);
 
-  /// A back end shed an attempt of a request that goes on.
-  void onOverload(const ServiceKey& service, TimePoint now);
-
   /// Forgets a waiting request whose caller is gone. Does nothing if it does not wait.
   void remove(RequestId id);
 
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -33,11 +33,11 @@
 
 unsigned Balancer::slotLimit(const Endpoint& endpoint, TimePoint now) const {
   if (endpoint.state == wire::EndpointState::Cold) return warmSlots(endpoint, now);
-  return std::min(endpoint.slots, connectionBudget(endpoint));
+  return std::min(endpoint.limit.limit(), connectionBudget(endpoint));
 }
 
 unsigned Balancer::warmSlots(const Endpoint& endpoint, TimePoint now) const {
-  const unsigned most = std::min(endpoint.slots, connectionBudget(endpoint));
+  const unsigned most = std::min(endpoint.limit.limit(), connectionBudget(endpoint));
   const auto warm = static_cast<unsigned>(std::lround(most * warmth(endpoint, now)));
   return std::clamp(warm, 1U, most);
 }
@@ -114,16 +114,19 @@
 }
 
 void Balancer::finish(Endpoint& endpoint, AttemptVerdict verdict, TimePoint now) {
+  const unsigned in_work = endpoint.outstanding;
   if (endpoint.outstanding > 0) --endpoint.outstanding;
   switch (verdict) {
     case AttemptVerdict::Success:
       endpoint.outlier.onSuccess();
+      endpoint.limit.onSuccess(in_work);
       break;
     case AttemptVerdict::Failure:
       if (endpoint.outlier.onFailure(options_, mayEject(endpoint.key.service, now), now)) ++ejections_;
       break;
     case AttemptVerdict::Shed:
       endpoint.load.onShed(now);
+      endpoint.limit.onOverload(options_.limit, now);
       break;
     case AttemptVerdict::Leaving:
       endpoint.markLeaving(now);
--- a/src/proxy/concurrency_limit.cpp
+++ b/src/proxy/concurrency_limit.cpp
@@ -17,9 +17,9 @@
   if (limit_ >= static_cast<double>(capacity_)) cut_ = false;
 }
 
-void ConcurrencyLimit::onOverload(const AdmissionOptions& options, TimePoint now) {
-  if (cut_ && now - last_cut_ < options.limit_cut_interval) return;
-  limit_ = std::max(1.0, limit_ * options.limit_cut_factor);
+void ConcurrencyLimit::onOverload(const LimitOptions& options, TimePoint now) {
+  if (cut_ && now - last_cut_ < options.cut_interval) return;
+  limit_ = std::max(1.0, limit_ * options.cut_factor);
   cut_ = true;
   last_cut_ = now;
 }
--- a/src/proxy/concurrency_limit.h
+++ b/src/proxy/concurrency_limit.h
@@ -7,13 +7,13 @@
 
 namespace cometstand::proxy {
 
-/// Adaptive limit on the requests that one proxy has in work at one service: additive increase while the
-/// limit is in use and requests succeed, multiplicative decrease when back ends shed or time runs out. Other
-/// proxies use the same slots, so the slots alone are too high a limit. Never above the capacity (the slots
-/// of the endpoints that may be chosen), never below 1. A plain state machine that is handed the time.
+/// Adaptive limit on the requests that one proxy has in work at one service or endpoint: additive increase
+/// while the limit is in use and requests succeed, multiplicative decrease when an endpoint sheds or time
+/// runs out. Other proxies use the same slots, so the slots alone are too high a limit. Never above the
+/// capacity (the slots that may be used), never below 1. A plain state machine that is handed the time.
 class ConcurrencyLimit {
  public:
-  /// @param capacity requests that the service's endpoints may take from this proxy.
+  /// @param capacity requests that may be in work at most.
   void setCapacity(unsigned capacity);
 
   /// @return requests that may be in work.
@@ -22,8 +22,8 @@
   /// A request succeeded while that many were in work, itself included.
   void onSuccess(unsigned in_work);
 
-  /// A back end shed a request, or a request ran out of time.
-  void onOverload(const AdmissionOptions& options, TimePoint now);
+  /// An endpoint shed a request, or a request ran out of time.
+  void onOverload(const LimitOptions& options, TimePoint now);
 
  private:
   unsigned capacity_ = 0;
--- a/src/proxy/data_path.cpp
+++ b/src/proxy/data_path.cpp
@@ -218,7 +218,6 @@
   balancer_.finish(*request.endpoint, verdict, now);
   if (verdict == AttemptVerdict::Success) request.result = WorkResult::Success;
   if (verdict == AttemptVerdict::Leaving) orders_.emplace_back(SightingOrder{sightingOf(*request.endpoint)});
-  if (verdict == AttemptVerdict::Shed) admission_.onOverload(request.route->service, now);
   request.endpoint = nullptr;
 }
 
--- a/src/proxy/data_path_options.h
+++ b/src/proxy/data_path_options.h
@@ -7,6 +7,14 @@
 
 namespace cometstand::proxy {
 
+/// Adaptive limits on requests in work; see concurrency_limit.h.
+struct LimitOptions {
+  /// Pause between two cuts of one limit.
+  Duration cut_interval = std::chrono::milliseconds(100);
+  /// Factor of a cut.
+  double cut_factor = 0.8;
+};
+
 /// Choice of endpoints; see balancer.h.
 struct BalancerOptions {
   /// The proxy's own zone; empty for no preference.
@@ -28,6 +36,8 @@
   double ejection_limit = 0.5;
   /// Below this share of endpoints that are not ejected, ejections are ignored.
   double panic_threshold = 0.5;
+  /// Of each endpoint's limit, which is cut when the endpoint sheds.
+  LimitOptions limit;
 };
 
 /// Admission; see admission_queue.h.
@@ -41,10 +51,8 @@
   /// Shortest time that a refused caller is told to wait; up to twice as long by jitter.
   Duration minimum_retry_after = std::chrono::milliseconds(100);
   Duration maximum_retry_after = std::chrono::seconds(10);
-  /// Pause between two cuts of a service's concurrency limit.
-  Duration limit_cut_interval = std::chrono::milliseconds(100);
-  /// Factor of a cut.
-  double limit_cut_factor = 0.8;
+  /// Of each service's limit, which is cut when time runs out.
+  LimitOptions limit;
 };
 
 /// Retries; see retry_policy.h.
--- a/src/proxy/endpoint.h
+++ b/src/proxy/endpoint.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "proxy/concurrency_limit.h"
 #include "proxy/identifiers.h"
 #include "proxy/load_estimate.h"
 #include "proxy/outlier_detector.h"
@@ -36,6 +37,8 @@
 
   /// Attempts of this proxy that have not ended.
   unsigned outstanding = 0;
+  /// Requests that it takes without shedding, as far as this proxy saw.
+  ConcurrencyLimit limit;
   LoadEstimate load;
   OutlierDetector outlier;
 
--- a/src/proxy/endpoint_set.cpp
+++ b/src/proxy/endpoint_set.cpp
@@ -62,6 +62,7 @@
     endpoint.leaving_until = TimePoint();
     endpoint.outlier.reset();
     endpoint.load = LoadEstimate();
+    endpoint.limit = ConcurrencyLimit();
   }
   const bool was_cold = endpoint.state == wire::EndpointState::Cold;
   const bool became_live = record.state == wire::EndpointState::Live && (was_cold || restarted);
@@ -93,6 +94,7 @@
   std::erase_if(service.known, [&](const auto& entry) { return !present.contains(entry.first); });
   service.in_service.clear();
   for (const auto& [name, endpoint] : service.known) {
+    endpoint->limit.setCapacity(endpoint->slots);
     if (endpoint->inService()) service.in_service.push_back(endpoint);
   }
   service.built = service.built || !service.in_service.empty();
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -109,10 +109,11 @@
                  "Shortest time that a refused caller is told to wait; up to twice as long by jitter.");
   table.duration("proxy.maximum_retry_after", admission.maximum_retry_after, {milliseconds(1), minutes(10)},
                  "Longest time that a refused caller is told to wait.");
-  table.duration("proxy.limit_cut_interval", admission.limit_cut_interval, {milliseconds(1), minutes(1)},
-                 "Pause between two cuts of a service's concurrency limit.");
-  table.number("proxy.limit_cut_factor", admission.limit_cut_factor, {0.1, 1},
-               "Factor of such a cut, made when back ends shed or time runs out.");
+  table.duration("proxy.limit_cut_interval", admission.limit.cut_interval, {milliseconds(1), minutes(1)},
+                 "Pause between two cuts of a service's or an endpoint's concurrency limit.");
+  table.number(
+      "proxy.limit_cut_factor", admission.limit.cut_factor, {0.1, 1},
+      "Factor of such a cut: of a service's limit when time runs out, of an endpoint's when it sheds.");
 }
 
 void declareRetries(settings::SettingsTable& table, RetryOptions& retry) {
@@ -179,6 +180,7 @@
   proxy.control.zone = proxy.common.zone;
   proxy.control.incarnation = incarnation;
   proxy.data_path.balancer.zone = proxy.common.zone;
+  proxy.data_path.balancer.limit = proxy.data_path.admission.limit;
   proxy.data_path.claim_prefix = fmt::format("{}-{:016x}", proxy.control.node, incarnation);
 }
 
--- a/tests/proxy/balancer_test.cpp
+++ b/tests/proxy/balancer_test.cpp
@@ -96,6 +96,24 @@
   CHECK(fixture.balancer.pick(service(), {}, fixture.now)->key.endpoint == "new");
 }
 
+TEST_CASE("an endpoint that sheds gets less until it succeeds again, the others as much as before",
+          "[balancer]") {
+  Fixture fixture(2);
+  const auto all = fixture.balancer.endpointSet().endpoints(service());
+  for (int i = 0; i < 20; ++i) {
+    fixture.now += milliseconds(200);
+    ++all[0]->outstanding;
+    fixture.balancer.finish(*all[0], AttemptVerdict::Shed, fixture.now);
+  }
+  CHECK(fixture.balancer.slotLimit(*all[0], fixture.now) == 1);
+  CHECK(fixture.balancer.slotLimit(*all[1], fixture.now) == 6);
+  for (int i = 0; i < 100; ++i) {
+    all[0]->outstanding = fixture.balancer.slotLimit(*all[0], fixture.now);
+    fixture.balancer.finish(*all[0], AttemptVerdict::Success, fixture.now);
+  }
+  CHECK(fixture.balancer.slotLimit(*all[0], fixture.now) == 6);
+}
+
 TEST_CASE("failures in a row eject an endpoint for a time, but never too many", "[balancer]") {
   Fixture fixture(4);
   const auto failAll = [&](const std::string& name) {
