--- a/rehearsal/relay_cost/mesh_configuration.cpp
+++ b/rehearsal/relay_cost/mesh_configuration.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr const char* kFirstService = "service-0";
+constexpr unsigned kZones = 22;
 
 template <typename Spec>
 std::shared_ptr<wire::ObjectChangeT> makeChange(wire::ObjectKind kind, const std::string& tenant,
@@ -31,6 +32,8 @@
 MeshConfiguration::MeshConfiguration(const MeshSize& size, std::vector<unsigned> held)
     : size_(size), held_(std::move(held)) {}
 
+std::string MeshConfiguration::zoneName(unsigned index) { return fmt::format("zone-{}", index % kZones); }
+
 std::string MeshConfiguration::nodeName(unsigned index) { return fmt::format("node-{}", index); }
 
 std::string MeshConfiguration::heldTenant(unsigned holders) { return fmt::format("held-{}", holders); }
@@ -42,7 +45,7 @@
     endpoint->name = fmt::format("endpoint-{}", i);
     endpoint->address = fmt::format("10.{}.{}.{}", version % 250, i % 250, 1);
     endpoint->port = 8080;
-    endpoint->zone = "zone-a";
+    endpoint->zone = zoneName(i + static_cast<unsigned>(version));
     spec.endpoints.push_back(std::move(endpoint));
   }
   return spec;
@@ -80,7 +83,7 @@
   for (const unsigned holders : held_) add_tenant(heldTenant(holders), 1);
   for (unsigned i = 0; i < size_.proxies; ++i) {
     wire::NodeSpecT node;
-    node.zone = "zone-a";
+    node.zone = zoneName(0);
     node.tenants = tenantsOf(i);
     changes.push_back(makeChange(wire::ObjectKind::Node, "", nodeName(i), 1, std::move(node)));
   }
--- a/rehearsal/relay_cost/mesh_configuration.h
+++ b/rehearsal/relay_cost/mesh_configuration.h
@@ -34,6 +34,8 @@
   /// @return a put of the tenant's first service with a content that differs from version to version.
   std::shared_ptr<wire::ObjectChangeT> serviceChange(const std::string& tenant, std::uint64_t version) const;
 
+  /// Proxies are in zone 0, endpoints in all zones by turns.
+  static std::string zoneName(unsigned index);
   static std::string nodeName(unsigned index);
   static std::string heldTenant(unsigned holders);
 
--- a/rehearsal/relay_cost/relay_bench.cpp
+++ b/rehearsal/relay_cost/relay_bench.cpp
@@ -23,7 +23,8 @@
 relay::RelayOptions benchOptions(const MeshSize& size) {
   relay::RelayOptions options;
   options.name = "relay-1";
-  options.zone = "zone-b";
+  // Of no endpoint, so that no lease runs out while it is measured.
+  options.zone = "zone-without-endpoints";
   options.stores = {{"10.0.0.1", 6001}};
   options.join_burst = size.proxies;
   return options;
@@ -126,7 +127,7 @@
     const LinkId link{runtime::kFirstIncomingLink + i};
     wire::ProxyHelloT hello;
     hello.node = MeshConfiguration::nodeName(i);
-    hello.zone = "zone-a";
+    hello.zone = MeshConfiguration::zoneName(0);
     const auto message = runtime::makeEnvelope(std::move(hello));
     const double began = processorMicroseconds();
     core_.onLinkOpened(link, {}, now_);
