--- a/rehearsal/checkers/request_checker.h
+++ b/rehearsal/checkers/request_checker.h
@@ -22,6 +22,8 @@
   /// The request may run more than once without harm.
   bool repeatable = false;
   std::string proxy;
+  /// Who sent it: a fault may strike the caller as well.
+  std::string caller;
   TimePoint sent;
   /// An answer of the proxy that arrives later than this is late.
   TimePoint answer_due;
@@ -42,7 +44,9 @@
 /// - `not_run` is true, and the request does not run later either;
 /// - what may not be repeated runs at most once, over all proxies and resends;
 /// - `completed` did run, and the answer is the whole one to this request;
-/// - every request is answered by its deadline, and no undisturbed proxy, in a planned stop or not, cuts one.
+/// - every request is answered by its deadline, and no proxy, in a planned stop or not, cuts one, unless a
+/// fault
+///   struck the proxy or the caller.
 class RequestChecker {
  public:
   RequestChecker(ViolationLog& log, const Disturbances& disturbances)
@@ -57,6 +61,11 @@
   void finish();
 
   std::uint64_t count(wire::Outcome outcome) const { return outcomes_[static_cast<std::size_t>(outcome)]; }
+  /// @return how often back ends ran the tenant's key.
+  unsigned runsOf(const std::string& tenant, const std::string& key) const {
+    const auto found = runs_by_key_.find({tenant, key});
+    return found == runs_by_key_.end() ? 0 : found->second;
+  }
   std::uint64_t unanswered() const { return unanswered_; }
 
  private:
--- a/rehearsal/simulator/caller_workload.cpp
+++ b/rehearsal/simulator/caller_workload.cpp
@@ -75,6 +75,7 @@
   attempt.target = call->target;
   attempt.repeatable = layout.repeatable;
   attempt.proxy = proxy;
+  attempt.caller = fleet_.network().nameOf(host_);
   attempt.sent = fleet_.queue().now();
   const auto delay = fleet_.network().maxDelay(host_, fleet_.httpHost(proxy));
   attempt.answer_due = attempt.sent + time_left + 4 * delay + kAnswerMargin;
--- a/rehearsal/simulator/network.cpp
+++ b/rehearsal/simulator/network.cpp
@@ -40,6 +40,15 @@
   return found;
 }
 
+std::set<HostId> Network::hostsNamed(const std::string& name) const {
+  std::set<HostId> found;
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    const auto& host = hosts_[i].name;
+    if (host == name || host.starts_with(name + "/")) found.insert(HostId(i));
+  }
+  return found;
+}
+
 std::set<HostId> Network::allHosts() const {
   std::set<HostId> found;
   for (std::size_t i = 0; i < hosts_.size(); ++i) found.insert(HostId(i));
--- a/rehearsal/simulator/network.h
+++ b/rehearsal/simulator/network.h
@@ -67,6 +67,8 @@
   /// @return hosts inside zones: of the given one, or of all if it is empty.
   std::set<HostId> hostsIn(const std::string& zone) const;
   std::set<HostId> allHosts() const;
+  /// @return hosts of that name; a proxy's HTTP side has the proxy's name followed by "/http".
+  std::set<HostId> hostsNamed(const std::string& name) const;
 
   /// Makes the host reachable.
   void attach(HostId host, NetworkPeer* peer);
--- a/rehearsal/simulator/operator_workload.cpp
+++ b/rehearsal/simulator/operator_workload.cpp
@@ -33,7 +33,7 @@
 
 void OperatorWorkload::scheduleNext(const Operator& who) {
   if (stopped_) return;
-  const auto mean = fleet_.deployment().change_pause;
+  const auto mean = pause_ == Duration::zero() ? fleet_.deployment().change_pause : pause_;
   fleet_.queue().after(random_.uniform(Duration::zero(), 2 * mean), [this, &who] {
     if (!stopped_) act(who);
   });
--- a/rehearsal/simulator/operator_workload.h
+++ b/rehearsal/simulator/operator_workload.h
@@ -17,6 +17,8 @@
   void stop() { stopped_ = true; }
   /// No fault is left: every command must get its outcome.
   void expectCompletion() { expect_completion_ = true; }
+  /// Mean pause between one operator's commands; zero for the deployment's own.
+  void setPause(Duration pause) { pause_ = pause; }
   /// @return commands that have no answer yet.
   std::size_t inWork() const { return in_work_; }
   std::uint64_t accepted() const { return accepted_; }
@@ -37,6 +39,7 @@
   Fleet& fleet_;
   RandomSource random_;
   std::vector<Operator> operators_;
+  Duration pause_{};
   bool stopped_ = false;
   bool expect_completion_ = false;
   std::size_t in_work_ = 0;
