--- a/rehearsal/simulator/operator_workload.cpp
+++ b/rehearsal/simulator/operator_workload.cpp
@@ -9,6 +9,8 @@
 constexpr double kDeletion = 0.2;
 constexpr double kConditional = 0.35;
 constexpr double kQuery = 0.1;
+/// Share of changes that delete a service from under its route, which is to be refused.
+constexpr double kDangling = 0.05;
 
 }  // namespace
 
@@ -89,7 +91,10 @@
   const auto& backends = fleet_.backends();
   const auto& target = backends[group.group % backends.size()];
   const auto address = fmt::format("{}:{}", target.address.host, target.address.port);
-  const auto text = checkers::groupCommand(group, deletion ? 0 : marker, if_version, address, target.zone);
+  auto text = checkers::groupCommand(group, deletion ? 0 : marker, if_version, address, target.zone);
+  if (deletion && random_.chance(kDangling / kDeletion)) {
+    text = fmt::format("change {{ delete service group-{}; }}", group.group);
+  }
   fleet_.checkers().changes.onChangeSent(group, marker);
   send(who, text, true, if_version, [this, &who, group, marker](const CommandResult& result) {
     auto fate = checkers::ChangeFate::Unknown;
