Scale run: settle before the quiet phase, and ask what operators ask

Cause: at 14,000 proxies on a busy machine first probes were still on their way in the phase that was to be quiet (940,000 endpoint records), so its figures were wrong; queries were not measured.

Change: the quiet phase begins once no endpoint record has come for two probe intervals; after the changes the run asks wait, show proxies and show version. The run's own reader answers status requests: without that each show proxies took its whole time limit of 2 s.

--- a/rehearsal/scale/reader_probe.cpp
+++ b/rehearsal/scale/reader_probe.cpp
@@ -50,6 +50,9 @@
     if (const auto* delta = message.body.AsConfigurationDelta()) version_ = delta->to_version;
     if (const auto* snapshot = message.body.AsConfigurationSnapshot()) version_ = snapshot->version;
     if (message.body.AsRefusal() != nullptr) link_->close("refused");
+    // Without an answer each query of the fleet's state would wait for its time limit.
+    if (message.body.AsStatusRequest() != nullptr)
+      link_->send(runtime::makeEnvelope(wire::StatusReplyT(), message.request_id));
   }
 
   void connectLater() {
--- a/rehearsal/scale/scale_run.cpp
+++ b/rehearsal/scale/scale_run.cpp
@@ -49,6 +49,7 @@
   joinAll();
   watchIdle();
   makeChanges();
+  if (options_.store_mode == StoreMode::Real) askQueries();
   if (options_.claims_in_flight > 0) takeClaims();
   if (options_.herd_restart > 0) restartHerd();
   return report();
@@ -77,10 +78,20 @@
   endPhase("join");
 }
 
-void ScaleRun::watchIdle() {
-  // Connection shares and first probes after the join are not part of the quiet fleet's cost.
-  std::this_thread::sleep_for(2 * options_.probe_interval);
+void ScaleRun::settle() {
+  const TimePoint deadline = SteadyClock::now() + options_.phase_limit;
+  std::uint64_t before = 0;
+  std::uint64_t records = 0;
+  do {
+    before = records;
+    std::this_thread::sleep_for(2 * options_.probe_interval);
+    records = takeReport().usage.hollow.at("endpoint_records");
+  } while (records != before && SteadyClock::now() < deadline);
   endPhase("settling");
+}
+
+void ScaleRun::watchIdle() {
+  settle();
   logEvent(kScalePhase, {{"phase", "idle"}});
   std::this_thread::sleep_for(options_.idle);
   endPhase("idle");
@@ -119,6 +130,20 @@
     fleet_.ask(process, "sight " + std::to_string(count));
 }
 
+/// What operators ask after a change: is it in force everywhere, and what runs where.
+void ScaleRun::askQueries() {
+  logEvent(kScalePhase, {{"phase", "queries"}});
+  const auto timed = [this](const std::string& command) {
+    const TimePoint begin = SteadyClock::now();
+    const auto reply = client_.execute(command, options_.phase_limit);
+    return json::object{{"ms", milliseconds(SteadyClock::now() - begin)}, {"rows", reply.rows.size()}};
+  };
+  queries_["wait_in_force"] = timed("wait version " + std::to_string(version_) + " in force timeout 60s");
+  queries_["show_proxies"] = timed("show proxies");
+  queries_["show_version"] = timed("show version");
+  endPhase("queries");
+}
+
 void ScaleRun::takeClaims() {
   logEvent(kScalePhase, {{"phase", "claims"}});
   const auto processes = fleet_.hollowProcesses();
@@ -255,6 +280,7 @@
           {"changes", accepted_.size()},
           {"convergence", convergenceToJson()},
           {"convergence_by_fan_out", fanOutToJson()},
+          {"queries", queries_},
           {"claims", claims_},
           {"herd_restart", herd_},
           {"phases", phases_},
--- a/rehearsal/scale/scale_run.h
+++ b/rehearsal/scale/scale_run.h
@@ -35,7 +35,10 @@
   void createCatalog();
   void joinAll();
   void watchIdle();
+  /// Waits until first probes and connection shares have reached all proxies.
+  void settle();
   void makeChanges();
+  void askQueries();
   void takeClaims();
   void restartHerd();
   boost::json::object report();
@@ -61,6 +64,7 @@
   FleetReport after_changes_;
   boost::json::array phases_;
   boost::json::object herd_;
+  boost::json::object queries_;
   boost::json::object claims_;
   double creation_seconds_ = 0;
   double join_seconds_ = 0;
