--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -18,6 +18,10 @@
 /// About what a claim takes in a log entry besides its texts, in bytes.
 constexpr std::size_t kClaimCost = 512;
 
+/// Records that are packed into a snapshot at once, a few milliseconds' work, and the pause for other events.
+constexpr std::size_t kSnapshotSlice = 4'000;
+constexpr Duration kSnapshotPause = std::chrono::milliseconds(5);
+
 const StoreOptions& checked(const StoreOptions& options) {
   options.check();
   return options;
@@ -177,18 +181,21 @@
   replicas_.onTimer(now);
   readers_.onTimer(now);
   writer_.onTimer(now);
+  claim_expiry_.onTimer(now);
   statuses_.onTimer(now);
   waits_.onTimer(now);
   admin_.onTimer(now);
   forwarder_.onTimer(now);
+  continueSnapshot(now);
   drain(now);
 }
 
 TimePoint StoreParts::nextTimer() const {
   const TimePoint consensus_timer = formation_.holdsElections() ? TimePoint::max() : consensus_.nextTimer();
   return std::min({consensus_timer, formation_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
-                   writer_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
-                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
+                   writer_.nextTimer(), claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(),
+                   admin_.nextTimer(), forwarder_.nextTimer(),
+                   stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
@@ -211,8 +218,9 @@
   if (output.installed_snapshot) {
     state_.restore(output.installed_snapshot->state);
     applied_index_ = output.installed_snapshot->last_index;
+    snapshot_.reset();
   }
-  applyCommitted(output.committed);
+  applyCommitted(output.committed, now);
   for (const auto& read : output.reads) reads_.onResult(read, now);
   if (output.quorum_round) readers_.onQuorumRound(*output.quorum_round, now);
   return has_output;
@@ -226,13 +234,14 @@
   if (!was_leader || still_leads) return;
   ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
+  claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
   waits_.onLeadershipLost();
   readers_.onLeadershipLost(now);
 }
 
-void StoreParts::applyCommitted(const std::vector<consensus::LogEntryPointer>& entries) {
+void StoreParts::applyCommitted(const std::vector<consensus::LogEntryPointer>& entries, TimePoint now) {
   if (entries.empty()) return;
   for (const auto& entry : entries) {
     applied_index_ = entry->index;
@@ -241,17 +250,25 @@
   }
   readers_.sendChanges();
   waits_.check();
-  takeSnapshotIfDue();
+  beginSnapshotIfDue(now);
+}
+
+void StoreParts::beginSnapshotIfDue(TimePoint now) {
+  if (snapshot_ || snapshot_failed_ || !consensus_.snapshotDue()) return;
+  snapshot_.emplace(Snapshot{applied_index_, SnapshotWriter(state_.capture()), now});
 }
 
-void StoreParts::takeSnapshotIfDue() {
-  if (!consensus_.snapshotDue() || snapshot_failed_) return;
+void StoreParts::continueSnapshot(TimePoint now) {
+  if (!snapshot_ || now < snapshot_->continue_at) return;
+  snapshot_->continue_at = now + kSnapshotPause;
+  if (!snapshot_->writer.step(kSnapshotSlice)) return;
   try {
-    consensus_.compact(applied_index_, state_.save());
+    consensus_.compact(snapshot_->index, snapshot_->writer.take());
   } catch (const Error& error) {
     snapshot_failed_ = true;
     logEvent(kSnapshotTooLarge, {{"reason", error.what()}});
   }
+  snapshot_.reset();
 }
 
 runtime::Actions StoreParts::takeActions() {
@@ -297,6 +314,7 @@
   metrics.is_leader = leadership.role == consensus::Role::Leader;
   metrics.term = leadership.term;
   metrics.version = state_.catalog().version();
+  metrics.catalog_bytes = state_.catalogBytes();
   metrics.commit_index = consensus_.commitIndex();
   metrics.readers = readers_.size();
   metrics.answered_requests = state_.requests().size();
