Tell proxies at once of versions that leave their views alone

A proxy of other tenants than the changed one learned that the version is in force only by its next beat, up to relay.beat_interval later. Ruled out: shorter beats (4 times the idle bytes for 250 ms); counting such proxies as in force without telling them, which the relay does for `wait` already, but a proxy's own word would lag on. Change: relay.change_beat_window, 50 ms by default: when a version is published, the proxies that were not told of it by an update get a beat, at once after a quiet period and together within the window.

--- a/rehearsal/simulator/deployment.h
+++ b/rehearsal/simulator/deployment.h
@@ -57,6 +57,8 @@
   Duration batch_window{};
   /// relay.beat_interval.
   Duration beat_interval = std::chrono::seconds(1);
+  /// relay.change_beat_window.
+  Duration change_beat_window = std::chrono::milliseconds(50);
   /// Operators of each tenant, who race each other.
   unsigned operators = 2;
   /// Mean pause between the changes of one operator.
--- a/rehearsal/simulator/fleet.cpp
+++ b/rehearsal/simulator/fleet.cpp
@@ -137,6 +137,7 @@
             for (const auto& peer : names("relay")) options.peers.push_back(machines_.at(peer).address);
             options.batch_window = deployment_.batch_window;
             options.beat_interval = deployment_.beat_interval;
+            options.change_beat_window = deployment_.change_beat_window;
             options.max_tombstones = tuning_.relay_tombstones;
             // The machine's clock, which the others' do not agree with to the last.
             const auto clock = queue_.now() + random_.uniform(Duration::zero(), kWallClockError);
--- a/rehearsal/sweep/main_sweep.cpp
+++ b/rehearsal/sweep/main_sweep.cpp
@@ -10,9 +10,17 @@
 
 using namespace cometstand;
 
+constexpr unsigned kDefaultBeatInterval = 1000;
+constexpr unsigned kDefaultChangeBeatWindow = 50;
+
 Duration fromMilliseconds(unsigned value) { return std::chrono::milliseconds(value); }
 
-/// Prints one line for each pair of a batch window and a beat interval.
+std::vector<unsigned> valuesOr(TCLAP::MultiArg<unsigned>& argument, unsigned fallback) {
+  if (argument.getValue().empty()) return {fallback};
+  return argument.getValue();
+}
+
+/// Prints one line for each combination of the settings' values.
 void runAll(int argc, char** argv) {
   TCLAP::CmdLine line("Measures convergence time and control bytes over relay settings, in simulation.", ' ',
                       "0.1.0");
@@ -22,6 +30,8 @@
                                     "MS", line);
   TCLAP::MultiArg<unsigned> beats("", "beat-interval-ms", "relay.beat_interval in ms; may be repeated", false,
                                   "MS", line);
+  TCLAP::MultiArg<unsigned> change_beats(
+      "", "change-beat-window-ms", "relay.change_beat_window in ms; may be repeated", false, "MS", line);
   TCLAP::ValueArg<unsigned> proxies("", "proxies", "Proxies over all zones", false, 200, "N", line);
   TCLAP::ValueArg<double> changes("", "changes-per-second", "Mean of accepted changes a second", false, 1,
                                   "RATE", line);
@@ -41,14 +51,15 @@
   point.endpoint_churn_interval = fromMilliseconds(churn.getValue());
   point.measured_time = std::chrono::seconds(time.getValue());
   point.seed = seed.getValue();
-  auto intervals = beats.getValue();
-  if (intervals.empty()) intervals.push_back(1000);
   for (const unsigned window : windows.getValue()) {
-    for (const unsigned interval : intervals) {
-      point.deployment.batch_window = fromMilliseconds(window);
-      point.deployment.beat_interval = fromMilliseconds(interval);
-      fmt::print("{}\n", sweep::toJsonLine(point, sweep::runPoint(point)));
-      std::fflush(stdout);
+    for (const unsigned interval : valuesOr(beats, kDefaultBeatInterval)) {
+      for (const unsigned change_beat : valuesOr(change_beats, kDefaultChangeBeatWindow)) {
+        point.deployment.batch_window = fromMilliseconds(window);
+        point.deployment.beat_interval = fromMilliseconds(interval);
+        point.deployment.change_beat_window = fromMilliseconds(change_beat);
+        fmt::print("{}\n", sweep::toJsonLine(point, sweep::runPoint(point)));
+        std::fflush(stdout);
+      }
     }
   }
 }
--- a/rehearsal/sweep/sweep.cpp
+++ b/rehearsal/sweep/sweep.cpp
@@ -152,6 +152,7 @@
       {"seed", point.seed},
       {"batch_window_ms", inMilliseconds(point.deployment.batch_window)},
       {"beat_interval_ms", inMilliseconds(point.deployment.beat_interval)},
+      {"change_beat_window_ms", inMilliseconds(point.deployment.change_beat_window)},
       {"leader_kill_interval_ms", inMilliseconds(point.leader_kill_interval)},
       {"endpoint_churn_interval_ms", inMilliseconds(point.endpoint_churn_interval)},
       {"versions", result.versions},
--- a/src/relay/proxy_fan_out.cpp
+++ b/src/relay/proxy_fan_out.cpp
@@ -159,6 +159,7 @@
   }
   subscriber.position = update->result;
   subscriber.snapshot_needed = false;
+  subscriber.told_version = index_.version();
   actions_.send(subscriber.link, update->message);
 }
 
@@ -205,7 +206,7 @@
   if (!isAffected()) {
     changed_tenants_.clear();
     changed_nodes_.clear();
-    published_version_ = index_.version();
+    publish(now);
   } else if (last_flush_ + options_.batch_window <= now) {
     flush(now);
   } else {
@@ -255,7 +256,14 @@
     bringUpToDate(subscriber);
     if (node_changed) sendAllEndpoints(subscriber);
   }
+  publish(now);
+}
+
+/// Every proxy that the newest version concerns was sent it; the others are to hear of it by a beat.
+void ProxyFanOut::publish(TimePoint now) {
   published_version_ = index_.version();
+  if (options_.change_beat_window >= options_.beat_interval) return;
+  change_beat_at_ = std::min(change_beat_at_, std::max(now, last_change_beat_ + options_.change_beat_window));
 }
 
 }  // namespace cometstand::relay
--- a/src/relay/proxy_fan_out.h
+++ b/src/relay/proxy_fan_out.h
@@ -88,6 +88,8 @@
     /// In force on the proxy while a sent view is not acknowledged.
     std::uint64_t in_force_version = 0;
     bool snapshot_needed = false;
+    /// The newest version that the proxy was told is in force, by an update or a beat.
+    std::uint64_t told_version = 0;
     TenantSet tenants;
   };
 
@@ -100,8 +102,10 @@
   void unsubscribe(const Subscriber& subscriber);
   void bringUpToDate(Subscriber& subscriber);
   wire::ViewBeatT beatFor(const Subscriber& subscriber) const;
-  void sendBeat(const Subscriber& subscriber);
-  void sendBeats();
+  void sendBeat(Subscriber& subscriber);
+  /// @param only_behind leaves out proxies that were told of the published version already.
+  void sendBeats(bool only_behind);
+  void publish(TimePoint now);
   void sendAllEndpoints(const Subscriber& subscriber);
   std::vector<runtime::LinkId> affectedLinks() const;
   bool isAffected() const;
@@ -134,6 +138,9 @@
   TimePoint last_flush_;
   TimePoint flush_at_ = TimePoint::max();
   TimePoint beat_at_ = TimePoint::max();
+  /// When proxies that were not told of the published version hear of it.
+  TimePoint change_beat_at_ = TimePoint::max();
+  TimePoint last_change_beat_{};
   std::uint64_t term_ = 0;
   std::uint64_t round_ = 0;
   std::uint32_t share_ = 0;
--- a/src/relay/proxy_messages.cpp
+++ b/src/relay/proxy_messages.cpp
@@ -26,15 +26,18 @@
   return beat;
 }
 
-void ProxyFanOut::sendBeat(const Subscriber& subscriber) {
+void ProxyFanOut::sendBeat(Subscriber& subscriber) {
+  if (!subscriber.snapshot_needed) subscriber.told_version = published_version_;
   actions_.send(subscriber.link, beatFor(subscriber), 0);
 }
 
-void ProxyFanOut::sendBeats() {
+void ProxyFanOut::sendBeats(bool only_behind) {
   // Proxies at equal view versions share one message.
   std::unordered_map<std::uint64_t, runtime::MessagePointer> messages;
-  for (const auto& [link, subscriber] : subscribers_) {
+  for (auto& [link, subscriber] : subscribers_) {
     if (!subscriber.serving) continue;
+    if (only_behind && (subscriber.snapshot_needed || subscriber.told_version >= published_version_))
+      continue;
     if (subscriber.snapshot_needed) {
       sendBeat(subscriber);
       continue;
@@ -43,6 +46,7 @@
     if (!message) {
       message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(beatFor(subscriber)));
     }
+    subscriber.told_version = published_version_;
     actions_.send(link, message);
   }
 }
@@ -158,14 +162,19 @@
   if (flush_at_ <= now) flush(now);
   refuseOverdue(now);
   handOverDue(now);
+  if (change_beat_at_ <= now) {
+    change_beat_at_ = TimePoint::max();
+    last_change_beat_ = now;
+    sendBeats(true);
+  }
   if (beat_at_ == TimePoint::max()) beat_at_ = now;
   if (beat_at_ > now) return;
-  sendBeats();
+  sendBeats(false);
   beat_at_ = now + options_.beat_interval;
 }
 
 TimePoint ProxyFanOut::nextTimer() const {
-  TimePoint next = std::min(flush_at_, handover_at_);
+  TimePoint next = std::min({flush_at_, handover_at_, change_beat_at_});
   if (!subscribers_.empty()) next = std::min(next, beat_at_ == TimePoint::max() ? TimePoint() : beat_at_);
   if (!waiting_.empty()) next = std::min(next, waiting_.begin()->first);
   return next;
--- a/src/relay/relay_options.h
+++ b/src/relay/relay_options.h
@@ -26,6 +26,9 @@
   Duration batch_window = std::chrono::milliseconds(50);
   /// Interval of ViewBeats to proxies and of QuorumBeats to following relays.
   Duration beat_interval = std::chrono::seconds(1);
+  /// Proxies whose views a change leaves alone hear of its version this long after it at the latest: at once
+  /// after a quiet period, then together. At the beat interval or above, the next beat tells them.
+  Duration change_beat_window = std::chrono::milliseconds(50);
   /// Without a QuorumBeat for this long, another upstream is looked for.
   Duration upstream_beat_limit = std::chrono::seconds(5);
   /// At most one InForceReport goes up in this time.
--- a/src/relay/relay_settings.cpp
+++ b/src/relay/relay_settings.cpp
@@ -36,6 +36,10 @@
       "together. Smaller converges faster, larger saves control bytes.");
   table.duration("relay.beat_interval", options.beat_interval, {milliseconds(50), minutes(1)},
                  "Interval of beats to proxies.");
+  table.duration(
+      "relay.change_beat_window", options.change_beat_window, {milliseconds(0), minutes(1)},
+      "Proxies whose views a change leaves alone hear of its version within this time; at the beat "
+      "interval or above, by the next beat.");
   table.duration("relay.catch_up_limit", options.catch_up_limit, {milliseconds(500), minutes(1)},
                  "How long a proxy waits for a relay that cannot serve it yet, before it is refused.");
   table.number("relay.join_rate", options.join_rate, {1, 1e6},
--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -33,6 +33,27 @@
   CHECK(beats.back().view_version == 10);
 }
 
+TEST_CASE("proxies that a change leaves alone hear of its version within the window, the others not twice") {
+  RelayFixture relay;
+  relay.follow();
+  const LinkId napisy = relay.serve("proxy-1");
+  const LinkId protokoly = relay.serve("proxy-4");
+  relay.driver.advance(milliseconds(1500));
+  relay.driver.take<wire::ViewBeatT>(napisy);
+  relay.driver.take<wire::ViewBeatT>(protokoly);
+
+  relay.changeSecret("napisy", 11);
+  relay.driver.advance(milliseconds(1));
+  CHECK(relay.driver.takeOne<wire::ViewBeatT>(protokoly).as_of == 11);
+  CHECK(relay.driver.take<wire::ViewBeatT>(napisy).empty());
+
+  relay.changeSecret("napisy", 12);
+  relay.changeSecret("napisy", 13);
+  CHECK(relay.driver.take<wire::ViewBeatT>(protokoly).empty());
+  relay.driver.advance(milliseconds(100));
+  CHECK(relay.driver.takeOne<wire::ViewBeatT>(protokoly).as_of == 13);
+}
+
 TEST_CASE("no view holds the secret of a tenant that its node does not name") {
   RelayFixture relay;
   relay.follow();
