Consensus: call a replica active only once it answered

Cause: a new leader gives every follower an election timeout and so counted a replica that is gone as active; show replicas right after a change of leader named a killed replica active. Seen with three processes on loopback. Ruled out: a shorter grace for the quorum (a new leader would step down at once). Change: followers() asks for an answered round; the quorum check is as before. Conclusion: operators see who answers.

--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -221,7 +221,9 @@
   std::vector<FollowerStatus> result;
   if (role_ != Role::Leader) return result;
   for (const auto& [id, progress] : leader_state_->followers) {
-    const bool is_active = now_ <= progress.acked_round.began_at + options_.election_timeout_max;
+    // A new leader has heard nobody yet, though it gives each an election timeout.
+    const bool is_active = progress.acked_round.number != 0 &&
+                           now_ <= progress.acked_round.began_at + options_.election_timeout_max;
     result.push_back({id, isLearner(log_.membership(), id), progress.match, is_active});
   }
   return result;
