Say which first voters a new cluster waits for; test transfer of leadership

Cause: the first start needs all first voters; when one could not start (its port was taken), the others waited without a word why. Change: event 3010 names the voters without an answer every ten seconds. A test of transfer leader and of the state that show replicas gives. Names and a reserve for the linter. Conclusion: a first start that hangs explains itself.

--- a/src/store/cluster_formation.cpp
+++ b/src/store/cluster_formation.cpp
@@ -1,7 +1,10 @@
 #include "store/cluster_formation.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <memory>
+#include <vector>
 
 #include "base/event_log.h"
 #include "store/events.h"
@@ -12,6 +15,7 @@
 /// The term that Consensus::bootstrap() stores; elections raise it.
 constexpr consensus::Term kBootstrapTerm = 1;
 constexpr Duration kAskInterval = std::chrono::milliseconds(100);
+constexpr Duration kLogInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -37,6 +41,7 @@
 
 void ClusterFormation::begin(TimePoint now) {
   ask_at_ = now;
+  log_at_ = now + kLogInterval;
   bootstrapIfAgreed(now);
 }
 
@@ -72,10 +77,22 @@
 void ClusterFormation::onTimer(TimePoint now) {
   if (!isAsking() || now < ask_at_) return;
   ask_at_ = now + kAskInterval;
+  logWaiting(now);
   for (const auto& voter : context_.options.initial_voters) {
     if (const auto link = replicas_.linkTo(voter.id))
       context_.actions.send(*link, wire::FormationRequestT(), 0);
   }
 }
 
+void ClusterFormation::logWaiting(TimePoint now) {
+  if (now < log_at_) return;
+  log_at_ = now + kLogInterval;
+  std::vector<consensus::ReplicaId> missing;
+  for (const auto& voter : context_.options.initial_voters) {
+    if (voter.id != context_.options.self.id && !answers_.contains(voter.id)) missing.push_back(voter.id);
+  }
+  logEvent(kFormationWaiting,
+           {{"replica", context_.options.self.id}, {"missing", fmt::format("{}", fmt::join(missing, ","))}});
+}
+
 }  // namespace cometstand::store
--- a/src/store/cluster_formation.h
+++ b/src/store/cluster_formation.h
@@ -40,6 +40,8 @@
   consensus::Term storedTerm() const;
   bool isAsking() const;
   void bootstrapIfAgreed(TimePoint now);
+  /// Names the first voters without an answer, once in a while.
+  void logWaiting(TimePoint now);
 
   StoreContext& context_;
   const ReplicaLinks& replicas_;
@@ -47,6 +49,7 @@
   std::map<consensus::ReplicaId, consensus::Term> answers_;
   bool cluster_runs_ = false;
   TimePoint ask_at_;
+  TimePoint log_at_;
 };
 
 }  // namespace cometstand::store
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -38,9 +38,13 @@
     "The folder is empty, but the cluster runs already: this replica's disk was lost. Start it under a new "
     "id "
     "without bootstrap, add it with add replica, and let it replace the old id with replace replica."};
+inline constexpr EventDefinition kFormationWaiting{
+    3010, LogLevel::Warning, "formation_waiting",
+    "The first start of a cluster needs all first voters, and some have not answered. Start them, and check "
+    "store.replicas and the network."};
 
-inline constexpr std::array kStoreEvents{kReaderAdmitted, kReaderLost,       kReaderRefused,
-                                         kReaderSilent,   kSnapshotTooLarge, kUnexpectedPeer,
-                                         kStopBegan,      kReplacementDone,  kBootstrapRefused};
+inline constexpr std::array kStoreEvents{
+    kReaderAdmitted, kReaderLost, kReaderRefused,   kReaderSilent,     kSnapshotTooLarge,
+    kUnexpectedPeer, kStopBegan,  kReplacementDone, kBootstrapRefused, kFormationWaiting};
 
 }  // namespace cometstand::store
--- a/src/store/store_pages.cpp
+++ b/src/store/store_pages.cpp
@@ -24,13 +24,13 @@
 }
 
 void addCommandCounters(admin::MetricSet& set, const StoreMetrics& metrics) {
-  const auto addOutcome = [&set](const char* outcome, std::uint64_t value) {
+  const auto add_outcome = [&set](const char* outcome, std::uint64_t value) {
     set.counter("cometstand_store_commands_total", "Answers to operators by outcome.",
                 static_cast<double>(value), {{"outcome", outcome}});
   };
-  addOutcome("completed", metrics.commands_completed);
-  addOutcome("not_run", metrics.commands_not_run);
-  addOutcome("unknown", metrics.commands_unknown);
+  add_outcome("completed", metrics.commands_completed);
+  add_outcome("not_run", metrics.commands_not_run);
+  add_outcome("unknown", metrics.commands_unknown);
 }
 
 void addCounters(admin::MetricSet& set, const StoreMetrics& metrics) {
--- a/tests/store/command_test.cpp
+++ b/tests/store/command_test.cpp
@@ -178,6 +178,7 @@
   trio.begin();
   const auto old_leader = trio.waitForLeader();
   std::vector<MemoryNetwork::ClientId> clients;
+  clients.reserve(20);
   for (int i = 0; i < 20; ++i) {
     clients.push_back(trio.send(
         old_leader, Trio::command("change { put tenant t" + std::to_string(i) + " }", trio.nextId())));
@@ -208,6 +209,23 @@
   REQUIRE(*trio.network.leader() == 3 - old_leader - gone);
 }
 
+TEST_CASE("leadership is transferred on command, and a replica that the new leader never heard is silent") {
+  Trio trio;
+  trio.begin();
+  const auto old_leader = trio.waitForLeader();
+  const auto target = otherThan(old_leader);
+  const auto gone = otherThan(target);
+  trio.network.crash(gone);
+  const auto reply = trio.run(old_leader, "transfer leader to " + std::to_string(target + 1));
+  REQUIRE(reply.outcome == wire::Outcome::Completed);
+  REQUIRE(trio.network.leader() == target);
+  const auto replicas = trio.run(target, "show replicas");
+  REQUIRE(replicas.rows.at(gone)->cells.back() == "silent");
+  REQUIRE(replicas.rows.at(old_leader)->cells.back() == "active");
+  REQUIRE(replicas.rows.at(target)->cells.at(4) == "leader");
+  REQUIRE(kindOf(trio.run(target, "transfer leader to 9")) == ErrorKind::NotFound);
+}
+
 TEST_CASE("one tenant's commands cannot keep another's out of the log") {
   Trio trio;
   for (std::size_t i = 0; i < 3; ++i) {
@@ -219,7 +237,7 @@
   const auto leader = trio.waitForLeader();
   REQUIRE(trio.run(leader, "change { put tenant wspolnota; put tenant fundacja }").version == 1);
   const auto relay = trio.follow(leader, "relay-1", "krk-a");
-  const auto sendClaim = [&](const std::string& tenant, std::uint64_t number) {
+  const auto send_claim = [&](const std::string& tenant, std::uint64_t number) {
     wire::ClaimRequestT request;
     request.tenant = tenant;
     request.key = std::to_string(number);
@@ -227,8 +245,8 @@
     request.attempt = "a";
     trio.network.send(relay, runtime::makeEnvelope(std::move(request), number));
   };
-  for (std::uint64_t i = 1; i <= 100; ++i) sendClaim("wspolnota", i);
-  sendClaim("fundacja", 101);
+  for (std::uint64_t i = 1; i <= 100; ++i) send_claim("wspolnota", i);
+  send_claim("fundacja", 101);
   auto& received = trio.network.received(relay);
   std::map<std::uint64_t, wire::ClaimReplyT> replies;
   REQUIRE(trio.network.runUntil([&] {
@@ -260,7 +278,7 @@
                        hash + " salt " + hex(salt) + "; put secret fundacja/key value \"" + secret + "\" }")
               .outcome == wire::Outcome::Completed);
   std::vector<MemoryNetwork::ClientId> clients;
-  const auto asAnna = [&](const std::string& text, const std::string& token = "anna-token") {
+  const auto as_anna = [&](const std::string& text, const std::string& token = "anna-token") {
     auto request = Trio::command(text, trio.nextId());
     request.tenant = "wspolnota";
     request.operator_name = "anna";
@@ -268,24 +286,24 @@
     clients.push_back(trio.send(clients.size() % 3, request));
     return trio.answer(clients.back());
   };
-  REQUIRE(asAnna("change { put secret key value \"" + secret + "\" }").outcome == wire::Outcome::Completed);
-  REQUIRE(kindOf(asAnna("change { put secret key value \"" + secret + "\" }", "wrong")) ==
+  REQUIRE(as_anna("change { put secret key value \"" + secret + "\" }").outcome == wire::Outcome::Completed);
+  REQUIRE(kindOf(as_anna("change { put secret key value \"" + secret + "\" }", "wrong")) ==
           ErrorKind::Unauthenticated);
-  REQUIRE(kindOf(asAnna("change { put secret fundacja/key value \"" + secret + "\" }")) ==
+  REQUIRE(kindOf(as_anna("change { put secret fundacja/key value \"" + secret + "\" }")) ==
           ErrorKind::Forbidden);
   // This answer names what the operator named.
   clients.pop_back();
-  REQUIRE(kindOf(asAnna("change { put secret key value \"" + secret + "\" oops }")) == ErrorKind::Malformed);
-  REQUIRE(kindOf(asAnna("change { put route r path /a to nowhere secret key; put secret k2 value \"" +
-                        secret + "\" }")) == ErrorKind::Reference);
-  REQUIRE(kindOf(asAnna("stop proxy n1")) == ErrorKind::Forbidden);
+  REQUIRE(kindOf(as_anna("change { put secret key value \"" + secret + "\" oops }")) == ErrorKind::Malformed);
+  REQUIRE(kindOf(as_anna("change { put route r path /a to nowhere secret key; put secret k2 value \"" +
+                         secret + "\" }")) == ErrorKind::Reference);
+  REQUIRE(kindOf(as_anna("stop proxy n1")) == ErrorKind::Forbidden);
   for (const auto* query :
        {"show secrets", "show routes", "show services", "show changes last 50", "show nodes", "show tenants",
         "show proxies", "show route /a", "show version", "show replicas"}) {
-    REQUIRE(asAnna(query).outcome == wire::Outcome::Completed);
+    REQUIRE(as_anna(query).outcome == wire::Outcome::Completed);
   }
-  REQUIRE(asAnna("show secrets").rows.size() == 1);
-  REQUIRE(asAnna("show tenants").rows.size() == 1);
+  REQUIRE(as_anna("show secrets").rows.size() == 1);
+  REQUIRE(as_anna("show tenants").rows.size() == 1);
   for (const auto client : clients) {
     for (const auto& message : trio.network.received(client)) {
       const auto frame = net::encodeFrame(message);
