Stop a leader also under a steady stream of claims

Cause: a leader that stops hands over once nothing is left to answer; claims went on to be taken, so under a steady stream it never came to that, and exited at the time limit with claims unanswered. Its timer also asked for a time in the past while it waited, which made a process spin. Ruled out: handing over with commands in flight (those that wait would be answered unknown or late). Change: a stopping replica refuses new claims with kind stopping and a time to come back; what it took is answered. The handover's timer runs only once nothing is left to answer. Conclusion: a planned stop of the leader ends in a handover under load.

--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -152,12 +152,11 @@
 
 template <typename Claim>
 void StoreParts::onClaim(LinkId link, std::uint64_t request_id, const Claim& claim, TimePoint now) {
-  if (!context_.isLeader() || !readers_.isReader(link)) {
-    actions_.send(
-        link,
-        notRun<wire::ClaimReplyT>(Error(ErrorKind::Unavailable, "this replica does not lead",
-                                        "send the request again with the same key", options_.retry_after)),
-        request_id);
+  if (stopping_ || !context_.isLeader() || !readers_.isReader(link)) {
+    const auto kind = stopping_ ? ErrorKind::Stopping : ErrorKind::Unavailable;
+    const Error error(kind, "this replica does not lead, or is about to stop",
+                      "send the request again with the same key", options_.retry_after);
+    actions_.send(link, notRun<wire::ClaimReplyT>(error), request_id);
     return;
   }
   wire::StoreCommandT command;
@@ -299,8 +298,9 @@
 
 TimePoint StoreParts::stopTimer() const {
   if (!stopping_ || stop_passed_) return TimePoint::max();
-  return context_.isLeader() && next_transfer_ > TimePoint() ? std::min(next_transfer_, stop_deadline_)
-                                                             : stop_deadline_;
+  // What is still to be answered ends by an event, and the handover follows that.
+  const bool may_hand_over = context_.isLeader() && writer_.idle() && admin_.idle();
+  return may_hand_over ? std::min(next_transfer_, stop_deadline_) : stop_deadline_;
 }
 
 bool StoreParts::stopped() const {
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -212,5 +212,34 @@
   }
 }
 
+TEST_CASE("a leader stops under a steady stream of claims and leaves none unknown") {
+  Trio trio;
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  REQUIRE(trio.run(leader, "change { put tenant wspolnota }").version == 1);
+  const auto relay = trio.follow(leader, "relay-1", "krk-a");
+  std::uint64_t sent = 0;
+  const auto send_claim = [&] {
+    auto request = claimRequest("a");
+    request.key = "invoice-" + std::to_string(++sent);
+    trio.network.send(relay, runtime::makeEnvelope(std::move(request), sent));
+    trio.network.runFor(milliseconds(1));
+  };
+  for (int i = 0; i < 20; ++i) send_claim();
+  trio.network.beginStop(leader);
+  for (int i = 0; i < 500 && !trio.network.core(leader).stopped(); ++i) send_claim();
+  REQUIRE(trio.network.core(leader).stopped());
+  trio.network.runFor(milliseconds(2));
+  std::uint64_t answers = 0;
+  for (const auto& message : trio.network.received(relay)) {
+    const auto* reply = message.body.AsClaimReply();
+    if (reply == nullptr) continue;
+    ++answers;
+    REQUIRE(reply->outcome != wire::Outcome::Unknown);
+    if (reply->outcome == wire::Outcome::NotRun) REQUIRE(reply->error->retry_after_ms > 0);
+  }
+  REQUIRE(answers == sent);
+}
+
 }  // namespace
 }  // namespace cometstand::store::test
