Let an endpoint rest that sheds requests one at a time

Its limit of 1 kept a place for it in the admission limit, so a request was admitted for it whenever the others were full, and all its attempts went there.

Change: a shed at an endpoint whose limit is down to 1 counts as a failure, so that five in a row eject it; the ejection limit and the panic threshold hold as for other failures.

Not measured: many proxies that overload all targets at once.

--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -113,6 +113,10 @@
   return static_cast<double>(ejected + 1) <= options_.ejection_limit * static_cast<double>(all.size());
 }
 
+void Balancer::noteFailure(Endpoint& endpoint, TimePoint now) {
+  if (endpoint.outlier.onFailure(options_, mayEject(endpoint.key.service, now), now)) ++ejections_;
+}
+
 void Balancer::finish(Endpoint& endpoint, AttemptVerdict verdict, TimePoint now) {
   const unsigned in_work = endpoint.outstanding;
   if (endpoint.outstanding > 0) --endpoint.outstanding;
@@ -122,10 +126,12 @@
       endpoint.limit.onSuccess(in_work);
       break;
     case AttemptVerdict::Failure:
-      if (endpoint.outlier.onFailure(options_, mayEject(endpoint.key.service, now), now)) ++ejections_;
+      noteFailure(endpoint, now);
       break;
     case AttemptVerdict::Shed:
       endpoint.load.onShed(now);
+      // Shedding even a request that comes alone is a failure.
+      if (endpoint.limit.limit() == 1) noteFailure(endpoint, now);
       endpoint.limit.onOverload(options_.limit, now);
       break;
     case AttemptVerdict::Leaving:
--- a/src/proxy/balancer.h
+++ b/src/proxy/balancer.h
@@ -80,6 +80,7 @@
   unsigned warmSlots(const Endpoint& endpoint, TimePoint now) const;
   bool takesPart(const Endpoint& endpoint, TimePoint now);
   double warmth(const Endpoint& endpoint, TimePoint now) const;
+  void noteFailure(Endpoint& endpoint, TimePoint now);
   bool mayEject(const ServiceKey& service, TimePoint now) const;
 
   BalancerOptions options_;
--- a/tests/proxy/balancer_test.cpp
+++ b/tests/proxy/balancer_test.cpp
@@ -18,7 +18,7 @@
 
 /// A balancer over one service, with its clock.
 struct Fixture {
-  explicit Fixture(unsigned endpoints, unsigned slots = 6, BalancerOptions options = {})
+  explicit Fixture(unsigned endpoints, unsigned slots = 6, const BalancerOptions& options = {})
       : balancer(options, 1) {
     balancer.endpointSet().setServices(Router({makeService("s", endpoints, slots)}).services(), now);
   }
@@ -100,12 +100,15 @@
           "[balancer]") {
   Fixture fixture(2);
   const auto all = fixture.balancer.endpointSet().endpoints(service());
-  for (int i = 0; i < 20; ++i) {
+  for (int i = 0; i < 12; ++i) {
     fixture.now += milliseconds(200);
     ++all[0]->outstanding;
     fixture.balancer.finish(*all[0], AttemptVerdict::Shed, fixture.now);
   }
   CHECK(fixture.balancer.slotLimit(*all[0], fixture.now) == 1);
+  // It sheds requests that come alone: it rests, and waiting requests are not admitted for its sake.
+  CHECK(fixture.balancer.ejections() == 1);
+  CHECK(fixture.balancer.capacity(service(), fixture.now) == 6);
   CHECK(fixture.balancer.slotLimit(*all[1], fixture.now) == 6);
   for (int i = 0; i < 100; ++i) {
     all[0]->outstanding = fixture.balancer.slotLimit(*all[0], fixture.now);
@@ -116,18 +119,18 @@
 
 TEST_CASE("failures in a row eject an endpoint for a time, but never too many", "[balancer]") {
   Fixture fixture(4);
-  const auto failAll = [&](const std::string& name) {
+  const auto fail_all = [&](const std::string& name) {
     for (const auto& endpoint : fixture.balancer.endpointSet().endpoints(service())) {
       if (endpoint->key.endpoint != name) continue;
       for (int i = 0; i < 10; ++i) fixture.balancer.finish(*endpoint, AttemptVerdict::Failure, fixture.now);
     }
   };
-  failAll("e0");
+  fail_all("e0");
   CHECK(fixture.balancer.ejections() == 1);
   CHECK(fixture.spread(200).count("e0") == 0);
-  failAll("e1");
-  failAll("e2");
-  failAll("e3");
+  fail_all("e1");
+  fail_all("e2");
+  fail_all("e3");
   // Half of four is the limit.
   CHECK(fixture.balancer.ejections() == 2);
   CHECK(fixture.spread(200).size() == 2);
@@ -165,7 +168,7 @@
     held.erase(held.begin());
     fixture.now += milliseconds(1);
   }
-  CHECK(chosen["e0"] < 600 / 3 * 1.25);
+  CHECK(chosen["e0"] < 250);
 }
 
 TEST_CASE("reports below what the proxy itself has in work lose their weight", "[balancer]") {
