Keep half of a request's time for its work when it is asked to wait

Ruled out: a shorter queue, which would depend on the speed of each service.

Change: a request waits only if the expected wait is at most wait_share (half) of its time left beyond the mean time in work; setting proxy.wait_share.

--- a/src/proxy/admission_queue.cpp
+++ b/src/proxy/admission_queue.cpp
@@ -71,7 +71,8 @@
     return;
   }
   const auto index = classIndex(request.request_class);
-  if (now + expectedWait(service, index + 1) + service.mean_work_time > request.deadline) {
+  const auto most = (request.deadline - now - service.mean_work_time) * options_.wait_share;
+  if (expectedWait(service, index + 1) > most) {
     refuse(request.id, RefusalReason::WaitTooLong, service);
     return;
   }
--- a/src/proxy/data_path_options.h
+++ b/src/proxy/data_path_options.h
@@ -48,6 +48,9 @@
   std::size_t tenant_max_in_flight = 256;
   /// Requests that wait, by tenant.
   std::size_t tenant_max_queued = 256;
+  /// Part of the time left, less the usual time in work, that a request may be expected to wait; the rest is
+  /// for work that takes longer than usual.
+  double wait_share = 0.5;
   /// Shortest time that a refused caller is told to wait; up to twice as long by jitter.
   Duration minimum_retry_after = std::chrono::milliseconds(100);
   Duration maximum_retry_after = std::chrono::seconds(10);
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -105,6 +105,9 @@
                              "Requests in flight of a tenant whose object sets no limit.");
   table.integer<std::size_t>("proxy.tenant_max_queued", admission.tenant_max_queued, {0, 1'000'000},
                              "Requests that wait, by tenant.");
+  table.number("proxy.wait_share", admission.wait_share, {0, 1},
+               "Part of the time left, less the usual time in work, that a request may be expected to wait; "
+               "otherwise it is refused at once.");
   table.duration("proxy.minimum_retry_after", admission.minimum_retry_after, {milliseconds(1), minutes(1)},
                  "Shortest time that a refused caller is told to wait; up to twice as long by jitter.");
   table.duration("proxy.maximum_retry_after", admission.maximum_retry_after, {milliseconds(1), minutes(10)},
--- a/tests/proxy/admission_queue_test.cpp
+++ b/tests/proxy/admission_queue_test.cpp
@@ -52,6 +52,10 @@
   fixture.offer(1, "a");
   fixture.release("a");
   fixture.offer(2, "a");
+  // Of the time left beyond the usual work, half is kept for work that takes longer.
+  fixture.offer(3, "a", RequestClass::Leisure, milliseconds(290));
+  REQUIRE(fixture.refused.size() == 1);
+  fixture.refused.clear();
   // One request takes 100 ms; those behind it would wait longer than they have.
   for (std::uint64_t id = 10; id < 60; ++id)
     fixture.offer(id, "a", RequestClass::Interactive, milliseconds(150));
