--- a/src/relay/main_relay.cpp
+++ b/src/relay/main_relay.cpp
@@ -1,4 +1,6 @@
 // cometstand-relay: one zone's fan-out of configuration and endpoint liveness.
+#include <chrono>
+
 #include "admin/program_host.h"
 #include "relay/prober.h"
 #include "relay/relay_core.h"
@@ -29,9 +31,15 @@
   return handlers;
 }
 
+std::uint64_t microsecondsSince1970() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 int runRelay(relay::RelaySettings& relay) {
   relay::completeRelayOptions(relay);
   relay.options.seed = systemSeed();
+  relay.options.first_sequence = microsecondsSince1970();
   relay::RelayCore core(relay.options);
   const relay::RelayPages pages(core);
   admin::ProgramHost host(std::string(kProgram.name), relay.common, core, pages);
