Give a relay that starts the deletions of the past as well

Ruled out: a delta on trial, which the proxy's digest check would refuse if a deletion was missed (needs no new field, but costs a message and a round trip for each wrong guess); relays that keep their history on disk (a second durable state, stale after a longer outage).

At most 20,000 deletions of some 80 bytes, once a relay's start. Without the field all is as before.

The first two need the new field and did not build before.

--- a/rehearsal/relay_cost/scripted_store.cpp
+++ b/rehearsal/relay_cost/scripted_store.cpp
@@ -42,7 +42,8 @@
   if (have_version == 0) {
     wire::ConfigurationSnapshotT snapshot;
     snapshot.version = index_.version();
-    snapshot.changes = index_.everything().changes;
+    snapshot.changes = index_.everythingSince(0).changes;
+    snapshot.history_from = index_.historyFrom();
     actions_.send(link, std::move(snapshot), 0);
   } else {
     wire::ConfigurationDeltaT delta;
--- a/src/relay/configuration_index.cpp
+++ b/src/relay/configuration_index.cpp
@@ -42,7 +42,7 @@
   Changed changed;
   if (snapshot.version <= version_) return changed;
   // Deletions that a snapshot leaves out are known only if the relay had an earlier state to compare with.
-  if (version_ == 0) pruned_version_ = snapshot.version;
+  if (version_ == 0) pruned_version_ = std::min(snapshot.version, snapshot.history_from);
   std::set<view::ObjectId> present;
   for (const auto& change : snapshot.changes) {
     if (!change) continue;
@@ -212,11 +212,4 @@
   return selection;
 }
 
-ConfigurationIndex::Selection ConfigurationIndex::everything() const {
-  Selection selection;
-  for (const auto& [name, group] : tenants_) selectLive(group, selection);
-  selectLive(nodes_, selection);
-  return selection;
-}
-
 }  // namespace cometstand::relay
--- a/src/relay/configuration_index.h
+++ b/src/relay/configuration_index.h
@@ -42,6 +42,9 @@
 
   std::uint64_t version() const { return version_; }
 
+  /// @return the oldest version from which every deletion is known.
+  std::uint64_t historyFrom() const { return pruned_version_; }
+
   /// @return true if every deletion after the version is known.
   bool reaches(std::uint64_t version) const { return version >= pruned_version_; }
 
@@ -67,12 +70,9 @@
   /// @return the digest over all live objects of the tenants.
   view::DigestSum digest(const std::vector<std::string>& tenants) const;
 
-  /// @return every object and node that changed after the version; for following relays.
+  /// @return every object, node and deletion that is newer than the version; for following relays.
   Selection everythingSince(std::uint64_t version) const;
 
-  /// @return every live object and node; for following relays.
-  Selection everything() const;
-
   /// Calls the function with name and specification of each service of the tenant.
   template <typename Function>
   void forEachService(const std::string& tenant_name, const Function& function) const {
--- a/src/relay/follower_hub.cpp
+++ b/src/relay/follower_hub.cpp
@@ -34,7 +34,8 @@
   } else {
     wire::ConfigurationSnapshotT snapshot;
     snapshot.version = index_.version();
-    snapshot.changes = index_.everything().changes;
+    snapshot.changes = index_.everythingSince(0).changes;
+    snapshot.history_from = index_.historyFrom();
     message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(snapshot)));
   }
   return message;
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -1699,6 +1699,7 @@
   typedef ConfigurationSnapshot TableType;
   uint64_t version = 0;
   std::vector<std::shared_ptr<cometstand::wire::ObjectChangeT>> changes{};
+  uint64_t history_from = 18446744073709551615ULL;
   ConfigurationSnapshotT() = default;
   ConfigurationSnapshotT(const ConfigurationSnapshotT &o);
   ConfigurationSnapshotT(ConfigurationSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1711,7 +1712,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
-    VT_CHANGES = 6
+    VT_CHANGES = 6,
+    VT_HISTORY_FROM = 8
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1719,12 +1721,16 @@
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>> *changes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>> *>(VT_CHANGES);
   }
+  uint64_t history_from() const {
+    return GetField<uint64_t>(VT_HISTORY_FROM, 18446744073709551615ULL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyVector(changes()) &&
            verifier.VerifyVectorOfTables(changes()) &&
+           VerifyField<uint64_t>(verifier, VT_HISTORY_FROM, 8) &&
            verifier.EndTable();
   }
   ConfigurationSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1742,6 +1748,9 @@
   void add_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>>> changes) {
     fbb_.AddOffset(ConfigurationSnapshot::VT_CHANGES, changes);
   }
+  void add_history_from(uint64_t history_from) {
+    fbb_.AddElement<uint64_t>(ConfigurationSnapshot::VT_HISTORY_FROM, history_from, 18446744073709551615ULL);
+  }
   explicit ConfigurationSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1756,8 +1765,10 @@
 inline flatbuffers::Offset<ConfigurationSnapshot> CreateConfigurationSnapshot(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>>> changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>>> changes = 0,
+    uint64_t history_from = 18446744073709551615ULL) {
   ConfigurationSnapshotBuilder builder_(_fbb);
+  builder_.add_history_from(history_from);
   builder_.add_version(version);
   builder_.add_changes(changes);
   return builder_.Finish();
@@ -1771,12 +1782,14 @@
 inline flatbuffers::Offset<ConfigurationSnapshot> CreateConfigurationSnapshotDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    const std::vector<flatbuffers::Offset<cometstand::wire::ObjectChange>> *changes = nullptr) {
+    const std::vector<flatbuffers::Offset<cometstand::wire::ObjectChange>> *changes = nullptr,
+    uint64_t history_from = 18446744073709551615ULL) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   return cometstand::wire::CreateConfigurationSnapshot(
       _fbb,
       version,
-      changes__);
+      changes__,
+      history_from);
 }
 
 flatbuffers::Offset<ConfigurationSnapshot> CreateConfigurationSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4623,7 +4636,8 @@
 }
 
 inline ConfigurationSnapshotT::ConfigurationSnapshotT(const ConfigurationSnapshotT &o)
-      : version(o.version) {
+      : version(o.version),
+        history_from(o.history_from) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
 }
@@ -4631,6 +4645,7 @@
 inline ConfigurationSnapshotT &ConfigurationSnapshotT::operator=(ConfigurationSnapshotT o) FLATBUFFERS_NOEXCEPT {
   std::swap(version, o.version);
   std::swap(changes, o.changes);
+  std::swap(history_from, o.history_from);
   return *this;
 }
 
@@ -4645,6 +4660,7 @@
   (void)_resolver;
   { auto _e = version(); _o->version = _e; }
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::shared_ptr<cometstand::wire::ObjectChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = history_from(); _o->history_from = _e; }
 }
 
 inline flatbuffers::Offset<ConfigurationSnapshot> ConfigurationSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4657,10 +4673,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationSnapshotT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _version = _o->version;
   auto _changes = _o->changes.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateObjectChange(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _history_from = _o->history_from;
   return cometstand::wire::CreateConfigurationSnapshot(
       _fbb,
       _version,
-      _changes);
+      _changes,
+      _history_from);
 }
 
 inline QuorumBeatT *QuorumBeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/store/reader_hub.cpp
+++ b/src/store/reader_hub.cpp
@@ -210,6 +210,11 @@
     wire::ConfigurationSnapshotT snapshot;
     snapshot.version = catalog.version();
     snapshot.changes = std::move(living);
+    if (version == 0) {
+      // A relay that starts knows no deletions, but its proxies may have missed some.
+      snapshot.changes = catalog.everything();
+      snapshot.history_from = catalog.prunedVersion();
+    }
     message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(snapshot)));
   }
   return message;
--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -133,6 +133,25 @@
   }
 }
 
+TEST_CASE("a relay that starts anew gives deltas as far as the snapshot's history reaches") {
+  RelayFixture relay;
+  relay.driver.open(*relay.store);
+  auto changes = RelayFixture::configuration();
+  changes.push_back(changeAt(8, drop(ObjectKind::Secret, "napisy", "old")));
+  auto snapshot = RelayFixture::snapshot(10, changes);
+  snapshot.history_from = 6;
+  relay.driver.receive(*relay.store, snapshot);
+  relay.beat(10);
+
+  const LinkId known = relay.join("proxy-1", 6);
+  const auto delta = relay.driver.takeOne<wire::ViewDeltaT>(known);
+  REQUIRE(delta.changes.size() == 1);
+  CHECK(delta.changes[0]->object == nullptr);
+  CHECK(delta.from_version == 6);
+  const LinkId unknown = relay.join("proxy-2", 5);
+  CHECK(relay.driver.takeOne<wire::ViewSnapshotT>(unknown).changes.size() == 5);
+}
+
 TEST_CASE("a proxy without a disk is served only by a quorum beat that began after it joined") {
   RelayFixture relay;
   relay.follow();
--- a/tests/relay/following_test.cpp
+++ b/tests/relay/following_test.cpp
@@ -136,6 +136,16 @@
   CHECK(relay.driver.takeOne<wire::ConfigurationDeltaT>(late).changes.size() == 1);
 }
 
+TEST_CASE("a follower that starts gets the deletions as well") {
+  RelayFixture relay;
+  relay.follow();
+  relay.receiveDelta({changeAt(11, config::test::drop(wire::ObjectKind::Route, "napisy", "cues"))}, 11);
+  const auto snapshot = relay.driver.takeOne<wire::ConfigurationSnapshotT>(followThrough(relay, 0));
+  CHECK(snapshot.history_from == 10);
+  CHECK(std::any_of(snapshot.changes.begin(), snapshot.changes.end(),
+                    [](const auto& change) { return change->object == nullptr; }));
+}
+
 TEST_CASE("a relay that does not hear the store serves no followers") {
   RelayFixture relay;
   const LinkId follower = followThrough(relay, 0);
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -54,6 +54,7 @@
   const auto relay = trio.follow(leader, "relay-1", "krk-a");
   auto& received = trio.network.received(relay);
   REQUIRE(received.front().body.AsConfigurationSnapshot()->version == 1);
+  CHECK(received.front().body.AsConfigurationSnapshot()->history_from == 0);
   REQUIRE(trio.run(leader, "change { put tenant fundacja }").version == 2);
   REQUIRE(trio.network.runUntil(
       [&] { return lastOf(received, &wire::BodyUnion::AsConfigurationDelta) != nullptr; }));
