--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -154,6 +154,25 @@
   }
 }
 
+TEST_CASE("a relay that starts anew gives deltas as far as the snapshot's history reaches") {
+  RelayFixture relay;
+  relay.driver.open(*relay.store);
+  auto changes = RelayFixture::configuration();
+  changes.push_back(changeAt(8, drop(ObjectKind::Secret, "napisy", "old")));
+  auto snapshot = RelayFixture::snapshot(10, changes);
+  snapshot.history_from = 6;
+  relay.driver.receive(*relay.store, snapshot);
+  relay.beat(10);
+
+  const LinkId known = relay.join("proxy-1", 6);
+  const auto delta = relay.driver.takeOne<wire::ViewDeltaT>(known);
+  REQUIRE(delta.changes.size() == 1);
+  CHECK(delta.changes[0]->object == nullptr);
+  CHECK(delta.from_version == 6);
+  const LinkId unknown = relay.join("proxy-2", 5);
+  CHECK(relay.driver.takeOne<wire::ViewSnapshotT>(unknown).changes.size() == 5);
+}
+
 TEST_CASE("a proxy without a disk is served only by a quorum beat that began after it joined") {
   RelayFixture relay;
   relay.follow();
@@ -232,6 +251,8 @@
   CHECK(within(Duration::zero(), milliseconds(500)) < 60);
   CHECK(within(milliseconds(500), milliseconds(1000)) < 90);
   CHECK(within(milliseconds(1000), seconds(10)) > 50);
+  // Nobody is told to wait longer than the bucket needs to admit all.
+  CHECK(within(milliseconds(2010) + Duration(1), seconds(1000)) == 0);
   CHECK(limiter.admit(now + seconds(1), random) == std::nullopt);
 }
 
