--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -2,6 +2,8 @@
 #include <catch2/catch.hpp>
 
 #include "base/error.h"
+#include "config/token.h"
+#include "relay/admission.h"
 #include "relay/relay_fixture.h"
 
 namespace cometstand::relay::test {
@@ -184,6 +186,16 @@
   CHECK(kind_of(unknown) == ErrorKind::NotFound);
 }
 
+TEST_CASE("only the token that a node was created with is its token") {
+  wire::NodeSpecT node;
+  CHECK(verifyNodeToken(node, ""));
+  node.salt.assign(16, 3);
+  node.token_hash = config::hashToken(node.salt, "right");
+  CHECK(verifyNodeToken(node, "right"));
+  CHECK_FALSE(verifyNodeToken(node, "wrong"));
+  CHECK_FALSE(verifyNodeToken(node, ""));
+}
+
 TEST_CASE("a deleted node's proxy is refused at once") {
   RelayFixture relay;
   relay.follow();
