Data folder: report a file that cannot be removed as a failed operation

Cause: std::filesystem::remove() threw its own exception type past DataFolder::apply(), which handles Error only; the process would have ended instead of stepping down as with any other disk failure. Ruled out: catching every exception in apply(); it would hide faults of the program. Change: removal by error code, then a typed error with its remedy, like the other operations.

--- a/src/runtime/data_folder.cpp
+++ b/src/runtime/data_folder.cpp
@@ -131,8 +131,7 @@
       replace(write);
       return;
     case FileWriteMode::Remove:
-      std::filesystem::remove(path_ / write.file);
-      syncFolder();
+      remove(write);
       return;
   }
 }
@@ -164,6 +163,17 @@
   syncFolder();
 }
 
+void DataFolder::remove(const FileWrite& write) const {
+  const auto path = path_ / write.file;
+  std::error_code error;
+  std::filesystem::remove(path, error);
+  if (error) {
+    throw Error(ErrorKind::InputOutput, "cannot remove " + path.string() + ": " + error.message(),
+                "check the data folder's permissions");
+  }
+  syncFolder();
+}
+
 void DataFolder::syncFolder() const { Descriptor(path_, O_RDONLY | O_DIRECTORY).sync(); }
 
 }  // namespace cometstand::runtime
--- a/src/runtime/data_folder.h
+++ b/src/runtime/data_folder.h
@@ -37,6 +37,7 @@
   void applyOne(const FileWrite& write, bool sync_now);
   void append(const FileWrite& write, bool sync_now) const;
   void replace(const FileWrite& write) const;
+  void remove(const FileWrite& write) const;
   void syncFolder() const;
 
   std::filesystem::path path_;
--- a/tests/runtime/data_folder_test.cpp
+++ b/tests/runtime/data_folder_test.cpp
@@ -66,5 +66,14 @@
   CHECK_FALSE(folder.read("file").has_value());
 }
 
+TEST_CASE("a file that cannot be removed is a failed operation", "[data_folder]") {
+  const TemporaryFolder temporary;
+  DataFolder folder(temporary.path());
+  std::filesystem::create_directories(temporary.path() / "taken" / "inside");
+  const auto results = folder.apply({{WriteId{1}, "taken", FileWriteMode::Remove, {}}});
+  REQUIRE(results.size() == 1);
+  CHECK_FALSE(results[0].error.empty());
+}
+
 }  // namespace
 }  // namespace cometstand::runtime
