--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -6,6 +6,7 @@
 #include "base/event_log.h"
 #include "net/listener.h"
 #include "runtime/events.h"
+#include "runtime/frame_encoder.h"
 
 namespace cometstand::runtime {
 
@@ -123,9 +124,10 @@
   Actions actions = core_.takeActions();
   if (!actions.writes.empty()) runWrites(std::move(actions.writes));
   for (const auto& order : actions.connects) openLink(order);
+  FrameEncoder encoder;
   for (const auto& outgoing : actions.messages) {
     const auto found = links_.find(outgoing.link);
-    if (found != links_.end()) found->second->send(*outgoing.message);
+    if (found != links_.end()) found->second->send(encoder.frameOf(outgoing.message));
   }
   for (const LinkId id : actions.closes) {
     const auto found = links_.find(id);
@@ -168,14 +170,19 @@
 void ProcessRunner::armTimer() {
   if (finishing_) return;
   const TimePoint due = core_.nextTimer();
+  const bool is_armed = std::exchange(armed_for_, due) == due;
   if (due == TimePoint::max()) {
     timer_.cancel();
     return;
   }
   const Duration delay = std::max(due - SteadyClock::now(), kMinimumTimerDelay);
-  timer_.expires_after(delay);
+  const auto expiry = std::chrono::steady_clock::now() + delay;
+  // A timer that is set already is left alone: events in quick succession must not put it off.
+  if (is_armed && timer_.expiry() <= expiry) return;
+  timer_.expires_at(expiry);
   timer_.async_wait([this](error_code error) {
     if (error) return;
+    armed_for_ = TimePoint::max();
     core_.onTimer(SteadyClock::now());
     flush();
   });
