Send readers away once the next leader is known

Cause: with the machine at a load of 44, two requests under load were refused at the planned stop of the store's leader: claims stayed undecided for 905 ms and 1 s of retries did not carry them over. Election took 20 ms; but the relays were sent away the moment the old leader stepped down, when nobody could be named. One asked a replica that did not know the leader either, and was told to come back after 500 ms.

Ruled out: a longer proxy.claim_retry_limit, which hides the gap and holds callers longer; a shorter store.retry_after, since the wait is right where there is no leader.

Change: a replica that lost leadership says goodbye to its readers once it knows the next leader, whom it names, at the latest after store.election_timeout_max; a stopping replica stays until then.

A new test on the state machine fails without the change (no alternative named) and passes with it.

--- a/src/store/reader_hub.cpp
+++ b/src/store/reader_hub.cpp
@@ -235,13 +235,22 @@
 }
 
 void ReaderHub::onLeadershipLost(TimePoint now) {
+  for (const auto& [link, reader] : readers_) former_[link] = now + context_.options.command_time_limit;
+  readers_.clear();
+  if (former_.empty()) return;
+  goodbye_due_ = now + context_.options.consensus.election_timeout_max;
+  onLeaderChanged();
+}
+
+void ReaderHub::onLeaderChanged() {
+  if (goodbye_due_ && !leaderAddress().empty()) sayGoodbye();
+}
+
+void ReaderHub::sayGoodbye() {
+  goodbye_due_.reset();
   wire::GoodbyeT goodbye;
   goodbye.alternatives = runtime::networkAddresses(leaderAddress());
-  for (const auto& [link, reader] : readers_) {
-    context_.actions.send(link, goodbye, 0);
-    former_[link] = now + context_.options.command_time_limit;
-  }
-  readers_.clear();
+  for (const auto& [link, close_at] : former_) context_.actions.send(link, goodbye, 0);
 }
 
 void ReaderHub::onTimer(TimePoint now) {
@@ -253,6 +262,7 @@
     logEvent(kReaderSilent, {{"relay", readers_.at(link).relay}, {"zone", readers_.at(link).zone}});
     drop(link);
   }
+  if (goodbye_due_ && *goodbye_due_ <= now) sayGoodbye();
   for (auto item = former_.begin(); item != former_.end();) {
     if (item->second > now) {
       ++item;
@@ -264,7 +274,7 @@
 }
 
 TimePoint ReaderHub::nextTimer() const {
-  TimePoint next = TimePoint::max();
+  TimePoint next = goodbye_due_.value_or(TimePoint::max());
   for (const auto& [link, reader] : readers_) {
     if (reader.proof_due) next = std::min(next, *reader.proof_due);
   }
--- a/src/store/reader_hub.h
+++ b/src/store/reader_hub.h
@@ -42,8 +42,13 @@
   /// Sends the readers what the state machine has accepted since.
   void sendChanges();
   void onQuorumRound(const consensus::QuorumRound& round, TimePoint now);
+  /// Readers are sent to the next leader as soon as it is known, at the latest after an election's time. Sent
+  /// away sooner, they would ask replicas that cannot name it either, and be told to come back much later.
   void onLeadershipLost(TimePoint now);
-  /// The leader became known: readers sent away without one learn it.
+  /// The leader may have become known.
+  void onLeaderChanged();
+  /// @return true while former readers wait for the next leader's name.
+  bool owesGoodbye() const { return goodbye_due_.has_value(); }
   void beginStop() { stopping_ = true; }
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
@@ -72,6 +77,7 @@
   /// @return true if another reader of the zone stays and the request was refused.
   bool refuseForZone(runtime::LinkId link, const wire::FollowRequestT& request, TimePoint now);
   void drop(runtime::LinkId link);
+  void sayGoodbye();
   std::vector<runtime::Address> leaderAddress() const;
   runtime::MessagePointer changesFrom(std::uint64_t version);
   wire::QuorumBeatT makeBeat() const;
@@ -82,6 +88,8 @@
   std::map<runtime::LinkId, Reader> readers_;
   /// Links of readers from before leadership was lost, with the time at which they are closed.
   std::map<runtime::LinkId, TimePoint> former_;
+  /// When former readers are sent away at the latest.
+  std::optional<TimePoint> goodbye_due_;
   /// Messages at the current version, shared by readers that are at the same version.
   std::map<std::uint64_t, runtime::MessagePointer> shared_;
   std::uint64_t shared_at_ = 0;
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -230,6 +230,7 @@
   const bool same_term = leadership.term == leadership_.term;
   const bool still_leads = leadership.role == consensus::Role::Leader && same_term;
   leadership_ = leadership;
+  readers_.onLeaderChanged();
   if (!was_leader || still_leads) return;
   ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
@@ -305,7 +306,8 @@
 
 bool StoreParts::stopped() const {
   if (!stopping_) return false;
-  return stop_passed_ || (!context_.isLeader() && writer_.idle() && forwarder_.idle());
+  return stop_passed_ ||
+         (!context_.isLeader() && !readers_.owesGoodbye() && writer_.idle() && forwarder_.idle());
 }
 
 StoreMetrics StoreParts::metrics() const {
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -241,5 +241,20 @@
   REQUIRE(answers == sent);
 }
 
+TEST_CASE("a leader that stops sends its readers away only once it can name the next leader") {
+  Trio trio;
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  const auto relay = trio.follow(leader, "relay-1", "krk-a");
+  trio.network.beginStop(leader);
+  for (int i = 0; i < 3000 && !trio.network.core(leader).stopped(); ++i) trio.network.runFor(milliseconds(1));
+  REQUIRE(trio.network.core(leader).stopped());
+  trio.network.runFor(milliseconds(2));
+  const auto& received = trio.network.received(relay);
+  const auto* goodbye = lastOf(received, &wire::BodyUnion::AsGoodbye);
+  REQUIRE(goodbye != nullptr);
+  REQUIRE(goodbye->alternatives.size() == 1);
+}
+
 }  // namespace
 }  // namespace cometstand::store::test
