--- a/rehearsal/simulator/fault_plan.cpp
+++ b/rehearsal/simulator/fault_plan.cpp
@@ -57,6 +57,7 @@
       return pick(fleet.names("proxy"), random);
     case FaultKind::ReplaceReplica:
       return pick(fleet.names("store"), random);
+    case FaultKind::CutSource:
     case FaultKind::StopRelay:
       return pick(fleet.names("relay"), random);
     case FaultKind::BackendLeave:
--- a/rehearsal/simulator/faults.cpp
+++ b/rehearsal/simulator/faults.cpp
@@ -24,6 +24,7 @@
     NamedFault{FaultKind::CutHost, "cut_host"},
     NamedFault{FaultKind::CutOutgoing, "cut_outgoing"},
     NamedFault{FaultKind::CutIncoming, "cut_incoming"},
+    NamedFault{FaultKind::CutSource, "cut_source"},
     NamedFault{FaultKind::CutZone, "cut_zone"},
     NamedFault{FaultKind::ResetConnections, "reset_connections"},
     NamedFault{FaultKind::SlowDisk, "slow_disk"},
@@ -114,6 +115,8 @@
     case FaultKind::CutOutgoing:
     case FaultKind::CutIncoming:
       return cutMachine(fault);
+    case FaultKind::CutSource:
+      return cutSource(fault.target, fault.duration);
     case FaultKind::CutZone:
       return cutZone(fault.target, fault.duration);
     case FaultKind::ResetConnections:
@@ -195,6 +198,17 @@
   later(fault.duration, [this, name = fault.target] { calm(name); });
 }
 
+void FaultInjector::cutSource(const std::string& relay, Duration duration) {
+  const std::set<HostId> own{fleet_.machine(relay).process->host()};
+  std::set<HostId> sources;
+  for (const char* role : {"store", "relay"}) {
+    for (const auto& name : fleet_.names(role)) {
+      if (name != relay) sources.insert(fleet_.machine(name).process->host());
+    }
+  }
+  cutFor(own, sources, true, duration);
+}
+
 void FaultInjector::cutZone(const std::string& zone, Duration duration) {
   const auto inside = fleet_.network().hostsIn(zone);
   auto outside = fleet_.network().hostsIn("");
--- a/rehearsal/simulator/faults.h
+++ b/rehearsal/simulator/faults.h
@@ -22,6 +22,8 @@
   /// Nothing that a machine sends arrives, or nothing that is sent to it.
   CutOutgoing,
   CutIncoming,
+  /// A relay and its sources, the stores and the other relays, do not reach each other; its proxies reach it.
+  CutSource,
   /// A zone and the other zones do not reach each other.
   CutZone,
   /// Every open connection breaks with some probability.
@@ -86,6 +88,7 @@
   void freezeFor(const std::string& name, Duration duration);
   void cutFor(const std::set<HostId>& left, const std::set<HostId>& right, bool both_ways, Duration duration);
   void cutMachine(const Fault& fault);
+  void cutSource(const std::string& relay, Duration duration);
   void cutZone(const std::string& zone, Duration duration);
   void resetConnections(Duration duration);
   void disk(const Fault& fault);
