--- a/rehearsal/simulator/fleet.cpp
+++ b/rehearsal/simulator/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 #include "config/token.h"
 #include "relay/relay_core.h"
@@ -134,6 +136,7 @@
             options.stores = storeAddresses();
             for (const auto& peer : names("relay")) options.peers.push_back(machines_.at(peer).address);
             options.batch_window = deployment_.batch_window;
+            options.beat_interval = deployment_.beat_interval;
             options.max_tombstones = tuning_.relay_tombstones;
             // The machine's clock, which the others' do not agree with to the last.
             const auto clock = queue_.now() + random_.uniform(Duration::zero(), kWallClockError);
@@ -217,6 +220,14 @@
   for (auto& prober : probers_) prober->start();
 }
 
+bool Fleet::everyProxyAt(std::uint64_t version) {
+  const auto proxies = names("proxy");
+  return std::all_of(proxies.begin(), proxies.end(), [&](const std::string& name) {
+    const auto* node = dynamic_cast<const ProxyNode*>(machine(name).process->core());
+    return node != nullptr && node->control().asOf() >= version;
+  });
+}
+
 Machine& Fleet::machine(const std::string& name) {
   const auto found = machines_.find(name);
   if (found != machines_.end()) return found->second;
--- a/rehearsal/simulator/rehearsal.cpp
+++ b/rehearsal/simulator/rehearsal.cpp
@@ -29,7 +29,8 @@
   fleet_.start();
   setup_.start();
   const bool done = advanceUntil(kSetupLimit, [this] { return setup_.done(); });
-  const bool in_force = done && advanceUntil(kSetupLimit, [this] { return everyProxyAt(setup_.version()); });
+  const bool in_force =
+      done && advanceUntil(kSetupLimit, [this] { return fleet_.everyProxyAt(setup_.version()); });
   if (!in_force) {
     checkers().log.add("setup", fleet_.queue().now(),
                        fmt::format("the mesh was not set up: {}", setup_.refusal()));
@@ -42,14 +43,6 @@
   return true;
 }
 
-bool Rehearsal::everyProxyAt(std::uint64_t version) {
-  for (const auto& name : fleet_.names("proxy")) {
-    const auto* node = dynamic_cast<const ProxyNode*>(fleet_.machine(name).process->core());
-    if (node == nullptr || node->control().asOf() < version) return false;
-  }
-  return true;
-}
-
 void Rehearsal::heal() {
   if (advanceUntil(kHealLimit, [this] { return injector_.active() == 0; })) return;
   checkers().log.add("recovery", fleet_.queue().now(), "a repair or planned stop never ended");
--- a/rehearsal/simulator/rehearsal.h
+++ b/rehearsal/simulator/rehearsal.h
@@ -41,7 +41,6 @@
   void finish();
   /// Complains unless what was accepted kInForceLimit ago is in force everywhere.
   void checkConverged();
-  bool everyProxyAt(std::uint64_t version);
 
   Fleet& fleet() { return fleet_; }
   checkers::CheckerSet& checkers() { return fleet_.checkers(); }
--- a/src/relay/proxy_messages.cpp
+++ b/src/relay/proxy_messages.cpp
@@ -1,6 +1,7 @@
 // The part of ProxyFanOut that sends beats, endpoint records and goodbyes, and sums up what proxies run.
 #include <algorithm>
 #include <limits>
+#include <unordered_map>
 
 #include "relay/error_info.h"
 #include "relay/proxy_fan_out.h"
@@ -16,18 +17,33 @@
 
 }  // namespace
 
-void ProxyFanOut::sendBeat(const Subscriber& subscriber) {
+wire::ViewBeatT ProxyFanOut::beatFor(const Subscriber& subscriber) const {
   wire::ViewBeatT beat;
   beat.view_version = subscriber.position.version;
   beat.as_of = subscriber.snapshot_needed ? subscriber.in_force_version : published_version_;
   beat.term = term_;
   beat.round = round_;
-  actions_.send(subscriber.link, beat, 0);
+  return beat;
+}
+
+void ProxyFanOut::sendBeat(const Subscriber& subscriber) {
+  actions_.send(subscriber.link, beatFor(subscriber), 0);
 }
 
 void ProxyFanOut::sendBeats() {
+  // Proxies at equal view versions share one message.
+  std::unordered_map<std::uint64_t, runtime::MessagePointer> messages;
   for (const auto& [link, subscriber] : subscribers_) {
-    if (subscriber.serving) sendBeat(subscriber);
+    if (!subscriber.serving) continue;
+    if (subscriber.snapshot_needed) {
+      sendBeat(subscriber);
+      continue;
+    }
+    auto& message = messages[subscriber.position.version];
+    if (!message) {
+      message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(beatFor(subscriber)));
+    }
+    actions_.send(link, message);
   }
 }
 
@@ -83,15 +99,20 @@
   handover_at_ = now;
 }
 
-void ProxyFanOut::handOverNext(TimePoint now) {
-  handover_at_ = TimePoint::max();
-  if (handover_.empty()) return;
+/// Sends the goodbyes that are due by now.
+void ProxyFanOut::handOverDue(TimePoint now) {
+  if (handover_at_ > now) return;
   wire::GoodbyeT goodbye;
   goodbye.alternatives = networkAddresses(alternatives_);
-  actions_.send(handover_.front(), std::move(goodbye), 0);
-  handover_.pop_front();
-  const std::chrono::duration<double> pause(1 / options_.handover_rate);
-  handover_at_ = now + std::chrono::duration_cast<Duration>(pause);
+  const auto message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(goodbye)));
+  const auto pause =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / options_.handover_rate));
+  while (handover_at_ <= now && !handover_.empty()) {
+    actions_.send(handover_.front(), message);
+    handover_.pop_front();
+    handover_at_ += pause;
+  }
+  if (handover_.empty()) handover_at_ = TimePoint::max();
 }
 
 /// What was sent and acknowledged is in force, and nothing up to the published version changes it.
@@ -136,7 +157,7 @@
 void ProxyFanOut::onTimer(TimePoint now) {
   if (flush_at_ <= now) flush(now);
   refuseOverdue(now);
-  while (handover_at_ <= now && !handover_.empty()) handOverNext(now);
+  handOverDue(now);
   if (beat_at_ == TimePoint::max()) beat_at_ = now;
   if (beat_at_ > now) return;
   sendBeats();
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -10,6 +10,7 @@
   bool is_leader = false;
   std::uint64_t term = 0;
   std::uint64_t version = 0;
+  std::uint64_t catalog_bytes = 0;
   std::uint64_t commit_index = 0;
   std::uint64_t readers = 0;
   std::uint64_t answered_requests = 0;
@@ -23,14 +24,15 @@
   std::uint64_t commands_unknown = 0;
   std::uint64_t commands_forwarded = 0;
   std::uint64_t claims_answered = 0;
+  std::uint64_t claims_expired = 0;
   std::uint64_t log_entries_proposed = 0;
   std::uint64_t log_commands_proposed = 0;
   std::uint64_t readers_admitted = 0;
   std::uint64_t readers_refused = 0;
-  std::uint64_t deltas_sent = 0;
-  std::uint64_t snapshots_sent = 0;
+  std::uint64_t deltas_made = 0;
+  std::uint64_t snapshots_made = 0;
   std::uint64_t beats_sent = 0;
-  std::uint64_t leadership_changes = 0;
+  std::uint64_t leaderships_lost = 0;
 };
 
 }  // namespace cometstand::store
--- a/tests/proxy/admission_queue_test.cpp
+++ b/tests/proxy/admission_queue_test.cpp
@@ -81,6 +81,17 @@
   CHECK(fixture.admitted.back() == 100);
 }
 
+TEST_CASE("a tenant works on no more requests at once than its limit", "[admission]") {
+  Fixture fixture;
+  for (const auto* tenant : {"a", "b"}) fixture.queue.setCapacity({tenant, "s"}, 10);
+  fixture.queue.setTenantLimit("a", 2);
+  for (std::uint64_t id = 1; id <= 4; ++id) fixture.offer(id, "a");
+  fixture.offer(5, "b");
+  CHECK(fixture.admitted == std::vector<std::uint64_t>{1, 2, 5});
+  fixture.release("a");
+  CHECK(fixture.admitted.back() == 3);
+}
+
 TEST_CASE("a full queue gives up its lowest class first", "[admission]") {
   AdmissionOptions options;
   options.tenant_max_queued = 2;
@@ -108,15 +119,18 @@
   CHECK(fixture.refused[0].reason == RefusalReason::DeadlinePassed);
 }
 
-TEST_CASE("shedding back ends lower the limit, successes raise it again", "[admission]") {
+TEST_CASE("requests that run out of time lower the limit, successes raise it again", "[admission]") {
   Fixture fixture;
   const ServiceKey service{"a", "s"};
   fixture.queue.setCapacity(service, 10);
   for (std::uint64_t id = 1; id <= 10; ++id) fixture.offer(id, "a");
-  fixture.queue.onOverload(service, fixture.now);
+  fixture.release("a", WorkResult::Overload);
   CHECK(fixture.queue.limit(service) == 8);
-  fixture.queue.onOverload(service, fixture.now);
+  fixture.release("a", WorkResult::Overload);
   CHECK(fixture.queue.limit(service) == 8);
+  // These wait until the limit rises.
+  fixture.offer(61, "a");
+  fixture.offer(62, "a");
   for (std::uint64_t id = 11; id < 60; ++id) {
     fixture.release("a");
     fixture.offer(id, "a");
