Ask relays only for what a query needs

Cause: a query of the fleet's state made every zone's reader send its whole endpoint table, which is the mesh's: at 14,000 targets show proxies brought 22 x 14,000 endpoint records that nobody asked for. The question by which a reader proves that it lives brought all that too.

Change: StatusRequest says whether the proxies' versions are wanted and which service's endpoint records; show endpoints names its service, show proxies none, the proof of life neither. A relay does not ask its followers when only endpoints are wanted: their table is its own.

Tests: a question for one service brings that service's records and no proxies, the default question no records; the relay's and the store's tests pass.

--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -27,4 +27,14 @@
   return result;
 }
 
+std::vector<view::EndpointRecordPointer> EndpointTable::recordsOfService(const std::string& tenant,
+                                                                         const std::string& service) const {
+  std::vector<view::EndpointRecordPointer> records;
+  for (auto item = records_.lower_bound({tenant, service, {}}); item != records_.end(); ++item) {
+    if (item->first.tenant != tenant || item->first.service != service) break;
+    records.push_back(item->second);
+  }
+  return records;
+}
+
 }  // namespace cometstand::relay
--- a/src/relay/endpoint_table.h
+++ b/src/relay/endpoint_table.h
@@ -27,6 +27,10 @@
   /// @return all records of the tenants.
   std::vector<view::EndpointRecordPointer> recordsOf(const std::vector<std::string>& tenants) const;
 
+  /// @return all records of one service.
+  std::vector<view::EndpointRecordPointer> recordsOfService(const std::string& tenant,
+                                                            const std::string& service) const;
+
  private:
   Records records_;
 };
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -111,8 +111,8 @@
     upstream_.onGoodbye(*goodbye, now);
   } else if (const auto* order = body.AsStopOrder()) {
     onStopOrder(*order, now);
-  } else if (body.AsStatusRequest() != nullptr) {
-    beginStatus(link, message.request_id, now);
+  } else if (const auto* status = body.AsStatusRequest()) {
+    beginStatus(link, message.request_id, *status, now);
   }
 }
 
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -93,7 +93,8 @@
   std::uint32_t meshProxies() const;
   void reportUpstream(TimePoint now);
   void shareConnections(TimePoint now);
-  void beginStatus(runtime::LinkId asker, std::uint64_t request_id, TimePoint now);
+  void beginStatus(runtime::LinkId asker, std::uint64_t request_id, const wire::StatusRequestT& request,
+                   TimePoint now);
   void onStopOrder(const wire::StopOrderT& order, TimePoint now);
 
   // Endpoint records.
--- a/src/relay/relay_reports.cpp
+++ b/src/relay/relay_reports.cpp
@@ -60,11 +60,12 @@
   proxies_.sendShare(std::max(shared_among_, 1U));
 }
 
-void RelayCore::beginStatus(LinkId asker, std::uint64_t request_id, TimePoint now) {
+void RelayCore::beginStatus(LinkId asker, std::uint64_t request_id, const wire::StatusRequestT& request,
+                            TimePoint now) {
   wire::StatusReplyT own;
-  own.proxies = proxies_.statuses();
-  for (const auto& [id, record] : table_.records()) own.endpoints.push_back(record);
-  status_.begin(asker, request_id, std::move(own), followers_.links(), now);
+  if (request.proxies) own.proxies = proxies_.statuses();
+  if (!request.service.empty()) own.endpoints = table_.recordsOfService(request.tenant, request.service);
+  status_.begin(asker, request_id, request, std::move(own), followers_.links(), now);
 }
 
 void RelayCore::onStopOrder(const wire::StopOrderT& order, TimePoint now) {
--- a/src/relay/status_collector.cpp
+++ b/src/relay/status_collector.cpp
@@ -6,18 +6,16 @@
 
 using runtime::LinkId;
 
-void StatusCollector::begin(LinkId asker, std::uint64_t request_id, wire::StatusReplyT own,
-                            const std::vector<LinkId>& followers, TimePoint now) {
+void StatusCollector::begin(LinkId asker, std::uint64_t request_id, const wire::StatusRequestT& request,
+                            wire::StatusReplyT own, const std::vector<LinkId>& followers, TimePoint now) {
   const std::uint64_t id = numbers_.next();
   auto& collection = collections_[id];
   collection.asker = asker;
   collection.request_id = request_id;
   collection.reply = std::move(own);
   collection.deadline = now + limit_;
-  for (const LinkId follower : followers) {
-    collection.missing.insert(follower);
-    actions_.send(follower, wire::StatusRequestT(), id);
-  }
+  if (request.proxies) collection.missing = {followers.begin(), followers.end()};
+  for (const LinkId follower : collection.missing) actions_.send(follower, wire::StatusRequestT(), id);
   finishComplete(now);
 }
 
--- a/src/relay/status_collector.h
+++ b/src/relay/status_collector.h
@@ -17,9 +17,10 @@
   StatusCollector(runtime::ActionQueue& actions, RequestNumbers& numbers, Duration limit)
       : actions_(actions), numbers_(numbers), limit_(limit) {}
 
-  /// @param own what this relay knows itself. @param followers the relays to ask.
-  void begin(runtime::LinkId asker, std::uint64_t request_id, wire::StatusReplyT own,
-             const std::vector<runtime::LinkId>& followers, TimePoint now);
+  /// @param own what this relay knows itself of what the request asks for. @param followers the relays to
+  ///     ask in turn; their endpoint records are this relay's, so that they are not asked for.
+  void begin(runtime::LinkId asker, std::uint64_t request_id, const wire::StatusRequestT& request,
+             wire::StatusReplyT own, const std::vector<runtime::LinkId>& followers, TimePoint now);
 
   void onReply(runtime::LinkId follower, std::uint64_t request_id, const wire::StatusReplyT& reply);
   /// An asker or follower is gone.
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -2228,14 +2228,36 @@
 
 struct StatusRequestT : public flatbuffers::NativeTable {
   typedef StatusRequest TableType;
+  bool proxies = true;
+  std::string tenant{};
+  std::string service{};
 };
 
 struct StatusRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StatusRequestT NativeTableType;
   typedef StatusRequestBuilder Builder;
   struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROXIES = 4,
+    VT_TENANT = 6,
+    VT_SERVICE = 8
+  };
+  bool proxies() const {
+    return GetField<uint8_t>(VT_PROXIES, 1) != 0;
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_PROXIES, 1) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            verifier.EndTable();
   }
   StatusRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2247,6 +2269,15 @@
   typedef StatusRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_proxies(bool proxies) {
+    fbb_.AddElement<uint8_t>(StatusRequest::VT_PROXIES, static_cast<uint8_t>(proxies), 1);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(StatusRequest::VT_TENANT, tenant);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(StatusRequest::VT_SERVICE, service);
+  }
   explicit StatusRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2259,8 +2290,14 @@
 };
 
 inline flatbuffers::Offset<StatusRequest> CreateStatusRequest(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool proxies = true,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
   StatusRequestBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_tenant(tenant);
+  builder_.add_proxies(proxies);
   return builder_.Finish();
 }
 
@@ -2269,6 +2306,20 @@
   static auto constexpr Create = CreateStatusRequest;
 };
 
+inline flatbuffers::Offset<StatusRequest> CreateStatusRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool proxies = true,
+    const char *tenant = nullptr,
+    const char *service = nullptr) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return cometstand::wire::CreateStatusRequest(
+      _fbb,
+      proxies,
+      tenant__,
+      service__);
+}
+
 flatbuffers::Offset<StatusRequest> CreateStatusRequest(flatbuffers::FlatBufferBuilder &_fbb, const StatusRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct StatusReplyT : public flatbuffers::NativeTable {
@@ -4841,6 +4892,9 @@
 inline void StatusRequest::UnPackTo(StatusRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = proxies(); _o->proxies = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
 }
 
 inline flatbuffers::Offset<StatusRequest> StatusRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4851,8 +4905,14 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StatusRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _proxies = _o->proxies;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   return cometstand::wire::CreateStatusRequest(
-      _fbb);
+      _fbb,
+      _proxies,
+      _tenant,
+      _service);
 }
 
 inline StatusReplyT::StatusReplyT(const StatusReplyT &o) {
--- a/src/store/command_execution.cpp
+++ b/src/store/command_execution.cpp
@@ -50,7 +50,7 @@
                        query](const wire::StatusReplyT& status) {
     return showProxies(state, scope, query, status);
   };
-  parts_.statuses.begin(call.asker, parts_.readers.links(), render, call.now);
+  parts_.statuses.begin(call.asker, parts_.readers.links(), wire::StatusRequestT(), render, call.now);
 }
 
 void CommandService::run(const Call& call, const command::ShowEndpoints& query) {
@@ -58,7 +58,11 @@
                        query](const wire::StatusReplyT& status) {
     return showEndpoints(state, scope, query, status);
   };
-  parts_.statuses.begin(call.asker, parts_.readers.links(), render, call.now);
+  wire::StatusRequestT request;
+  request.proxies = false;
+  request.tenant = query.service.tenant.empty() ? call.identity.scope.tenant : query.service.tenant;
+  request.service = query.service.name;
+  parts_.statuses.begin(call.asker, parts_.readers.links(), request, render, call.now);
 }
 
 void CommandService::run(const Call& call, const command::WaitInForce& query) {
--- a/src/store/reader_hub.cpp
+++ b/src/store/reader_hub.cpp
@@ -130,7 +130,9 @@
   if (!reader.proof_due) {
     // The asker may be here because the reader is gone: let it prove that it lives.
     reader.proof_due = now + context_.options.status_time_limit;
-    context_.actions.send(other->first, wire::StatusRequestT(), 0);
+    wire::StatusRequestT proof;
+    proof.proxies = false;
+    context_.actions.send(other->first, proof, 0);
   }
   refuse(link,
          Error(ErrorKind::Conflict, fmt::format("relay {} reads for zone {}", reader.relay, reader.zone),
--- a/src/store/status_collector.cpp
+++ b/src/store/status_collector.cpp
@@ -11,15 +11,15 @@
 
 using runtime::LinkId;
 
-void StatusCollector::begin(const Asker& asker, const std::vector<LinkId>& readers, Render render,
-                            TimePoint now) {
+void StatusCollector::begin(const Asker& asker, const std::vector<LinkId>& readers,
+                            const wire::StatusRequestT& request, Render render, TimePoint now) {
   const std::uint64_t request_id = ++last_request_id_;
   auto& collection = collections_[request_id];
   collection.asker = asker;
   collection.render = std::move(render);
   collection.missing = {readers.begin(), readers.end()};
   collection.deadline = now + context_.options.status_time_limit;
-  for (const LinkId reader : readers) context_.actions.send(reader, wire::StatusRequestT(), request_id);
+  for (const LinkId reader : readers) context_.actions.send(reader, request, request_id);
   finishComplete();
 }
 
--- a/src/store/status_collector.h
+++ b/src/store/status_collector.h
@@ -19,7 +19,9 @@
 
   explicit StatusCollector(StoreContext& context) : context_(context) {}
 
-  void begin(const Asker& asker, const std::vector<runtime::LinkId>& readers, Render render, TimePoint now);
+  /// @param request what the answer needs, and no more: it goes to every relay.
+  void begin(const Asker& asker, const std::vector<runtime::LinkId>& readers,
+             const wire::StatusRequestT& request, Render render, TimePoint now);
   void onReply(runtime::LinkId reader, std::uint64_t request_id, const wire::StatusReplyT& reply);
   void onLinkClosed(runtime::LinkId link);
   /// Answers all that wait: the readers went to another leader.
--- a/tests/relay/endpoints_test.cpp
+++ b/tests/relay/endpoints_test.cpp
@@ -224,5 +224,24 @@
   CHECK(relay.driver.takeOne<wire::ConnectionShareT>(relay.proxy).proxies == 10);
 }
 
+TEST_CASE("a question for one service brings its records, and none of the fleet's") {
+  EndpointFixture relay;
+  wire::EndpointUpdateT update;
+  update.records = {record("e9", 1, 1, EndpointState::Live)};
+  update.records[0]->service = "other";
+  relay.driver.receive(relay.joinPeer("relay-b1", "krk-b"), update);
+  wire::StatusRequestT about_service;
+  about_service.proxies = false;
+  about_service.tenant = "napisy";
+  about_service.service = "editor-desk";
+  relay.driver.receive(*relay.store, about_service, 5);
+  const auto answer = relay.driver.takeOne<wire::StatusReplyT>(*relay.store);
+  CHECK(answer.proxies.empty());
+  CHECK(answer.endpoints.size() == 4);
+  CHECK(relay.core.endpointTable().records().size() == 5);
+  relay.driver.receive(*relay.store, wire::StatusRequestT(), 6);
+  CHECK(relay.driver.takeOne<wire::StatusReplyT>(*relay.store).endpoints.empty());
+}
+
 }  // namespace
 }  // namespace cometstand::relay::test
