--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -1,11 +1,13 @@
 #include "relay/endpoint_table.h"
 
+#include <compare>
+
 namespace cometstand::relay {
 
 bool EndpointTable::merge(const view::EndpointRecordPointer& record) {
   if (!record) return false;
   auto& known = records_[view::endpointId(*record)];
-  if (known && view::compareRecords(*record, *known) <= 0) return false;
+  if (known && std::is_lteq(view::compareRecords(*record, *known))) return false;
   known = record;
   return true;
 }
