--- a/rehearsal/simulator/fleet.cpp
+++ b/rehearsal/simulator/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 #include "config/token.h"
 #include "relay/relay_core.h"
@@ -14,7 +16,12 @@
 constexpr std::uint16_t kBackendPort = 9000;
 /// Clocks run fast or slow by up to this share.
 constexpr double kClockRateError = 0.002;
+/// Machines keep the time of day to within this.
+constexpr Duration kWallClockError = std::chrono::milliseconds(100);
 constexpr int kClockSteps = 1000;
+/// Share of seeds with drawn sizes.
+constexpr double kRareSizes = 0.7;
+constexpr std::size_t kKibibyte = 1024;
 
 /// Each part of a run has seeds of its own, by run and machine.
 std::uint64_t mixSeed(std::uint64_t seed, const std::string& name, std::uint64_t run) {
@@ -23,6 +30,21 @@
   return value;
 }
 
+Tuning drawTuning(RandomSource& random) {
+  Tuning tuning;
+  const relay::RelayOptions relay;
+  tuning.relay_tombstones = relay.max_tombstones;
+  if (random.chance(kRareSizes)) {
+    tuning.consensus.segment_bytes = random.uniform(4, 64) * kKibibyte;
+    tuning.consensus.snapshot_after_log_bytes = random.uniform(8, 256) * kKibibyte;
+    tuning.consensus.entries_kept_after_snapshot = random.uniform(0, 50);
+    tuning.consensus.max_entries_per_append = random.uniform(1, 20);
+    tuning.consensus.max_appends_in_flight = random.uniform(1, 4);
+    tuning.relay_tombstones = random.uniform(1, 20);
+  }
+  return tuning;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> bootstrapSalt() { return {1, 2, 3, 4, 5, 6, 7, 8}; }
@@ -33,7 +55,8 @@
       random_(seed),
       network_(queue_, deployment.latency, mixSeed(seed, "network", 0)),
       machine_list_(queue_),
-      checkers_(checkers::CheckLimits{}) {
+      checkers_(checkers::CheckLimits{}),
+      tuning_(drawTuning(random_)) {
   addStores();
   addRelays();
   addProxies();
@@ -91,6 +114,7 @@
     options.self = voter;
     options.initial_voters = voters;
     options.bootstrap = true;
+    options.consensus = tuning_.consensus;
     options.bootstrap_salt = bootstrapSalt();
     options.bootstrap_token_hash = config::hashToken(bootstrapSalt(), kBootstrapToken);
     store_options_[voter.name] = options;
@@ -112,6 +136,11 @@
             options.stores = storeAddresses();
             for (const auto& peer : names("relay")) options.peers.push_back(machines_.at(peer).address);
             options.batch_window = deployment_.batch_window;
+            options.beat_interval = deployment_.beat_interval;
+            options.max_tombstones = tuning_.relay_tombstones;
+            // The machine's clock, which the others' do not agree with to the last.
+            const auto clock = queue_.now() + random_.uniform(Duration::zero(), kWallClockError);
+            options.first_sequence = static_cast<std::uint64_t>(clock.time_since_epoch().count());
             options.seed = mixSeed(seed_, name, run);
             return std::make_unique<relay::RelayCore>(options);
           },
@@ -191,6 +220,14 @@
   for (auto& prober : probers_) prober->start();
 }
 
+bool Fleet::everyProxyAt(std::uint64_t version) {
+  const auto proxies = names("proxy");
+  return std::all_of(proxies.begin(), proxies.end(), [&](const std::string& name) {
+    const auto* node = dynamic_cast<const ProxyNode*>(machine(name).process->core());
+    return node != nullptr && node->control().asOf() >= version;
+  });
+}
+
 Machine& Fleet::machine(const std::string& name) {
   const auto found = machines_.find(name);
   if (found != machines_.end()) return found->second;
