--- a/src/relay/endpoint_table.cpp
+++ b/src/relay/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "relay/endpoint_table.h"
 
+#include <compare>
+
 namespace cometstand::relay {
 
 bool EndpointTable::merge(const view::EndpointRecordPointer& record) {
@@ -27,4 +29,14 @@
   return result;
 }
 
+std::vector<view::EndpointRecordPointer> EndpointTable::recordsOfService(const std::string& tenant,
+                                                                         const std::string& service) const {
+  std::vector<view::EndpointRecordPointer> records;
+  for (auto item = records_.lower_bound({tenant, service, {}}); item != records_.end(); ++item) {
+    if (item->first.tenant != tenant || item->first.service != service) break;
+    records.push_back(item->second);
+  }
+  return records;
+}
+
 }  // namespace cometstand::relay
