--- a/src/proxy/admission_queue.cpp
+++ b/src/proxy/admission_queue.cpp
@@ -71,7 +71,8 @@
     return;
   }
   const auto index = classIndex(request.request_class);
-  if (now + expectedWait(service, index + 1) + service.mean_work_time > request.deadline) {
+  const auto most = (request.deadline - now - service.mean_work_time) * options_.wait_share;
+  if (expectedWait(service, index + 1) > most) {
     refuse(request.id, RefusalReason::WaitTooLong, service);
     return;
   }
@@ -150,7 +151,7 @@
   auto& tenant = tenants_[key.tenant];
   auto& service = tenant.services[key.service];
   if (result == WorkResult::Success) service.limit.onSuccess(service.in_flight);
-  if (result == WorkResult::Overload) service.limit.onOverload(options_, now);
+  if (result == WorkResult::Overload) service.limit.onOverload(options_.limit, now);
   if (service.in_flight > 0) --service.in_flight;
   if (tenant.in_flight > 0) --tenant.in_flight;
   if (in_flight_ > 0) --in_flight_;
@@ -162,10 +163,6 @@
   onTimer(now);
 }
 
-void AdmissionQueue::onOverload(const ServiceKey& service, TimePoint now) {
-  serviceState(service).limit.onOverload(options_, now);
-}
-
 void AdmissionQueue::remove(RequestId id) { dequeue(id); }
 
 void AdmissionQueue::onTimer(TimePoint now) {
