--- a/src/proxy/request_machine.cpp
+++ b/src/proxy/request_machine.cpp
@@ -264,9 +264,8 @@
   answered_ = true;
   switch (state_) {
     case State::Done:
-      return;
     case State::Claiming:
-      // The reply decides whether there is a claim to give back.
+      // The reply to a claim decides whether there is one to give back.
       return;
     case State::Attempting:
     case State::Streaming:
