--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -40,6 +40,10 @@
                  "Largest ceiling of the random pause before a connect.");
   table.duration("proxy.claim_limit", control.claim_limit, {milliseconds(50), minutes(1)},
                  "How long the store's answer to a claim may take; without it the request is not sent.");
+  table.duration(
+      "proxy.claim_retry_limit", control.claim_retry_limit, {milliseconds(0), minutes(1)},
+      "How long a claim is asked for again while the store has no leader; in a longer outage claims "
+      "are refused at once.");
   table.duration("proxy.claim_finish_retry", control.claim_finish_retry, {milliseconds(100), minutes(5)},
                  "Pause before the end of a claim is reported again when no answer came.");
 }
@@ -109,10 +113,11 @@
                  "Shortest time that a refused caller is told to wait; up to twice as long by jitter.");
   table.duration("proxy.maximum_retry_after", admission.maximum_retry_after, {milliseconds(1), minutes(10)},
                  "Longest time that a refused caller is told to wait.");
-  table.duration("proxy.limit_cut_interval", admission.limit_cut_interval, {milliseconds(1), minutes(1)},
-                 "Pause between two cuts of a service's concurrency limit.");
-  table.number("proxy.limit_cut_factor", admission.limit_cut_factor, {0.1, 1},
-               "Factor of such a cut, made when back ends shed or time runs out.");
+  table.duration("proxy.limit_cut_interval", admission.limit.cut_interval, {milliseconds(1), minutes(1)},
+                 "Pause between two cuts of a service's or an endpoint's concurrency limit.");
+  table.number(
+      "proxy.limit_cut_factor", admission.limit.cut_factor, {0.1, 1},
+      "Factor of such a cut: of a service's limit when time runs out, of an endpoint's when it sheds.");
 }
 
 void declareRetries(settings::SettingsTable& table, RetryOptions& retry) {
@@ -179,6 +184,7 @@
   proxy.control.zone = proxy.common.zone;
   proxy.control.incarnation = incarnation;
   proxy.data_path.balancer.zone = proxy.common.zone;
+  proxy.data_path.balancer.limit = proxy.data_path.admission.limit;
   proxy.data_path.claim_prefix = fmt::format("{}-{:016x}", proxy.control.node, incarnation);
 }
 
--- a/tests/store/relay_test.cpp
+++ b/tests/store/relay_test.cpp
@@ -43,6 +43,7 @@
 
 TEST_CASE("a relay gets a snapshot, then deltas, beats and freshness") {
   Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) trio.network.options(i).beat_interval = milliseconds(50);
   trio.begin();
   const auto leader = trio.waitForLeader();
   REQUIRE(trio.run(leader, "change { put tenant wspolnota }").version == 1);
@@ -71,12 +72,15 @@
   REQUIRE(trio.network.runUntil([&] { return received.back().request_id == 77; }));
   REQUIRE(received.back().body.AsQuorumBeat()->version == 2);
 
-  // No beat without a quorum.
+  // No beat without a quorum, also while the leader that is cut off still believes that it leads.
   trio.network.cut(leader);
-  trio.network.runFor(seconds(2));
+  trio.network.runFor(milliseconds(3));
   received.clear();
-  trio.network.runFor(seconds(5));
-  REQUIRE(received.empty());
+  trio.network.send(relay, runtime::makeEnvelope(wire::FreshnessRequestT(), 78));
+  trio.network.runFor(seconds(2));
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsQuorumBeat) == nullptr);
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsRefusal) != nullptr);
+  REQUIRE(lastOf(received, &wire::BodyUnion::AsGoodbye) != nullptr);
 }
 
 TEST_CASE("one relay a zone reads; one that died without a trace is replaced") {
@@ -155,6 +159,7 @@
 
 TEST_CASE("a claim is granted to one attempt and ends released, completed or unknown") {
   Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) trio.network.options(i).claim_time_limit = seconds(20);
   trio.begin();
   auto leader = trio.waitForLeader();
   REQUIRE(trio.run(leader, "change { put tenant wspolnota }").version == 1);
@@ -194,6 +199,13 @@
     trio.claim(relay, claimFinish("a", wire::ClaimEnd::Completed));
     REQUIRE(state("b") == wire::ClaimState::Completed);
   }
+  SECTION("a holder that died leaves unknown, and a late word of it counts") {
+    trio.network.runFor(seconds(30));
+    REQUIRE(state("b") == wire::ClaimState::Unknown);
+    REQUIRE(state("a") == wire::ClaimState::Unknown);
+    trio.claim(relay, claimFinish("a", wire::ClaimEnd::Completed));
+    REQUIRE(state("b") == wire::ClaimState::Completed);
+  }
   SECTION("no quorum: unknown for what was appended, not run for what comes later") {
     trio.network.cut(leader);
     REQUIRE(trio.claim(relay, claimRequest("c")).outcome == wire::Outcome::Unknown);
