--- a/src/runtime/reconnect_backoff.h
+++ b/src/runtime/reconnect_backoff.h
@@ -22,16 +22,16 @@
   /// Longest wish of a peer that is honoured: a wrong one must not keep a process away for days.
   static constexpr Duration kLongestWish = std::chrono::minutes(1);
 
+  /// Enough to part those that were told to come back at one moment.
+  static constexpr Duration kMaxExtraWait = std::chrono::seconds(1);
+
   /// @return a pause that honours a peer's wish up to kLongestWish: from [wish, wish + half of it], at most
-  /// kMaxExtraWait more.
+  ///     kMaxExtraWait more.
   static Duration honour(Duration wish, RandomSource& random) {
     wish = std::min(wish, kLongestWish);
     return wish + random.uniform(Duration::zero(), std::min(wish / 2, kMaxExtraWait));
   }
 
-  /// Enough to part those that were told to come back at one moment.
-  static constexpr Duration kMaxExtraWait = std::chrono::seconds(1);
-
   /// Call it when a peer proved useful.
   void reset() { ceiling_ = Duration::zero(); }
 
