--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -21,6 +21,8 @@
 /// Records that are packed into a snapshot at once, a few milliseconds' work, and the pause for other events.
 constexpr std::size_t kSnapshotSlice = 4'000;
 constexpr Duration kSnapshotPause = std::chrono::milliseconds(5);
+/// Until a state that did not fit a snapshot is tried again.
+constexpr Duration kSnapshotRetry = std::chrono::seconds(60);
 
 const StoreOptions& checked(const StoreOptions& options) {
   options.check();
@@ -254,7 +256,7 @@
 }
 
 void StoreParts::beginSnapshotIfDue(TimePoint now) {
-  if (snapshot_ || snapshot_failed_ || !consensus_.snapshotDue()) return;
+  if (snapshot_ || now < next_snapshot_ || !consensus_.snapshotDue()) return;
   snapshot_.emplace(Snapshot{applied_index_, SnapshotWriter(state_.capture()), now});
 }
 
@@ -265,7 +267,7 @@
   try {
     consensus_.compact(snapshot_->index, snapshot_->writer.take());
   } catch (const Error& error) {
-    snapshot_failed_ = true;
+    next_snapshot_ = now + kSnapshotRetry;
     logEvent(kSnapshotTooLarge, {{"reason", error.what()}});
   }
   snapshot_.reset();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -86,7 +86,8 @@
     TimePoint continue_at;
   };
   std::optional<Snapshot> snapshot_;
-  bool snapshot_failed_ = false;
+  /// Not before: the last snapshot did not fit, and operators need time to delete what is not needed.
+  TimePoint next_snapshot_;
   bool stopping_ = false;
   /// When leadership may be handed over, or again; the beginning of time before the first try.
   TimePoint next_transfer_;
--- a/tests/store/memory_network.h
+++ b/tests/store/memory_network.h
@@ -44,6 +44,7 @@
   void startAll();
   /// Ends the process without notice; its files stay.
   void crash(ReplicaIndex index);
+  const MemoryFiles& files(ReplicaIndex index) const { return nodes_.at(index).files; }
   void loseDisk(ReplicaIndex index) { nodes_.at(index).files = MemoryFiles(); }
   /// Messages between replicas to and from it are lost without notice; clients still reach it.
   void cut(ReplicaIndex index) { cut_.insert(index); }
--- a/tests/store/replica_test.cpp
+++ b/tests/store/replica_test.cpp
@@ -1,4 +1,6 @@
 // Lost disks and replaced replicas.
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 
 #include "store_fixture.h"
@@ -151,5 +153,31 @@
   REQUIRE(trio.run(leader, "show version").version == 1);
 }
 
+TEST_CASE("a state that did not fit a snapshot is stored once enough was deleted") {
+  Trio trio;
+  for (std::size_t i = 0; i < 3; ++i) {
+    trio.network.options(i).consensus.snapshot_after_log_bytes = 4096;
+    trio.network.options(i).consensus.max_snapshot_bytes = 16384;
+  }
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  REQUIRE(trio.run(leader, "change { put tenant t }").outcome == wire::Outcome::Completed);
+  const std::string value(4000, 'x');
+  std::string put;
+  std::string remove;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    put += fmt::format("put secret t/{} value \"{}\"; ", name, value);
+    remove += fmt::format("delete secret t/{}; ", name);
+  }
+  REQUIRE(trio.run(leader, "change { " + put + "}").outcome == wire::Outcome::Completed);
+  trio.network.runFor(seconds(5));
+  REQUIRE_FALSE(trio.network.files(leader).read("snapshot").has_value());
+
+  REQUIRE(trio.run(leader, "change { " + remove + "}").outcome == wire::Outcome::Completed);
+  trio.network.runFor(seconds(60));
+  REQUIRE(trio.run(leader, "change { put tenant after }").outcome == wire::Outcome::Completed);
+  CHECK(trio.network.runUntil([&] { return trio.network.files(leader).read("snapshot").has_value(); }));
+}
+
 }  // namespace
 }  // namespace cometstand::store::test
