Keep the shorter form of the ordering of addresses

Change: the defaulted one stays; clang-tidy's modernize-use-nullptr reports defaulted orderings falsely. Conclusion: one line in place of five.

--- a/src/runtime/process_core.h
+++ b/src/runtime/process_core.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -36,11 +35,7 @@
   std::string host;
   std::uint16_t port = 0;
   friend bool operator==(const Address&, const Address&) = default;
-  // Spelled out, since clang-tidy's modernize-use-nullptr reports defaulted orderings falsely.
-  friend std::strong_ordering operator<=>(const Address& left, const Address& right) {
-    const auto by_host = left.host <=> right.host;
-    return std::is_eq(by_host) ? left.port <=> right.port : by_host;
-  }
+  friend auto operator<=>(const Address&, const Address&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 using MessagePointer = std::shared_ptr<const wire::EnvelopeT>;
