Relay: tell a proxy that is ahead of the batch the version that its view equals

A proxy came back with its view of version 10 while a batch waited. The change of version 28 had been undone by 31, so its view equalled that of 31 and nothing was sent; but the beat named the published version, 29, whose view has the change. Ruled out: a view that was lost or applied in part; its contents were those of version 31, only the label was too low. Nothing older than promised ran. Change: the relay keeps the newest version of which the sent view is current, and beats name it when it is ahead of what is published.

--- a/src/relay/proxy_fan_out.cpp
+++ b/src/relay/proxy_fan_out.cpp
@@ -146,7 +146,10 @@
 
 void ProxyFanOut::bringUpToDate(Subscriber& subscriber) {
   const bool is_current = source_.isCurrent(subscriber.node, subscriber.tenants, subscriber.position);
-  if (is_current && !subscriber.snapshot_needed) return;
+  if (is_current && !subscriber.snapshot_needed) {
+    subscriber.current_version = index_.version();
+    return;
+  }
   const auto update =
       source_.updateFor(subscriber.node, subscriber.tenants, subscriber.position, subscriber.snapshot_needed);
   if (!update) {
@@ -159,6 +162,7 @@
   }
   subscriber.position = update->result;
   subscriber.snapshot_needed = false;
+  subscriber.current_version = index_.version();
   subscriber.told_version = index_.version();
   actions_.send(subscriber.link, update->message);
 }
--- a/src/relay/proxy_fan_out.h
+++ b/src/relay/proxy_fan_out.h
@@ -88,6 +88,8 @@
     /// In force on the proxy while a sent view is not acknowledged.
     std::uint64_t in_force_version = 0;
     bool snapshot_needed = false;
+    /// The newest version of which `position` is the view; ahead of what is published while a batch waits.
+    std::uint64_t current_version = 0;
     /// The newest version that the proxy was told is in force, by an update or a beat.
     std::uint64_t told_version = 0;
     TenantSet tenants;
--- a/src/relay/proxy_messages.cpp
+++ b/src/relay/proxy_messages.cpp
@@ -20,15 +20,18 @@
 wire::ViewBeatT ProxyFanOut::beatFor(const Subscriber& subscriber) const {
   wire::ViewBeatT beat;
   beat.view_version = subscriber.position.version;
-  beat.as_of = subscriber.snapshot_needed ? subscriber.in_force_version : published_version_;
+  // A proxy that was brought up to date while a batch waits is ahead of what is published.
+  beat.as_of = subscriber.snapshot_needed ? subscriber.in_force_version
+                                          : std::max(published_version_, subscriber.current_version);
   beat.term = term_;
   beat.round = round_;
   return beat;
 }
 
 void ProxyFanOut::sendBeat(Subscriber& subscriber) {
-  if (!subscriber.snapshot_needed) subscriber.told_version = published_version_;
-  actions_.send(subscriber.link, beatFor(subscriber), 0);
+  const auto beat = beatFor(subscriber);
+  subscriber.told_version = std::max(subscriber.told_version, beat.as_of);
+  actions_.send(subscriber.link, beat, 0);
 }
 
 void ProxyFanOut::sendBeats(bool only_behind) {
@@ -38,7 +41,7 @@
     if (!subscriber.serving) continue;
     if (only_behind && (subscriber.snapshot_needed || subscriber.told_version >= published_version_))
       continue;
-    if (subscriber.snapshot_needed) {
+    if (subscriber.snapshot_needed || subscriber.current_version > published_version_) {
       sendBeat(subscriber);
       continue;
     }
--- a/tests/relay/fan_out_test.cpp
+++ b/tests/relay/fan_out_test.cpp
@@ -105,6 +105,27 @@
   CHECK(relay.driver.takeOne<wire::ViewDeltaT>(behind).changes.size() == 1);
 }
 
+TEST_CASE("a proxy that returns while a batch waits is told the version that its view equals") {
+  RelayFixture relay;
+  relay.follow();
+  const LinkId first = relay.join("proxy-1");
+  relay.answerFreshness(10);
+  const auto digest =
+      view::DigestSum::fromWire(relay.driver.takeOne<wire::ViewSnapshotT>(first).digest.get());
+  relay.acknowledge(first, 10);
+  const LinkId other = relay.serve("proxy-2");
+
+  // The first change goes at once; the second one, which undoes it, waits for its batch.
+  relay.driver.advance(seconds(1));
+  relay.changeSecret("napisy", 11, "short-lived");
+  CHECK(relay.driver.take<wire::ViewDeltaT>(other).size() == 1);
+  relay.receiveDelta({changeAt(12, drop(ObjectKind::Secret, "napisy", "short-lived"))}, 12);
+
+  // Its view lacks the secret, so it is not the view as of 11.
+  const LinkId returned = relay.join("proxy-1", 10, digest);
+  CHECK(relay.driver.takeOne<wire::ViewBeatT>(returned).as_of == 12);
+}
+
 TEST_CASE(
     "a snapshot goes where it is smaller, where the history does not reach, or where it was asked for") {
   auto options = relayOptions();
