--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 Consensus::Consensus(const ConsensusOptions& options, wire::ReplicaT self, RandomSource random)
-    : options_(options), self_(std::move(self)), random_(std::move(random)), storage_(options.segment_bytes) {
+    : options_(options), self_(std::move(self)), random_(random), storage_(options.segment_bytes) {
   options_.check();
   if (self_.id == 0) throw Error(ErrorKind::Invalid, "replica id 0 is reserved", "choose an id from 1 up");
 }
--- a/src/view/endpoint_order.h
+++ b/src/view/endpoint_order.h
@@ -13,7 +13,7 @@
   std::string service;
   std::string endpoint;
   friend bool operator==(const EndpointId&, const EndpointId&) = default;
-  friend auto operator<=>(const EndpointId&, const EndpointId&) = default;
+  friend auto operator<=>(const EndpointId&, const EndpointId&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// A record of endpoint liveness. Shared and never changed after it was made.
