--- a/src/proxy/identifiers.h
+++ b/src/proxy/identifiers.h
@@ -16,7 +16,7 @@
   std::string tenant;
   std::string service;
   friend bool operator==(const ServiceKey&, const ServiceKey&) = default;
-  friend auto operator<=>(const ServiceKey&, const ServiceKey&) = default;
+  friend auto operator<=>(const ServiceKey&, const ServiceKey&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Names one endpoint of a service.
@@ -24,7 +24,7 @@
   ServiceKey service;
   std::string endpoint;
   friend bool operator==(const EndpointKey&, const EndpointKey&) = default;
-  friend auto operator<=>(const EndpointKey&, const EndpointKey&) = default;
+  friend auto operator<=>(const EndpointKey&, const EndpointKey&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace cometstand::proxy
--- a/src/view/object_id.h
+++ b/src/view/object_id.h
@@ -14,7 +14,7 @@
   std::string tenant;
   std::string name;
   friend bool operator==(const ObjectId&, const ObjectId&) = default;
-  friend auto operator<=>(const ObjectId&, const ObjectId&) = default;
+  friend auto operator<=>(const ObjectId&, const ObjectId&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// An object at its version, or a tombstone. Shared and never changed after it was made.
