--- /dev/null
+++ b/src/mesh/configuration.cpp
@@ -0,0 +1,82 @@
+#include "mesh/configuration.h"
+
+#include <fmt/format.h>
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/error.h"
+
+namespace cometstand::mesh {
+namespace {
+
+constexpr flatbuffers::uoffset_t kMaxDepth = 16;
+constexpr flatbuffers::uoffset_t kMaxTables = 10'000'000;
+
+[[noreturn]] void refuse(const wire::MeshRouteT& route, const std::string& problem, const std::string& remedy) {
+  throw Error(ErrorKind::Invalid, fmt::format("route {}: {}", route.name, problem), remedy);
+}
+
+void checkPlace(const wire::MeshRouteT& route) {
+  if (route.host.empty()) refuse(route, "the host is empty", "name a host");
+  const auto& prefix = route.path_prefix;
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    refuse(route, "the path prefix does not begin and end with a slash", "add the slash");
+  }
+}
+
+void checkTimes(const wire::MeshRouteT& route) {
+  if (route.timeout_ms == 0) refuse(route, "the timeout is zero", "set a timeout");
+  if (route.timeout_ms > kMaxTimeoutMs) refuse(route, "the timeout is over ten minutes", "set a shorter timeout");
+  if (route.objective_ms >= route.timeout_ms + kMaxObjectiveExcessMs) {
+    refuse(route, "the objective lies a minute or more over the timeout", "set a shorter objective");
+  }
+}
+
+void checkShares(const wire::MeshRouteT& route, const std::set<std::string>& services) {
+  std::uint64_t total = 0;
+  for (const auto& share : route.shares) {
+    total += share->weight;
+    if (services.contains(share->service)) continue;
+    throw Error(ErrorKind::Reference, fmt::format("route {} names no known service", route.name),
+                "add the service in the same change");
+  }
+  if (total == 0) refuse(route, "no service gets any requests", "name a service, with a weight above zero");
+}
+
+}  // namespace
+
+Bytes encodeConfiguration(const wire::MeshConfigurationT& configuration) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::MeshConfiguration::Pack(builder, &configuration));
+  return compress({builder.GetBufferPointer(), builder.GetSize()});
+}
+
+wire::MeshConfigurationT decodeConfiguration(const Bytes& bytes) {
+  const Bytes content = decompress(bytes);
+  flatbuffers::Verifier verifier(content.data(), content.size(), kMaxDepth, kMaxTables);
+  if (content.empty() || !verifier.VerifyBuffer<wire::MeshConfiguration>(nullptr)) {
+    throw Error(ErrorKind::Malformed, "the bytes are no mesh configuration",
+                "run the same release on all machines");
+  }
+  wire::MeshConfigurationT configuration;
+  flatbuffers::GetRoot<wire::MeshConfiguration>(content.data())->UnPackTo(&configuration);
+  return configuration;
+}
+
+void checkConfiguration(const wire::MeshConfigurationT& configuration) {
+  std::set<std::string> services;
+  for (const auto& service : configuration.services) services.insert(service->name);
+  std::set<std::pair<std::string, std::string>> places;
+  for (const auto& route : configuration.routes) {
+    checkPlace(*route);
+    checkTimes(*route);
+    checkShares(*route, services);
+    if (!places.emplace(route->host, route->path_prefix).second) {
+      refuse(*route, "another route has the same host and prefix", "remove one of the two");
+    }
+  }
+}
+
+}  // namespace cometstand::mesh
--- /dev/null
+++ b/src/mesh/route_table.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/random.h"
+#include "schema/mesh_generated.h"
+
+namespace cometstand::mesh {
+
+using RoutePointer = std::shared_ptr<const wire::MeshRouteT>;
+
+/// One configuration, in the form in which requests look it up. Never changed once made.
+class RouteTable {
+ public:
+  RouteTable(std::uint64_t revision, const wire::MeshConfigurationT& configuration);
+
+  std::uint64_t revision() const { return revision_; }
+  const wire::CallerLimitsT& limits() const { return limits_; }
+
+  /// @param host as the caller sent it; a port after it is not looked at.
+  /// @param path with or without a query.
+  /// @return of the host's routes the one with the longest prefix that begins the path; nullptr if there is none.
+  RoutePointer find(std::string_view host, std::string_view path) const;
+
+ private:
+  std::uint64_t revision_;
+  wire::CallerLimitsT limits_;
+  /// By host, the longest prefix first.
+  std::map<std::string, std::vector<RoutePointer>, std::less<>> routes_;
+};
+
+using RouteTablePointer = std::shared_ptr<const RouteTable>;
+
+/// Draws the service of one request by the weights of the route's shares.
+const std::string& drawService(const wire::MeshRouteT& route, RandomSource& random);
+
+}  // namespace cometstand::mesh
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -1,5 +1,6 @@
 #include "net/link.h"
 
+#include <netinet/tcp.h>
 #include <openssl/x509.h>
 
 #include <boost/asio/post.hpp>
@@ -18,6 +19,27 @@
 
 constexpr auto kHandshakeTimeLimit = std::chrono::seconds(10);
 
+/// A peer that says nothing to sent bytes for this long is taken for dead.
+constexpr int kUnansweredLimitMs = 2'000;
+/// An idle link is probed after a second without a byte, each second, and is dead after this many probes.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 3;
+
+/// A machine that is cut off or has no power says nothing, so the kernel must be told when to give up.
+void detectDeadPeer(Link::Socket& socket) {
+  using Probing = asio::detail::socket_option::boolean<SOL_SOCKET, SO_KEEPALIVE>;
+  using Unanswered = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  using ProbeIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using ProbeInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code ignored;
+  socket.set_option(Probing(true), ignored);
+  socket.set_option(Unanswered(kUnansweredLimitMs), ignored);
+  socket.set_option(ProbeIdle(kProbeSeconds), ignored);
+  socket.set_option(ProbeInterval(kProbeSeconds), ignored);
+  socket.set_option(ProbeCount(kProbes), ignored);
+}
+
 std::string subjectField(X509_NAME* subject, int field) {
   constexpr int kMaxFieldBytes = 256;
   std::array<char, kMaxFieldBytes> text{};
@@ -66,6 +88,7 @@
   if (state_ == State::Closed) return;
   error_code ignored;
   socket().set_option(tcp::no_delay(true), ignored);
+  detectDeadPeer(socket());
   if (!secure_) {
     becomeReady(on_ready);
     return;
--- a/src/schema/consensus_generated.h
+++ b/src/schema/consensus_generated.h
@@ -312,6 +312,7 @@
   uint16_t port = 0;
   std::string region{};
   uint64_t incarnation = 0;
+  std::string zone{};
 };
 
 struct Replica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -324,7 +325,8 @@
     VT_ADDRESS = 8,
     VT_PORT = 10,
     VT_REGION = 12,
-    VT_INCARNATION = 14
+    VT_INCARNATION = 14,
+    VT_ZONE = 16
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -344,6 +346,9 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -355,6 +360,8 @@
            VerifyOffset(verifier, VT_REGION) &&
            verifier.VerifyString(region()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
            verifier.EndTable();
   }
   ReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -384,6 +391,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(Replica::VT_INCARNATION, incarnation, 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Replica::VT_ZONE, zone);
+  }
   explicit ReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -402,10 +412,12 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0) {
   ReplicaBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_id(id);
+  builder_.add_zone(zone);
   builder_.add_region(region);
   builder_.add_address(address);
   builder_.add_name(name);
@@ -425,10 +437,12 @@
     const char *address = nullptr,
     uint16_t port = 0,
     const char *region = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    const char *zone = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return cometstand::wire::CreateReplica(
       _fbb,
       id,
@@ -436,7 +450,8 @@
       address__,
       port,
       region__,
-      incarnation);
+      incarnation,
+      zone__);
 }
 
 flatbuffers::Offset<Replica> CreateReplica(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1755,6 +1770,7 @@
   { auto _e = port(); _o->port = _e; }
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
 }
 
 inline flatbuffers::Offset<Replica> Replica::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1771,6 +1787,7 @@
   auto _port = _o->port;
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _incarnation = _o->incarnation;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   return cometstand::wire::CreateReplica(
       _fbb,
       _id,
@@ -1778,7 +1795,8 @@
       _address,
       _port,
       _region,
-      _incarnation);
+      _incarnation,
+      _zone);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o)
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -14,6 +14,7 @@
              "Non-compatible flatbuffers version included");
 
 #include "consensus_generated.h"
+#include "mesh_generated.h"
 #include "objects_generated.h"
 
 namespace cometstand {
@@ -384,11 +385,18 @@
   ConsensusMessage = 25,
   FormationRequest = 26,
   FormationReply = 27,
+  NodeHello = 28,
+  NodeSubscribe = 29,
+  MeshUpdate = 30,
+  StoreBeat = 31,
+  ForwardRequest = 32,
+  ForwardReply = 33,
+  ForwardCancel = 34,
   MIN = NONE,
-  MAX = FormationReply
+  MAX = ForwardCancel
 };
 
-inline const Body (&EnumValuesBody())[28] {
+inline const Body (&EnumValuesBody())[35] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -417,13 +425,20 @@
     Body::ClaimFinish,
     Body::ConsensusMessage,
     Body::FormationRequest,
-    Body::FormationReply
+    Body::FormationReply,
+    Body::NodeHello,
+    Body::NodeSubscribe,
+    Body::MeshUpdate,
+    Body::StoreBeat,
+    Body::ForwardRequest,
+    Body::ForwardReply,
+    Body::ForwardCancel
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[29] = {
+  static const char * const names[36] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -452,13 +467,20 @@
     "ConsensusMessage",
     "FormationRequest",
     "FormationReply",
+    "NodeHello",
+    "NodeSubscribe",
+    "MeshUpdate",
+    "StoreBeat",
+    "ForwardRequest",
+    "ForwardReply",
+    "ForwardCancel",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FormationReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ForwardCancel)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -575,6 +597,34 @@
   static const Body enum_value = Body::FormationReply;
 };
 
+template<> struct BodyTraits<cometstand::wire::NodeHello> {
+  static const Body enum_value = Body::NodeHello;
+};
+
+template<> struct BodyTraits<cometstand::wire::NodeSubscribe> {
+  static const Body enum_value = Body::NodeSubscribe;
+};
+
+template<> struct BodyTraits<cometstand::wire::MeshUpdate> {
+  static const Body enum_value = Body::MeshUpdate;
+};
+
+template<> struct BodyTraits<cometstand::wire::StoreBeat> {
+  static const Body enum_value = Body::StoreBeat;
+};
+
+template<> struct BodyTraits<cometstand::wire::ForwardRequest> {
+  static const Body enum_value = Body::ForwardRequest;
+};
+
+template<> struct BodyTraits<cometstand::wire::ForwardReply> {
+  static const Body enum_value = Body::ForwardReply;
+};
+
+template<> struct BodyTraits<cometstand::wire::ForwardCancel> {
+  static const Body enum_value = Body::ForwardCancel;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -687,6 +737,34 @@
   static const Body enum_value = Body::FormationReply;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::NodeHelloT> {
+  static const Body enum_value = Body::NodeHello;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::NodeSubscribeT> {
+  static const Body enum_value = Body::NodeSubscribe;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::MeshUpdateT> {
+  static const Body enum_value = Body::MeshUpdate;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::StoreBeatT> {
+  static const Body enum_value = Body::StoreBeat;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::ForwardRequestT> {
+  static const Body enum_value = Body::ForwardRequest;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::ForwardReplyT> {
+  static const Body enum_value = Body::ForwardReply;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::ForwardCancelT> {
+  static const Body enum_value = Body::ForwardCancel;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -933,6 +1011,62 @@
     return type == Body::FormationReply ?
       reinterpret_cast<const cometstand::wire::FormationReplyT *>(value) : nullptr;
   }
+  cometstand::wire::NodeHelloT *AsNodeHello() {
+    return type == Body::NodeHello ?
+      reinterpret_cast<cometstand::wire::NodeHelloT *>(value) : nullptr;
+  }
+  const cometstand::wire::NodeHelloT *AsNodeHello() const {
+    return type == Body::NodeHello ?
+      reinterpret_cast<const cometstand::wire::NodeHelloT *>(value) : nullptr;
+  }
+  cometstand::wire::NodeSubscribeT *AsNodeSubscribe() {
+    return type == Body::NodeSubscribe ?
+      reinterpret_cast<cometstand::wire::NodeSubscribeT *>(value) : nullptr;
+  }
+  const cometstand::wire::NodeSubscribeT *AsNodeSubscribe() const {
+    return type == Body::NodeSubscribe ?
+      reinterpret_cast<const cometstand::wire::NodeSubscribeT *>(value) : nullptr;
+  }
+  cometstand::wire::MeshUpdateT *AsMeshUpdate() {
+    return type == Body::MeshUpdate ?
+      reinterpret_cast<cometstand::wire::MeshUpdateT *>(value) : nullptr;
+  }
+  const cometstand::wire::MeshUpdateT *AsMeshUpdate() const {
+    return type == Body::MeshUpdate ?
+      reinterpret_cast<const cometstand::wire::MeshUpdateT *>(value) : nullptr;
+  }
+  cometstand::wire::StoreBeatT *AsStoreBeat() {
+    return type == Body::StoreBeat ?
+      reinterpret_cast<cometstand::wire::StoreBeatT *>(value) : nullptr;
+  }
+  const cometstand::wire::StoreBeatT *AsStoreBeat() const {
+    return type == Body::StoreBeat ?
+      reinterpret_cast<const cometstand::wire::StoreBeatT *>(value) : nullptr;
+  }
+  cometstand::wire::ForwardRequestT *AsForwardRequest() {
+    return type == Body::ForwardRequest ?
+      reinterpret_cast<cometstand::wire::ForwardRequestT *>(value) : nullptr;
+  }
+  const cometstand::wire::ForwardRequestT *AsForwardRequest() const {
+    return type == Body::ForwardRequest ?
+      reinterpret_cast<const cometstand::wire::ForwardRequestT *>(value) : nullptr;
+  }
+  cometstand::wire::ForwardReplyT *AsForwardReply() {
+    return type == Body::ForwardReply ?
+      reinterpret_cast<cometstand::wire::ForwardReplyT *>(value) : nullptr;
+  }
+  const cometstand::wire::ForwardReplyT *AsForwardReply() const {
+    return type == Body::ForwardReply ?
+      reinterpret_cast<const cometstand::wire::ForwardReplyT *>(value) : nullptr;
+  }
+  cometstand::wire::ForwardCancelT *AsForwardCancel() {
+    return type == Body::ForwardCancel ?
+      reinterpret_cast<cometstand::wire::ForwardCancelT *>(value) : nullptr;
+  }
+  const cometstand::wire::ForwardCancelT *AsForwardCancel() const {
+    return type == Body::ForwardCancel ?
+      reinterpret_cast<const cometstand::wire::ForwardCancelT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4016,14 +4150,27 @@
 
 struct FormationRequestT : public flatbuffers::NativeTable {
   typedef FormationRequest TableType;
+  std::shared_ptr<cometstand::wire::ReplicaT> joining{};
+  FormationRequestT() = default;
+  FormationRequestT(const FormationRequestT &o);
+  FormationRequestT(FormationRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  FormationRequestT &operator=(FormationRequestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct FormationRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FormationRequestT NativeTableType;
   typedef FormationRequestBuilder Builder;
   struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOINING = 4
+  };
+  const cometstand::wire::Replica *joining() const {
+    return GetPointer<const cometstand::wire::Replica *>(VT_JOINING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOINING) &&
+           verifier.VerifyTable(joining()) &&
            verifier.EndTable();
   }
   FormationRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4035,6 +4182,9 @@
   typedef FormationRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_joining(flatbuffers::Offset<cometstand::wire::Replica> joining) {
+    fbb_.AddOffset(FormationRequest::VT_JOINING, joining);
+  }
   explicit FormationRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4047,8 +4197,10 @@
 };
 
 inline flatbuffers::Offset<FormationRequest> CreateFormationRequest(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<cometstand::wire::Replica> joining = 0) {
   FormationRequestBuilder builder_(_fbb);
+  builder_.add_joining(joining);
   return builder_.Finish();
 }
 
@@ -4063,6 +4215,13 @@
   typedef FormationReply TableType;
   uint64_t replica = 0;
   uint64_t term = 0;
+  std::shared_ptr<cometstand::wire::ReplicaT> self{};
+  std::shared_ptr<cometstand::wire::MembershipT> membership{};
+  uint64_t leader = 0;
+  FormationReplyT() = default;
+  FormationReplyT(const FormationReplyT &o);
+  FormationReplyT(FormationReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  FormationReplyT &operator=(FormationReplyT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct FormationReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4071,7 +4230,10 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REPLICA = 4,
-    VT_TERM = 6
+    VT_TERM = 6,
+    VT_SELF = 8,
+    VT_MEMBERSHIP = 10,
+    VT_LEADER = 12
   };
   uint64_t replica() const {
     return GetField<uint64_t>(VT_REPLICA, 0);
@@ -4079,10 +4241,24 @@
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
   }
+  const cometstand::wire::Replica *self() const {
+    return GetPointer<const cometstand::wire::Replica *>(VT_SELF);
+  }
+  const cometstand::wire::Membership *membership() const {
+    return GetPointer<const cometstand::wire::Membership *>(VT_MEMBERSHIP);
+  }
+  uint64_t leader() const {
+    return GetField<uint64_t>(VT_LEADER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_SELF) &&
+           verifier.VerifyTable(self()) &&
+           VerifyOffset(verifier, VT_MEMBERSHIP) &&
+           verifier.VerifyTable(membership()) &&
+           VerifyField<uint64_t>(verifier, VT_LEADER, 8) &&
            verifier.EndTable();
   }
   FormationReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4100,6 +4276,15 @@
   void add_term(uint64_t term) {
     fbb_.AddElement<uint64_t>(FormationReply::VT_TERM, term, 0);
   }
+  void add_self(flatbuffers::Offset<cometstand::wire::Replica> self) {
+    fbb_.AddOffset(FormationReply::VT_SELF, self);
+  }
+  void add_membership(flatbuffers::Offset<cometstand::wire::Membership> membership) {
+    fbb_.AddOffset(FormationReply::VT_MEMBERSHIP, membership);
+  }
+  void add_leader(uint64_t leader) {
+    fbb_.AddElement<uint64_t>(FormationReply::VT_LEADER, leader, 0);
+  }
   explicit FormationReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4114,10 +4299,16 @@
 inline flatbuffers::Offset<FormationReply> CreateFormationReply(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t replica = 0,
-    uint64_t term = 0) {
+    uint64_t term = 0,
+    flatbuffers::Offset<cometstand::wire::Replica> self = 0,
+    flatbuffers::Offset<cometstand::wire::Membership> membership = 0,
+    uint64_t leader = 0) {
   FormationReplyBuilder builder_(_fbb);
+  builder_.add_leader(leader);
   builder_.add_term(term);
   builder_.add_replica(replica);
+  builder_.add_membership(membership);
+  builder_.add_self(self);
   return builder_.Finish();
 }
 
@@ -4234,6 +4425,27 @@
   const cometstand::wire::FormationReply *body_as_FormationReply() const {
     return body_type() == cometstand::wire::Body::FormationReply ? static_cast<const cometstand::wire::FormationReply *>(body()) : nullptr;
   }
+  const cometstand::wire::NodeHello *body_as_NodeHello() const {
+    return body_type() == cometstand::wire::Body::NodeHello ? static_cast<const cometstand::wire::NodeHello *>(body()) : nullptr;
+  }
+  const cometstand::wire::NodeSubscribe *body_as_NodeSubscribe() const {
+    return body_type() == cometstand::wire::Body::NodeSubscribe ? static_cast<const cometstand::wire::NodeSubscribe *>(body()) : nullptr;
+  }
+  const cometstand::wire::MeshUpdate *body_as_MeshUpdate() const {
+    return body_type() == cometstand::wire::Body::MeshUpdate ? static_cast<const cometstand::wire::MeshUpdate *>(body()) : nullptr;
+  }
+  const cometstand::wire::StoreBeat *body_as_StoreBeat() const {
+    return body_type() == cometstand::wire::Body::StoreBeat ? static_cast<const cometstand::wire::StoreBeat *>(body()) : nullptr;
+  }
+  const cometstand::wire::ForwardRequest *body_as_ForwardRequest() const {
+    return body_type() == cometstand::wire::Body::ForwardRequest ? static_cast<const cometstand::wire::ForwardRequest *>(body()) : nullptr;
+  }
+  const cometstand::wire::ForwardReply *body_as_ForwardReply() const {
+    return body_type() == cometstand::wire::Body::ForwardReply ? static_cast<const cometstand::wire::ForwardReply *>(body()) : nullptr;
+  }
+  const cometstand::wire::ForwardCancel *body_as_ForwardCancel() const {
+    return body_type() == cometstand::wire::Body::ForwardCancel ? static_cast<const cometstand::wire::ForwardCancel *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4355,6 +4567,34 @@
   return body_as_FormationReply();
 }
 
+template<> inline const cometstand::wire::NodeHello *Envelope::body_as<cometstand::wire::NodeHello>() const {
+  return body_as_NodeHello();
+}
+
+template<> inline const cometstand::wire::NodeSubscribe *Envelope::body_as<cometstand::wire::NodeSubscribe>() const {
+  return body_as_NodeSubscribe();
+}
+
+template<> inline const cometstand::wire::MeshUpdate *Envelope::body_as<cometstand::wire::MeshUpdate>() const {
+  return body_as_MeshUpdate();
+}
+
+template<> inline const cometstand::wire::StoreBeat *Envelope::body_as<cometstand::wire::StoreBeat>() const {
+  return body_as_StoreBeat();
+}
+
+template<> inline const cometstand::wire::ForwardRequest *Envelope::body_as<cometstand::wire::ForwardRequest>() const {
+  return body_as_ForwardRequest();
+}
+
+template<> inline const cometstand::wire::ForwardReply *Envelope::body_as<cometstand::wire::ForwardReply>() const {
+  return body_as_ForwardReply();
+}
+
+template<> inline const cometstand::wire::ForwardCancel *Envelope::body_as<cometstand::wire::ForwardCancel>() const {
+  return body_as_ForwardCancel();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5614,6 +5854,15 @@
       _answer);
 }
 
+inline FormationRequestT::FormationRequestT(const FormationRequestT &o)
+      : joining((o.joining) ? new cometstand::wire::ReplicaT(*o.joining) : nullptr) {
+}
+
+inline FormationRequestT &FormationRequestT::operator=(FormationRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(joining, o.joining);
+  return *this;
+}
+
 inline FormationRequestT *FormationRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FormationRequestT>();
   UnPackTo(_o.get(), _resolver);
@@ -5623,6 +5872,7 @@
 inline void FormationRequest::UnPackTo(FormationRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = joining(); if (_e) _o->joining = std::shared_ptr<cometstand::wire::ReplicaT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<FormationRequest> FormationRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5633,8 +5883,27 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FormationRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _joining = _o->joining ? CreateReplica(_fbb, _o->joining.get(), _rehasher) : 0;
   return cometstand::wire::CreateFormationRequest(
-      _fbb);
+      _fbb,
+      _joining);
+}
+
+inline FormationReplyT::FormationReplyT(const FormationReplyT &o)
+      : replica(o.replica),
+        term(o.term),
+        self((o.self) ? new cometstand::wire::ReplicaT(*o.self) : nullptr),
+        membership((o.membership) ? new cometstand::wire::MembershipT(*o.membership) : nullptr),
+        leader(o.leader) {
+}
+
+inline FormationReplyT &FormationReplyT::operator=(FormationReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(replica, o.replica);
+  std::swap(term, o.term);
+  std::swap(self, o.self);
+  std::swap(membership, o.membership);
+  std::swap(leader, o.leader);
+  return *this;
 }
 
 inline FormationReplyT *FormationReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5648,6 +5917,9 @@
   (void)_resolver;
   { auto _e = replica(); _o->replica = _e; }
   { auto _e = term(); _o->term = _e; }
+  { auto _e = self(); if (_e) _o->self = std::shared_ptr<cometstand::wire::ReplicaT>(_e->UnPack(_resolver)); }
+  { auto _e = membership(); if (_e) _o->membership = std::shared_ptr<cometstand::wire::MembershipT>(_e->UnPack(_resolver)); }
+  { auto _e = leader(); _o->leader = _e; }
 }
 
 inline flatbuffers::Offset<FormationReply> FormationReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5660,10 +5932,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FormationReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _replica = _o->replica;
   auto _term = _o->term;
+  auto _self = _o->self ? CreateReplica(_fbb, _o->self.get(), _rehasher) : 0;
+  auto _membership = _o->membership ? CreateMembership(_fbb, _o->membership.get(), _rehasher) : 0;
+  auto _leader = _o->leader;
   return cometstand::wire::CreateFormationReply(
       _fbb,
       _replica,
-      _term);
+      _term,
+      _self,
+      _membership,
+      _leader);
 }
 
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5811,6 +6089,34 @@
       auto ptr = reinterpret_cast<const cometstand::wire::FormationReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::NodeHello: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeHello *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::NodeSubscribe: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeSubscribe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MeshUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StoreBeat: {
+      auto ptr = reinterpret_cast<const cometstand::wire::StoreBeat *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ForwardRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ForwardReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ForwardCancel: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancel *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5938,6 +6244,34 @@
       auto ptr = reinterpret_cast<const cometstand::wire::FormationReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::NodeHello: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeHello *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::NodeSubscribe: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeSubscribe *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::MeshUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshUpdate *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::StoreBeat: {
+      auto ptr = reinterpret_cast<const cometstand::wire::StoreBeat *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ForwardRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ForwardReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ForwardCancel: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancel *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6053,6 +6387,34 @@
       auto ptr = reinterpret_cast<const cometstand::wire::FormationReplyT *>(value);
       return CreateFormationReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::NodeHello: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeHelloT *>(value);
+      return CreateNodeHello(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::NodeSubscribe: {
+      auto ptr = reinterpret_cast<const cometstand::wire::NodeSubscribeT *>(value);
+      return CreateNodeSubscribe(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::MeshUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshUpdateT *>(value);
+      return CreateMeshUpdate(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::StoreBeat: {
+      auto ptr = reinterpret_cast<const cometstand::wire::StoreBeatT *>(value);
+      return CreateStoreBeat(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ForwardRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardRequestT *>(value);
+      return CreateForwardRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ForwardReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardReplyT *>(value);
+      return CreateForwardReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ForwardCancel: {
+      auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancelT *>(value);
+      return CreateForwardCancel(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6167,6 +6529,34 @@
       value = new cometstand::wire::FormationReplyT(*reinterpret_cast<cometstand::wire::FormationReplyT *>(u.value));
       break;
     }
+    case Body::NodeHello: {
+      value = new cometstand::wire::NodeHelloT(*reinterpret_cast<cometstand::wire::NodeHelloT *>(u.value));
+      break;
+    }
+    case Body::NodeSubscribe: {
+      value = new cometstand::wire::NodeSubscribeT(*reinterpret_cast<cometstand::wire::NodeSubscribeT *>(u.value));
+      break;
+    }
+    case Body::MeshUpdate: {
+      value = new cometstand::wire::MeshUpdateT(*reinterpret_cast<cometstand::wire::MeshUpdateT *>(u.value));
+      break;
+    }
+    case Body::StoreBeat: {
+      value = new cometstand::wire::StoreBeatT(*reinterpret_cast<cometstand::wire::StoreBeatT *>(u.value));
+      break;
+    }
+    case Body::ForwardRequest: {
+      value = new cometstand::wire::ForwardRequestT(*reinterpret_cast<cometstand::wire::ForwardRequestT *>(u.value));
+      break;
+    }
+    case Body::ForwardReply: {
+      value = new cometstand::wire::ForwardReplyT(*reinterpret_cast<cometstand::wire::ForwardReplyT *>(u.value));
+      break;
+    }
+    case Body::ForwardCancel: {
+      value = new cometstand::wire::ForwardCancelT(*reinterpret_cast<cometstand::wire::ForwardCancelT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6309,6 +6699,41 @@
       delete ptr;
       break;
     }
+    case Body::NodeHello: {
+      auto ptr = reinterpret_cast<cometstand::wire::NodeHelloT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::NodeSubscribe: {
+      auto ptr = reinterpret_cast<cometstand::wire::NodeSubscribeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::MeshUpdate: {
+      auto ptr = reinterpret_cast<cometstand::wire::MeshUpdateT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::StoreBeat: {
+      auto ptr = reinterpret_cast<cometstand::wire::StoreBeatT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ForwardRequest: {
+      auto ptr = reinterpret_cast<cometstand::wire::ForwardRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ForwardReply: {
+      auto ptr = reinterpret_cast<cometstand::wire::ForwardReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ForwardCancel: {
+      auto ptr = reinterpret_cast<cometstand::wire::ForwardCancelT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -59,33 +59,36 @@
   ChangeCommand = 1,
   ClaimRequest = 2,
   ClaimFinish = 3,
+  MeshChange = 4,
   MIN = NONE,
-  MAX = ClaimFinish
+  MAX = MeshChange
 };
 
-inline const StoreCommandBody (&EnumValuesStoreCommandBody())[4] {
+inline const StoreCommandBody (&EnumValuesStoreCommandBody())[5] {
   static const StoreCommandBody values[] = {
     StoreCommandBody::NONE,
     StoreCommandBody::ChangeCommand,
     StoreCommandBody::ClaimRequest,
-    StoreCommandBody::ClaimFinish
+    StoreCommandBody::ClaimFinish,
+    StoreCommandBody::MeshChange
   };
   return values;
 }
 
 inline const char * const *EnumNamesStoreCommandBody() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "ChangeCommand",
     "ClaimRequest",
     "ClaimFinish",
+    "MeshChange",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameStoreCommandBody(StoreCommandBody e) {
-  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::ClaimFinish)) return "";
+  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::MeshChange)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesStoreCommandBody()[index];
 }
@@ -106,6 +109,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::ClaimFinish;
 };
 
+template<> struct StoreCommandBodyTraits<cometstand::wire::MeshChange> {
+  static const StoreCommandBody enum_value = StoreCommandBody::MeshChange;
+};
+
 template<typename T> struct StoreCommandBodyUnionTraits {
   static const StoreCommandBody enum_value = StoreCommandBody::NONE;
 };
@@ -122,6 +129,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::ClaimFinish;
 };
 
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::MeshChangeT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::MeshChange;
+};
+
 struct StoreCommandBodyUnion {
   StoreCommandBody type;
   void *value;
@@ -176,6 +187,14 @@
     return type == StoreCommandBody::ClaimFinish ?
       reinterpret_cast<const cometstand::wire::ClaimFinishT *>(value) : nullptr;
   }
+  cometstand::wire::MeshChangeT *AsMeshChange() {
+    return type == StoreCommandBody::MeshChange ?
+      reinterpret_cast<cometstand::wire::MeshChangeT *>(value) : nullptr;
+  }
+  const cometstand::wire::MeshChangeT *AsMeshChange() const {
+    return type == StoreCommandBody::MeshChange ?
+      reinterpret_cast<const cometstand::wire::MeshChangeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type);
@@ -352,6 +371,9 @@
   const cometstand::wire::ClaimFinish *body_as_ClaimFinish() const {
     return body_type() == cometstand::wire::StoreCommandBody::ClaimFinish ? static_cast<const cometstand::wire::ClaimFinish *>(body()) : nullptr;
   }
+  const cometstand::wire::MeshChange *body_as_MeshChange() const {
+    return body_type() == cometstand::wire::StoreCommandBody::MeshChange ? static_cast<const cometstand::wire::MeshChange *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -376,6 +398,10 @@
   return body_as_ClaimFinish();
 }
 
+template<> inline const cometstand::wire::MeshChange *StoreCommand::body_as<cometstand::wire::MeshChange>() const {
+  return body_as_MeshChange();
+}
+
 struct StoreCommandBuilder {
   typedef StoreCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1070,6 +1096,7 @@
   std::vector<std::shared_ptr<cometstand::wire::TenantRequestsT>> requests{};
   std::vector<std::shared_ptr<cometstand::wire::TenantClaimsT>> claims{};
   std::vector<std::shared_ptr<cometstand::wire::AcceptedChangeT>> history{};
+  std::shared_ptr<cometstand::wire::MeshStateT> mesh{};
   StoreStateT() = default;
   StoreStateT(const StoreStateT &o);
   StoreStateT(StoreStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1086,7 +1113,8 @@
     VT_CHANGES = 8,
     VT_REQUESTS = 10,
     VT_CLAIMS = 12,
-    VT_HISTORY = 14
+    VT_HISTORY = 14,
+    VT_MESH = 16
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1106,6 +1134,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *history() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *>(VT_HISTORY);
   }
+  const cometstand::wire::MeshState *mesh() const {
+    return GetPointer<const cometstand::wire::MeshState *>(VT_MESH);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1122,6 +1153,8 @@
            VerifyOffset(verifier, VT_HISTORY) &&
            verifier.VerifyVector(history()) &&
            verifier.VerifyVectorOfTables(history()) &&
+           VerifyOffset(verifier, VT_MESH) &&
+           verifier.VerifyTable(mesh()) &&
            verifier.EndTable();
   }
   StoreStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1151,6 +1184,9 @@
   void add_history(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>>> history) {
     fbb_.AddOffset(StoreState::VT_HISTORY, history);
   }
+  void add_mesh(flatbuffers::Offset<cometstand::wire::MeshState> mesh) {
+    fbb_.AddOffset(StoreState::VT_MESH, mesh);
+  }
   explicit StoreStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1169,10 +1205,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::ObjectChange>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TenantRequests>>> requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TenantClaims>>> claims = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>>> history = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>>> history = 0,
+    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0) {
   StoreStateBuilder builder_(_fbb);
   builder_.add_pruned_version(pruned_version);
   builder_.add_version(version);
+  builder_.add_mesh(mesh);
   builder_.add_history(history);
   builder_.add_claims(claims);
   builder_.add_requests(requests);
@@ -1192,7 +1230,8 @@
     const std::vector<flatbuffers::Offset<cometstand::wire::ObjectChange>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<cometstand::wire::TenantRequests>> *requests = nullptr,
     const std::vector<flatbuffers::Offset<cometstand::wire::TenantClaims>> *claims = nullptr,
-    const std::vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *history = nullptr) {
+    const std::vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *history = nullptr,
+    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>>(*requests) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>>(*claims) : 0;
@@ -1204,7 +1243,8 @@
       changes__,
       requests__,
       claims__,
-      history__);
+      history__,
+      mesh);
 }
 
 flatbuffers::Offset<StoreState> CreateStoreState(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1590,7 +1630,8 @@
 
 inline StoreStateT::StoreStateT(const StoreStateT &o)
       : version(o.version),
-        pruned_version(o.pruned_version) {
+        pruned_version(o.pruned_version),
+        mesh((o.mesh) ? new cometstand::wire::MeshStateT(*o.mesh) : nullptr) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
   requests.reserve(o.requests.size());
@@ -1608,6 +1649,7 @@
   std::swap(requests, o.requests);
   std::swap(claims, o.claims);
   std::swap(history, o.history);
+  std::swap(mesh, o.mesh);
   return *this;
 }
 
@@ -1626,6 +1668,7 @@
   { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::shared_ptr<cometstand::wire::TenantRequestsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::shared_ptr<cometstand::wire::TenantClaimsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = history(); if (_e) { _o->history.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->history[_i] = std::shared_ptr<cometstand::wire::AcceptedChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = mesh(); if (_e) _o->mesh = std::shared_ptr<cometstand::wire::MeshStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreState> StoreState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1642,6 +1685,7 @@
   auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateTenantRequests(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateTenantClaims(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _history = _o->history.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> (_o->history.size(), [](size_t i, _VectorArgs *__va) { return CreateAcceptedChange(*__va->__fbb, __va->__o->history[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _mesh = _o->mesh ? CreateMeshState(_fbb, _o->mesh.get(), _rehasher) : 0;
   return cometstand::wire::CreateStoreState(
       _fbb,
       _version,
@@ -1649,7 +1693,8 @@
       _changes,
       _requests,
       _claims,
-      _history);
+      _history,
+      _mesh);
 }
 
 inline bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type) {
@@ -1669,6 +1714,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ClaimFinish *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case StoreCommandBody::MeshChange: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshChange *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1700,6 +1749,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ClaimFinish *>(obj);
       return ptr->UnPack(resolver);
     }
+    case StoreCommandBody::MeshChange: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshChange *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1719,6 +1772,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ClaimFinishT *>(value);
       return CreateClaimFinish(_fbb, ptr, _rehasher).Union();
     }
+    case StoreCommandBody::MeshChange: {
+      auto ptr = reinterpret_cast<const cometstand::wire::MeshChangeT *>(value);
+      return CreateMeshChange(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1737,6 +1794,10 @@
       value = new cometstand::wire::ClaimFinishT(*reinterpret_cast<cometstand::wire::ClaimFinishT *>(u.value));
       break;
     }
+    case StoreCommandBody::MeshChange: {
+      value = new cometstand::wire::MeshChangeT(*reinterpret_cast<cometstand::wire::MeshChangeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1759,6 +1820,11 @@
       delete ptr;
       break;
     }
+    case StoreCommandBody::MeshChange: {
+      auto ptr = reinterpret_cast<cometstand::wire::MeshChangeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/src/sidecar/control_client.cpp
@@ -0,0 +1,185 @@
+#include "sidecar/control_client.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "base/event_log.h"
+#include "mesh/configuration.h"
+#include "settings/units.h"
+#include "sidecar/events.h"
+
+namespace cometstand::sidecar {
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(250);
+/// A store without a beat for this long is taken for dead; beats come every 300 ms.
+constexpr Duration kStoreSilence = std::chrono::milliseconds(1'200);
+/// A store that no beat names any more, and that does not answer, is forgotten after this time.
+constexpr Duration kUnnamedLease = std::chrono::seconds(10);
+
+}  // namespace
+
+using runtime::Address;
+using runtime::LinkId;
+
+ControlClient::ControlClient(const SidecarOptions& options, runtime::ActionQueue& actions, RandomSource& random,
+                             ControlListener& listener)
+    : options_(options), actions_(actions), listener_(listener), links_(actions, random) {}
+
+void ControlClient::begin(TimePoint now) {
+  for (const auto& seed : options_.seeds) {
+    stores_[seed].named_at = now;
+    links_.add(seed, now);
+  }
+  links_.onTimer(now);
+}
+
+void ControlClient::onLinkOpened(LinkId link, TimePoint now) {
+  const auto address = links_.onLinkOpened(link);
+  if (!address) return;
+  logEvent(kStoreLinked, {{"store", settings::formatAddress(*address)}});
+  stores_[*address].heard_at = now;
+  wire::NodeHelloT hello;
+  hello.node = options_.node;
+  hello.zone = options_.zone;
+  actions_.send(link, hello, 0);
+  sendReport(link);
+}
+
+void ControlClient::sendReport(LinkId link) const {
+  wire::EndpointUpdateT update;
+  if (own_record_ != nullptr) update.records.push_back(own_record_);
+  actions_.send(link, std::move(update), 0);
+}
+
+void ControlClient::report(const wire::EndpointRecordT& record) {
+  own_record_ = std::make_shared<wire::EndpointRecordT>(record);
+  for (const auto& [address, store] : stores_) {
+    if (const auto link = links_.linkTo(address)) sendReport(*link);
+  }
+}
+
+void ControlClient::onLinkClosed(LinkId link, TimePoint now) {
+  const auto address = links_.onLinkClosed(link, now);
+  if (!address) return;
+  auto& store = stores_[*address];
+  if (store.is_current) logEvent(kStoreLost, {{"store", settings::formatAddress(*address)}});
+  store.is_current = false;
+  chooseSource();
+}
+
+void ControlClient::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const auto address = links_.addressOf(link);
+  if (!address) return;
+  stores_[*address].heard_at = now;
+  const bool is_source = source_ == address;
+  if (const auto* beat = message.body.AsStoreBeat()) {
+    onBeat(*address, link, *beat, now);
+  } else if (const auto* update = message.body.AsMeshUpdate()) {
+    onUpdate(*update, now);
+  } else if (const auto* endpoints = message.body.AsEndpointUpdate()) {
+    if (is_source) listener_.onEndpoints(*endpoints, std::exchange(awaits_whole_, false), now);
+  }
+}
+
+void ControlClient::onBeat(const Address& address, LinkId link, const wire::StoreBeatT& beat, TimePoint now) {
+  auto& store = stores_[address];
+  store.is_current = beat.is_current;
+  store.revision = beat.revision;
+  learnStores(beat, now);
+  // The answer to the beat shows that this sidecar is alive.
+  actions_.send(link, wire::EndpointUpdateT(), 0);
+  chooseSource();
+}
+
+void ControlClient::learnStores(const wire::StoreBeatT& beat, TimePoint now) {
+  for (const auto& replica : beat.replicas) {
+    const Address address{replica->host, replica->port};
+    auto& store = stores_[address];
+    store.zone = replica->zone;
+    store.named_at = now;
+    links_.add(address, now);
+  }
+}
+
+void ControlClient::onUpdate(const wire::MeshUpdateT& update, TimePoint now) {
+  if (update.revision <= revision_) return;
+  mesh::RouteTablePointer table;
+  try {
+    const auto configuration = mesh::decodeConfiguration(update.configuration);
+    table = std::make_shared<const mesh::RouteTable>(update.revision, configuration);
+  } catch (const Error& error) {
+    logEvent(kSourceLost, {{"revision", update.revision}, {"reason", error.what()}});
+    return;
+  }
+  revision_ = update.revision;
+  logEvent(kConfigurationInForce, {{"revision", revision_}});
+  listener_.onConfiguration(table, now);
+}
+
+bool ControlClient::isUsable(const Address& address, const Store& store) const {
+  return store.is_current && links_.linkTo(address).has_value();
+}
+
+void ControlClient::chooseSource() {
+  if (source_) {
+    const auto store = stores_.find(*source_);
+    if (store != stores_.end() && isUsable(*source_, store->second)) return;
+  }
+  std::optional<Address> best;
+  bool best_is_near = false;
+  std::uint64_t best_revision = 0;
+  for (const auto& [address, store] : stores_) {
+    if (!isUsable(address, store)) continue;
+    const bool is_near = store.zone == options_.zone;
+    const bool is_better = !best || store.revision > best_revision ||
+                           (store.revision == best_revision && is_near && !best_is_near);
+    if (!is_better) continue;
+    best = address;
+    best_is_near = is_near;
+    best_revision = store.revision;
+  }
+  if (!best) {
+    if (source_) logEvent(kSourceLost, {{"store", settings::formatAddress(*source_)}});
+    source_.reset();
+    return;
+  }
+  source_ = best;
+  awaits_whole_ = true;
+  logEvent(kSourceChosen, {{"store", settings::formatAddress(*best)}, {"revision", best_revision}});
+  wire::NodeSubscribeT subscribe;
+  subscribe.have_revision = revision_;
+  actions_.send(*links_.linkTo(*best), subscribe, 0);
+}
+
+void ControlClient::closeSilent(TimePoint now) {
+  for (auto& [address, store] : stores_) {
+    const bool is_silent = links_.linkTo(address) && store.heard_at + kStoreSilence < now;
+    if (!is_silent) continue;
+    links_.reset(address);
+    store.is_current = false;
+  }
+  chooseSource();
+  const auto& seeds = options_.seeds;
+  for (auto store = stores_.begin(); store != stores_.end();) {
+    const bool is_seed = std::find(seeds.begin(), seeds.end(), store->first) != seeds.end();
+    const bool is_kept = is_seed || links_.linkTo(store->first) || store->second.named_at + kUnnamedLease > now;
+    if (is_kept) {
+      ++store;
+      continue;
+    }
+    links_.remove(store->first);
+    store = stores_.erase(store);
+  }
+}
+
+void ControlClient::onTimer(TimePoint now) {
+  links_.onTimer(now);
+  if (now < check_at_) return;
+  check_at_ = now + kCheckInterval;
+  closeSilent(now);
+}
+
+TimePoint ControlClient::nextTimer() const { return std::min(links_.nextTimer(), check_at_); }
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/control_client.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "mesh/route_table.h"
+#include "sidecar/peer_links.h"
+#include "sidecar/sidecar_options.h"
+
+namespace cometstand::sidecar {
+
+/// What the rest of a sidecar hears from the stores.
+class ControlListener {
+ public:
+  virtual ~ControlListener() = default;
+  /// A newer configuration is in force from now on.
+  virtual void onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) = 0;
+  /// @param is_whole the records are all that the store knows.
+  virtual void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) = 0;
+};
+
+/// The links of a sidecar to all stores. It reports its own endpoint to each of them, and takes configurations and
+/// endpoint records from one, which it leaves once that one no longer hears a leader.
+///
+/// Invariant: the revision in force never falls. A sidecar keeps nothing on disk, so after a restart it has none
+/// until a store that hears its leader has sent one.
+class ControlClient {
+ public:
+  /// @param listener must outlive the client.
+  ControlClient(const SidecarOptions& options, runtime::ActionQueue& actions, RandomSource& random,
+                ControlListener& listener);
+
+  void begin(TimePoint now);
+  bool owns(runtime::LinkId link) const { return links_.owns(link); }
+  void onLinkOpened(runtime::LinkId link, TimePoint now);
+  void onLinkClosed(runtime::LinkId link, TimePoint now);
+  void onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+
+  /// The record of this sidecar's endpoint from now on; sent to every store.
+  void report(const wire::EndpointRecordT& record);
+
+  std::uint64_t revision() const { return revision_; }
+  /// @return true while a store that hears its leader is linked.
+  bool isCurrent() const { return source_.has_value(); }
+
+ private:
+  struct Store {
+    std::string zone;
+    TimePoint heard_at;
+    bool is_current = false;
+    std::uint64_t revision = 0;
+    /// Named by the newest beat of some store, or a seed.
+    TimePoint named_at;
+  };
+
+  void learnStores(const wire::StoreBeatT& beat, TimePoint now);
+  void onBeat(const runtime::Address& store, runtime::LinkId link, const wire::StoreBeatT& beat, TimePoint now);
+  void onUpdate(const wire::MeshUpdateT& update, TimePoint now);
+  void closeSilent(TimePoint now);
+  void chooseSource();
+  bool isUsable(const runtime::Address& address, const Store& store) const;
+  void sendReport(runtime::LinkId link) const;
+
+  const SidecarOptions& options_;
+  runtime::ActionQueue& actions_;
+  ControlListener& listener_;
+  PeerLinks links_;
+  std::map<runtime::Address, Store> stores_;
+  /// The store that sends configurations and endpoints.
+  std::optional<runtime::Address> source_;
+  /// The next endpoint records from the source are all that it knows.
+  bool awaits_whole_ = false;
+  std::uint64_t revision_ = 0;
+  std::shared_ptr<wire::EndpointRecordT> own_record_;
+  TimePoint check_at_;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/endpoint_directory.cpp
@@ -0,0 +1,98 @@
+#include "sidecar/endpoint_directory.h"
+
+#include <algorithm>
+
+namespace cometstand::sidecar {
+namespace {
+
+/// How long endpoints are kept that a store does not know when it begins to send records: it may have started a
+/// moment ago.
+constexpr Duration kUnconfirmedLease = std::chrono::seconds(3);
+/// A report of this age counts half.
+constexpr Duration kReportHalfLife = std::chrono::milliseconds(150);
+/// What another zone costs, in units of a full target.
+constexpr double kOtherZoneCost = 0.25;
+/// Spreads senders that know the same over endpoints of about the same load.
+constexpr double kRandomCost = 0.25;
+constexpr double kAvoidCost = 100;
+
+constexpr std::uint64_t kRandomSteps = 1'000;
+
+}  // namespace
+
+void EndpointDirectory::apply(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
+  if (is_whole) {
+    for (auto& [address, endpoint] : endpoints_) endpoint.expires_at = now + kUnconfirmedLease;
+  }
+  for (const auto& record : update.records) {
+    const runtime::Address address{record->address, record->port};
+    if (record->state == wire::EndpointState::Gone) {
+      const auto known = endpoints_.find(address);
+      if (known != endpoints_.end() && known->second.instance == record->endpoint) known->second.expires_at = now;
+      continue;
+    }
+    auto& endpoint = endpoints_[address];
+    endpoint.address = address;
+    endpoint.service = record->service;
+    endpoint.instance = record->endpoint;
+    endpoint.zone = record->zone;
+    endpoint.slots = std::max(1U, record->slots);
+    endpoint.live = record->state == wire::EndpointState::Live || record->state == wire::EndpointState::Cold;
+    endpoint.expires_at.reset();
+  }
+}
+
+Endpoint* EndpointDirectory::find(const runtime::Address& address) {
+  const auto found = endpoints_.find(address);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+double EndpointDirectory::scoreOf(const Endpoint& endpoint, RandomSource& random, TimePoint now) const {
+  const double age = static_cast<double>((now - endpoint.reported_at).count());
+  const double trust = 1 / (1 + age / static_cast<double>(kReportHalfLife.count()));
+  const double requests = std::max<double>(endpoint.outstanding, endpoint.reported_load * trust);
+  const double spread = static_cast<double>(random.uniform(0, kRandomSteps)) / kRandomSteps;
+  double score = requests / endpoint.slots + kRandomCost * spread;
+  if (endpoint.zone != own_zone_) score += kOtherZoneCost;
+  if (endpoint.avoid_until > now) score += kAvoidCost;
+  return score;
+}
+
+Endpoint* EndpointDirectory::choose(const std::string& service, const std::set<runtime::Address>& tried,
+                                    RandomSource& random, TimePoint now) {
+  Endpoint* best = nullptr;
+  double best_score = 0;
+  for (auto& [address, endpoint] : endpoints_) {
+    const bool fits = endpoint.live && endpoint.linked && endpoint.service == service && !tried.contains(address);
+    if (!fits) continue;
+    const double score = scoreOf(endpoint, random, now);
+    if (best != nullptr && score >= best_score) continue;
+    best = &endpoint;
+    best_score = score;
+  }
+  return best;
+}
+
+bool EndpointDirectory::knows(const std::string& service) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&service](const auto& item) {
+    return item.second.live && item.second.service == service;
+  });
+}
+
+void EndpointDirectory::onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) const {
+  endpoint.reported_load = reply.running + reply.waiting;
+  endpoint.reported_at = now;
+}
+
+std::vector<runtime::Address> EndpointDirectory::expire(TimePoint now) {
+  std::vector<runtime::Address> gone;
+  std::erase_if(endpoints_, [&](const auto& item) {
+    const auto& endpoint = item.second;
+    const bool has_expired = endpoint.expires_at && *endpoint.expires_at <= now && endpoint.outstanding == 0;
+    if (has_expired) gone.push_back(item.first);
+    return has_expired;
+  });
+  return gone;
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/endpoint_directory.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "runtime/process_core.h"
+#include "schema/control_generated.h"
+
+namespace cometstand::sidecar {
+
+/// What is known of one endpoint: a target and the sidecar beside it.
+struct Endpoint {
+  /// Where the sidecar beside the target listens.
+  runtime::Address address;
+  std::string service;
+  std::string instance;
+  std::string zone;
+  unsigned slots = 1;
+  bool live = false;
+  /// Can be reached now.
+  bool linked = false;
+  /// Requests sent by this sidecar and not answered yet.
+  unsigned outstanding = 0;
+  /// Requests that the target had when it last answered this sidecar.
+  unsigned reported_load = 0;
+  TimePoint reported_at;
+  /// Not chosen before, unless there is no other.
+  TimePoint avoid_until;
+  /// Taken out then, unless a store names it again.
+  std::optional<TimePoint> expires_at;
+};
+
+/// The endpoints of the mesh as the stores and the answers of the endpoints themselves tell. Hints: the sidecar
+/// beside a target decides what the target gets.
+class EndpointDirectory {
+ public:
+  explicit EndpointDirectory(std::string own_zone) : own_zone_(std::move(own_zone)) {}
+
+  /// Takes the records of one store over, in the order in which it sent them.
+  /// @param is_whole the records are all that the store knows; others expire soon.
+  void apply(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now);
+
+  Endpoint* find(const runtime::Address& address);
+  const std::map<runtime::Address, Endpoint>& all() const { return endpoints_; }
+
+  /// @param tried are not chosen.
+  /// @return the endpoint to send the next request for the service to; nullptr if there is none.
+  Endpoint* choose(const std::string& service, const std::set<runtime::Address>& tried, RandomSource& random,
+                   TimePoint now);
+
+  /// @return true if a live endpoint of the service is known, reachable or not.
+  bool knows(const std::string& service) const;
+
+  void onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) const;
+
+  /// Takes out what has expired. @return the addresses that went.
+  std::vector<runtime::Address> expire(TimePoint now);
+
+ private:
+  double scoreOf(const Endpoint& endpoint, RandomSource& random, TimePoint now) const;
+
+  std::string own_zone_;
+  std::map<runtime::Address, Endpoint> endpoints_;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/outbound_calls.cpp
@@ -0,0 +1,255 @@
+#include "sidecar/outbound_calls.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/event_log.h"
+#include "sidecar/events.h"
+
+namespace cometstand::sidecar {
+namespace {
+
+/// With less time left a request is not sent any more.
+constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(10);
+/// When to come back if nothing better is known, and the least wait that is named.
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(80);
+/// An endpoint whose link ended while it had requests is avoided for a while.
+constexpr Duration kLostPeerAvoidance = std::chrono::milliseconds(1'500);
+constexpr Duration kRefusedAvoidance = std::chrono::milliseconds(30);
+constexpr Duration kDownAvoidance = std::chrono::milliseconds(300);
+
+std::string_view nameOf(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::Answered:
+      return "answered";
+    case CallOutcome::NoRoute:
+      return "no_route";
+    case CallOutcome::NotRun:
+      return "not_run";
+    case CallOutcome::Failed:
+      return "failed";
+    case CallOutcome::TimedOut:
+      return "timed_out";
+  }
+  return "unrecognized";
+}
+
+}  // namespace
+
+using runtime::Address;
+
+void OutboundCalls::begin(CallId id, Call call, TimePoint now) {
+  CallAnswer refusal;
+  if (table_ == nullptr) {
+    refusal.outcome = CallOutcome::NotRun;
+    refusal.retry_after = kDefaultRetryAfter;
+    parts_.callers.answer(id, std::move(refusal));
+    return;
+  }
+  auto route = table_->find(call.host, call.request.target);
+  if (route == nullptr) {
+    refusal.outcome = CallOutcome::NoRoute;
+    parts_.callers.answer(id, std::move(refusal));
+    return;
+  }
+  CallState state;
+  state.request = std::make_shared<wire::ForwardRequestT>(std::move(call.request));
+  state.request->service = mesh::drawService(*route, parts_.random);
+  state.request->priority = route->priority;
+  state.request->objective_ms = route->objective_ms;
+  const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
+  state.began = now;
+  state.deadline = now + std::min(call.deadline.value_or(timeout), timeout);
+  state.route = std::move(route);
+  budget_.onRequest(state.request->service);
+  deadlines_.emplace(state.deadline, id);
+  calls_.emplace(id, std::move(state));
+  sendNext(id, now);
+}
+
+void OutboundCalls::sendNext(CallId id, TimePoint now) {
+  auto& call = calls_.at(id);
+  auto* endpoint = call.deadline - now < kLeastTimeLeft
+                       ? nullptr
+                       : parts_.endpoints.choose(call.request->service, call.tried, parts_.random, now);
+  if (endpoint != nullptr) {
+    send(id, call, *endpoint, now);
+  } else if (call.may_have_run) {
+    finish(id, CallAnswer(), now);
+  } else {
+    finishNotRun(id, now);
+  }
+}
+
+void OutboundCalls::send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now) {
+  const std::uint64_t number = next_sending_++;
+  call.at = endpoint.address;
+  call.sent_as = number;
+  call.tried.insert(endpoint.address);
+  sent_.emplace(number, id);
+  ++endpoint.outstanding;
+  // A copy for each sending: the last one may still be on its way.
+  auto request = std::make_shared<wire::ForwardRequestT>(*call.request);
+  request->deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
+  request->is_retry = call.sendings > 0;
+  if (endpoint.address == parts_.options.advertise) {
+    parts_.gate.admit({runtime::LinkId{}, number}, std::move(request), now);
+    return;
+  }
+  wire::EnvelopeT envelope;
+  envelope.request_id = number;
+  envelope.body.Set(std::move(*request));
+  parts_.actions.send(*parts_.peers.linkTo(endpoint.address),
+                      std::make_shared<const wire::EnvelopeT>(std::move(envelope)));
+}
+
+void OutboundCalls::onReply(const Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
+                            TimePoint now) {
+  auto* endpoint = parts_.endpoints.find(from);
+  if (endpoint != nullptr) parts_.endpoints.onReply(*endpoint, reply, now);
+  const auto sent = sent_.find(request_id);
+  if (sent == sent_.end()) return;
+  const CallId id = sent->second;
+  auto& call = calls_.at(id);
+  if (call.at != from) return;
+  sent_.erase(sent);
+  call.at.reset();
+  if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
+  switch (reply.outcome) {
+    case wire::ForwardOutcome::Answered:
+      finish(id, {CallOutcome::Answered, reply, Duration::zero()}, now);
+      return;
+    case wire::ForwardOutcome::NotRun:
+      onRefused(id, call, reply, now);
+      return;
+    case wire::ForwardOutcome::Unknown:
+      onFailed(id, call, now);
+      return;
+  }
+}
+
+void OutboundCalls::onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now) {
+  const Duration wish = std::chrono::milliseconds(reply.retry_after_ms);
+  call.retry_after = call.retry_after == Duration::zero() ? wish : std::min(call.retry_after, wish);
+  ++call.refusals;
+  for (const auto& address : call.tried) {
+    auto* endpoint = parts_.endpoints.find(address);
+    if (endpoint == nullptr || call.refusals > 1) continue;
+    const bool is_full = reply.reason == wire::NotRunReason::Full;
+    endpoint->avoid_until = now + (is_full ? kRefusedAvoidance : kDownAvoidance);
+  }
+  const bool reached_target = reply.reached_target;
+  if (reached_target) ++call.sendings;
+  const bool is_allowed = call.refusals < parts_.options.max_refusals &&
+                          call.sendings < call.route->max_attempts &&
+                          (!reached_target || budget_.take(call.request->service));
+  if (is_allowed) {
+    sendNext(id, now);
+  } else if (call.may_have_run) {
+    finish(id, CallAnswer(), now);
+  } else {
+    finishNotRun(id, now);
+  }
+}
+
+void OutboundCalls::onFailed(CallId id, CallState& call, TimePoint now) {
+  call.may_have_run = true;
+  ++call.sendings;
+  const bool may_repeat = call.route->repeatable && call.sendings < call.route->max_attempts &&
+                          call.deadline - now >= kLeastTimeLeft && budget_.take(call.request->service);
+  if (!may_repeat) {
+    finish(id, CallAnswer(), now);
+    return;
+  }
+  logEvent(kCallRetried, {{"request", call.request->request_id}, {"service", call.request->service}});
+  sendNext(id, now);
+}
+
+void OutboundCalls::recall(CallState& call, TimePoint now) {
+  if (!call.at) return;
+  sent_.erase(call.sent_as);
+  auto* endpoint = parts_.endpoints.find(*call.at);
+  if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
+  if (*call.at == parts_.options.advertise) {
+    parts_.gate.cancel({runtime::LinkId{}, call.sent_as}, now);
+  } else if (const auto link = parts_.peers.linkTo(*call.at)) {
+    parts_.actions.send(*link, wire::ForwardCancelT(), call.sent_as);
+  }
+  call.at.reset();
+}
+
+void OutboundCalls::cancel(CallId id, TimePoint now) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  recall(found->second, now);
+  deadlines_.erase({found->second.deadline, id});
+  calls_.erase(found);
+}
+
+void OutboundCalls::finish(CallId id, CallAnswer answer, TimePoint now) {
+  const auto found = calls_.find(id);
+  const auto& call = found->second;
+  if (answer.outcome != CallOutcome::Answered) {
+    logEvent(kCallEnded, {{"request", call.request->request_id},
+                          {"outcome", nameOf(answer.outcome)},
+                          {"route", call.route->name},
+                          {"service", call.request->service},
+                          {"revision", table_->revision()},
+                          {"sendings", call.sendings},
+                          {"refusals", call.refusals},
+                          {"after_ms", ceilMilliseconds(now - call.began)},
+                          {"left_ms", ceilMilliseconds(call.deadline - now)}});
+  }
+  deadlines_.erase({call.deadline, id});
+  calls_.erase(found);
+  parts_.callers.answer(id, std::move(answer));
+}
+
+Duration OutboundCalls::comeBackAfter(const CallState& call) {
+  const Duration least = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
+  // Spread, so that those that were refused together do not come back together.
+  return parts_.random.uniform(least, 2 * least);
+}
+
+void OutboundCalls::finishNotRun(CallId id, TimePoint now) {
+  CallAnswer answer;
+  answer.outcome = CallOutcome::NotRun;
+  answer.retry_after = comeBackAfter(calls_.at(id));
+  finish(id, std::move(answer), now);
+}
+
+void OutboundCalls::onPeerLost(const Address& address, TimePoint now) {
+  std::vector<CallId> lost;
+  for (const auto& [id, call] : calls_) {
+    if (call.at == address) lost.push_back(id);
+  }
+  auto* endpoint = parts_.endpoints.find(address);
+  if (endpoint != nullptr) {
+    endpoint->outstanding = 0;
+    endpoint->avoid_until = now + kLostPeerAvoidance;
+  }
+  for (const CallId id : lost) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    sent_.erase(found->second.sent_as);
+    found->second.at.reset();
+    onFailed(id, found->second, now);
+  }
+}
+
+void OutboundCalls::onTimer(TimePoint now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const CallId id = deadlines_.begin()->second;
+    auto& call = calls_.at(id);
+    const bool may_have_run = call.may_have_run || call.at.has_value();
+    recall(call, now);
+    if (may_have_run) {
+      finish(id, {CallOutcome::TimedOut, {}, Duration::zero()}, now);
+    } else {
+      finishNotRun(id, now);
+    }
+  }
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/outbound_calls.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "mesh/route_table.h"
+#include "runtime/action_queue.h"
+#include "sidecar/caller_port.h"
+#include "sidecar/endpoint_directory.h"
+#include "sidecar/peer_links.h"
+#include "sidecar/retry_budget.h"
+#include "sidecar/target_gate.h"
+
+namespace cometstand::sidecar {
+
+/// The requests of this sidecar's callers, from arrival to their one answer: route, endpoint, attempts, time.
+///
+/// Invariants:
+/// - A request that may not be repeated is never sent again once it may have run.
+/// - NotRun is answered only if no sending may have run.
+class OutboundCalls {
+ public:
+  struct Parts {
+    const SidecarOptions& options;
+    runtime::ActionQueue& actions;
+    RandomSource& random;
+    EndpointDirectory& endpoints;
+    const PeerLinks& peers;
+    TargetGate& gate;
+    CallerPort& callers;
+  };
+
+  explicit OutboundCalls(const Parts& parts)
+      : parts_(parts), budget_(parts.options.retry_ratio, parts.options.retry_burst) {}
+
+  void setRoutes(mesh::RouteTablePointer table) { table_ = std::move(table); }
+  const mesh::RouteTablePointer& routes() const { return table_; }
+
+  void begin(CallId id, Call call, TimePoint now);
+  /// The caller is gone.
+  void cancel(CallId id, TimePoint now);
+  /// @param request_id as it was sent; `from` the endpoint's address.
+  void onReply(const runtime::Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
+               TimePoint now);
+  /// The link to the endpoint ended: what was sent over it may have run.
+  void onPeerLost(const runtime::Address& address, TimePoint now);
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const { return deadlines_.empty() ? TimePoint::max() : deadlines_.begin()->first; }
+  std::size_t inFlight() const { return calls_.size(); }
+
+ private:
+  struct CallState {
+    std::shared_ptr<wire::ForwardRequestT> request;
+    mesh::RoutePointer route;
+    TimePoint began;
+    TimePoint deadline;
+    /// Endpoints that were asked.
+    std::set<runtime::Address> tried;
+    /// Sendings that reached a target, or may have.
+    unsigned sendings = 0;
+    unsigned refusals = 0;
+    bool may_have_run = false;
+    /// Where the request is now, and under which number it was sent.
+    std::optional<runtime::Address> at;
+    std::uint64_t sent_as = 0;
+    Duration retry_after = Duration::zero();
+  };
+
+  void sendNext(CallId id, TimePoint now);
+  void send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now);
+  void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
+  void onFailed(CallId id, CallState& call, TimePoint now);
+  void recall(CallState& call, TimePoint now);
+  void finish(CallId id, CallAnswer answer, TimePoint now);
+  void finishNotRun(CallId id, TimePoint now);
+  Duration comeBackAfter(const CallState& call);
+
+  Parts parts_;
+  RetryBudget budget_;
+  mesh::RouteTablePointer table_;
+  std::map<CallId, CallState> calls_;
+  std::map<std::uint64_t, CallId> sent_;
+  std::set<std::pair<TimePoint, CallId>> deadlines_;
+  std::uint64_t next_sending_ = 1;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/peer_links.cpp
@@ -0,0 +1,83 @@
+#include "sidecar/peer_links.h"
+
+#include <algorithm>
+
+namespace cometstand::sidecar {
+namespace {
+
+constexpr Duration kReconnectMinimum = std::chrono::milliseconds(50);
+constexpr Duration kReconnectMaximum = std::chrono::milliseconds(800);
+
+}  // namespace
+
+using runtime::Address;
+using runtime::LinkId;
+
+void PeerLinks::add(const Address& address, TimePoint now) {
+  if (peers_.contains(address)) return;
+  peers_.emplace(address, Peer{std::nullopt, false, now, {kReconnectMinimum, kReconnectMaximum}});
+}
+
+void PeerLinks::remove(const Address& address) {
+  const auto peer = peers_.find(address);
+  if (peer == peers_.end()) return;
+  if (peer->second.link) {
+    actions_.close(*peer->second.link);
+    addresses_.erase(*peer->second.link);
+  }
+  peers_.erase(peer);
+}
+
+void PeerLinks::reset(const Address& address) {
+  const auto peer = peers_.find(address);
+  if (peer != peers_.end() && peer->second.link) actions_.close(*peer->second.link);
+}
+
+std::optional<Address> PeerLinks::addressOf(LinkId link) const {
+  const auto found = addresses_.find(link);
+  return found == addresses_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<Address> PeerLinks::onLinkOpened(LinkId link) {
+  const auto address = addressOf(link);
+  if (!address) return std::nullopt;
+  auto& peer = peers_.at(*address);
+  peer.is_open = true;
+  peer.backoff.reset();
+  return address;
+}
+
+std::optional<Address> PeerLinks::onLinkClosed(LinkId link, TimePoint now) {
+  const auto address = addressOf(link);
+  if (!address) return std::nullopt;
+  addresses_.erase(link);
+  auto& peer = peers_.at(*address);
+  peer.link.reset();
+  peer.is_open = false;
+  peer.connect_at = now + peer.backoff.next(random_);
+  return address;
+}
+
+std::optional<LinkId> PeerLinks::linkTo(const Address& address) const {
+  const auto peer = peers_.find(address);
+  if (peer == peers_.end() || !peer->second.is_open) return std::nullopt;
+  return peer->second.link;
+}
+
+void PeerLinks::onTimer(TimePoint now) {
+  for (auto& [address, peer] : peers_) {
+    if (peer.link || peer.connect_at > now) continue;
+    peer.link = actions_.connect(address);
+    addresses_[*peer.link] = address;
+  }
+}
+
+TimePoint PeerLinks::nextTimer() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.link) next = std::min(next, peer.connect_at);
+  }
+  return next;
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/peer_links.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "base/random.h"
+#include "runtime/action_queue.h"
+#include "runtime/reconnect_backoff.h"
+
+namespace cometstand::sidecar {
+
+/// One link to each of a set of addresses, opened again when it ends. Which addresses those are, the owner says.
+class PeerLinks {
+ public:
+  PeerLinks(runtime::ActionQueue& actions, RandomSource& random) : actions_(actions), random_(random) {}
+
+  /// Keeps a link to the address from now on.
+  void add(const runtime::Address& address, TimePoint now);
+  /// Closes the link to the address and forgets it.
+  void remove(const runtime::Address& address);
+  bool contains(const runtime::Address& address) const { return peers_.contains(address); }
+
+  /// @return true if the link was opened by this object and has not ended.
+  bool owns(runtime::LinkId link) const { return addresses_.contains(link); }
+  /// @return the address to which the link leads.
+  std::optional<runtime::Address> onLinkOpened(runtime::LinkId link);
+  /// @return the address to which the link led.
+  std::optional<runtime::Address> onLinkClosed(runtime::LinkId link, TimePoint now);
+
+  std::optional<runtime::Address> addressOf(runtime::LinkId link) const;
+  /// @return the open link to the address.
+  std::optional<runtime::LinkId> linkTo(const runtime::Address& address) const;
+
+  /// Ends the link to the address; it is opened again after a pause.
+  void reset(const runtime::Address& address);
+
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+
+ private:
+  struct Peer {
+    std::optional<runtime::LinkId> link;
+    bool is_open = false;
+    TimePoint connect_at;
+    runtime::ReconnectBackoff backoff;
+  };
+
+  runtime::ActionQueue& actions_;
+  RandomSource& random_;
+  std::map<runtime::Address, Peer> peers_;
+  std::map<runtime::LinkId, runtime::Address> addresses_;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/retry_budget.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace cometstand::sidecar {
+
+/// This sidecar's part of the retries that all sidecars together may send to a service: a token bucket for each
+/// service, filled by its requests.
+class RetryBudget {
+ public:
+  RetryBudget(double ratio, double burst) : ratio_(ratio), burst_(burst) {}
+
+  /// A first sending of a request for the service.
+  void onRequest(const std::string& service) {
+    double& tokens = tokens_.try_emplace(service, kFirstTokens).first->second;
+    tokens = std::min(tokens + ratio_, std::max(burst_, kFirstTokens));
+  }
+
+  /// @return true if one more sending is allowed; it is then counted.
+  bool take(const std::string& service) {
+    const auto tokens = tokens_.find(service);
+    if (tokens == tokens_.end() || tokens->second < 1) return false;
+    tokens->second -= 1;
+    return true;
+  }
+
+ private:
+  static constexpr double kFirstTokens = 1;
+
+  double ratio_;
+  double burst_;
+  std::map<std::string, double> tokens_;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_core.cpp
@@ -0,0 +1,179 @@
+#include "sidecar/sidecar_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "sidecar/events.h"
+
+namespace cometstand::sidecar {
+namespace {
+
+constexpr Duration kExpireInterval = std::chrono::milliseconds(500);
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
+using runtime::Address;
+using runtime::LinkId;
+
+SidecarCore::SidecarCore(SidecarOptions options, std::uint64_t seed, TargetPort& target, CallerPort& callers)
+    : options_(std::move(options)),
+      random_(seed),
+      control_(options_, actions_, random_, *this),
+      endpoints_(options_.zone),
+      peers_(actions_, random_),
+      gate_(options_, target,
+            [this](const GateAsker& asker, wire::ForwardReplyT reply) { answerAsker(asker, std::move(reply)); }),
+      calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers}) {}
+
+void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
+  now_ = now;
+  control_.begin(now);
+}
+
+void SidecarCore::onLinkOpened(LinkId link, const runtime::PeerIdentity& /*peer*/, TimePoint now) {
+  now_ = now;
+  if (control_.owns(link)) {
+    control_.onLinkOpened(link, now);
+  } else if (const auto address = peers_.onLinkOpened(link)) {
+    if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = true;
+  }
+}
+
+void SidecarCore::onLinkClosed(LinkId link, TimePoint now) {
+  now_ = now;
+  if (control_.owns(link)) {
+    control_.onLinkClosed(link, now);
+  } else if (const auto address = peers_.onLinkClosed(link, now)) {
+    if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = false;
+    calls_.onPeerLost(*address, now);
+  } else {
+    gate_.cancelLink(link, now);
+  }
+}
+
+void SidecarCore::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  now_ = now;
+  if (control_.owns(link)) {
+    control_.onMessage(link, message, now);
+  } else if (const auto address = peers_.addressOf(link)) {
+    if (const auto* reply = message.body.AsForwardReply()) {
+      calls_.onReply(*address, message.request_id, *reply, now);
+    }
+  } else if (const auto* request = message.body.AsForwardRequest()) {
+    gate_.admit({link, message.request_id}, std::make_shared<const wire::ForwardRequestT>(*request), now);
+  } else if (message.body.AsForwardCancel() != nullptr) {
+    gate_.cancel({link, message.request_id}, now);
+  }
+}
+
+void SidecarCore::answerAsker(const GateAsker& asker, wire::ForwardReplyT reply) {
+  if (asker.link == LinkId{}) {
+    calls_.onReply(options_.advertise, asker.request_id, reply, now_);
+  } else {
+    actions_.send(asker.link, std::move(reply), asker.request_id);
+  }
+}
+
+void SidecarCore::onRunResult(RunId id, RunResult result, TimePoint now) {
+  now_ = now;
+  if (result.other_instance && gate_.target().onOtherInstance(gate_.target().instance())) onTargetChanged(now);
+  gate_.onResult(id, std::move(result), now);
+}
+
+void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now) {
+  now_ = now;
+  if (gate_.target().onHeartbeat(beat, now)) onTargetChanged(now);
+}
+
+void SidecarCore::onDeregistered(const std::string& instance, TimePoint now) {
+  now_ = now;
+  if (gate_.target().onDeregistered(instance, now)) onTargetChanged(now);
+}
+
+void SidecarCore::onTargetChanged(TimePoint now) {
+  const auto& target = gate_.target();
+  logEvent(kTargetChanged, {{"instance", target.instance()},
+                            {"service", target.service()},
+                            {"condition", static_cast<int>(target.condition())},
+                            {"slots", target.slots()}});
+  const auto record = ownRecord();
+  control_.report(record);
+  // This sidecar's own requests need not wait until the record has come round.
+  wire::EndpointUpdateT update;
+  update.records.push_back(std::make_shared<wire::EndpointRecordT>(record));
+  onEndpoints(update, false, now);
+  gate_.onTargetChanged(now);
+}
+
+wire::EndpointRecordT SidecarCore::ownRecord() const {
+  const auto& target = gate_.target();
+  wire::EndpointRecordT record;
+  record.service = target.service();
+  record.endpoint = target.instance();
+  record.address = options_.advertise.host;
+  record.port = options_.advertise.port;
+  record.zone = options_.zone;
+  record.slots = target.slots();
+  const bool is_live = target.condition() == TargetCondition::Ready && !stop_began_;
+  record.state = is_live ? wire::EndpointState::Live : wire::EndpointState::Leaving;
+  return record;
+}
+
+void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint /*now*/) {
+  calls_.setRoutes(table);
+}
+
+void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
+  endpoints_.apply(update, is_whole, now);
+  updatePeers(now);
+}
+
+void SidecarCore::updatePeers(TimePoint now) {
+  for (const auto& [address, endpoint] : endpoints_.all()) {
+    if (address == options_.advertise) {
+      endpoints_.find(address)->linked = true;
+    } else {
+      peers_.add(address, now);
+    }
+  }
+  peers_.onTimer(now);
+}
+
+void SidecarCore::onTimer(TimePoint now) {
+  now_ = now;
+  control_.onTimer(now);
+  peers_.onTimer(now);
+  gate_.onTimer(now);
+  calls_.onTimer(now);
+  checkStop(now);
+  if (now < expire_at_) return;
+  expire_at_ = now + kExpireInterval;
+  for (const auto& address : endpoints_.expire(now)) peers_.remove(address);
+}
+
+TimePoint SidecarCore::nextTimer() const {
+  TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), gate_.nextTimer(), calls_.nextTimer(),
+                             expire_at_});
+  if (stop_began_ && !stopped_) next = std::min(next, now_ + kStopCheckInterval);
+  return next;
+}
+
+void SidecarCore::beginStop(TimePoint now) {
+  now_ = now;
+  if (stop_began_) return;
+  stop_began_ = now;
+  logEvent(kSidecarStopBegan, {{"calls", calls_.inFlight()}, {"running", gate_.running()}});
+  gate_.beginStop(now);
+  if (gate_.target().condition() != TargetCondition::Unheard) onTargetChanged(now);
+}
+
+void SidecarCore::checkStop(TimePoint now) {
+  if (!stop_began_ || stopped_) return;
+  const Duration time = now - *stop_began_;
+  const bool is_idle = calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0;
+  stopped_ = time >= options_.stop_maximum || (time >= options_.stop_minimum && is_idle);
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_core.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "runtime/process_core.h"
+#include "sidecar/control_client.h"
+#include "sidecar/outbound_calls.h"
+
+namespace cometstand::sidecar {
+
+/// The decisions of one sidecar proxy: it stands beside one target, carries the requests of the callers on its
+/// machine to any target of the mesh, and decides what its own target gets. Requests go from the sidecar beside
+/// the caller to the sidecar beside the target over one link for each pair. It keeps nothing on disk.
+class SidecarCore : public runtime::ProcessCore, private ControlListener {
+ public:
+  /// @param target, callers must outlive the core.
+  SidecarCore(SidecarOptions options, std::uint64_t seed, TargetPort& target, CallerPort& callers);
+
+  // What the surroundings say. Each is to be followed by the runner's flush().
+  void onCall(CallId id, Call call, TimePoint now) { calls_.begin(id, std::move(call), now); }
+  void onCallerGone(CallId id, TimePoint now) { calls_.cancel(id, now); }
+  void onRunResult(RunId id, RunResult result, TimePoint now);
+  void onHeartbeat(const Heartbeat& beat, TimePoint now);
+  void onDeregistered(const std::string& instance, TimePoint now);
+
+  /// @return true if callers may be sent here.
+  bool ready() const { return calls_.routes() != nullptr && !stop_began_; }
+  /// @return the configuration in force; nullptr before the first one.
+  const mesh::RouteTablePointer& routes() const { return calls_.routes(); }
+  /// @return true from the beginning of a planned stop on.
+  bool stopping() const { return stop_began_.has_value(); }
+  std::size_t callsInFlight() const { return calls_.inFlight(); }
+  const TargetGate& gate() const { return gate_; }
+  const EndpointDirectory& endpoints() const { return endpoints_; }
+
+  // runtime::ProcessCore
+  void start(const runtime::FileReader& files, TimePoint now) override;
+  void onLinkOpened(runtime::LinkId link, const runtime::PeerIdentity& peer, TimePoint now) override;
+  void onLinkClosed(runtime::LinkId link, TimePoint now) override;
+  void onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now) override;
+  void onFileWritten(runtime::WriteId /*write*/, TimePoint /*now*/) override {}
+  void onFileFailed(runtime::WriteId /*write*/, const std::string& /*reason*/, TimePoint /*now*/) override {}
+  void onTimer(TimePoint now) override;
+  TimePoint nextTimer() const override;
+  runtime::Actions takeActions() override { return actions_.take(); }
+  void beginStop(TimePoint now) override;
+  bool stopped() const override { return stopped_; }
+
+ private:
+  // ControlListener
+  void onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) override;
+  void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) override;
+
+  void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
+  void onTargetChanged(TimePoint now);
+  wire::EndpointRecordT ownRecord() const;
+  void updatePeers(TimePoint now);
+  void checkStop(TimePoint now);
+
+  SidecarOptions options_;
+  RandomSource random_;
+  runtime::ActionQueue actions_;
+  TimePoint now_;
+  ControlClient control_;
+  EndpointDirectory endpoints_;
+  PeerLinks peers_;
+  TargetGate gate_;
+  OutboundCalls calls_;
+  std::uint64_t record_sequence_ = 0;
+  TimePoint expire_at_;
+  std::optional<TimePoint> stop_began_;
+  bool stopped_ = false;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_options.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "runtime/process_core.h"
+
+namespace cometstand::sidecar {
+
+/// Tunables of one sidecar proxy: every value with unit, default and range.
+struct SidecarOptions {
+  /// Name of this machine, unique in the mesh.
+  std::string node;
+  std::string zone;
+  /// Where other sidecars and stores reach this one.
+  runtime::Address advertise;
+  /// Stores to begin with; the others are learned from them.
+  std::vector<runtime::Address> seeds;
+
+  /// Sendings beyond the first of each request that this sidecar may add, as a share of the requests for a
+  /// service. Below the share that all sidecars together may add, since sums of small numbers vary. Default
+  /// 0.1, range 0 to 1.
+  double retry_ratio = 0.1;
+  /// Such sendings that may be saved up for a service. Default 3, range 0 to 1,000.
+  double retry_burst = 3;
+
+  /// Most endpoints that are asked one after another for a request that none has run. Default 3, range 1 to 10.
+  unsigned max_refusals = 3;
+
+  /// Part of a request's objective that it may wait for a slot of its target. Default 0.25, range 0 to 1.
+  double queue_share = 0.25;
+
+  /// How long new requests are still passed to a target that begins to leave: senders hear of it meanwhile.
+  /// Microseconds, default 300 ms, range 0 to 10 s.
+  Duration leaving_grace = std::chrono::milliseconds(300);
+  /// A planned stop: callers are served at least this long after the sidecar said that it is not ready any more.
+  /// Microseconds, default 2.3 s, range 0 to 60 s.
+  Duration stop_minimum = std::chrono::milliseconds(2'300);
+  /// A planned stop ends after this time at the latest. Microseconds, default 5.5 s, range 0 to 10 min.
+  Duration stop_maximum = std::chrono::milliseconds(5'500);
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_settings.cpp
@@ -0,0 +1,42 @@
+#include "sidecar/sidecar_settings.h"
+
+#include "base/error.h"
+
+namespace cometstand::sidecar {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+void declareSidecarSettings(settings::SettingsTable& table, SidecarSettings& sidecar) {
+  auto& options = sidecar.options;
+  settings::declareCommonSettings(table, sidecar.common);
+  table.text("sidecar.node", options.node, "Name of this machine, unique in the mesh.").required();
+  table.addresses("sidecar.seeds", options.seeds, "Stores to begin with; the others are learned from them.");
+  table.number("sidecar.retry_ratio", options.retry_ratio, {0, 1},
+               "Sendings beyond the first of each request that this sidecar may add, as a share of the requests for a "
+               "service.");
+  table.number("sidecar.retry_burst", options.retry_burst, {0, 1'000},
+               "Such sendings that may be saved up for a service.");
+  table.integer<unsigned>("sidecar.max_refusals", options.max_refusals, {1, 10},
+                          "Endpoints that are asked one after another for a request that none has run.");
+  table.number("sidecar.queue_share", options.queue_share, {0, 1},
+               "Part of a request's objective that it may wait for a slot of its target.");
+  table.duration("sidecar.leaving_grace", options.leaving_grace, {milliseconds(0), seconds(10)},
+                 "How long new requests are still passed to a target that begins to leave.");
+  table.duration("sidecar.stop_minimum", options.stop_minimum, {milliseconds(0), minutes(1)},
+                 "A planned stop: callers are served at least this long after the sidecar is not ready any more.");
+  table.duration("sidecar.stop_maximum", options.stop_maximum, {milliseconds(0), minutes(10)},
+                 "A planned stop ends after this time at the latest.");
+  table.check([&sidecar] {
+    if (!sidecar.common.listen.host.empty()) return;
+    throw Error(ErrorKind::Invalid, "listen.address is not set", "set listen.address to an IP address and port");
+  });
+}
+
+void completeSidecarOptions(SidecarSettings& sidecar) {
+  sidecar.options.zone = sidecar.common.zone;
+  sidecar.options.advertise = sidecar.common.listen;
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/target_gate.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sidecar/sidecar_options.h"
+#include "sidecar/target_port.h"
+#include "sidecar/target_state.h"
+
+namespace cometstand::sidecar {
+
+/// Who waits for the answer to a request at the gate: a link to another sidecar, or this sidecar itself.
+struct GateAsker {
+  /// The default stands for this sidecar's own callers.
+  runtime::LinkId link{};
+  std::uint64_t request_id = 0;
+  friend auto operator<=>(const GateAsker&, const GateAsker&) = default;  // NOLINT(modernize-use-nullptr)
+};
+
+/// Decides which requests the target beside this sidecar gets, and when. All requests for the target pass here, so
+/// the gate knows exactly what the target has to do: it refuses at once what cannot be run in time, lets the more
+/// urgent go first, and passes nothing to a target that leaves.
+///
+/// Invariants: never more requests at the target than its slots; NotRun is answered only if the target did not
+/// get the request or said that it did not run it.
+class TargetGate {
+ public:
+  using Answer = std::function<void(const GateAsker&, wire::ForwardReplyT)>;
+
+  /// @param port must outlive the gate.
+  TargetGate(const SidecarOptions& options, TargetPort& port, Answer answer)
+      : options_(options), port_(port), answer_(std::move(answer)) {}
+
+  TargetState& target() { return target_; }
+  const TargetState& target() const { return target_; }
+
+  void admit(const GateAsker& asker, ForwardRequestPointer request, TimePoint now);
+  void cancel(const GateAsker& asker, TimePoint now);
+  /// All requests of one link are given up.
+  void cancelLink(runtime::LinkId link, TimePoint now);
+  void onResult(RunId id, RunResult result, TimePoint now);
+  /// The target's state may have changed.
+  void onTargetChanged(TimePoint now) { startWaiting(now); }
+  /// From now on the gate refuses what is new after the grace.
+  void beginStop(TimePoint now) { stopping_since_ = now; }
+
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+  unsigned running() const { return static_cast<unsigned>(running_.size()); }
+  unsigned waiting() const { return static_cast<unsigned>(waiting_.size()); }
+
+ private:
+  /// The most urgent first, then the oldest.
+  struct Place {
+    unsigned priority = 0;
+    std::uint64_t number = 0;
+    friend auto operator<=>(const Place&, const Place&) = default;  // NOLINT(modernize-use-nullptr)
+  };
+  struct Waiting {
+    GateAsker asker;
+    ForwardRequestPointer request;
+    TimePoint deadline;
+    /// The request is refused if it has no slot by then.
+    TimePoint start_by;
+  };
+  struct Running {
+    GateAsker asker;
+    TimePoint started;
+    TimePoint deadline;
+  };
+
+  std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
+  bool isLeaving(TimePoint now) const;
+  Duration expectedWait(unsigned priority) const;
+  unsigned slots() const;
+  void refuse(const GateAsker& asker, wire::NotRunReason reason);
+  void start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline, TimePoint now);
+  void startWaiting(TimePoint now);
+  void reply(const GateAsker& asker, wire::ForwardReplyT reply);
+
+  const SidecarOptions& options_;
+  TargetPort& port_;
+  Answer answer_;
+  TargetState target_;
+  std::map<Place, Waiting> waiting_;
+  std::map<RunId, Running> running_;
+  std::uint64_t next_number_ = 1;
+  std::uint64_t next_run_ = 1;
+  /// Smoothed time that the target takes for a request, in microseconds.
+  double mean_run_time_ = 0;
+  std::optional<TimePoint> stopping_since_;
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/target_port.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "schema/mesh_generated.h"
+
+namespace cometstand::sidecar {
+
+/// Names one request on its way to the target beside this sidecar. Rising, never used twice.
+enum class RunId : std::uint64_t {};
+
+using ForwardRequestPointer = std::shared_ptr<const wire::ForwardRequestT>;
+
+/// One request for the target.
+struct RunOrder {
+  RunId id{};
+  ForwardRequestPointer request;
+  /// The target must be this one, else it must not run the request.
+  std::string instance;
+  /// The target is to stop work then.
+  Duration time_left{};
+};
+
+/// What came of a request at the target.
+struct RunResult {
+  wire::ForwardReplyT reply;
+  /// The target said that it is another instance.
+  bool other_instance = false;
+};
+
+/// Carries requests to the target. Its answers come through SidecarCore::onRunResult(), never from within run().
+class TargetPort {
+ public:
+  virtual ~TargetPort() = default;
+  virtual void run(RunOrder order) = 0;
+  /// Gives the request up: the target sees its connection close. No result follows.
+  virtual void cancel(RunId id) = 0;
+};
+
+}  // namespace cometstand::sidecar
--- a/src/store/cluster_formation.cpp
+++ b/src/store/cluster_formation.cpp
@@ -25,6 +25,7 @@
 }
 
 bool ClusterFormation::isAsking() const {
+  if (!context_.options.seeds.empty()) return false;
   return context_.options.bootstrap && !cluster_runs_ && storedTerm() <= kBootstrapTerm &&
          (storedTerm() == 0 || holdsElections());
 }
@@ -40,6 +41,7 @@
 }
 
 void ClusterFormation::begin(TimePoint now) {
+  if (!context_.options.seeds.empty()) return;
   ask_at_ = now;
   log_at_ = now + kLogInterval;
   bootstrapIfAgreed(now);
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -43,8 +43,19 @@
     "The first start of a cluster needs all first voters, and some have not answered. Start them, and check "
     "store.replicas and the network."};
 
+inline constexpr EventDefinition kMembershipStep{
+    3011, LogLevel::Info, "membership_step",
+    "The leader began a change of the membership: a replica joins, votes, replaces another or is removed. No action "
+    "is needed."};
+inline constexpr EventDefinition kNodeLinked{3012, LogLevel::Info, "node_linked",
+                                             "A node linked itself to this replica. No action is needed."};
+inline constexpr EventDefinition kNodeLost{
+    3013, LogLevel::Info, "node_lost",
+    "A node's link ended. If it does not come back, its endpoint is taken out after a short lease."};
+
 inline constexpr std::array kStoreEvents{
     kReaderAdmitted, kReaderLost, kReaderRefused,   kReaderSilent,     kSnapshotTooLarge,
-    kUnexpectedPeer, kStopBegan,  kReplacementDone, kBootstrapRefused, kFormationWaiting};
+    kUnexpectedPeer, kStopBegan,  kReplacementDone, kBootstrapRefused, kFormationWaiting,
+    kMembershipStep, kNodeLinked, kNodeLost};
 
 }  // namespace cometstand::store
--- a/src/store/log_writer.cpp
+++ b/src/store/log_writer.cpp
@@ -113,9 +113,9 @@
   if (std::exchange(pending.answered, true)) return;
   if (const auto* reply = std::get_if<wire::CommandReplyT>(&result)) {
     sendReply(context_, pending.asker, *reply);
-  } else {
+  } else if (const auto* claim = std::get_if<wire::ClaimReplyT>(&result)) {
     ++context_.metrics.claims_answered;
-    context_.actions.send(pending.asker.link, std::get<wire::ClaimReplyT>(result), pending.asker.request_id);
+    context_.actions.send(pending.asker.link, *claim, pending.asker.request_id);
   }
 }
 
--- /dev/null
+++ b/src/store/node_hub.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "store/store_context.h"
+
+namespace cometstand::store {
+
+/// The nodes (sidecar proxies) that are linked to this replica. Every node links itself to every replica and
+/// reports its own endpoint to each; one of the replicas sends it configurations and the endpoints of the others.
+///
+/// Endpoint records are soft state: they are hints for speed. What a node does for its own target it decides
+/// itself.
+class NodeHub {
+ public:
+  explicit NodeHub(StoreContext& context) : context_(context) {}
+
+  /// @return true if the message is a node's.
+  bool onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onLinkClosed(runtime::LinkId link, TimePoint now);
+  /// The mesh configuration may have changed.
+  void onApplied();
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const { return nodes_.empty() && endpoints_.empty() ? TimePoint::max() : beat_at_; }
+
+  std::size_t nodes() const { return nodes_.size(); }
+
+ private:
+  struct Node {
+    std::string name;
+    TimePoint heard_at;
+    bool subscribed = false;
+    std::uint64_t sent_revision = 0;
+  };
+  struct Endpoint {
+    std::shared_ptr<wire::EndpointRecordT> record;
+    runtime::LinkId reported_by{};
+    /// Set once the link that reported it ended.
+    std::optional<TimePoint> lost_at;
+  };
+
+  void onSubscribe(runtime::LinkId link, const wire::NodeSubscribeT& request);
+  void onReport(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
+  void sendConfiguration(runtime::LinkId link, Node& node);
+  void broadcast(const std::shared_ptr<wire::EndpointRecordT>& record);
+  void sendBeats();
+  void closeSilent(TimePoint now);
+  void expireEndpoints(TimePoint now);
+
+  StoreContext& context_;
+  std::map<runtime::LinkId, Node> nodes_;
+  /// By the name of the node beside the endpoint.
+  std::map<std::string, Endpoint> endpoints_;
+  /// The update to the newest configuration, shared by all nodes that get it.
+  runtime::MessagePointer update_;
+  std::uint64_t update_revision_ = 0;
+  TimePoint beat_at_;
+};
+
+}  // namespace cometstand::store
--- a/src/store/options.cpp
+++ b/src/store/options.cpp
@@ -27,6 +27,8 @@
 
 void StoreOptions::check() const {
   consensus.check();
+  checkRange<std::size_t>("voters", voters, 1, 9);
+  checkRange("replace_silent_after", replace_silent_after, milliseconds(100), hours(24));
   checkRange<std::size_t>("max_readers", max_readers, 1, 1'000);
   checkRange("reader_join_rate", reader_join_rate, 0.1, 10'000.0);
   checkRange("reader_join_burst", reader_join_burst, 1.0, 10'000.0);
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "consensus/options.h"
+#include "runtime/process_core.h"
 #include "schema/consensus_generated.h"
 
 namespace cometstand::store {
@@ -25,6 +26,17 @@
   /// be started with it: it waits to be added as a learner under a new id.
   bool bootstrap = false;
 
+  /// Where the first voters listen, if replicas form and join a cluster by themselves; empty if `initial_voters`
+  /// and operators say who is a member. See seed_formation.h.
+  std::vector<runtime::Address> seeds;
+
+  /// Voters that the cluster keeps, if `seeds` is given. Default 3, range 1 to 9.
+  std::size_t voters = 3;
+
+  /// A voter without an answer for this long is replaced, if `seeds` is given and a learner has caught up.
+  /// Microseconds, default 3 s, range 100 ms to 24 h.
+  Duration replace_silent_after = std::chrono::seconds(3);
+
   consensus::ConsensusOptions consensus;
 
   /// Credential "bootstrap" of the tenant mesh, for the first administrator: salt, and SHA-256 of salt
--- /dev/null
+++ b/src/store/seed_formation.cpp
@@ -0,0 +1,146 @@
+#include "store/seed_formation.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+#include "base/event_log.h"
+#include "store/events.h"
+
+namespace cometstand::store {
+namespace {
+
+/// The term that Consensus::bootstrap() stores; elections raise it.
+constexpr consensus::Term kBootstrapTerm = 1;
+constexpr Duration kAskInterval = std::chrono::milliseconds(100);
+/// Without a leader for this long a replica asks to be taken in: it may have been removed while it was away.
+constexpr Duration kLeaderSilence = std::chrono::milliseconds(1'500);
+
+}  // namespace
+
+using runtime::Address;
+using runtime::LinkId;
+
+consensus::Term SeedFormation::storedTerm() const {
+  const auto leadership = context_.consensus.leadership();
+  return leadership.role == consensus::Role::Joining ? 0 : leadership.term;
+}
+
+bool SeedFormation::isFirstVoter() const {
+  const auto& seeds = context_.options.seeds;
+  const bool is_seed = std::find(seeds.begin(), seeds.end(), addressOf(context_.options.self)) != seeds.end();
+  return context_.options.bootstrap && is_seed;
+}
+
+bool SeedFormation::isForming() const {
+  if (!enabled() || !isFirstVoter() || cluster_runs_ || storedTerm() > kBootstrapTerm) return false;
+  return storedTerm() == 0 || !allSeedsAnswered(kBootstrapTerm);
+}
+
+bool SeedFormation::holdsElections() const {
+  return isForming() && storedTerm() == kBootstrapTerm;
+}
+
+bool SeedFormation::allSeedsAnswered(consensus::Term at_least) const {
+  const auto& seeds = context_.options.seeds;
+  return std::all_of(seeds.begin(), seeds.end(), [&](const Address& seed) {
+    if (seed == addressOf(context_.options.self)) return true;
+    const auto answer = answers_.find(seed);
+    return answer != answers_.end() && answer->second.term >= at_least;
+  });
+}
+
+bool SeedFormation::wantsToJoin(TimePoint now) const {
+  if (isForming()) return false;
+  const auto role = context_.consensus.leadership().role;
+  if (role == consensus::Role::Joining) return true;
+  return role != consensus::Role::Failed && now >= leader_heard_at_ + kLeaderSilence;
+}
+
+void SeedFormation::begin(TimePoint now) {
+  ask_at_ = now;
+  leader_heard_at_ = now;
+  if (enabled()) bootstrapIfAgreed(now);
+}
+
+void SeedFormation::onRequest(const Asker& asker, const wire::FormationRequestT& request, TimePoint now) {
+  if (request.joining != nullptr) members_.onJoinRequest(*request.joining, now);
+  wire::FormationReplyT reply;
+  reply.replica = context_.options.self.id;
+  reply.term = storedTerm();
+  reply.self = std::make_shared<wire::ReplicaT>(context_.options.self);
+  reply.membership = std::make_shared<wire::MembershipT>(context_.consensus.membership());
+  reply.leader = context_.consensus.leadership().leader;
+  context_.actions.send(asker.link, reply, asker.request_id);
+}
+
+void SeedFormation::onReply(LinkId link, const wire::FormationReplyT& reply, TimePoint now) {
+  const auto contact = links_.find(link);
+  if (contact == links_.end() || reply.self == nullptr) return;
+  answers_[contact->second.address] = {reply.term, *reply.self};
+  if (reply.membership != nullptr) {
+    for (const auto& voter : reply.membership->voters) hinted_[addressOf(*voter)] = true;
+  }
+  if (reply.term > kBootstrapTerm) cluster_runs_ = true;
+  bootstrapIfAgreed(now);
+}
+
+void SeedFormation::bootstrapIfAgreed(TimePoint now) {
+  if (!isFirstVoter() || cluster_runs_ || storedTerm() != 0 || !allSeedsAnswered(0)) return;
+  std::vector<wire::ReplicaT> voters{context_.options.self};
+  for (const auto& seed : context_.options.seeds) {
+    if (seed != addressOf(context_.options.self)) voters.push_back(answers_.at(seed).replica);
+  }
+  // The same order everywhere: the first log entry must be the same on all of them.
+  std::sort(voters.begin(), voters.end(),
+            [](const wire::ReplicaT& left, const wire::ReplicaT& right) { return left.id < right.id; });
+  wire::MembershipT membership;
+  for (const auto& voter : voters) membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
+  context_.consensus.bootstrap(membership, now);
+}
+
+void SeedFormation::ask(const Address& address) {
+  const auto found = std::find_if(links_.begin(), links_.end(),
+                                  [&](const auto& item) { return item.second.address == address; });
+  if (found == links_.end()) {
+    links_[context_.actions.connect(address)] = {address, false};
+  } else if (found->second.open) {
+    sendRequest(found->first);
+  }
+}
+
+void SeedFormation::sendRequest(LinkId link) {
+  wire::FormationRequestT request;
+  if (!isForming()) request.joining = std::make_shared<wire::ReplicaT>(context_.options.self);
+  context_.actions.send(link, request, 0);
+}
+
+void SeedFormation::onLinkOpened(LinkId link, TimePoint /*now*/) {
+  links_.at(link).open = true;
+  sendRequest(link);
+}
+
+void SeedFormation::onLinkClosed(LinkId link) { links_.erase(link); }
+
+void SeedFormation::closeAll() {
+  for (const auto& [link, contact] : links_) context_.actions.close(link);
+  links_.clear();
+}
+
+void SeedFormation::onTimer(TimePoint now) {
+  if (!enabled() || now < ask_at_) return;
+  ask_at_ = now + kAskInterval;
+  const auto leadership = context_.consensus.leadership();
+  if (leadership.leader != 0) leader_heard_at_ = now;
+  if (!isForming() && !wantsToJoin(now)) {
+    closeAll();
+    return;
+  }
+  std::set<Address> addresses(context_.options.seeds.begin(), context_.options.seeds.end());
+  for (const auto& [address, hinted] : hinted_) addresses.insert(address);
+  for (const auto& voter : context_.consensus.membership().voters) addresses.insert(addressOf(*voter));
+  addresses.erase(addressOf(context_.options.self));
+  for (const auto& address : addresses) ask(address);
+}
+
+}  // namespace cometstand::store
--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -37,8 +37,10 @@
   const auto requests = builder_.CreateVector(requests_);
   const auto claims = builder_.CreateVector(claims_);
   const auto history = builder_.CreateVector(history_);
+  flatbuffers::Offset<wire::MeshState> mesh;
+  if (state_.mesh != nullptr) mesh = wire::CreateMeshState(builder_, state_.mesh.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history));
+                                         claims, history, mesh));
   finished_ = true;
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -64,6 +64,10 @@
   if (const auto* finish = command.body.AsClaimFinish()) {
     return applyClaim(*finish, [&] { return claims_.finish(*finish); });
   }
+  if (const auto* mesh = command.body.AsMeshChange()) {
+    if (mesh->digest == nullptr) return MeshChangeResult::Stale;
+    return mesh_.apply(*mesh);
+  }
   return notRun<wire::CommandReplyT>(
       Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
 }
@@ -164,6 +168,7 @@
   state.requests = requests_.save();
   state.claims = claims_.save();
   state.history.assign(history_.begin(), history_.end());
+  if (mesh_.revision() != 0) state.mesh = mesh_.capture();
   return state;
 }
 
@@ -182,6 +187,7 @@
   requests_.restore(state.requests);
   claims_.restore(state.claims);
   history_.assign(state.history.begin(), state.history.end());
+  mesh_.restore(state.mesh);
 }
 
 }  // namespace cometstand::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -12,6 +12,7 @@
 #include "config/transaction_check.h"
 #include "schema/store_generated.h"
 #include "store/claim_table.h"
+#include "store/mesh_register.h"
 #include "store/request_table.h"
 
 namespace cometstand::store {
@@ -20,8 +21,9 @@
 /// state.
 inline constexpr const char* kBootstrapOperator = "bootstrap";
 
-/// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end.
-using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT>;
+/// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end, a
+/// MeshChangeResult for a change of the whole mesh configuration.
+using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult>;
 
 /// The replicated state: catalog, answered requests, claims, history. Owns no input or output and never looks
 /// at a clock or a random number: equal sequences of apply() give equal states and results on every replica.
@@ -38,6 +40,7 @@
   std::size_t catalogBytes() const { return catalog_bytes_; }
   const RequestTable& requests() const { return requests_; }
   const ClaimTable& claims() const { return claims_; }
+  const MeshRegister& mesh() const { return mesh_; }
   /// @return the newest accepted changes, the oldest first.
   const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
 
@@ -65,6 +68,7 @@
   std::size_t catalog_bytes_ = 0;
   RequestTable requests_;
   ClaimTable claims_;
+  MeshRegister mesh_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
 };
 
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -37,6 +37,14 @@
 
 bool StoreCore::stopped() const { return parts_->stopped(); }
 
+void StoreCore::changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
+  parts_->changeMesh(change, std::move(handler), now);
+}
+
+void StoreCore::readMesh(MeshAnswerHandler handler, TimePoint now) {
+  parts_->readMesh(std::move(handler), now);
+}
+
 consensus::Leadership StoreCore::leadership() const { return parts_->consensus().leadership(); }
 
 const StateMachine& StoreCore::stateMachine() const { return parts_->state(); }
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -6,12 +6,12 @@
 
 #include "consensus/output.h"
 #include "runtime/process_core.h"
+#include "store/mesh_service.h"
 #include "store/metrics.h"
 #include "store/options.h"
 
 namespace cometstand::store {
 
-class StateMachine;
 class StoreParts;
 
 /// One replica of the configuration store. It owns the consensus module, the state machine that the committed
@@ -36,6 +36,12 @@
   void beginStop(TimePoint now) override;
   bool stopped() const override;
 
+  /// Changes the whole mesh configuration. To be followed by the runner's flush().
+  /// @param handler called exactly once, now or later, with the outcome.
+  void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  /// Reads the newest mesh configuration. To be followed by the runner's flush().
+  void readMesh(MeshAnswerHandler handler, TimePoint now);
+
   /// For tests, simulation and metrics.
   consensus::Leadership leadership() const;
   /// @return what the committed entries made so far.
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -46,11 +46,14 @@
   consensus_.recover(files, now);
   drain(now);
   formation_.begin(now);
+  seeds_.begin(now);
   drain(now);
 }
 
 void StoreParts::onLinkOpened(LinkId link, const runtime::PeerIdentity& peer, TimePoint now) {
-  if (replicas_.owns(link)) {
+  if (seeds_.owns(link)) {
+    seeds_.onLinkOpened(link, now);
+  } else if (replicas_.owns(link)) {
     if (!peer.role.empty() && peer.role != "store") {
       logEvent(kUnexpectedPeer, {{"role", peer.role}, {"name", peer.name}});
       actions_.close(link);
@@ -64,6 +67,8 @@
 }
 
 void StoreParts::onLinkClosed(LinkId link, TimePoint now) {
+  seeds_.onLinkClosed(link);
+  nodes_.onLinkClosed(link, now);
   replicas_.onLinkClosed(link, now);
   forwarder_.onLinkClosed(link);
   readers_.onLinkClosed(link);
@@ -73,7 +78,9 @@
 }
 
 void StoreParts::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
-  if (replicas_.owns(link)) {
+  if (seeds_.owns(link)) {
+    onSeedMessage(link, message, now);
+  } else if (replicas_.owns(link)) {
     onOwnLinkMessage(link, message, now);
   } else if (incoming_.contains(link)) {
     onIncomingMessage(link, message, now);
@@ -91,6 +98,10 @@
   }
 }
 
+void StoreParts::onSeedMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (const auto* formation = message.body.AsFormationReply()) seeds_.onReply(link, *formation, now);
+}
+
 bool StoreParts::requireRole(LinkId link, const char* role, const char* other_role) {
   const auto& peer = incoming_.at(link);
   if (peer.role.empty() || peer.role == role || peer.role == other_role) return true;
@@ -103,10 +114,17 @@
   const auto& body = message.body;
   if (const auto* consensus_message = body.AsConsensusMessage()) {
     if (requireRole(link, "store")) onConsensusMessage(link, *consensus_message, now);
-  } else if (body.AsFormationRequest() != nullptr) {
-    if (requireRole(link, "store")) formation_.onRequest({link, message.request_id});
+  } else if (const auto* formation = body.AsFormationRequest()) {
+    if (!requireRole(link, "store")) return;
+    if (seeds_.enabled()) {
+      seeds_.onRequest({link, message.request_id}, *formation, now);
+    } else {
+      formation_.onRequest({link, message.request_id});
+    }
   } else if (const auto* request = body.AsCommandRequest()) {
     if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
+  } else if (seeds_.enabled() && nodes_.onMessage(link, message, now)) {
+    return;
   } else if (requireRole(link, "relay")) {
     onRelayMessage(link, message, now);
   }
@@ -177,8 +195,12 @@
 }
 
 void StoreParts::onTimer(TimePoint now) {
-  if (!formation_.holdsElections()) consensus_.onTimer(now);
+  if (!holdsElections()) consensus_.onTimer(now);
   formation_.onTimer(now);
+  seeds_.onTimer(now);
+  members_.onTimer(now);
+  mesh_.onTimer(now);
+  nodes_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
   writer_.onTimer(now);
@@ -192,8 +214,9 @@
 }
 
 TimePoint StoreParts::nextTimer() const {
-  const TimePoint consensus_timer = formation_.holdsElections() ? TimePoint::max() : consensus_.nextTimer();
-  return std::min({consensus_timer, formation_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
+  const TimePoint consensus_timer = holdsElections() ? TimePoint::max() : consensus_.nextTimer();
+  return std::min({consensus_timer, formation_.nextTimer(), seeds_.nextTimer(), members_.nextTimer(),
+                   mesh_.nextTimer(), nodes_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
                    writer_.nextTimer(), claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(),
                    admin_.nextTimer(), forwarder_.nextTimer(),
                    stop_passed_ ? TimePoint::max() : stop_deadline_});
@@ -220,6 +243,7 @@
     state_.restore(output.installed_snapshot->state);
     applied_index_ = output.installed_snapshot->last_index;
     snapshot_.reset();
+    nodes_.onApplied();
   }
   applyCommitted(output.committed, now);
   for (const auto& read : output.reads) reads_.onResult(read, now);
@@ -233,9 +257,11 @@
   const bool still_leads = leadership.role == consensus::Role::Leader && same_term;
   leadership_ = leadership;
   readers_.onLeaderChanged();
+  members_.onLeadershipChanged(now);
   if (!was_leader || still_leads) return;
   ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
+  mesh_.onLeadershipLost();
   claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
@@ -248,8 +274,11 @@
   for (const auto& entry : entries) {
     applied_index_ = entry->index;
     if (entry->kind != wire::EntryKind::Command) continue;
-    writer_.onApplied(*entry, state_.apply(entry->data));
+    const auto results = state_.apply(entry->data);
+    writer_.onApplied(*entry, results);
+    mesh_.onApplied(*entry, results);
   }
+  nodes_.onApplied();
   readers_.sendChanges();
   waits_.check();
   beginSnapshotIfDue(now);
@@ -293,7 +322,7 @@
 void StoreParts::stepStop(TimePoint now) {
   if (!stopping_) return;
   if (now >= stop_deadline_) stop_passed_ = true;
-  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !admin_.idle()) return;
+  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !mesh_.idle() || !admin_.idle()) return;
   // By then a transfer to a replica that does not answer has been given up.
   next_transfer_ = now + 2 * options_.consensus.election_timeout_max;
   if (!consensus_.transferLeadershipToAny(now)) stop_passed_ = true;
@@ -302,7 +331,7 @@
 TimePoint StoreParts::stopTimer() const {
   if (!stopping_ || stop_passed_) return TimePoint::max();
   // What is still to be answered ends by an event, and the handover follows that.
-  const bool may_hand_over = context_.isLeader() && writer_.idle() && admin_.idle();
+  const bool may_hand_over = context_.isLeader() && writer_.idle() && mesh_.idle() && admin_.idle();
   return may_hand_over ? std::min(next_transfer_, stop_deadline_) : stop_deadline_;
 }
 
@@ -312,6 +341,16 @@
          (!context_.isLeader() && !readers_.owesGoodbye() && writer_.idle() && forwarder_.idle());
 }
 
+void StoreParts::changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
+  mesh_.change(change, std::move(handler), now);
+  drain(now);
+}
+
+void StoreParts::readMesh(MeshAnswerHandler handler, TimePoint now) {
+  mesh_.read(std::move(handler), now);
+  drain(now);
+}
+
 StoreMetrics StoreParts::metrics() const {
   StoreMetrics metrics = metrics_;
   const auto leadership = consensus_.leadership();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -6,6 +6,10 @@
 #include "store/claim_expiry.h"
 #include "store/cluster_formation.h"
 #include "store/command_service.h"
+#include "store/membership_manager.h"
+#include "store/mesh_service.h"
+#include "store/node_hub.h"
+#include "store/seed_formation.h"
 #include "store/snapshot_writer.h"
 #include "store/store_context.h"
 
@@ -34,7 +38,12 @@
   StoreMetrics metrics() const;
   void checkInvariants() const;
 
+  void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  void readMesh(MeshAnswerHandler handler, TimePoint now);
+
  private:
+  bool holdsElections() const { return formation_.holdsElections() || seeds_.holdsElections(); }
+  void onSeedMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void drain(TimePoint now);
   /// @return true if there was any output.
   bool drainOnce(TimePoint now);
@@ -66,6 +75,10 @@
   StoreContext context_{options_, actions_, random_, consensus_, state_, reads_, metrics_};
   ReplicaLinks replicas_{context_};
   ClusterFormation formation_{context_, replicas_};
+  MembershipManager members_{context_};
+  SeedFormation seeds_{context_, members_};
+  MeshService mesh_{context_};
+  NodeHub nodes_{context_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   ClaimExpiry claim_expiry_{context_, writer_};
--- a/src/store/store_settings.h
+++ b/src/store/store_settings.h
@@ -24,6 +24,7 @@
   std::uint64_t id = 0;
   std::string name;
   runtime::Address advertise;
+  std::size_t tolerated_losses = 1;
   std::vector<ReplicaSettings> replicas;
   std::string bootstrap_salt;
   std::string bootstrap_token_hash;
--- /dev/null
+++ b/src/web/client.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "web/server.h"
+
+namespace cometstand::web {
+
+/// Names one request of a Client. Chosen by the caller, not used twice at one time.
+enum class SendId : std::uint64_t {};
+
+enum class SendOutcome : std::uint8_t {
+  /// A whole answer came.
+  Answered,
+  /// No byte of the request left: no connection could be opened.
+  NotSent,
+  /// The connection ended, or what came is no whole answer; the request may have run.
+  Broken,
+};
+
+struct SendResult {
+  SendOutcome outcome = SendOutcome::Broken;
+  Response response;
+};
+
+using SendHandler = std::function<void(SendResult)>;
+/// @return true if the answer belongs to the request. Others are dropped, and the next one is awaited.
+using AnswerMatcher = std::function<bool(const Response&)>;
+
+class ClientConnection;
+
+/// An HTTP/1.1 client of one server, with kept connections and one request at a time on each. An answer may come
+/// before the whole request has been sent; the connection is then not used again. A kept connection on which
+/// anything arrives unasked is closed.
+class Client {
+ public:
+  Client(boost::asio::io_context& io, runtime::Address address);
+  ~Client();
+
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// @param handler called exactly once, later, unless cancel() comes first.
+  void send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler);
+  /// Closes the request's connection.
+  void cancel(SendId id);
+
+  std::uint64_t connectionsOpened() const { return connections_opened_; }
+
+ private:
+  friend class ClientConnection;
+
+  std::shared_ptr<ClientConnection> takeIdle();
+
+  boost::asio::io_context& io_;
+  runtime::Address address_;
+  /// Oldest first.
+  std::deque<std::shared_ptr<ClientConnection>> idle_;
+  std::map<SendId, std::shared_ptr<ClientConnection>> busy_;
+  std::uint64_t connections_opened_ = 0;
+};
+
+}  // namespace cometstand::web
--- /dev/null
+++ b/src/web/client_connection.cpp
@@ -0,0 +1,174 @@
+#include "web/client_connection.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <utility>
+
+namespace cometstand::web {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+/// A kept connection is given up this long before the server would close it.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1'500);
+constexpr Duration kLeastIdleTime = std::chrono::milliseconds(200);
+
+/// @return how long the server keeps the connection open, as its answer says; nothing if it does not.
+std::optional<Duration> keepAliveTime(const Response& response) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = response[http::field::keep_alive];
+  const auto position = value.find(kName);
+  if (position == std::string_view::npos) return std::nullopt;
+  const auto digits = value.substr(position + kName.size());
+  unsigned seconds = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(Client& client) : client_(client), socket_(client.io_) {}
+
+void ClientConnection::send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler) {
+  id_ = id;
+  request_ = std::make_shared<const Request>(std::move(request));
+  matcher_ = std::move(matcher);
+  handler_ = std::move(handler);
+  if (state_ == State::New) {
+    connect();
+  } else {
+    state_ = State::Busy;
+    writeRequest();
+  }
+}
+
+void ClientConnection::connect() {
+  state_ = State::Busy;
+  error_code parse_error;
+  const auto host = asio::ip::make_address(client_.address_.host, parse_error);
+  socket_.async_connect({host, client_.address_.port}, [self = shared_from_this()](error_code error) {
+    if (self->state_ != State::Busy) return;
+    if (error) {
+      self->finish({SendOutcome::NotSent, {}});
+      return;
+    }
+    error_code ignored;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->writeRequest();
+  });
+}
+
+void ClientConnection::writeRequest() {
+  write_pending_ = true;
+  // The request is kept until it is written: the answer may come first.
+  http::async_write(socket_, *request_,
+                    [self = shared_from_this(), request = request_](error_code, std::size_t) {
+                      // A failure shows in what is read, which may still hold an answer.
+                      self->write_pending_ = false;
+                    });
+  awaitBytes();
+}
+
+void ClientConnection::awaitBytes() {
+  if (read_pending_ || state_ == State::Closed) return;
+  read_pending_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](error_code error, std::size_t length) {
+                            self->read_pending_ = false;
+                            self->onBytes(error, length);
+                          });
+}
+
+void ClientConnection::onBytes(error_code error, std::size_t length) {
+  if (state_ == State::Closed) return;
+  if (state_ == State::Idle) {
+    // Closed by the server, or bytes that belong to no request.
+    std::erase(client_.idle_, shared_from_this());
+    close();
+    return;
+  }
+  if (error) {
+    finish({SendOutcome::Broken, {}});
+    return;
+  }
+  buffer_.commit(length);
+  readResponse();
+}
+
+void ClientConnection::readResponse() {
+  parser_.emplace();
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(kMaxBodyBytes);
+  http::async_read(socket_, buffer_, *parser_,
+                   [self = shared_from_this()](error_code error, std::size_t) { self->onResponse(error); });
+}
+
+void ClientConnection::onResponse(error_code error) {
+  if (state_ != State::Busy) return;
+  if (error) {
+    finish({SendOutcome::Broken, {}});
+    return;
+  }
+  const bool has_end = !parser_->need_eof();
+  Response response = parser_->release();
+  if (!matcher_(response)) {
+    if (!has_end) {
+      finish({SendOutcome::Broken, {}});
+    } else if (buffer_.size() > 0) {
+      readResponse();
+    } else {
+      awaitBytes();
+    }
+    return;
+  }
+  finish({SendOutcome::Answered, std::move(response)});
+}
+
+void ClientConnection::finish(SendResult result) {
+  const auto self = shared_from_this();
+  const auto handler = std::exchange(handler_, nullptr);
+  matcher_ = nullptr;
+  request_.reset();
+  client_.busy_.erase(id_);
+  if (result.outcome == SendOutcome::Answered) {
+    park(result.response);
+  } else {
+    close();
+  }
+  // The caller of send() is never called back from within it.
+  asio::post(client_.io_, [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
+}
+
+void ClientConnection::park(const Response& response) {
+  const bool is_usable = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
+  if (!is_usable) {
+    close();
+    return;
+  }
+  idle_until_ = TimePoint::max();
+  if (const auto time = keepAliveTime(response)) {
+    idle_until_ = SteadyClock::now() + std::max(*time - kIdleMargin, kLeastIdleTime);
+  }
+  state_ = State::Idle;
+  client_.idle_.push_back(shared_from_this());
+  awaitBytes();
+}
+
+void ClientConnection::close() {
+  if (state_ == State::Closed) return;
+  state_ = State::Closed;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace cometstand::web
--- /dev/null
+++ b/src/web/client_connection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+
+#include "web/client.h"
+
+namespace cometstand::web {
+
+/// One connection of a Client. While it rests or waits for an answer, one read is always pending.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  explicit ClientConnection(Client& client);
+
+  /// Sends the request, after a connect if there was none yet.
+  void send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler);
+  void close();
+  bool isOpen() const { return state_ != State::Closed; }
+  /// @return true if the server may close the connection any moment.
+  bool isStale(TimePoint now) const { return idle_until_ <= now; }
+
+ private:
+  enum class State : std::uint8_t { New, Idle, Busy, Closed };
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void writeRequest();
+  void awaitBytes();
+  void onBytes(boost::system::error_code error, std::size_t length);
+  void readResponse();
+  void onResponse(boost::system::error_code error);
+  void finish(SendResult result);
+  void park(const Response& response);
+
+  Client& client_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<const Request> request_;
+  AnswerMatcher matcher_;
+  SendHandler handler_;
+  SendId id_{};
+  State state_ = State::New;
+  bool read_pending_ = false;
+  bool write_pending_ = false;
+  TimePoint idle_until_ = TimePoint::max();
+};
+
+}  // namespace cometstand::web
--- /dev/null
+++ b/src/web/server.cpp
@@ -0,0 +1,74 @@
+#include "web/server.h"
+
+#include <vector>
+
+#include "net/listener.h"
+#include "web/server_connection.h"
+
+namespace cometstand::web {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kSweepInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+Server::Server(asio::io_context& io, const runtime::Address& address, RequestHandler& handler)
+    : io_(io), handler_(handler), acceptor_(io), sweep_timer_(io) {
+  net::listenOn(acceptor_, address.host, address.port,
+                "set an IP address of this machine and a port that no other process uses");
+}
+
+Server::~Server() {
+  const auto connections = connections_;
+  // The handler may be gone: callers who still wait are not reported.
+  exchanges_.clear();
+  connections_.clear();
+}
+
+void Server::start() {
+  acceptNext();
+  sweep();
+}
+
+runtime::Address Server::listenAddress() const {
+  const auto endpoint = acceptor_.local_endpoint();
+  return {endpoint.address().to_string(), endpoint.port()};
+}
+
+void Server::acceptNext() {
+  acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+      connections_.emplace(connection.get(), connection);
+      connection->start();
+    }
+    acceptNext();
+  });
+}
+
+void Server::sweep() {
+  const auto now = SteadyClock::now();
+  const auto limits = handler_.limits();
+  std::vector<std::shared_ptr<ServerConnection>> overdue;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->isOverdue(limits, now)) overdue.push_back(connection);
+  }
+  for (const auto& connection : overdue) connection->close();
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](error_code error) {
+    if (!error) sweep();
+  });
+}
+
+void Server::respond(ExchangeId id, Response response) {
+  const auto exchange = exchanges_.find(id);
+  if (exchange == exchanges_.end()) return;
+  exchange->second->respond(std::move(response));
+}
+
+}  // namespace cometstand::web
--- /dev/null
+++ b/src/web/server.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "runtime/process_core.h"
+
+namespace cometstand::web {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Names one request and its answer. Rising, never used twice by one server.
+enum class ExchangeId : std::uint64_t {};
+
+/// What callers may send and how long they may take.
+struct ServerLimits {
+  std::uint32_t max_header_bytes = 16 * 1024;
+  std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
+  /// From the first byte of a request to its last one.
+  Duration read_time = std::chrono::seconds(30);
+  /// Between two requests on one connection.
+  Duration idle_time = std::chrono::seconds(20);
+};
+
+/// Decides the answers. Called on the io_context's one thread.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  /// A whole request has come. Server::respond() is to be called once, now or later, unless the caller leaves.
+  virtual void onRequest(ExchangeId id, Request request) = 0;
+  /// The caller closed its connection before it had its answer.
+  virtual void onCallerGone(ExchangeId id) = 0;
+  /// Limits for connections and requests that begin now.
+  virtual ServerLimits limits() const { return {}; }
+};
+
+class ServerConnection;
+
+/// An HTTP/1.1 server on one address. Requests and answers are held whole; one request at a time on a connection.
+/// Must live until the io_context has stopped running.
+class Server {
+ public:
+  /// @param handler must outlive the server.
+  /// @throw Error(InputOutput) if the address cannot be used.
+  Server(boost::asio::io_context& io, const runtime::Address& address, RequestHandler& handler);
+  ~Server();
+
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  void start();
+  /// @return the address in use, with the port that the system picked.
+  runtime::Address listenAddress() const;
+
+  /// Sends the answer. Does nothing if the caller is gone.
+  void respond(ExchangeId id, Response response);
+  /// From now on each answer closes its connection.
+  void beginStop() { stopping_ = true; }
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class ServerConnection;
+
+  void acceptNext();
+  void sweep();
+
+  boost::asio::io_context& io_;
+  RequestHandler& handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweep_timer_;
+  std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
+  std::map<ExchangeId, ServerConnection*> exchanges_;
+  std::uint64_t next_exchange_ = 1;
+  bool stopping_ = false;
+};
+
+}  // namespace cometstand::web
