Sidecar: late in a planned stop take only what can be answered before its end

Cause: callers go on sending to a sidecar that stops while fewer than half of their zone's sidecars are ready. Ruled out: a lost target, since its runs end as cut only when the sidecar closes its links. Change: from 2.8 s after the stop began a request is taken only if its own time is up before the stop's end.

--- a/src/mesh/compression.cpp
+++ b/src/mesh/compression.cpp
@@ -2,6 +2,8 @@
 
 #include <zstd.h>
 
+#include <memory>
+
 #include "base/error.h"
 
 namespace cometstand::mesh {
@@ -16,7 +18,11 @@
     throw Error(ErrorKind::Invalid, "the configuration is too large", "send a smaller configuration");
   }
   Bytes frame(ZSTD_compressBound(content.size()));
-  const std::size_t size = ZSTD_compress(frame.data(), frame.size(), content.data(), content.size(), kLevel);
+  const std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> context(ZSTD_createCCtx(), &ZSTD_freeCCtx);
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
+  const std::size_t size =
+      ZSTD_compress2(context.get(), frame.data(), frame.size(), content.data(), content.size());
   if (ZSTD_isError(size) != 0) {
     throw Error(ErrorKind::Invalid, ZSTD_getErrorName(size), "send another configuration");
   }
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -40,17 +40,13 @@
 using runtime::Address;
 
 void OutboundCalls::begin(CallId id, Call call, TimePoint now) {
-  CallAnswer refusal;
   if (table_ == nullptr) {
-    refusal.outcome = CallOutcome::NotRun;
-    refusal.retry_after = kDefaultRetryAfter;
-    parts_.callers.answer(id, std::move(refusal));
+    refuse(id, CallOutcome::NotRun);
     return;
   }
   auto route = table_->find(call.host, call.request.target);
   if (route == nullptr) {
-    refusal.outcome = CallOutcome::NoRoute;
-    parts_.callers.answer(id, std::move(refusal));
+    refuse(id, CallOutcome::NoRoute);
     return;
   }
   CallState state;
@@ -61,6 +57,10 @@
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   state.began = now;
   state.deadline = now + std::min(call.deadline.value_or(timeout), timeout);
+  if (endsTooLate(state.deadline, now)) {
+    refuse(id, CallOutcome::NotRun);
+    return;
+  }
   state.route = std::move(route);
   budget_.onRequest(state.request->service);
   deadlines_.emplace(state.deadline, id);
@@ -68,6 +68,20 @@
   sendNext(id, now);
 }
 
+void OutboundCalls::beginStop(TimePoint now) { stop_began_ = now; }
+
+bool OutboundCalls::endsTooLate(TimePoint deadline, TimePoint now) const {
+  return stop_began_ && now >= *stop_began_ + parts_.options.stop_accept_all &&
+         deadline > *stop_began_ + parts_.options.stop_maximum;
+}
+
+void OutboundCalls::refuse(CallId id, CallOutcome outcome) {
+  CallAnswer answer;
+  answer.outcome = outcome;
+  if (outcome == CallOutcome::NotRun) answer.retry_after = kDefaultRetryAfter;
+  parts_.callers.answer(id, std::move(answer));
+}
+
 void OutboundCalls::sendNext(CallId id, TimePoint now) {
   auto& call = calls_.at(id);
   auto* endpoint = call.deadline - now < kLeastTimeLeft
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -40,6 +40,8 @@
   const mesh::RouteTablePointer& routes() const { return table_; }
 
   void begin(CallId id, Call call, TimePoint now);
+  /// A planned stop began: what could not be answered before its end is refused.
+  void beginStop(TimePoint now);
   /// The caller is gone.
   void cancel(CallId id, TimePoint now);
   /// @param request_id as it was sent; `from` the endpoint's address.
@@ -69,6 +71,8 @@
     Duration retry_after = Duration::zero();
   };
 
+  bool endsTooLate(TimePoint deadline, TimePoint now) const;
+  void refuse(CallId id, CallOutcome outcome);
   void sendNext(CallId id, TimePoint now);
   void send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
@@ -85,6 +89,7 @@
   std::map<std::uint64_t, CallId> sent_;
   std::set<std::pair<TimePoint, CallId>> deadlines_;
   std::uint64_t next_sending_ = 1;
+  std::optional<TimePoint> stop_began_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -166,6 +166,7 @@
   stop_began_ = now;
   logEvent(kSidecarStopBegan, {{"calls", calls_.inFlight()}, {"running", gate_.running()}});
   gate_.beginStop(now);
+  calls_.beginStop(now);
   if (gate_.target().condition() != TargetCondition::Unheard) onTargetChanged(now);
 }
 
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -39,8 +39,11 @@
   /// A planned stop: callers are served at least this long after the sidecar said that it is not ready any more.
   /// Microseconds, default 2.3 s, range 0 to 60 s.
   Duration stop_minimum = std::chrono::milliseconds(2'300);
-  /// A planned stop ends after this time at the latest. Microseconds, default 5.5 s, range 0 to 10 min.
-  Duration stop_maximum = std::chrono::milliseconds(5'500);
+  /// A planned stop: after this time, only requests are taken whose own time is up before stop_maximum.
+  /// Microseconds, default 2.8 s, range 0 to 60 s.
+  Duration stop_accept_all = std::chrono::milliseconds(2'800);
+  /// A planned stop ends after this time at the latest. Microseconds, default 5.7 s, range 0 to 10 min.
+  Duration stop_maximum = std::chrono::milliseconds(5'700);
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -26,6 +26,9 @@
                  "How long new requests are still passed to a target that begins to leave.");
   table.duration("sidecar.stop_minimum", options.stop_minimum, {milliseconds(0), minutes(1)},
                  "A planned stop: callers are served at least this long after the sidecar is not ready any more.");
+  table.duration("sidecar.stop_accept_all", options.stop_accept_all, {milliseconds(0), minutes(1)},
+                 "A planned stop: after this time, only requests are taken whose own time is up before "
+                 "sidecar.stop_maximum.");
   table.duration("sidecar.stop_maximum", options.stop_maximum, {milliseconds(0), minutes(10)},
                  "A planned stop ends after this time at the latest.");
   table.check([&sidecar] {
--- /dev/null
+++ b/tests/sidecar/sidecar_fixture.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mesh/configuration.h"
+#include "runtime/data_folder.h"
+#include "sidecar/sidecar_core.h"
+
+namespace cometstand::sidecar::test {
+
+using std::chrono::milliseconds;
+
+/// Notes what a sidecar sends to its target.
+class RecordingTarget : public TargetPort {
+ public:
+  void run(RunOrder order) override { orders.push_back(std::move(order)); }
+  void cancel(RunId id) override { cancelled.push_back(id); }
+
+  std::vector<RunOrder> orders;
+  std::vector<RunId> cancelled;
+};
+
+/// Notes what callers are answered.
+class RecordingCallers : public CallerPort {
+ public:
+  void answer(CallId id, CallAnswer answer) override {
+    REQUIRE(answers.emplace(id, std::move(answer)).second);
+  }
+
+  std::map<CallId, CallAnswer> answers;
+};
+
+/// One sidecar, with the stores, the other sidecars, the target and the callers played by the test.
+class SidecarFixture {
+ public:
+  static inline const runtime::Address kSelf{"10.0.0.1", 7000};
+  static inline const runtime::Address kStore{"10.0.0.9", 7000};
+  static inline const runtime::Address kPeer{"10.0.0.2", 7000};
+  static inline const runtime::Address kOtherPeer{"10.0.0.3", 7000};
+
+  explicit SidecarFixture(SidecarOptions options = makeOptions()) : core(std::move(options), 1, target, callers) {
+    core.start(runtime::EmptyFileReader(), now);
+    step();
+    REQUIRE(links.contains(kStore));
+  }
+
+  static SidecarOptions makeOptions() {
+    SidecarOptions options;
+    options.node = "node-1";
+    options.zone = "zone-a";
+    options.advertise = kSelf;
+    options.seeds = {kStore};
+    return options;
+  }
+
+  /// Carries out what the core asks for: every connect succeeds at once.
+  void step() {
+    auto actions = core.takeActions();
+    for (auto& message : actions.messages) sent.push_back(std::move(message));
+    for (const auto& order : actions.connects) {
+      links[order.address] = order.link;
+      core.onLinkOpened(order.link, {}, now);
+      step();
+    }
+  }
+
+  void pass(Duration time) {
+    const TimePoint end = now + time;
+    while (core.nextTimer() <= end) {
+      now = std::max(now, core.nextTimer());
+      core.onTimer(now);
+      step();
+    }
+    now = end;
+  }
+
+  template <typename Message>
+  void say(const runtime::Address& from, Message message, std::uint64_t request_id = 0) {
+    core.onMessage(links.at(from), runtime::makeEnvelope(std::move(message), request_id), now);
+    step();
+  }
+
+  static wire::MeshConfigurationT makeConfiguration() {
+    wire::MeshConfigurationT configuration;
+    for (const char* name : {"read", "write"}) {
+      auto route = std::make_shared<wire::MeshRouteT>();
+      route->name = name;
+      route->host = "shop.example";
+      route->path_prefix = std::string("/") + name + "/";
+      route->repeatable = route->name == "read";
+      route->timeout_ms = 1'000;
+      route->objective_ms = 400;
+      route->priority = route->repeatable ? 2 : 1;
+      route->max_attempts = 2;
+      auto share = std::make_shared<wire::TrafficShareT>();
+      share->service = "shop";
+      share->weight = 1;
+      route->shares.push_back(share);
+      configuration.routes.push_back(route);
+    }
+    auto service = std::make_shared<wire::MeshServiceT>();
+    service->name = "shop";
+    configuration.services.push_back(service);
+    return configuration;
+  }
+
+  void configure(std::uint64_t revision = 1) {
+    wire::StoreBeatT beat;
+    beat.is_current = true;
+    beat.revision = revision;
+    say(kStore, beat);
+    wire::MeshUpdateT update;
+    update.revision = revision;
+    update.configuration = mesh::encodeConfiguration(makeConfiguration());
+    say(kStore, update);
+  }
+
+  void addPeer(const runtime::Address& address, wire::EndpointState state = wire::EndpointState::Live) {
+    wire::EndpointUpdateT update;
+    auto record = std::make_shared<wire::EndpointRecordT>();
+    record->service = "shop";
+    record->endpoint = "instance-" + address.host;
+    record->address = address.host;
+    record->port = address.port;
+    record->zone = "zone-a";
+    record->state = state;
+    record->slots = 2;
+    update.records.push_back(record);
+    say(kStore, update);
+    core.onTimer(now);
+    step();
+  }
+
+  static Heartbeat makeBeat(const std::string& instance, std::uint64_t sequence, bool ready = true) {
+    Heartbeat beat;
+    beat.instance = instance;
+    beat.service = "shop";
+    beat.slots = 2;
+    beat.ready = ready;
+    beat.sequence = sequence;
+    return beat;
+  }
+
+  CallId call(const std::string& path, std::optional<Duration> deadline = std::nullopt) {
+    Call request;
+    request.host = "shop.example";
+    request.request.target = path;
+    request.request.method = "GET";
+    request.request.request_id = "r" + std::to_string(++last_call);
+    request.deadline = deadline;
+    const CallId id{last_call};
+    core.onCall(id, std::move(request), now);
+    step();
+    return id;
+  }
+
+  /// @return the forwards to that address that were not looked at yet, by request number.
+  std::vector<std::uint64_t> forwardsTo(const runtime::Address& address) {
+    std::vector<std::uint64_t> numbers;
+    std::erase_if(sent, [&](const auto& message) {
+      const bool fits = message.link == links.at(address) && message.message->body.AsForwardRequest() != nullptr;
+      if (fits) numbers.push_back(message.message->request_id);
+      return fits;
+    });
+    return numbers;
+  }
+
+  void reply(const runtime::Address& from, std::uint64_t number, wire::ForwardOutcome outcome) {
+    wire::ForwardReplyT answer;
+    answer.outcome = outcome;
+    answer.status = 200;
+    say(from, answer, number);
+  }
+
+  RecordingTarget target;
+  RecordingCallers callers;
+  TimePoint now{std::chrono::seconds(100)};
+  std::map<runtime::Address, runtime::LinkId> links;
+  std::vector<runtime::OutgoingMessage> sent;
+  SidecarCore core;
+  std::uint64_t last_call = 0;
+};
+
+}  // namespace cometstand::sidecar::test
--- /dev/null
+++ b/tests/sidecar/target_gate_test.cpp
@@ -0,0 +1,152 @@
+#include "tests/sidecar/sidecar_fixture.h"
+
+namespace cometstand::sidecar::test {
+
+using wire::ForwardOutcome;
+using wire::NotRunReason;
+
+namespace {
+
+/// The gate of one target with two slots; the default asker is link 1.
+class GateFixture {
+ public:
+  GateFixture()
+      : gate(options, target, [this](const GateAsker& asker, wire::ForwardReplyT reply) {
+          REQUIRE(replies.emplace(asker.request_id, std::move(reply)).second);
+        }) {}
+
+  void admit(std::uint64_t number, unsigned priority = 1, std::uint32_t deadline_ms = 1'000) {
+    auto request = std::make_shared<wire::ForwardRequestT>();
+    request->service = "shop";
+    request->request_id = "r" + std::to_string(number);
+    request->priority = priority;
+    request->deadline_ms = deadline_ms;
+    request->objective_ms = 400;
+    gate.admit({runtime::LinkId{1}, number}, request, now);
+  }
+
+  void finish(std::size_t order) {
+    RunResult result;
+    result.reply.outcome = ForwardOutcome::Answered;
+    gate.onResult(target.orders.at(order).id, result, now);
+  }
+
+  SidecarOptions options;
+  RecordingTarget target;
+  std::map<std::uint64_t, wire::ForwardReplyT> replies;
+  TimePoint now{std::chrono::seconds(100)};
+  TargetGate gate;
+};
+
+}  // namespace
+
+TEST_CASE("a target that was not heard of gets nothing") {
+  GateFixture fixture;
+  fixture.admit(1);
+  CHECK(fixture.replies.at(1).outcome == ForwardOutcome::NotRun);
+  CHECK(fixture.replies.at(1).reason == NotRunReason::TargetDown);
+}
+
+TEST_CASE("a target gets no more requests than it has slots, the most urgent first") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  for (std::uint64_t number = 1; number <= 3; ++number) fixture.admit(number, 2);
+  fixture.admit(4, 1);
+  REQUIRE(fixture.target.orders.size() == 2);
+  CHECK(fixture.gate.waiting() == 2);
+  fixture.finish(0);
+  REQUIRE(fixture.target.orders.size() == 3);
+  CHECK(fixture.target.orders[2].request->request_id == "r4");
+}
+
+TEST_CASE("a request that waits too long for a slot is refused as not run") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  for (std::uint64_t number = 1; number <= 3; ++number) fixture.admit(number);
+  fixture.now = fixture.gate.nextTimer();
+  fixture.gate.onTimer(fixture.now);
+  REQUIRE(fixture.replies.contains(3));
+  CHECK(fixture.replies.at(3).reason == NotRunReason::Full);
+  CHECK(fixture.replies.at(3).retry_after_ms > 0);
+}
+
+TEST_CASE("a leaving target gets nothing after the grace, and never counts as ready again") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 5), fixture.now);
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 7, false), fixture.now);
+  fixture.admit(1);
+  CHECK(fixture.target.orders.size() == 1);
+  // A heartbeat of before comes late, and a wrong one comes after.
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 6), fixture.now);
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 8), fixture.now);
+  fixture.now += fixture.options.leaving_grace;
+  fixture.admit(2);
+  CHECK(fixture.target.orders.size() == 1);
+  CHECK(fixture.replies.at(2).reason == NotRunReason::Leaving);
+}
+
+TEST_CASE("a target that only says that it is gone gets nothing after the grace") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  fixture.gate.target().onDeregistered("a", fixture.now);
+  fixture.now += fixture.options.leaving_grace;
+  fixture.admit(1);
+  CHECK(fixture.target.orders.empty());
+}
+
+TEST_CASE("heartbeats of an instance that another followed change nothing") {
+  GateFixture fixture;
+  auto& state = fixture.gate.target();
+  state.onHeartbeat(SidecarFixture::makeBeat("a", 9), fixture.now);
+  state.onHeartbeat(SidecarFixture::makeBeat("b", 1), fixture.now);
+  CHECK_FALSE(state.onHeartbeat(SidecarFixture::makeBeat("a", 10, false), fixture.now));
+  CHECK(state.instance() == "b");
+  CHECK(state.condition() == TargetCondition::Ready);
+}
+
+TEST_CASE("a target that answers as another instance gets nothing until that one is heard") {
+  GateFixture fixture;
+  auto& state = fixture.gate.target();
+  state.onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  CHECK(state.onOtherInstance("a"));
+  fixture.admit(1);
+  CHECK(fixture.target.orders.empty());
+  CHECK_FALSE(state.onHeartbeat(SidecarFixture::makeBeat("a", 2), fixture.now));
+  state.onHeartbeat(SidecarFixture::makeBeat("b", 1), fixture.now);
+  fixture.admit(2);
+  CHECK(fixture.target.orders.size() == 1);
+}
+
+TEST_CASE("a request for another service is refused as not run") {
+  GateFixture fixture;
+  auto beat = SidecarFixture::makeBeat("a", 1);
+  beat.service = "other";
+  fixture.gate.target().onHeartbeat(beat, fixture.now);
+  fixture.admit(1);
+  CHECK(fixture.replies.at(1).reason == NotRunReason::WrongTarget);
+}
+
+TEST_CASE("requests of a link that ended are given up, waiting and running ones") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  for (std::uint64_t number = 1; number <= 3; ++number) fixture.admit(number);
+  fixture.gate.cancelLink(runtime::LinkId{1}, fixture.now);
+  CHECK(fixture.target.cancelled.size() == 2);
+  CHECK(fixture.gate.waiting() == 0);
+  CHECK(fixture.gate.running() == 0);
+}
+
+TEST_CASE("a target that says nothing is given up a little after the deadline, and the outcome is unknown") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  fixture.admit(1, 1, 100);
+  fixture.now += milliseconds(110);
+  fixture.gate.onTimer(fixture.now);
+  CHECK(fixture.replies.empty());
+  fixture.now += milliseconds(100);
+  fixture.gate.onTimer(fixture.now);
+  CHECK(fixture.replies.at(1).outcome == ForwardOutcome::Unknown);
+  CHECK(fixture.target.cancelled.size() == 1);
+}
+
+}  // namespace cometstand::sidecar::test
