--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -10,8 +10,6 @@
 constexpr Duration kUnconfirmedLease = std::chrono::seconds(3);
 /// A report of this age counts half.
 constexpr Duration kReportHalfLife = std::chrono::milliseconds(150);
-/// What another zone costs, in units of a full target.
-constexpr double kOtherZoneCost = 0.25;
 /// Spreads senders that know the same over endpoints of about the same load.
 constexpr double kRandomCost = 0.25;
 constexpr double kAvoidCost = 100;
@@ -53,7 +51,7 @@
   const double requests = std::max<double>(endpoint.outstanding, endpoint.reported_load * trust);
   const double spread = static_cast<double>(random.uniform(0, kRandomSteps)) / kRandomSteps;
   double score = requests / endpoint.slots + kRandomCost * spread;
-  if (endpoint.zone != own_zone_) score += kOtherZoneCost;
+  if (endpoint.zone != own_zone_) score += other_zone_cost_;
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -38,7 +38,9 @@
 /// beside a target decides what the target gets.
 class EndpointDirectory {
  public:
-  explicit EndpointDirectory(std::string own_zone) : own_zone_(std::move(own_zone)) {}
+  /// @param other_zone_cost see SidecarOptions.
+  EndpointDirectory(std::string own_zone, double other_zone_cost)
+      : own_zone_(std::move(own_zone)), other_zone_cost_(other_zone_cost) {}
 
   /// Takes the records of one store over, in the order in which it sent them.
   /// @param is_whole the records are all that the store knows; others expire soon.
@@ -64,6 +66,7 @@
   double scoreOf(const Endpoint& endpoint, RandomSource& random, TimePoint now) const;
 
   std::string own_zone_;
+  double other_zone_cost_;
   std::map<runtime::Address, Endpoint> endpoints_;
 };
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -21,7 +21,7 @@
     : options_(std::move(options)),
       random_(seed),
       control_(options_, actions_, random_, *this),
-      endpoints_(options_.zone),
+      endpoints_(options_.zone, options_.other_zone_cost),
       peers_(actions_, random_),
       gate_(options_, target,
             [this](const GateAsker& asker, wire::ForwardReplyT reply) { answerAsker(asker, std::move(reply)); }),
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -30,6 +30,10 @@
   /// Most endpoints that are asked one after another for a request that none has run. Default 3, range 1 to 10.
   unsigned max_refusals = 3;
 
+  /// What sending a request to another zone costs, in units of a full target: an endpoint of the own zone is
+  /// preferred until it has so much more to do. Default 0.8, range 0 to 10.
+  double other_zone_cost = 0.8;
+
   /// Part of a request's objective that it may wait for a slot of its target. Default 0.25, range 0 to 1.
   double queue_share = 0.25;
 
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -20,6 +20,8 @@
                "Such sendings that may be saved up for a service.");
   table.integer<unsigned>("sidecar.max_refusals", options.max_refusals, {1, 10},
                           "Endpoints that are asked one after another for a request that none has run.");
+  table.number("sidecar.other_zone_cost", options.other_zone_cost, {0, 10},
+               "What sending a request to another zone costs, in units of a full target.");
   table.number("sidecar.queue_share", options.queue_share, {0, 1},
                "Part of a request's objective that it may wait for a slot of its target.");
   table.duration("sidecar.leaving_grace", options.leaving_grace, {milliseconds(0), seconds(10)},
