--- a/src/mesh/configuration.cpp
+++ b/src/mesh/configuration.cpp
@@ -50,18 +50,17 @@
 Bytes encodeConfiguration(const wire::MeshConfigurationT& configuration) {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(wire::MeshConfiguration::Pack(builder, &configuration));
-  return compress({builder.GetBufferPointer(), builder.GetSize()});
+  return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
 wire::MeshConfigurationT decodeConfiguration(const Bytes& bytes) {
-  const Bytes content = decompress(bytes);
-  flatbuffers::Verifier verifier(content.data(), content.size(), kMaxDepth, kMaxTables);
-  if (content.empty() || !verifier.VerifyBuffer<wire::MeshConfiguration>(nullptr)) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size(), kMaxDepth, kMaxTables);
+  if (bytes.empty() || !verifier.VerifyBuffer<wire::MeshConfiguration>(nullptr)) {
     throw Error(ErrorKind::Malformed, "the bytes are no mesh configuration",
                 "run the same release on all machines");
   }
   wire::MeshConfigurationT configuration;
-  flatbuffers::GetRoot<wire::MeshConfiguration>(content.data())->UnPackTo(&configuration);
+  flatbuffers::GetRoot<wire::MeshConfiguration>(bytes.data())->UnPackTo(&configuration);
   return configuration;
 }
 
--- a/src/mesh/configuration.h
+++ b/src/mesh/configuration.h
@@ -12,10 +12,10 @@
 /// An objective reaches or passes its route's timeout by less than this.
 inline constexpr std::uint32_t kMaxObjectiveExcessMs = 60 * 1000;
 
-/// @return bytes of a MeshConfiguration, compressed. Equal configurations give equal bytes.
+/// @return bytes of a MeshConfiguration. Equal configurations give equal bytes.
 Bytes encodeConfiguration(const wire::MeshConfigurationT& configuration);
 
-/// @throw Error(Malformed) if the bytes are no compressed MeshConfiguration.
+/// @throw Error(Malformed) if the bytes are no MeshConfiguration.
 wire::MeshConfigurationT decodeConfiguration(const Bytes& bytes);
 
 /// @throw Error(Invalid) or Error(Reference) if the configuration must not be accepted: a route without a host,
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -722,6 +722,7 @@
   std::vector<uint8_t> document{};
   std::vector<uint8_t> configuration{};
   std::shared_ptr<cometstand::wire::Digest> digest{};
+  bool is_patch = false;
   MeshChangeT() = default;
   MeshChangeT(const MeshChangeT &o);
   MeshChangeT(MeshChangeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -737,7 +738,8 @@
     VT_BASE_REVISION = 6,
     VT_DOCUMENT = 8,
     VT_CONFIGURATION = 10,
-    VT_DIGEST = 12
+    VT_DIGEST = 12,
+    VT_IS_PATCH = 14
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -754,6 +756,9 @@
   const cometstand::wire::Digest *digest() const {
     return GetStruct<const cometstand::wire::Digest *>(VT_DIGEST);
   }
+  bool is_patch() const {
+    return GetField<uint8_t>(VT_IS_PATCH, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -763,6 +768,7 @@
            VerifyOffset(verifier, VT_CONFIGURATION) &&
            verifier.VerifyVector(configuration()) &&
            VerifyField<cometstand::wire::Digest>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PATCH, 1) &&
            verifier.EndTable();
   }
   MeshChangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -789,6 +795,9 @@
   void add_digest(const cometstand::wire::Digest *digest) {
     fbb_.AddStruct(MeshChange::VT_DIGEST, digest);
   }
+  void add_is_patch(bool is_patch) {
+    fbb_.AddElement<uint8_t>(MeshChange::VT_IS_PATCH, static_cast<uint8_t>(is_patch), 0);
+  }
   explicit MeshChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -806,13 +815,15 @@
     uint64_t base_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0,
-    const cometstand::wire::Digest *digest = nullptr) {
+    const cometstand::wire::Digest *digest = nullptr,
+    bool is_patch = false) {
   MeshChangeBuilder builder_(_fbb);
   builder_.add_base_revision(base_revision);
   builder_.add_revision(revision);
   builder_.add_digest(digest);
   builder_.add_configuration(configuration);
   builder_.add_document(document);
+  builder_.add_is_patch(is_patch);
   return builder_.Finish();
 }
 
@@ -827,7 +838,8 @@
     uint64_t base_revision = 0,
     const std::vector<uint8_t> *document = nullptr,
     const std::vector<uint8_t> *configuration = nullptr,
-    const cometstand::wire::Digest *digest = nullptr) {
+    const cometstand::wire::Digest *digest = nullptr,
+    bool is_patch = false) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   return cometstand::wire::CreateMeshChange(
@@ -836,7 +848,8 @@
       base_revision,
       document__,
       configuration__,
-      digest);
+      digest,
+      is_patch);
 }
 
 flatbuffers::Offset<MeshChange> CreateMeshChange(flatbuffers::FlatBufferBuilder &_fbb, const MeshChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1116,6 +1129,7 @@
 struct NodeSubscribeT : public flatbuffers::NativeTable {
   typedef NodeSubscribe TableType;
   uint64_t have_revision = 0;
+  bool wants_updates = true;
 };
 
 struct NodeSubscribe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1123,14 +1137,19 @@
   typedef NodeSubscribeBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HAVE_REVISION = 4
+    VT_HAVE_REVISION = 4,
+    VT_WANTS_UPDATES = 6
   };
   uint64_t have_revision() const {
     return GetField<uint64_t>(VT_HAVE_REVISION, 0);
   }
+  bool wants_updates() const {
+    return GetField<uint8_t>(VT_WANTS_UPDATES, 1) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_UPDATES, 1) &&
            verifier.EndTable();
   }
   NodeSubscribeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1145,6 +1164,9 @@
   void add_have_revision(uint64_t have_revision) {
     fbb_.AddElement<uint64_t>(NodeSubscribe::VT_HAVE_REVISION, have_revision, 0);
   }
+  void add_wants_updates(bool wants_updates) {
+    fbb_.AddElement<uint8_t>(NodeSubscribe::VT_WANTS_UPDATES, static_cast<uint8_t>(wants_updates), 1);
+  }
   explicit NodeSubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1158,9 +1180,11 @@
 
 inline flatbuffers::Offset<NodeSubscribe> CreateNodeSubscribe(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t have_revision = 0) {
+    uint64_t have_revision = 0,
+    bool wants_updates = true) {
   NodeSubscribeBuilder builder_(_fbb);
   builder_.add_have_revision(have_revision);
+  builder_.add_wants_updates(wants_updates);
   return builder_.Finish();
 }
 
@@ -1175,6 +1199,7 @@
   typedef MeshUpdate TableType;
   uint64_t revision = 0;
   std::vector<uint8_t> configuration{};
+  uint64_t base_revision = 0;
 };
 
 struct MeshUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1183,7 +1208,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISION = 4,
-    VT_CONFIGURATION = 6
+    VT_CONFIGURATION = 6,
+    VT_BASE_REVISION = 8
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -1191,11 +1217,15 @@
   const flatbuffers::Vector<uint8_t> *configuration() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONFIGURATION);
   }
+  uint64_t base_revision() const {
+    return GetField<uint64_t>(VT_BASE_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
            verifier.VerifyVector(configuration()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_REVISION, 8) &&
            verifier.EndTable();
   }
   MeshUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1213,6 +1243,9 @@
   void add_configuration(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration) {
     fbb_.AddOffset(MeshUpdate::VT_CONFIGURATION, configuration);
   }
+  void add_base_revision(uint64_t base_revision) {
+    fbb_.AddElement<uint64_t>(MeshUpdate::VT_BASE_REVISION, base_revision, 0);
+  }
   explicit MeshUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1227,8 +1260,10 @@
 inline flatbuffers::Offset<MeshUpdate> CreateMeshUpdate(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> configuration = 0,
+    uint64_t base_revision = 0) {
   MeshUpdateBuilder builder_(_fbb);
+  builder_.add_base_revision(base_revision);
   builder_.add_revision(revision);
   builder_.add_configuration(configuration);
   return builder_.Finish();
@@ -1242,12 +1277,14 @@
 inline flatbuffers::Offset<MeshUpdate> CreateMeshUpdateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t revision = 0,
-    const std::vector<uint8_t> *configuration = nullptr) {
+    const std::vector<uint8_t> *configuration = nullptr,
+    uint64_t base_revision = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   return cometstand::wire::CreateMeshUpdate(
       _fbb,
       revision,
-      configuration__);
+      configuration__,
+      base_revision);
 }
 
 flatbuffers::Offset<MeshUpdate> CreateMeshUpdate(flatbuffers::FlatBufferBuilder &_fbb, const MeshUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2206,7 +2243,8 @@
         base_revision(o.base_revision),
         document(o.document),
         configuration(o.configuration),
-        digest((o.digest) ? new cometstand::wire::Digest(*o.digest) : nullptr) {
+        digest((o.digest) ? new cometstand::wire::Digest(*o.digest) : nullptr),
+        is_patch(o.is_patch) {
 }
 
 inline MeshChangeT &MeshChangeT::operator=(MeshChangeT o) FLATBUFFERS_NOEXCEPT {
@@ -2215,6 +2253,7 @@
   std::swap(document, o.document);
   std::swap(configuration, o.configuration);
   std::swap(digest, o.digest);
+  std::swap(is_patch, o.is_patch);
   return *this;
 }
 
@@ -2232,6 +2271,7 @@
   { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
   { auto _e = configuration(); if (_e) { _o->configuration.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->configuration.begin()); } }
   { auto _e = digest(); if (_e) _o->digest = std::shared_ptr<cometstand::wire::Digest>(new cometstand::wire::Digest(*_e)); }
+  { auto _e = is_patch(); _o->is_patch = _e; }
 }
 
 inline flatbuffers::Offset<MeshChange> MeshChange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2247,13 +2287,15 @@
   auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
   auto _configuration = _o->configuration.size() ? _fbb.CreateVector(_o->configuration) : 0;
   auto _digest = _o->digest ? _o->digest.get() : nullptr;
+  auto _is_patch = _o->is_patch;
   return cometstand::wire::CreateMeshChange(
       _fbb,
       _revision,
       _base_revision,
       _document,
       _configuration,
-      _digest);
+      _digest,
+      _is_patch);
 }
 
 inline AcceptedRevisionT::AcceptedRevisionT(const AcceptedRevisionT &o)
@@ -2386,6 +2428,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = have_revision(); _o->have_revision = _e; }
+  { auto _e = wants_updates(); _o->wants_updates = _e; }
 }
 
 inline flatbuffers::Offset<NodeSubscribe> NodeSubscribe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NodeSubscribeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2397,9 +2440,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NodeSubscribeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _have_revision = _o->have_revision;
+  auto _wants_updates = _o->wants_updates;
   return cometstand::wire::CreateNodeSubscribe(
       _fbb,
-      _have_revision);
+      _have_revision,
+      _wants_updates);
 }
 
 inline MeshUpdateT *MeshUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2413,6 +2458,7 @@
   (void)_resolver;
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = configuration(); if (_e) { _o->configuration.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->configuration.begin()); } }
+  { auto _e = base_revision(); _o->base_revision = _e; }
 }
 
 inline flatbuffers::Offset<MeshUpdate> MeshUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2425,10 +2471,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MeshUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _revision = _o->revision;
   auto _configuration = _o->configuration.size() ? _fbb.CreateVector(_o->configuration) : 0;
+  auto _base_revision = _o->base_revision;
   return cometstand::wire::CreateMeshUpdate(
       _fbb,
       _revision,
-      _configuration);
+      _configuration,
+      _base_revision);
 }
 
 inline StoreBeatT::StoreBeatT(const StoreBeatT &o)
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -12,8 +12,12 @@
 namespace {
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(250);
-/// A store without a beat for this long is taken for dead; beats come every 300 ms.
-constexpr Duration kStoreSilence = std::chrono::milliseconds(1'200);
+/// A source without a beat for this long is taken for dead; its beats come every 300 ms.
+constexpr Duration kSourceSilence = std::chrono::milliseconds(1'200);
+/// The same for a store that is not the source; its beats come every 1.5 s.
+constexpr Duration kStoreSilence = std::chrono::seconds(4);
+
+
 /// A store that no beat names any more, and that does not answer, is forgotten after this time.
 constexpr Duration kUnnamedLease = std::chrono::seconds(10);
 
@@ -76,6 +80,7 @@
   if (const auto* beat = message.body.AsStoreBeat()) {
     onBeat(*address, link, *beat, now);
   } else if (const auto* update = message.body.AsMeshUpdate()) {
+    stores_[*address].revision = std::max(stores_[*address].revision, update->revision);
     onUpdate(*update, now);
   } else if (const auto* endpoints = message.body.AsEndpointUpdate()) {
     if (is_source) listener_.onEndpoints(*endpoints, std::exchange(awaits_whole_, false), now);
@@ -106,10 +111,17 @@
   if (update.revision <= revision_) return;
   mesh::RouteTablePointer table;
   try {
-    const auto configuration = mesh::decodeConfiguration(update.configuration);
-    table = std::make_shared<const mesh::RouteTable>(update.revision, configuration);
+    const mesh::Bytes none;
+    const bool is_patch = update.base_revision != 0;
+    if (is_patch && update.base_revision != revision_) {
+      throw Error(ErrorKind::Mismatch, "the update builds on another revision", "ask for the whole configuration");
+    }
+    auto bytes = mesh::decompress(update.configuration, is_patch ? configuration_ : none);
+    table = std::make_shared<const mesh::RouteTable>(update.revision, mesh::decodeConfiguration(bytes));
+    configuration_ = std::move(bytes);
   } catch (const Error& error) {
-    logEvent(kSourceLost, {{"revision", update.revision}, {"reason", error.what()}});
+    logEvent(kUpdateRefused, {{"revision", update.revision}, {"reason", error.what()}});
+    subscribe(0);
     return;
   }
   revision_ = update.revision;
@@ -122,39 +134,48 @@
 }
 
 void ControlClient::chooseSource() {
+  const auto best = bestSource();
+  if (best == source_) return;
   if (source_) {
-    const auto store = stores_.find(*source_);
-    if (store != stores_.end() && isUsable(*source_, store->second)) return;
+    if (const auto link = links_.linkTo(*source_)) {
+      wire::NodeSubscribeT leave;
+      leave.wants_updates = false;
+      actions_.send(*link, leave, 0);
+    }
   }
+  if (!best) logEvent(kSourceLost, {{"store", settings::formatAddress(*source_)}});
+  source_ = best;
+  if (!source_) return;
+  awaits_whole_ = true;
+  logEvent(kSourceChosen, {{"store", settings::formatAddress(*source_)}, {"revision", revision_}});
+  subscribe(revision_);
+}
+
+void ControlClient::subscribe(std::uint64_t have_revision) {
+  if (!source_ || !links_.linkTo(*source_)) return;
+  wire::NodeSubscribeT request;
+  request.have_revision = have_revision;
+  actions_.send(*links_.linkTo(*source_), request, 0);
+}
+
+/// The store of the own zone if there is one, else the one in use, else any.
+std::optional<Address> ControlClient::bestSource() const {
   std::optional<Address> best;
-  bool best_is_near = false;
-  std::uint64_t best_revision = 0;
+  int best_rank = 0;
   for (const auto& [address, store] : stores_) {
-    if (!isUsable(address, store)) continue;
-    const bool is_near = store.zone == options_.zone;
-    const bool is_better = !best || store.revision > best_revision ||
-                           (store.revision == best_revision && is_near && !best_is_near);
-    if (!is_better) continue;
+    if (!isUsable(address, store) || store.revision < revision_) continue;
+    constexpr int kNear = 2;
+    const int rank = 1 + (store.zone == options_.zone ? kNear : 0) + (source_ == address ? 1 : 0);
+    if (rank <= best_rank) continue;
     best = address;
-    best_is_near = is_near;
-    best_revision = store.revision;
+    best_rank = rank;
   }
-  if (!best) {
-    if (source_) logEvent(kSourceLost, {{"store", settings::formatAddress(*source_)}});
-    source_.reset();
-    return;
-  }
-  source_ = best;
-  awaits_whole_ = true;
-  logEvent(kSourceChosen, {{"store", settings::formatAddress(*best)}, {"revision", best_revision}});
-  wire::NodeSubscribeT subscribe;
-  subscribe.have_revision = revision_;
-  actions_.send(*links_.linkTo(*best), subscribe, 0);
+  return best;
 }
 
 void ControlClient::closeSilent(TimePoint now) {
   for (auto& [address, store] : stores_) {
-    const bool is_silent = links_.linkTo(address) && store.heard_at + kStoreSilence < now;
+    const bool is_silent = links_.linkTo(address) && store.heard_at + (address == source_ ? kSourceSilence : kStoreSilence) < now;
     if (!is_silent) continue;
     links_.reset(address);
     store.is_current = false;
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -62,6 +62,8 @@
   void onUpdate(const wire::MeshUpdateT& update, TimePoint now);
   void closeSilent(TimePoint now);
   void chooseSource();
+  std::optional<runtime::Address> bestSource() const;
+  void subscribe(std::uint64_t have_revision);
   bool isUsable(const runtime::Address& address, const Store& store) const;
   void sendReport(runtime::LinkId link) const;
 
@@ -75,6 +77,8 @@
   /// The next endpoint records from the source are all that it knows.
   bool awaits_whole_ = false;
   std::uint64_t revision_ = 0;
+  /// Bytes of the configuration in force.
+  std::vector<std::uint8_t> configuration_;
   std::shared_ptr<wire::EndpointRecordT> own_record_;
   TimePoint check_at_;
 };
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -38,8 +38,12 @@
                                                    "A planned stop began: the sidecar says that it is not ready, "
                                                    "serves its callers for a while and ends. No action is needed."};
 
+inline constexpr EventDefinition kUpdateRefused{
+    7011, LogLevel::Warning, "update_refused",
+    "A configuration could not be read and was asked for again in whole. Check that all machines run one release."};
+
 inline constexpr std::array kSidecarEvents{kStoreLinked,  kStoreLost,   kSourceChosen, kSourceLost,
                                            kConfigurationInForce, kTargetChanged, kCallEnded,  kCallRetried,
-                                           kGateRefused,  kSidecarStopBegan};
+                                           kGateRefused,  kSidecarStopBegan, kUpdateRefused};
 
 }  // namespace cometstand::sidecar
--- a/src/store/mesh_register.cpp
+++ b/src/store/mesh_register.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mesh/compression.h"
+
 namespace cometstand::store {
 namespace {
 
@@ -20,14 +22,25 @@
   });
 }
 
+wire::MeshChangeT MeshRegister::encode(const wire::MeshChangeT& change) const {
+  wire::MeshChangeT encoded = change;
+  encoded.is_patch = change.base_revision == state_->revision;
+  const mesh::Bytes none;
+  encoded.document = mesh::compress(change.document, encoded.is_patch ? state_->document : none);
+  encoded.configuration = mesh::compress(change.configuration, encoded.is_patch ? state_->configuration : none);
+  return encoded;
+}
+
 MeshChangeResult MeshRegister::apply(const wire::MeshChangeT& change) {
   if (wasAccepted(change)) return MeshChangeResult::Accepted;
   if (change.base_revision != state_->revision) return MeshChangeResult::Conflict;
   if (change.revision <= state_->revision) return MeshChangeResult::Stale;
   auto next = std::make_shared<wire::MeshStateT>();
   next->revision = change.revision;
-  next->document = change.document;
-  next->configuration = change.configuration;
+  // A patch is one of the base revision, which is in force here: the check above says so.
+  const mesh::Bytes none;
+  next->document = mesh::decompress(change.document, change.is_patch ? state_->document : none);
+  next->configuration = mesh::decompress(change.configuration, change.is_patch ? state_->configuration : none);
   next->accepted = state_->accepted;
   auto accepted = std::make_shared<wire::AcceptedRevisionT>();
   accepted->revision = change.revision;
--- a/src/store/mesh_register.h
+++ b/src/store/mesh_register.h
@@ -25,12 +25,18 @@
 /// Invariant: the revision only rises, and of two changes on one base one at most is accepted.
 class MeshRegister {
  public:
+  /// @return the change as it goes into the log: its contents compressed, with what is in force as the prefix if
+  /// the change builds on that.
+  /// @throw Error(Invalid) if the change is too large.
+  wire::MeshChangeT encode(const wire::MeshChangeT& change) const;
+
+  /// @param change as encode() gave it, here or on another replica.
   MeshChangeResult apply(const wire::MeshChangeT& change);
 
   std::uint64_t revision() const { return state_->revision; }
-  /// @return the operator's text, compressed.
+  /// @return the operator's text.
   const std::vector<std::uint8_t>& document() const { return state_->document; }
-  /// @return a compressed MeshConfiguration; empty before the first change.
+  /// @return bytes of a MeshConfiguration; empty before the first change.
   const std::vector<std::uint8_t>& configuration() const { return state_->configuration; }
 
   /// @return the state; never changed afterwards, so that it may be shared with a snapshot on its way.
--- a/src/store/mesh_service.cpp
+++ b/src/store/mesh_service.cpp
@@ -19,9 +19,13 @@
 }
 
 void MeshService::change(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
+  if (!context_.isLeader()) {
+    handler(notLeader());
+    return;
+  }
   wire::StoreCommandBatchT batch;
   auto command = std::make_shared<wire::StoreCommandT>();
-  command->body.Set(wire::MeshChangeT(change));
+  command->body.Set(context_.state.mesh().encode(change));
   batch.commands.push_back(std::move(command));
   const auto index = context_.consensus.propose(encodeBatch(batch), now);
   if (!index) {
--- a/src/store/mesh_service.h
+++ b/src/store/mesh_service.h
@@ -28,7 +28,7 @@
 struct MeshAnswer {
   MeshAnswerKind kind = MeshAnswerKind::Unknown;
   std::uint64_t revision = 0;
-  /// Of a read: the operator's text, compressed as in the change; empty before the first change.
+  /// Of a read: the operator's text; empty before the first change.
   std::vector<std::uint8_t> document;
   /// Of NotLeader.
   std::optional<runtime::Address> leader;
@@ -42,7 +42,8 @@
  public:
   explicit MeshService(StoreContext& context) : context_(context) {}
 
-  /// @param handler called exactly once, now or later.
+  /// @param change with the contents as they are. @param handler called exactly once, now or later.
+  /// @throw Error(Invalid) if the change is too large.
   void change(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
   void read(MeshAnswerHandler handler, TimePoint now);
 
--- a/src/store/node_hub.cpp
+++ b/src/store/node_hub.cpp
@@ -3,14 +3,18 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "mesh/compression.h"
 #include "store/events.h"
 
 namespace cometstand::store {
 namespace {
 
+constexpr Duration kStepInterval = std::chrono::milliseconds(100);
+/// Between two beats to a node that takes its configurations from this replica, and to one that does not.
 constexpr Duration kBeatInterval = std::chrono::milliseconds(300);
+constexpr Duration kIdleBeatInterval = std::chrono::milliseconds(1'500);
 /// Nodes answer each beat; one that is silent for this long is taken for dead.
-constexpr Duration kNodeSilence = std::chrono::milliseconds(2'500);
+constexpr Duration kNodeSilence = std::chrono::seconds(4);
 /// How long an endpoint is kept whose node's link has ended: a node links itself again after a short cut.
 constexpr Duration kLostEndpointLease = std::chrono::seconds(2);
 
@@ -20,7 +24,10 @@
 
 bool NodeHub::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   if (const auto* hello = message.body.AsNodeHello()) {
-    nodes_[link] = {hello->node, now, false, 0};
+    Node node;
+    node.name = hello->node;
+    node.heard_at = now;
+    nodes_[link] = node;
     logEvent(kNodeLinked, {{"node", hello->node}, {"nodes", nodes_.size()}});
     return true;
   }
@@ -37,7 +44,9 @@
 
 void NodeHub::onSubscribe(LinkId link, const wire::NodeSubscribeT& request) {
   auto& node = nodes_.at(link);
-  node.subscribed = true;
+  node.subscribed = request.wants_updates;
+  if (!node.subscribed) return;
+  node.beat_at = TimePoint();
   node.sent_revision = request.have_revision;
   sendConfiguration(link, node);
   wire::EndpointUpdateT update;
@@ -67,18 +76,32 @@
   }
 }
 
-void NodeHub::sendConfiguration(LinkId link, Node& node) {
+runtime::MessagePointer NodeHub::makeUpdate(bool as_patch) const {
+  wire::MeshUpdateT update;
+  update.revision = revision_;
+  update.base_revision = as_patch ? previous_revision_ : 0;
+  const std::vector<std::uint8_t> none;
+  update.configuration = mesh::compress(configuration_, as_patch ? previous_configuration_ : none);
+  return std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(update)));
+}
+
+void NodeHub::takeConfiguration() {
   const auto& mesh = context_.state.mesh();
-  if (mesh.revision() <= node.sent_revision) return;
-  if (update_revision_ != mesh.revision() || update_ == nullptr) {
-    wire::MeshUpdateT update;
-    update.revision = mesh.revision();
-    update.configuration = mesh.configuration();
-    update_ = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(update)));
-    update_revision_ = mesh.revision();
-  }
-  node.sent_revision = mesh.revision();
-  context_.actions.send(link, update_);
+  if (mesh.revision() == revision_) return;
+  previous_revision_ = std::exchange(revision_, mesh.revision());
+  previous_configuration_ = std::exchange(configuration_, mesh.configuration());
+  whole_.reset();
+  patch_.reset();
+}
+
+void NodeHub::sendConfiguration(LinkId link, Node& node) {
+  takeConfiguration();
+  if (revision_ <= node.sent_revision) return;
+  const bool as_patch = node.sent_revision != 0 && node.sent_revision == previous_revision_;
+  auto& update = as_patch ? patch_ : whole_;
+  if (update == nullptr) update = makeUpdate(as_patch);
+  node.sent_revision = revision_;
+  context_.actions.send(link, update);
 }
 
 void NodeHub::onApplied() {
@@ -97,13 +120,12 @@
   }
 }
 
-void NodeHub::sendBeats() {
-  const auto leadership = context_.consensus.leadership();
+wire::StoreBeatT NodeHub::makeBeat(bool with_stores) const {
   wire::StoreBeatT beat;
   beat.revision = context_.state.mesh().revision();
-  beat.is_current = leadership.leader != 0;
-  const auto membership = context_.consensus.membership();
-  for (const auto* replicas : {&membership.voters, &membership.learners}) {
+  beat.is_current = context_.consensus.leadership().leader != 0;
+  if (!with_stores) return beat;
+  for (const auto* replicas : {&membership_.voters, &membership_.learners}) {
     for (const auto& replica : *replicas) {
       auto address = std::make_shared<wire::NetworkEndpointT>();
       address->host = replica->address;
@@ -112,8 +134,24 @@
       beat.replicas.push_back(std::move(address));
     }
   }
-  const auto message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(beat)));
-  for (const auto& [link, node] : nodes_) context_.actions.send(link, message);
+  return beat;
+}
+
+void NodeHub::sendBeats(TimePoint now) {
+  const auto membership = context_.consensus.membership();
+  if (consensus::encodeMembership(membership) != consensus::encodeMembership(membership_)) {
+    membership_ = membership;
+    ++membership_changes_;
+  }
+  const auto brief = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(makeBeat(false)));
+  const auto whole = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(makeBeat(true)));
+  for (auto& [link, node] : nodes_) {
+    const bool is_due = now >= node.beat_at || node.sent_membership != membership_changes_;
+    if (!is_due) continue;
+    node.beat_at = now + (node.subscribed ? kBeatInterval : kIdleBeatInterval);
+    const bool has_stores = std::exchange(node.sent_membership, membership_changes_) == membership_changes_;
+    context_.actions.send(link, has_stores ? brief : whole);
+  }
 }
 
 void NodeHub::closeSilent(TimePoint now) {
@@ -138,10 +176,10 @@
 
 void NodeHub::onTimer(TimePoint now) {
   if (now < beat_at_) return;
-  beat_at_ = now + kBeatInterval;
+  beat_at_ = now + kStepInterval;
   closeSilent(now);
   expireEndpoints(now);
-  sendBeats();
+  sendBeats(now);
 }
 
 }  // namespace cometstand::store
--- a/src/store/node_hub.h
+++ b/src/store/node_hub.h
@@ -33,6 +33,9 @@
     TimePoint heard_at;
     bool subscribed = false;
     std::uint64_t sent_revision = 0;
+    TimePoint beat_at;
+    /// Number of the list of stores that the node has; 0 for none.
+    std::uint64_t sent_membership = 0;
   };
   struct Endpoint {
     std::shared_ptr<wire::EndpointRecordT> record;
@@ -43,9 +46,12 @@
 
   void onSubscribe(runtime::LinkId link, const wire::NodeSubscribeT& request);
   void onReport(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
+  void takeConfiguration();
   void sendConfiguration(runtime::LinkId link, Node& node);
   void broadcast(const std::shared_ptr<wire::EndpointRecordT>& record);
-  void sendBeats();
+  void sendBeats(TimePoint now);
+  wire::StoreBeatT makeBeat(bool with_stores) const;
+  runtime::MessagePointer makeUpdate(bool as_patch) const;
   void closeSilent(TimePoint now);
   void expireEndpoints(TimePoint now);
 
@@ -53,9 +59,18 @@
   std::map<runtime::LinkId, Node> nodes_;
   /// By the name of the node beside the endpoint.
   std::map<std::string, Endpoint> endpoints_;
-  /// The update to the newest configuration, shared by all nodes that get it.
-  runtime::MessagePointer update_;
-  std::uint64_t update_revision_ = 0;
+  /// The newest configuration and the one before it.
+  std::uint64_t revision_ = 0;
+  std::vector<std::uint8_t> configuration_;
+  std::uint64_t previous_revision_ = 0;
+  std::vector<std::uint8_t> previous_configuration_;
+  /// The updates to the newest configuration, shared by all nodes that get them: whole, and for those that have the
+  /// one before. Made when first wanted.
+  runtime::MessagePointer whole_;
+  runtime::MessagePointer patch_;
+  /// The stores that nodes were told last, and how often the list has changed.
+  wire::MembershipT membership_;
+  std::uint64_t membership_changes_ = 1;
   TimePoint beat_at_;
 };
 
--- a/tests/mesh/configuration_test.cpp
+++ b/tests/mesh/configuration_test.cpp
@@ -43,12 +43,32 @@
 }
 
 TEST_CASE("damaged bytes are refused with a kind") {
-  auto bytes = encodeConfiguration(makeConfiguration());
-  bytes[bytes.size() / 2] ^= 0xffU;
-  CHECK_THROWS_AS(decodeConfiguration(bytes), Error);
+  const auto bytes = encodeConfiguration(makeConfiguration());
+  const auto frame = compress(bytes);
+  CHECK(decompress(frame) == bytes);
+  for (std::size_t i = 0; i < frame.size(); ++i) {
+    auto damaged = frame;
+    damaged[i] ^= 0xffU;
+    CHECK_THROWS_AS(decodeConfiguration(decompress(damaged)), Error);
+  }
+  CHECK_THROWS_AS(decodeConfiguration(Bytes(bytes.begin(), bytes.begin() + 20)), Error);
   CHECK_THROWS_AS(decodeConfiguration({}), Error);
 }
 
+TEST_CASE("a configuration compressed with the one before as prefix is small, and is refused with another prefix") {
+  auto configuration = makeConfiguration();
+  for (int i = 0; i < 300; ++i) configuration.routes.push_back(makeRoute(std::to_string(i), "/" + std::to_string(i * 7919) + "/"));
+  const auto before = encodeConfiguration(configuration);
+  configuration.routes[7]->timeout_ms = 777;
+  const auto after = encodeConfiguration(configuration);
+  const auto patch = compress(after, before);
+  CHECK(decompress(patch, before) == after);
+  CHECK(patch.size() * 20 < compress(after).size());
+  auto other = before;
+  other[other.size() / 2] ^= 0xffU;
+  CHECK_THROWS_AS(decompress(patch, other), Error);
+}
+
 TEST_CASE("what must not be accepted is refused") {
   auto configuration = makeConfiguration();
   auto& route = *configuration.routes[0];
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -116,7 +116,7 @@
     say(kStore, beat);
     wire::MeshUpdateT update;
     update.revision = revision;
-    update.configuration = mesh::encodeConfiguration(makeConfiguration());
+    update.configuration = mesh::compress(mesh::encodeConfiguration(makeConfiguration()));
     say(kStore, update);
   }
 
