--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -209,6 +209,8 @@
                           {"outcome", nameOf(answer.outcome)},
                           {"route", call.route->name},
                           {"service", call.request->service},
+                          {"priority", call.request->priority},
+                          {"objective_ms", call.request->objective_ms},
                           {"revision", table_->revision()},
                           {"sendings", call.sendings},
                           {"refusals", call.refusals},
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -37,6 +37,13 @@
   /// Part of a request's objective that it may wait for a slot of its target. Default 0.25, range 0 to 1.
   double queue_share = 0.25;
 
+  /// Requests of a short objective may wait this long all the same. Microseconds, default 20 ms, range 0 to 10 s.
+  Duration least_patience = std::chrono::milliseconds(20);
+
+  /// Requests whose objective is so many times the shortest that comes leave the last slot of a target to others.
+  /// Default 4, range 1 to 1,000,000.
+  unsigned long_objective_ratio = 4;
+
   /// How long new requests are still passed to a target that begins to leave: senders hear of it meanwhile.
   /// Microseconds, default 300 ms, range 0 to 10 s.
   Duration leaving_grace = std::chrono::milliseconds(300);
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -24,6 +24,11 @@
                "What sending a request to another zone costs, in units of a full target.");
   table.number("sidecar.queue_share", options.queue_share, {0, 1},
                "Part of a request's objective that it may wait for a slot of its target.");
+  table.duration("sidecar.least_patience", options.least_patience, {milliseconds(0), seconds(10)},
+                 "Requests of a short objective may wait this long for a slot all the same.");
+  table.integer<unsigned>("sidecar.long_objective_ratio", options.long_objective_ratio, {1, 1'000'000},
+                          "Requests whose objective is so many times the shortest that comes leave the last slot of a "
+                          "target to others.");
   table.duration("sidecar.leaving_grace", options.leaving_grace, {milliseconds(0), seconds(10)},
                  "How long new requests are still passed to a target that begins to leave.");
   table.duration("sidecar.stop_minimum", options.stop_minimum, {milliseconds(0), minutes(1)},
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(5);
 /// How long after a request's deadline the target's own word on it is waited for.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(30);
+/// A target with fewer slots keeps none for short requests.
+constexpr unsigned kLeastSlotsToKeep = 4;
+/// How long an objective counts as one that comes.
+constexpr Duration kObjectiveMemory = std::chrono::seconds(2);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -33,6 +37,17 @@
 
 unsigned TargetGate::slots() const { return std::max(1U, target_.slots()); }
 
+unsigned TargetGate::slotsFor(std::uint32_t objective_ms) const {
+  const bool is_long = objective_ms / options_.long_objective_ratio >= shortest_objective_ms_;
+  return is_long && slots() >= kLeastSlotsToKeep ? slots() - 1 : slots();
+}
+
+void TargetGate::noteObjective(std::uint32_t objective_ms, TimePoint now) {
+  if (objective_ms > shortest_objective_ms_ && now < shortest_seen_at_ + kObjectiveMemory) return;
+  shortest_objective_ms_ = objective_ms;
+  shortest_seen_at_ = now;
+}
+
 Duration TargetGate::expectedWait(unsigned priority) const {
   unsigned ahead = 1;
   for (const auto& [place, waiting] : waiting_) {
@@ -68,18 +83,21 @@
     return;
   }
   const TimePoint deadline = now + left;
-  if (running_.size() < slots()) {
+  noteObjective(request->objective_ms, now);
+  if (hasSlotFor(request->objective_ms)) {
     start(asker, request, deadline, now);
     return;
   }
   const Duration objective = std::chrono::milliseconds(request->objective_ms);
-  const auto patience = std::chrono::duration_cast<Duration>(objective * options_.queue_share);
+  const auto share = std::chrono::duration_cast<Duration>(objective * options_.queue_share);
+  const Duration patience = std::max(share, options_.least_patience);
   if (expectedWait(request->priority) > patience) {
     refuse(asker, wire::NotRunReason::Full);
     return;
   }
-  const Place place{request->priority, next_number_++};
-  waiting_.emplace(place, Waiting{asker, std::move(request), deadline, std::min(deadline, now + patience)});
+  const TimePoint start_by = std::min(deadline, now + patience);
+  const Place place{request->priority, start_by, next_number_++};
+  waiting_.emplace(place, Waiting{asker, std::move(request), deadline, start_by});
 }
 
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
@@ -90,9 +108,13 @@
 }
 
 void TargetGate::startWaiting(TimePoint now) {
-  while (!waiting_.empty() && running_.size() < slots()) {
-    const Waiting next = std::move(waiting_.begin()->second);
-    waiting_.erase(waiting_.begin());
+  while (true) {
+    const auto first = std::find_if(waiting_.begin(), waiting_.end(), [this](const auto& item) {
+      return hasSlotFor(item.second.request->objective_ms);
+    });
+    if (first == waiting_.end()) return;
+    const Waiting next = std::move(first->second);
+    waiting_.erase(first);
     if (const auto reason = refusalOf(*next.request, now)) {
       refuse(next.asker, *reason);
     } else if (next.deadline - now < kLeastTimeLeft) {
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -55,9 +55,10 @@
   unsigned waiting() const { return static_cast<unsigned>(waiting_.size()); }
 
  private:
-  /// The most urgent first, then the oldest.
+  /// The most urgent first, then the one that can wait the least.
   struct Place {
     unsigned priority = 0;
+    TimePoint start_by;
     std::uint64_t number = 0;
     friend auto operator<=>(const Place&, const Place&) = default;  // NOLINT(modernize-use-nullptr)
   };
@@ -78,6 +79,10 @@
   bool isLeaving(TimePoint now) const;
   Duration expectedWait(unsigned priority) const;
   unsigned slots() const;
+  /// @return slots that requests of this objective may take: the last one is kept for much shorter ones.
+  unsigned slotsFor(std::uint32_t objective_ms) const;
+  bool hasSlotFor(std::uint32_t objective_ms) const { return running_.size() < slotsFor(objective_ms); }
+  void noteObjective(std::uint32_t objective_ms, TimePoint now);
   void refuse(const GateAsker& asker, wire::NotRunReason reason);
   void start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline, TimePoint now);
   void startWaiting(TimePoint now);
@@ -94,6 +99,9 @@
   /// Smoothed time that the target takes for a request, in microseconds.
   double mean_run_time_ = 0;
   std::optional<TimePoint> stopping_since_;
+  /// The shortest objective that came lately, in milliseconds; a large number for none.
+  std::uint32_t shortest_objective_ms_ = UINT32_MAX;
+  TimePoint shortest_seen_at_;
 };
 
 }  // namespace cometstand::sidecar
