--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -1578,6 +1578,7 @@
   std::vector<uint8_t> body{};
   uint32_t deadline_ms = 0;
   uint32_t objective_ms = 0;
+  uint32_t patience_ms = 0;
   uint32_t priority = 0;
   bool is_retry = false;
   ForwardRequestT() = default;
@@ -1600,8 +1601,9 @@
     VT_BODY = 16,
     VT_DEADLINE_MS = 18,
     VT_OBJECTIVE_MS = 20,
-    VT_PRIORITY = 22,
-    VT_IS_RETRY = 24
+    VT_PATIENCE_MS = 22,
+    VT_PRIORITY = 24,
+    VT_IS_RETRY = 26
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1630,6 +1632,9 @@
   uint32_t objective_ms() const {
     return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
   }
+  uint32_t patience_ms() const {
+    return GetField<uint32_t>(VT_PATIENCE_MS, 0);
+  }
   uint32_t priority() const {
     return GetField<uint32_t>(VT_PRIORITY, 0);
   }
@@ -1655,6 +1660,7 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PATIENCE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
            verifier.EndTable();
@@ -1695,6 +1701,9 @@
   void add_objective_ms(uint32_t objective_ms) {
     fbb_.AddElement<uint32_t>(ForwardRequest::VT_OBJECTIVE_MS, objective_ms, 0);
   }
+  void add_patience_ms(uint32_t patience_ms) {
+    fbb_.AddElement<uint32_t>(ForwardRequest::VT_PATIENCE_MS, patience_ms, 0);
+  }
   void add_priority(uint32_t priority) {
     fbb_.AddElement<uint32_t>(ForwardRequest::VT_PRIORITY, priority, 0);
   }
@@ -1723,10 +1732,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint32_t deadline_ms = 0,
     uint32_t objective_ms = 0,
+    uint32_t patience_ms = 0,
     uint32_t priority = 0,
     bool is_retry = false) {
   ForwardRequestBuilder builder_(_fbb);
   builder_.add_priority(priority);
+  builder_.add_patience_ms(patience_ms);
   builder_.add_objective_ms(objective_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_body(body);
@@ -1756,6 +1767,7 @@
     const std::vector<uint8_t> *body = nullptr,
     uint32_t deadline_ms = 0,
     uint32_t objective_ms = 0,
+    uint32_t patience_ms = 0,
     uint32_t priority = 0,
     bool is_retry = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1776,6 +1788,7 @@
       body__,
       deadline_ms,
       objective_ms,
+      patience_ms,
       priority,
       is_retry);
 }
@@ -2595,6 +2608,7 @@
         body(o.body),
         deadline_ms(o.deadline_ms),
         objective_ms(o.objective_ms),
+        patience_ms(o.patience_ms),
         priority(o.priority),
         is_retry(o.is_retry) {
   fields.reserve(o.fields.size());
@@ -2611,6 +2625,7 @@
   std::swap(body, o.body);
   std::swap(deadline_ms, o.deadline_ms);
   std::swap(objective_ms, o.objective_ms);
+  std::swap(patience_ms, o.patience_ms);
   std::swap(priority, o.priority);
   std::swap(is_retry, o.is_retry);
   return *this;
@@ -2634,6 +2649,7 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
   { auto _e = objective_ms(); _o->objective_ms = _e; }
+  { auto _e = patience_ms(); _o->patience_ms = _e; }
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = is_retry(); _o->is_retry = _e; }
 }
@@ -2655,6 +2671,7 @@
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _deadline_ms = _o->deadline_ms;
   auto _objective_ms = _o->objective_ms;
+  auto _patience_ms = _o->patience_ms;
   auto _priority = _o->priority;
   auto _is_retry = _o->is_retry;
   return cometstand::wire::CreateForwardRequest(
@@ -2668,6 +2685,7 @@
       _body,
       _deadline_ms,
       _objective_ms,
+      _patience_ms,
       _priority,
       _is_retry);
 }
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kReportHalfLife = std::chrono::milliseconds(150);
 /// Spreads senders that know the same over endpoints of about the same load.
 constexpr double kRandomCost = 0.25;
+/// A body of this size costs as much again between zones as a request without one.
+constexpr double kUsualBytes = 20'000;
 constexpr double kAvoidCost = 100;
 
 constexpr std::uint64_t kRandomSteps = 1'000;
@@ -45,25 +47,26 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-double EndpointDirectory::scoreOf(const Endpoint& endpoint, RandomSource& random, TimePoint now) const {
+double EndpointDirectory::scoreOf(const Endpoint& endpoint, const EndpointWant& want, RandomSource& random,
+                                  TimePoint now) const {
   const double age = static_cast<double>((now - endpoint.reported_at).count());
   const double trust = 1 / (1 + age / static_cast<double>(kReportHalfLife.count()));
   const double requests = std::max<double>(endpoint.outstanding, endpoint.reported_load * trust);
   const double spread = static_cast<double>(random.uniform(0, kRandomSteps)) / kRandomSteps;
   double score = requests / endpoint.slots + kRandomCost * spread;
-  if (endpoint.zone != own_zone_) score += other_zone_cost_;
+  if (endpoint.zone != own_zone_) score += other_zone_cost_ * (1 + static_cast<double>(want.body_bytes) / kUsualBytes);
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
 
-Endpoint* EndpointDirectory::choose(const std::string& service, const std::set<runtime::Address>& tried,
+Endpoint* EndpointDirectory::choose(const EndpointWant& want, const std::set<runtime::Address>& tried,
                                     RandomSource& random, TimePoint now) {
   Endpoint* best = nullptr;
   double best_score = 0;
   for (auto& [address, endpoint] : endpoints_) {
-    const bool fits = endpoint.live && endpoint.linked && endpoint.service == service && !tried.contains(address);
+    const bool fits = endpoint.live && endpoint.linked && endpoint.service == want.service && !tried.contains(address);
     if (!fits) continue;
-    const double score = scoreOf(endpoint, random, now);
+    const double score = scoreOf(endpoint, want, random, now);
     if (best != nullptr && score >= best_score) continue;
     best = &endpoint;
     best_score = score;
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -34,6 +34,13 @@
   std::optional<TimePoint> expires_at;
 };
 
+/// What an endpoint is wanted for.
+struct EndpointWant {
+  std::string service;
+  /// Size of the request's body.
+  std::size_t body_bytes = 0;
+};
+
 /// The endpoints of the mesh as the stores and the answers of the endpoints themselves tell. Hints: the sidecar
 /// beside a target decides what the target gets.
 class EndpointDirectory {
@@ -50,8 +57,8 @@
   const std::map<runtime::Address, Endpoint>& all() const { return endpoints_; }
 
   /// @param tried are not chosen.
-  /// @return the endpoint to send the next request for the service to; nullptr if there is none.
-  Endpoint* choose(const std::string& service, const std::set<runtime::Address>& tried, RandomSource& random,
+  /// @return the endpoint to send the next request to; nullptr if there is none.
+  Endpoint* choose(const EndpointWant& want, const std::set<runtime::Address>& tried, RandomSource& random,
                    TimePoint now);
 
   /// @return true if a live endpoint of the service is known, reachable or not.
@@ -63,7 +70,7 @@
   std::vector<runtime::Address> expire(TimePoint now);
 
  private:
-  double scoreOf(const Endpoint& endpoint, RandomSource& random, TimePoint now) const;
+  double scoreOf(const Endpoint& endpoint, const EndpointWant& want, RandomSource& random, TimePoint now) const;
 
   std::string own_zone_;
   double other_zone_cost_;
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -82,11 +82,15 @@
   parts_.callers.answer(id, std::move(answer));
 }
 
+EndpointWant OutboundCalls::wantOf(const CallState& call) {
+  return {call.request->service, call.request->body.size()};
+}
+
 void OutboundCalls::sendNext(CallId id, TimePoint now) {
   auto& call = calls_.at(id);
   auto* endpoint = call.deadline - now < kLeastTimeLeft
                        ? nullptr
-                       : parts_.endpoints.choose(call.request->service, call.tried, parts_.random, now);
+                       : parts_.endpoints.choose(wantOf(call), call.tried, parts_.random, now);
   if (endpoint != nullptr) {
     send(id, call, *endpoint, now);
   } else if (call.may_have_run) {
@@ -106,6 +110,7 @@
   // A copy for each sending: the last one may still be on its way.
   auto request = std::make_shared<wire::ForwardRequestT>(*call.request);
   request->deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
+  request->patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request->is_retry = call.sendings > 0;
   if (endpoint.address == parts_.options.advertise) {
     parts_.gate.admit({runtime::LinkId{}, number}, std::move(request), now);
@@ -118,6 +123,13 @@
                       std::make_shared<const wire::EnvelopeT>(std::move(envelope)));
 }
 
+/// What one endpoint after another may take together, at least a little for each.
+Duration OutboundCalls::patienceOf(const CallState& call, TimePoint now) const {
+  const Duration objective = std::chrono::milliseconds(call.route->objective_ms);
+  const auto share = std::chrono::duration_cast<Duration>(objective * parts_.options.queue_share);
+  return std::max(share - (now - call.began), parts_.options.least_patience);
+}
+
 void OutboundCalls::onReply(const Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
                             TimePoint now) {
   auto* endpoint = parts_.endpoints.find(from);
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -80,6 +80,8 @@
   void recall(CallState& call, TimePoint now);
   void finish(CallId id, CallAnswer answer, TimePoint now);
   void finishNotRun(CallId id, TimePoint now);
+  static EndpointWant wantOf(const CallState& call);
+  Duration patienceOf(const CallState& call, TimePoint now) const;
   Duration comeBackAfter(const CallState& call);
 
   Parts parts_;
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -34,8 +34,8 @@
   /// preferred until it has so much more to do. Default 0.8, range 0 to 10.
   double other_zone_cost = 0.8;
 
-  /// Part of a request's objective that it may wait for a slot of its target. Default 0.25, range 0 to 1.
-  double queue_share = 0.25;
+  /// Part of a request's objective that it may wait for a slot of its target. Default 0.4, range 0 to 1.
+  double queue_share = 0.4;
 
   /// Requests of a short objective may wait this long all the same. Microseconds, default 20 ms, range 0 to 10 s.
   Duration least_patience = std::chrono::milliseconds(20);
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -88,9 +88,7 @@
     start(asker, request, deadline, now);
     return;
   }
-  const Duration objective = std::chrono::milliseconds(request->objective_ms);
-  const auto share = std::chrono::duration_cast<Duration>(objective * options_.queue_share);
-  const Duration patience = std::max(share, options_.least_patience);
+  const Duration patience = std::chrono::milliseconds(request->patience_ms);
   if (expectedWait(request->priority) > patience) {
     refuse(asker, wire::NotRunReason::Full);
     return;
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -47,6 +47,8 @@
 
 consensus::Leadership StoreCore::leadership() const { return parts_->consensus().leadership(); }
 
+wire::MembershipT StoreCore::membership() const { return parts_->consensus().membership(); }
+
 const StateMachine& StoreCore::stateMachine() const { return parts_->state(); }
 
 StoreMetrics StoreCore::metrics() const { return parts_->metrics(); }
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -44,6 +44,8 @@
 
   /// For tests, simulation and metrics.
   consensus::Leadership leadership() const;
+  /// @return the latest membership in the log.
+  wire::MembershipT membership() const;
   /// @return what the committed entries made so far.
   const StateMachine& stateMachine() const;
   StoreMetrics metrics() const;
--- /dev/null
+++ b/tests/platform/formats_test.cpp
@@ -0,0 +1,175 @@
+// What platform/ reads and writes, and that nothing else knows its names.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "base/error.h"
+#include "mesh/configuration.h"
+#include "platform/configuration_format.h"
+#include "platform/heartbeat_format.h"
+#include "platform/message_format.h"
+#include "platform/names.h"
+
+namespace cometstand::platform {
+namespace {
+
+const std::string kOrder =
+    R"({"version":"r7","routes":{"a":{"host":"h.example","path_prefix":"/p/","kind":"unsafe","timeout_s":1.2,)"
+    R"("aim_s":0.8,"priority":1,"service":"shop","max_attempts":2,"new_field":1},)"
+    R"("b":{"host":"h.example","path_prefix":"/q/","kind":"safe","timeout_s":1.5,"traffic_split":)"
+    R"([{"service":"shop","weight":90},{"service":"other","weight":10}]}},)"
+    R"("services":{"shop":{"health_path":"/health","max_connections":130},"other":{}},)"
+    R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto position = text.find(from);
+  REQUIRE(position != std::string::npos);
+  return text.replace(position, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("an order is read as a change, and comes back as it was sent", "[platform]") {
+  const auto change = readChange("r5", kOrder);
+  CHECK(change.revision == 7);
+  CHECK(change.base_revision == 5);
+  CHECK(documentText(change.document) == kOrder);
+  const auto configuration = mesh::decodeConfiguration(change.configuration);
+  REQUIRE(configuration.routes.size() == 2);
+  const auto& a = *configuration.routes[0];
+  CHECK_FALSE(a.repeatable);
+  CHECK(a.timeout_ms == 1'200);
+  CHECK(a.objective_ms == 800);
+  CHECK(a.max_attempts == 2);
+  const auto& b = *configuration.routes[1];
+  CHECK(b.repeatable);
+  REQUIRE(b.shares.size() == 2);
+  CHECK(b.shares[0]->weight == 9 * b.shares[1]->weight);
+  CHECK(configuration.limits->idle_timeout_ms == 15'000);
+}
+
+TEST_CASE("an order of the same bytes on another base is another change", "[platform]") {
+  CHECK(readChange("r5", kOrder).digest->low() == readChange("r5", kOrder).digest->low());
+  CHECK(readChange("r5", kOrder).digest->low() != readChange("r6", kOrder).digest->low());
+}
+
+TEST_CASE("what is no order is refused with a kind and a remedy", "[platform]") {
+  const std::string body = GENERATE_COPY(
+      as<std::string>(), "", "[]", kOrder.substr(0, kOrder.size() / 2), kOrder.substr(0, kOrder.size() - 1),
+      replaced(kOrder, "\"service\":\"shop\",\"max", "\"service\":\"none\",\"max"),
+      replaced(kOrder, "\"host\":\"h.example\"", "\"host\":\"\""),
+      replaced(kOrder, "\"timeout_s\":1.2", "\"timeout_s\":601"), replaced(kOrder, "\"timeout_s\":1.2,", ""),
+      replaced(kOrder, "\"aim_s\":0.8", "\"aim_s\":61.2"), replaced(kOrder, "/q/", "/p/"),
+      replaced(kOrder, "\"version\":\"r7\"", "\"version\":\"7\""), replaced(kOrder, ",\"weight\":90", ""),
+      replaced(kOrder, "\"version\":\"r7\",", ""));
+  try {
+    readChange("r5", body);
+    FAIL("it was taken: " << body);
+  } catch (const Error& error) {
+    CHECK_FALSE(error.remedy().empty());
+  }
+}
+
+TEST_CASE("versions are a letter and a number, and zero", "[platform]") {
+  CHECK(parseVersion("r12") == 12);
+  CHECK(parseVersion("0") == 0);
+  for (const char* text : {"", "12", "r", "rr1", "r-1", "r1x"}) CHECK_THROWS_AS(parseVersion(text), Error);
+}
+
+TEST_CASE("a heartbeat is read, with fields that it does not know", "[platform]") {
+  const auto beat = readHeartbeat("i-1", R"({"address":"10.0.0.1:80","x":1,"info":{"service":"shop","version":"v1",)"
+                                         R"("zone":"z","slots":6},"status":{"state":"draining","sequence":4,)"
+                                         R"("cold_remaining_s":0.5}})");
+  CHECK(beat.instance == "i-1");
+  CHECK(beat.service == "shop");
+  CHECK(beat.slots == 6);
+  CHECK(beat.sequence == 4);
+  CHECK_FALSE(beat.ready);
+  CHECK(beat.cold_remaining == std::chrono::milliseconds(500));
+  CHECK_THROWS_AS(readHeartbeat("i-1", "{"), Error);
+  CHECK_THROWS_AS(readHeartbeat("i-1", R"({"info":{"service":"shop"}})"), Error);
+}
+
+TEST_CASE("a request reaches the target with the system's own fields, whatever the caller sent", "[platform]") {
+  web::Request request;
+  request.method(boost::beast::http::verb::post);
+  request.target("/p/x?y=1");
+  request.set("Host", "h.example");
+  request.set(kRequestId, "r1");
+  request.set(kDeadline, "1500");
+  request.set(kCallerService, "forged");
+  request.set(kExpectInstance, "forged");
+  request.set("Connection", "X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Own", "kept");
+  request.body() = "body";
+  auto call = readCall(std::move(request));
+  CHECK(call.host == "h.example");
+  CHECK(call.deadline == std::chrono::milliseconds(1'500));
+  call.request.caller_service = "desk";
+  sidecar::RunOrder order;
+  order.request = std::make_shared<wire::ForwardRequestT>(call.request);
+  order.instance = "i-1";
+  order.time_left = std::chrono::milliseconds(900);
+  const auto sent = makeTargetRequest(order);
+  CHECK(sent.target() == "/p/x?y=1");
+  CHECK(sent[kRequestId] == "r1");
+  CHECK(sent[kDeadline] == "900");
+  CHECK(sent[kCallerService] == "desk");
+  CHECK(sent[kExpectInstance] == "i-1");
+  CHECK(sent["X-Own"] == "kept");
+  CHECK(sent.count("X-Hop") == 0);
+  CHECK(sent.body() == "body");
+}
+
+TEST_CASE("the target's word on whether it ran the request is kept", "[platform]") {
+  web::SendResult result;
+  result.outcome = web::SendOutcome::Answered;
+  result.response.result(503);
+  CHECK(readRunResult(result).reply.outcome == wire::ForwardOutcome::Answered);
+  result.response.set(kNotExecuted, "1");
+  CHECK(readRunResult(result).reply.outcome == wire::ForwardOutcome::NotRun);
+  CHECK(readRunResult(result).reply.reached_target);
+  result.response.result(421);
+  CHECK(readRunResult(result).other_instance);
+  result.outcome = web::SendOutcome::Broken;
+  CHECK(readRunResult(result).reply.outcome == wire::ForwardOutcome::Unknown);
+  result.outcome = web::SendOutcome::NotSent;
+  CHECK(readRunResult(result).reply.outcome == wire::ForwardOutcome::NotRun);
+  CHECK_FALSE(readRunResult(result).reply.reached_target);
+}
+
+TEST_CASE("an answer without the request's id is never taken for a success", "[platform]") {
+  web::Response response;
+  response.result(200);
+  CHECK_FALSE(belongsTo(response, "r1"));
+  response.set(kRequestId, "r2");
+  CHECK_FALSE(belongsTo(response, "r1"));
+  response.set(kRequestId, "r1");
+  CHECK(belongsTo(response, "r1"));
+}
+
+TEST_CASE("nothing outside platform/ and deploy/ knows the platform's names", "[platform]") {
+  const std::vector<std::string> names{kRequestId,      kDeadline,      kCallerService, kExpectInstance,
+                                       kNotExecuted,    kBaseVersion,   "Server-Seal",  "Instance-Id",
+                                       "Server-Load",   "Instances.",   "Config.Put",   "Config.Get",
+                                       kReadinessPath,  "COMETSTAND_CONFIG"};
+  for (const auto* folder : {"/src", "/rehearsal"}) {
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(std::string(SOURCE_FOLDER) + folder)) {
+      if (!entry.is_regular_file()) continue;
+      std::ifstream stream(entry.path());
+      const std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+      for (const auto& name : names) {
+        INFO(entry.path() << " names " << name);
+        for (auto at = text.find(name); at != std::string::npos; at = text.find(name, at + 1)) {
+          // A longer name that ends in the same words, such as X-Request-..., is another one.
+          const bool is_part_of_other = at > 0 && (text[at - 1] == '-' || std::isalnum(text[at - 1]) != 0);
+          CHECK(is_part_of_other);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace cometstand::platform
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -22,6 +22,7 @@
     request->priority = priority;
     request->deadline_ms = deadline_ms;
     request->objective_ms = 400;
+    request->patience_ms = 100;
     gate.admit({runtime::LinkId{1}, number}, request, now);
   }
 
--- a/tests/store/memory_network.h
+++ b/tests/store/memory_network.h
@@ -60,6 +60,11 @@
   /// @return the replica that leads in the highest term, if any; one that is cut off does not count.
   std::optional<ReplicaIndex> leader() const;
 
+  /// Calls the process from outside, as a server in the same process does.
+  void call(ReplicaIndex index, const std::function<void(StoreCore&, TimePoint)>& action) {
+    deliver(index, nodes_.at(index).life, [this, &action](StoreCore& core) { action(core, now_); });
+  }
+
   /// Opens a link to the replica, as an operator or relay.
   ClientId connect(ReplicaIndex index, const runtime::PeerIdentity& identity = {});
   void disconnect(ClientId client);
--- /dev/null
+++ b/tests/web/server_client_test.cpp
@@ -0,0 +1,264 @@
+// The server and the client against each other and against raw bytes, on loopback with ports that the system picks.
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "web/client.h"
+#include "web/server.h"
+
+namespace cometstand::web {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kPatience = std::chrono::seconds(10);
+
+/// Answers at once with the request's target, or keeps the exchange open.
+class EchoHandler : public RequestHandler {
+ public:
+  void onRequest(ExchangeId id, Request request) override {
+    requests.push_back(request);
+    last = id;
+    if (!answers) return;
+    Response response;
+    response.result(200);
+    response.set("X-Id", std::string(request["X-Id"]));
+    response.body() = std::string(request.target());
+    server->respond(id, std::move(response));
+  }
+  void onCallerGone(ExchangeId id) override { gone.push_back(id); }
+  ServerLimits limits() const override { return server_limits; }
+
+  Server* server = nullptr;
+  bool answers = true;
+  ServerLimits server_limits;
+  std::vector<Request> requests;
+  std::vector<ExchangeId> gone;
+  ExchangeId last{};
+};
+
+struct ServerFixture {
+  ServerFixture() : server(io, {"127.0.0.1", 0}, handler) {
+    handler.server = &server;
+    server.start();
+  }
+
+  /// Runs until the condition holds.
+  template <typename Condition>
+  bool runUntil(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  tcp::socket connect() {
+    tcp::socket socket(io);
+    const auto address = server.listenAddress();
+    socket.connect({asio::ip::make_address(address.host), address.port});
+    return socket;
+  }
+
+  /// @return what comes until the text ends so, or the connection ends.
+  std::string readUntil(tcp::socket& socket, const std::string& end) {
+    std::string text;
+    bool ended = false;
+    std::array<char, 512> part{};
+    std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(part), [&](boost::system::error_code error, std::size_t length) {
+        text.append(part.data(), length);
+        ended = error.failed() || text.ends_with(end);
+        if (!ended) read();
+      });
+    };
+    read();
+    runUntil([&] { return ended; });
+    return text;
+  }
+
+  asio::io_context io;
+  EchoHandler handler;
+  Server server;
+};
+
+/// A server that sends fixed bytes to each connection once a request has begun to come.
+class RawServer {
+ public:
+  RawServer(asio::io_context& io, std::string bytes, bool closes)
+      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}), bytes_(std::move(bytes)), closes_(closes) {
+    accept();
+  }
+  runtime::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  int connections = 0;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      ++connections;
+      auto held = std::make_shared<tcp::socket>(std::move(socket));
+      serve(held);
+      accept();
+    });
+  }
+  void serve(const std::shared_ptr<tcp::socket>& socket) {
+    auto part = std::make_shared<std::array<char, 4096>>();
+    socket->async_read_some(asio::buffer(*part), [this, socket, part](boost::system::error_code error, std::size_t) {
+      if (error) return;
+      boost::system::error_code ignored;
+      asio::write(*socket, asio::buffer(bytes_), ignored);
+      if (closes_) {
+        socket->close();
+      } else {
+        serve(socket);
+      }
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::string bytes_;
+  bool closes_;
+};
+
+SendResult sendOnce(asio::io_context& io, Client& client, const std::string& id, Request request = {}) {
+  std::optional<SendResult> result;
+  request.version(11);
+  request.method(boost::beast::http::verb::get);
+  if (request.target().empty()) request.target("/a");
+  request.set("Host", "h");
+  client.send(
+      SendId{1}, std::move(request), [id](const Response& response) { return response["X-Id"] == id; },
+      [&result](SendResult got) { result = std::move(got); });
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!result && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(20));
+  REQUIRE(result.has_value());
+  return *result;
+}
+
+}  // namespace
+
+TEST_CASE("requests on one connection are answered one after the other, also if they come together", "[web]") {
+  ServerFixture fixture;
+  auto socket = fixture.connect();
+  asio::write(socket, asio::buffer(std::string("GET /one HTTP/1.1\r\nHost: h\r\n\r\nGET /two HTTP/1.1\r\nHost: h\r\n\r\n")));
+  const auto text = fixture.readUntil(socket, "/two");
+  CHECK(text.find("/one") < text.find("/two"));
+  CHECK(fixture.handler.requests.size() == 2);
+}
+
+TEST_CASE("a caller who leaves before the answer is reported", "[web]") {
+  ServerFixture fixture;
+  fixture.handler.answers = false;
+  auto socket = fixture.connect();
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  REQUIRE(fixture.runUntil([&] { return !fixture.handler.requests.empty(); }));
+  socket.close();
+  REQUIRE(fixture.runUntil([&] { return !fixture.handler.gone.empty(); }));
+  CHECK(fixture.handler.gone.front() == fixture.handler.last);
+}
+
+TEST_CASE("bytes that are no request, or more than is allowed, are refused and the connection ends", "[web]") {
+  ServerFixture fixture;
+  fixture.handler.server_limits.max_header_bytes = 200;
+  fixture.handler.server_limits.max_body_bytes = 10;
+  std::string request;
+  std::string status;
+  SECTION("no request") {
+    request = "nonsense\r\n\r\n";
+    status = "400";
+  }
+  SECTION("large header") {
+    request = "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(400, 'x') + "\r\n\r\n";
+    status = "431";
+  }
+  SECTION("large body") {
+    request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n01234567890";
+    status = "413";
+  }
+  SECTION("two lengths, as a second request would be smuggled") {
+    request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    status = "400";
+  }
+  auto socket = fixture.connect();
+  asio::write(socket, asio::buffer(request));
+  const auto text = fixture.readUntil(socket, "never");
+  CHECK(text.substr(0, 12) == "HTTP/1.1 " + status);
+  CHECK(fixture.handler.requests.empty());
+}
+
+TEST_CASE("a kept connection is used again", "[web]") {
+  ServerFixture fixture;
+  Client client(fixture.io, fixture.server.listenAddress());
+  Request request;
+  request.set("X-Id", "1");
+  CHECK(sendOnce(fixture.io, client, "1", request).outcome == SendOutcome::Answered);
+  CHECK(sendOnce(fixture.io, client, "1", request).response.body() == "/a");
+  CHECK(client.connectionsOpened() == 1);
+}
+
+TEST_CASE("nothing is sent where nobody listens", "[web]") {
+  asio::io_context io;
+  runtime::Address address;
+  {
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    address = {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+  Client client(io, address);
+  CHECK(sendOnce(io, client, "1").outcome == SendOutcome::NotSent);
+}
+
+TEST_CASE("an answer that is cut short, or is none, is broken", "[web]") {
+  asio::io_context io;
+  const std::string bytes = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nabc",
+                                     "what is this\r\n\r\n", "", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n");
+  RawServer server(io, bytes, true);
+  Client client(io, server.address());
+  CHECK(sendOnce(io, client, "1").outcome == SendOutcome::Broken);
+}
+
+TEST_CASE("an answer that belongs to another request is dropped, and the right one is taken", "[web]") {
+  asio::io_context io;
+  RawServer server(io,
+                   "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 3\r\n\r\nold"
+                   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nnew",
+                   false);
+  Client client(io, server.address());
+  const auto result = sendOnce(io, client, "1");
+  CHECK(result.outcome == SendOutcome::Answered);
+  CHECK(result.response.body() == "new");
+}
+
+TEST_CASE("a connection with bytes after a whole answer is not used again", "[web]") {
+  asio::io_context io;
+  RawServer server(io,
+                   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none"
+                   "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\ntwo",
+                   false);
+  Client client(io, server.address());
+  CHECK(sendOnce(io, client, "1").response.body() == "one");
+  CHECK(sendOnce(io, client, "1").response.body() == "one");
+  CHECK(server.connections == 2);
+}
+
+TEST_CASE("an answer before the whole request is taken, and its connection is not used again", "[web]") {
+  asio::io_context io;
+  RawServer server(io, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nbig", false);
+  Client client(io, server.address());
+  Request request;
+  request.body().assign(20'000'000, 'x');
+  request.prepare_payload();
+  const auto result = sendOnce(io, client, "1", request);
+  CHECK(result.outcome == SendOutcome::Answered);
+  CHECK(result.response.result_int() == 413);
+  sendOnce(io, client, "1");
+  CHECK(server.connections == 2);
+}
+
+}  // namespace cometstand::web
