Endpoints that break off answers go last; relays look after zones without one; structured logs; one address type

Change: the gate tells the share of its target's runs without a whole answer; senders choose such endpoints last. Change: it probes until it has ended, and the linked relay of the smallest name looks after orphaned zones (their word counts, their silence does not). Logs as JSON on standard output for programs that serve (log.format), bounded for each kind of event, never waited for; one line for each decision on a request.

--- a/src/admin/program_host.cpp
+++ b/src/admin/program_host.cpp
@@ -46,6 +46,7 @@
                          runtime::ProcessCore& core, const AdminPages& pages)
     : program_(std::move(program)), signals_(io_, SIGTERM, SIGINT) {
   settings::applyLogLevel(common);
+  setLogFormat(common.log_format == "json" ? LogFormat::Json : LogFormat::Text);
   if (common.tls.enabled) {
     tls_ = net::makeTlsContext({common.tls.certificate, common.tls.key, common.tls.authority});
   } else {
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -6,6 +6,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace cometstand {
 
@@ -26,15 +27,37 @@
 struct EventField {
   template <typename Value>
   EventField(std::string_view field_key, const Value& field_value)
-      : key(field_key), value(fmt::format("{}", field_value)) {}
+      : key(field_key),
+        value(fmt::format("{}", field_value)),
+        is_number(std::is_arithmetic_v<Value> && !std::is_same_v<Value, bool>) {}
 
   std::string_view key;
   std::string value;
+  bool is_number;
 };
 
-/// Writes one line to standard error: time, level, number, name, fields. Thread-safe.
+enum class LogFormat : std::uint8_t {
+  /// One line of text for each event, on standard error: for tools and tests.
+  Text,
+  /// One JSON object for each event, on standard output: for programs that serve. Each kind of event has a
+  /// budget
+  /// of lines, and a line that cannot be written at once is dropped; the next line of the kind tells how many
+  /// were.
+  Json,
+};
+
+/// The default is Text.
+void setLogFormat(LogFormat format);
+
+/// Writes one line: time, level, number, name, fields. Thread-safe. Never waits for the reader of the log in
+/// the format Json.
 void logEvent(const EventDefinition& event, std::initializer_list<EventField> fields);
 
+/// @return one event as a JSON object, without a line end.
+/// @param dropped events of the kind that were not written since the last one that was.
+std::string formatJson(const EventDefinition& event, std::initializer_list<EventField> fields,
+                       std::string_view time, std::uint64_t dropped);
+
 /// Events below this level are dropped. The default is Info.
 void setLogLevel(LogLevel level);
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -62,7 +62,7 @@
 
 void Link::accept(ReadyHandler on_ready) { handshake(asio::ssl::stream_base::server, std::move(on_ready)); }
 
-void Link::connect(const runtime::Address& address, Duration time_limit, ReadyHandler on_ready) {
+void Link::connect(const Address& address, Duration time_limit, ReadyHandler on_ready) {
   error_code parse_error;
   const auto host = asio::ip::make_address(address.host, parse_error);
   if (parse_error) {
@@ -116,8 +116,8 @@
   writeNext();
 }
 
-runtime::PeerIdentity Link::peerIdentity() {
-  runtime::PeerIdentity identity;
+PeerIdentity Link::peerIdentity() {
+  PeerIdentity identity;
   if (!secure_) return identity;
   X509* certificate = SSL_get_peer_certificate(secure_->native_handle());
   if (certificate == nullptr) return identity;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -14,8 +14,10 @@
 #include <optional>
 #include <string>
 
+#include "base/address.h"
+#include "base/time.h"
 #include "net/frame_codec.h"
-#include "runtime/process_core.h"
+#include "net/peer_identity.h"
 
 namespace cometstand::net {
 
@@ -40,11 +42,11 @@
   Link(Socket socket, boost::asio::ssl::context* tls, LinkHandlers handlers);
 
   /// Takes an accepted socket. @param on_ready called once messages can flow.
-  void accept(std::function<void(const runtime::PeerIdentity&)> on_ready);
+  void accept(std::function<void(const PeerIdentity&)> on_ready);
 
   /// Connects to the address, giving up after the time limit.
-  void connect(const runtime::Address& address, Duration time_limit,
-               std::function<void(const runtime::PeerIdentity&)> on_ready);
+  void connect(const Address& address, Duration time_limit,
+               std::function<void(const PeerIdentity&)> on_ready);
 
   /// Queues one message. Does nothing on a closed link.
   void send(const wire::EnvelopeT& envelope);
@@ -62,13 +64,13 @@
 
  private:
   using TlsStream = boost::asio::ssl::stream<Socket>;
-  using ReadyHandler = std::function<void(const runtime::PeerIdentity&)>;
+  using ReadyHandler = std::function<void(const PeerIdentity&)>;
   enum class State { Opening, Open, Closed };
 
   Socket& socket();
   void handshake(boost::asio::ssl::stream_base::handshake_type type, ReadyHandler on_ready);
   void becomeReady(const ReadyHandler& on_ready);
-  runtime::PeerIdentity peerIdentity();
+  PeerIdentity peerIdentity();
   void readSome();
   void deliverFrames();
   void writeNext();
--- a/src/relay/endpoint_monitor.cpp
+++ b/src/relay/endpoint_monitor.cpp
@@ -33,12 +33,11 @@
       const view::EndpointId id{tenant, service, endpoint->name};
       members.push_back(id);
       removed.erase(id);
-      if (endpoint->zone != options_.zone) continue;
       const auto known = old.find(id);
       Watched watched = known == old.end() ? Watched() : known->second;
       if (known == old.end()) watched.lease_until = now + options_.lease;
       watched.spec = *endpoint;
-      check_at_ = std::min(check_at_, watched.lease_until);
+      if (isOwn(watched)) check_at_ = std::min(check_at_, watched.lease_until);
       watched_.emplace(id, std::move(watched));
     }
   });
@@ -47,16 +46,32 @@
 
 void EndpointMonitor::setActive(bool active, TimePoint now) {
   if (active && !active_) {
-    for (auto& [id, watched] : watched_) watched.lease_until = now + options_.lease;
+    for (auto& [id, watched] : watched_) {
+      if (isOwn(watched)) watched.lease_until = now + options_.lease;
+    }
     check_at_ = now + options_.lease;
   }
   active_ = active;
 }
 
+void EndpointMonitor::setAdopted(std::set<std::string> zones, TimePoint now) {
+  for (auto& [id, watched] : watched_) {
+    // The machine list counts once probes have had their time.
+    if (zones.contains(watched.spec.zone) && !isAdopted(watched)) watched.lease_until = now + options_.lease;
+  }
+  adopted_ = std::move(zones);
+}
+
+std::set<std::string> EndpointMonitor::zones() const {
+  std::set<std::string> zones;
+  for (const auto& [id, watched] : watched_) zones.insert(watched.spec.zone);
+  return zones;
+}
+
 std::vector<ProbeTarget> EndpointMonitor::targets() const {
   std::vector<ProbeTarget> targets;
-  if (!active_) return targets;
   for (const auto& [id, watched] : watched_) {
+    if (!isProbed(watched)) continue;
     targets.push_back({id, {watched.spec.address, watched.spec.port}});
   }
   return targets;
@@ -116,7 +131,7 @@
                                                   TimePoint now) {
   Records records;
   const auto found = watched_.find(id);
-  if (found == watched_.end() || !active_ || !result.answered) return records;
+  if (found == watched_.end() || !isProbed(found->second) || !result.answered) return records;
   Watched& watched = found->second;
   watched.lease_until = now + options_.lease;
   watched.suppressed = false;
@@ -141,12 +156,12 @@
 EndpointMonitor::Records EndpointMonitor::onMachineList(const std::vector<MachineState>& machines,
                                                         TimePoint now) {
   Records records;
-  if (!active_) return records;
   std::vector<runtime::Address> leaving;
   for (const auto& machine : machines) {
     if (machine.leaving) leaving.push_back(machine.address);
   }
   for (auto& [id, watched] : watched_) {
+    if (!isProbed(watched)) continue;
     const runtime::Address address{watched.spec.address, watched.spec.port};
     if (std::find(leaving.begin(), leaving.end(), address) == leaving.end()) continue;
     // A probe that was answered lately outranks the list.
@@ -163,6 +178,7 @@
   const auto found = watched_.find(id);
   const auto known = table_.find(id);
   if (found == watched_.end() || !known || known->incarnation != incarnation) return records;
+  if (!isOwn(found->second) && !isAdopted(found->second)) return records;
   Watched& watched = found->second;
   watched.held_until = now + options_.sighting_hold;
   const bool was_overtaken = takesWork(known->state) && watched.revived_at + options_.sighting_hold > now;
@@ -173,7 +189,7 @@
 EndpointMonitor::Records EndpointMonitor::onStopOrder(const view::EndpointId& id, TimePoint /*now*/) {
   Records records;
   const auto found = watched_.find(id);
-  if (found == watched_.end()) return records;
+  if (found == watched_.end() || (!isOwn(found->second) && !isAdopted(found->second))) return records;
   found->second.stop_ordered = true;
   if (!isAvailable(id)) return records;
   const auto known = table_.find(id);
@@ -187,6 +203,7 @@
   if (!active_ || check_at_ > now) return records;
   check_at_ = TimePoint::max();
   for (auto& [id, watched] : watched_) {
+    if (!isOwn(watched)) continue;
     if (watched.lease_until <= now) {
       const auto known = table_.find(id);
       loseOnHint(id, watched, known ? known->incarnation : 0, records);
--- a/src/relay/endpoint_monitor.h
+++ b/src/relay/endpoint_monitor.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,9 +41,11 @@
   std::uint64_t first_sequence = 1;
 };
 
-/// Decides the liveness of the own zone's endpoints: holds a lease for each, renewed by probes. Evidence
-/// ranks: what a proxy saw on a request, then probes, then the machine list. Hints (probes, the list, leases
-/// that run out) never take a service below half of its endpoints; the last known state is kept instead.
+/// Decides the liveness of the own zone's endpoints: holds a lease for each, renewed by probes. Endpoints of
+/// zones that have no relay of their own left may be adopted: their own word and the machine list count, but
+/// silence does not, since the zone may be cut off from here and well. Evidence ranks: what a proxy saw on a
+/// request, then probes, then the machine list. Hints (probes, the list, leases that run out) never take a
+/// service below half of its endpoints; the last known state is kept instead.
 class EndpointMonitor {
  public:
   using Records = std::vector<view::EndpointRecordPointer>;
@@ -58,6 +61,11 @@
   /// Leases start anew when this relay becomes its zone's prober.
   void setActive(bool active, TimePoint now);
 
+  /// Zones besides the own one whose endpoints are looked after here.
+  void setAdopted(std::set<std::string> zones, TimePoint now);
+  /// @return all zones that have endpoints.
+  std::set<std::string> zones() const;
+
   std::vector<ProbeTarget> targets() const;
 
   /// @return the records that follow from the evidence, to be merged and published.
@@ -89,6 +97,9 @@
     bool suppressed = false;
   };
 
+  bool isOwn(const Watched& watched) const { return watched.spec.zone == options_.zone; }
+  bool isAdopted(const Watched& watched) const { return adopted_.contains(watched.spec.zone); }
+  bool isProbed(const Watched& watched) const { return (active_ && isOwn(watched)) || isAdopted(watched); }
   view::EndpointRecordPointer makeRecord(const view::EndpointId& id, const Watched& watched,
                                          std::uint64_t incarnation, wire::EndpointState state) const;
   bool isAvailable(const view::EndpointId& id) const;
@@ -100,7 +111,8 @@
   bool active_ = false;
   /// No lease runs out earlier.
   TimePoint check_at_ = TimePoint::max();
-  /// Endpoints of the own zone.
+  std::set<std::string> adopted_;
+  /// Endpoints of all zones.
   std::map<view::EndpointId, Watched> watched_;
   /// All endpoints of each service, over all zones; keys have an empty endpoint name.
   std::map<view::EndpointId, std::vector<view::EndpointId>> services_;
--- a/src/relay/peer_mesh.cpp
+++ b/src/relay/peer_mesh.cpp
@@ -159,6 +159,18 @@
   });
 }
 
+bool PeerMesh::hasPeerInZone(const std::string& zone) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&zone](const auto& item) {
+    return item.second.zone == zone && !item.second.links.empty();
+  });
+}
+
+bool PeerMesh::isSmallestLinked() const {
+  return std::none_of(peers_.begin(), peers_.end(), [this](const auto& item) {
+    return !item.second.links.empty() && item.first < options_.name;
+  });
+}
+
 std::vector<runtime::Address> PeerMesh::linkedAddresses() const {
   std::vector<runtime::Address> own_zone;
   std::vector<runtime::Address> others;
--- a/src/relay/peer_mesh.h
+++ b/src/relay/peer_mesh.h
@@ -43,6 +43,10 @@
   std::uint32_t remoteProxies() const;
   /// @return true if a linked relay of the own zone has a smaller name.
   bool hasSmallerPeerInZone() const;
+  /// @return true if a relay of that zone is linked.
+  bool hasPeerInZone(const std::string& zone) const;
+  /// @return true if no linked relay has a smaller name.
+  bool isSmallestLinked() const;
   /// @return addresses of the linked relays, those of the own zone first.
   std::vector<runtime::Address> linkedAddresses() const;
 
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -326,7 +326,6 @@
   proxies_.beginHandover(now);
   followers_.sendGoodbye();
   mesh_.stop();
-  monitor_.setActive(false, now);
 }
 
 bool RelayCore::stopped() const {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -89,6 +89,7 @@
   // Reports, orders and membership.
   void refreshMembership(TimePoint now);
   bool isProber() const;
+  void adoptOrphanZones(TimePoint now);
   FleetSummary ownSummary() const;
   std::uint32_t meshProxies() const;
   void reportUpstream(TimePoint now);
@@ -133,6 +134,8 @@
   std::uint32_t shared_among_ = 0;
   TimePoint last_share_;
   TimePoint share_at_ = TimePoint::max();
+  /// When it is looked at next which zones have no relay left.
+  TimePoint adopt_at_;
   bool stopping_ = false;
   TimePoint stop_deadline_ = TimePoint::max();
   bool stop_passed_ = false;
--- a/src/relay/relay_reports.cpp
+++ b/src/relay/relay_reports.cpp
@@ -1,5 +1,6 @@
 // The part of RelayCore that deals with endpoint records, reports upwards, and orders.
 #include <algorithm>
+#include <set>
 
 #include "base/event_log.h"
 #include "relay/events.h"
@@ -9,11 +10,34 @@
 
 using runtime::LinkId;
 
-bool RelayCore::isProber() const { return !stopping_ && !mesh_.hasSmallerPeerInZone(); }
+namespace {
+
+constexpr Duration kAdoptInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+/// Also while it stops: until its links end nobody else takes its zone over.
+bool RelayCore::isProber() const { return !mesh_.hasSmallerPeerInZone(); }
+
+/// A zone whose relays are all gone has nobody who asks its endpoints whether they leave. The linked relay of
+/// the smallest name does it meanwhile.
+void RelayCore::adoptOrphanZones(TimePoint now) {
+  if (now < adopt_at_) return;
+  adopt_at_ = now + kAdoptInterval;
+  std::set<std::string> orphans;
+  if (!stopping_ && mesh_.isSmallestLinked()) {
+    orphans = monitor_.zones();
+    std::erase_if(orphans, [this](const std::string& zone) {
+      return zone == options_.zone || mesh_.hasPeerInZone(zone);
+    });
+  }
+  monitor_.setAdopted(std::move(orphans), now);
+}
 
 /// Carries out what follows from links that came or went.
 void RelayCore::refreshMembership(TimePoint now) {
   monitor_.setActive(isProber(), now);
+  adoptOrphanZones(now);
   mesh_.setOwnProxies(static_cast<std::uint32_t>(proxies_.count()), now);
   // Whether there is something to report is looked at then, once for all events of the interval.
   if (upstream_.link())
--- a/src/runtime/process_core.h
+++ b/src/runtime/process_core.h
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "base/address.h"
 #include "base/time.h"
+#include "net/peer_identity.h"
 #include "schema/control_generated.h"
 
 namespace cometstand::runtime {
@@ -21,22 +23,8 @@
 /// Names one file operation of a core. Chosen by the core, rising.
 enum class WriteId : std::uint64_t {};
 
-/// Who the other end of a link is, as its certificate says. All fields are empty on plain TCP.
-struct PeerIdentity {
-  /// "store", "relay", "proxy" or "operator".
-  std::string role;
-  std::string name;
-  /// Set for operators.
-  std::string tenant;
-};
-
-struct Address {
-  /// IP address in text form.
-  std::string host;
-  std::uint16_t port = 0;
-  friend bool operator==(const Address&, const Address&) = default;
-  friend auto operator<=>(const Address&, const Address&) = default;  // NOLINT(modernize-use-nullptr)
-};
+using cometstand::Address;
+using net::PeerIdentity;
 
 using MessagePointer = std::shared_ptr<const wire::EnvelopeT>;
 
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -1807,6 +1807,7 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  uint32_t failure_permille = 0;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1827,7 +1828,8 @@
     VT_BODY = 16,
     VT_RUNNING = 18,
     VT_WAITING = 20,
-    VT_SLOTS = 22
+    VT_SLOTS = 22,
+    VT_FAILURE_PERMILLE = 24
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1859,6 +1861,9 @@
   uint32_t slots() const {
     return GetField<uint32_t>(VT_SLOTS, 0);
   }
+  uint32_t failure_permille() const {
+    return GetField<uint32_t>(VT_FAILURE_PERMILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1874,6 +1879,7 @@
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1915,6 +1921,9 @@
   void add_slots(uint32_t slots) {
     fbb_.AddElement<uint32_t>(ForwardReply::VT_SLOTS, slots, 0);
   }
+  void add_failure_permille(uint32_t failure_permille) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_FAILURE_PERMILLE, failure_permille, 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1937,8 +1946,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint32_t running = 0,
     uint32_t waiting = 0,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint32_t failure_permille = 0) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_failure_permille(failure_permille);
   builder_.add_slots(slots);
   builder_.add_waiting(waiting);
   builder_.add_running(running);
@@ -1968,7 +1979,8 @@
     const std::vector<uint8_t> *body = nullptr,
     uint32_t running = 0,
     uint32_t waiting = 0,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint32_t failure_permille = 0) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -1982,7 +1994,8 @@
       body__,
       running,
       waiting,
-      slots);
+      slots,
+      failure_permille);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2699,7 +2712,8 @@
         body(o.body),
         running(o.running),
         waiting(o.waiting),
-        slots(o.slots) {
+        slots(o.slots),
+        failure_permille(o.failure_permille) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -2715,6 +2729,7 @@
   std::swap(running, o.running);
   std::swap(waiting, o.waiting);
   std::swap(slots, o.slots);
+  std::swap(failure_permille, o.failure_permille);
   return *this;
 }
 
@@ -2737,6 +2752,7 @@
   { auto _e = running(); _o->running = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = slots(); _o->slots = _e; }
+  { auto _e = failure_permille(); _o->failure_permille = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2757,6 +2773,7 @@
   auto _running = _o->running;
   auto _waiting = _o->waiting;
   auto _slots = _o->slots;
+  auto _failure_permille = _o->failure_permille;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -2768,7 +2785,8 @@
       _body,
       _running,
       _waiting,
-      _slots);
+      _slots,
+      _failure_permille);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/settings/common_settings.cpp
+++ b/src/settings/common_settings.cpp
@@ -38,6 +38,10 @@
 void declareCommonSettings(SettingsTable& table, CommonSettings& settings) {
   table.choice("log.level", settings.log_level, {kLogLevels.begin(), kLogLevels.end()},
                "Events below this level are dropped.");
+  table.choice(
+      "log.format", settings.log_format, {"json", "text"},
+      "json: one object a line on standard output, bounded and never waited for; text: lines on standard "
+      "error.");
   table.address("listen.address", settings.listen, "Where the process accepts links from other processes.");
   table.address("admin.address", settings.admin,
                 "Where /metrics, /live and /ready are served over HTTP; none if not given.");
--- a/src/settings/common_settings.h
+++ b/src/settings/common_settings.h
@@ -19,6 +19,8 @@
 /// What store, relay and proxy have in common.
 struct CommonSettings {
   std::string log_level = "info";
+  /// "json" or "text".
+  std::string log_format = "json";
   runtime::Address listen;
   /// No listener if the host is empty.
   runtime::Address admin;
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -14,6 +14,12 @@
 constexpr double kRandomCost = 0.25;
 /// A body of this size costs as much again between zones as a request without one.
 constexpr double kUsualBytes = 20'000;
+/// What an endpoint costs that breaks off every answer, in units of a full target: the sound ones go first,
+/// and what they refuse goes there.
+constexpr double kFailureCost = 4;
+/// Its word on that counts half after this time, so that it is tried again.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+constexpr double kPermille = 1000;
 constexpr double kAvoidCost = 100;
 
 constexpr std::uint64_t kRandomSteps = 1'000;
@@ -57,6 +63,7 @@
   double score = requests / endpoint.slots + kRandomCost * spread;
   if (endpoint.zone != own_zone_)
     score += other_zone_cost_ * (1 + static_cast<double>(want.body_bytes) / kUsualBytes);
+  score += kFailureCost * endpoint.failure_rate / (1 + age / static_cast<double>(kFailureHalfLife.count()));
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
@@ -85,6 +92,7 @@
 
 void EndpointDirectory::onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) const {
   endpoint.reported_load = reply.running + reply.waiting;
+  endpoint.failure_rate = reply.failure_permille / kPermille;
   endpoint.reported_at = now;
 }
 
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -27,6 +27,8 @@
   unsigned outstanding = 0;
   /// Requests that the target had when it last answered this sidecar.
   unsigned reported_load = 0;
+  /// Share of the target's runs that lately ended without a whole answer, as its sidecar said.
+  double failure_rate = 0;
   TimePoint reported_at;
   /// Not chosen before, unless there is no other.
   TimePoint avoid_until;
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -44,8 +44,16 @@
                                                 "A configuration could not be read and was asked for again "
                                                 "in whole. Check that all machines run one release."};
 
+inline constexpr EventDefinition kCallAnswered{
+    7012, LogLevel::Info, "call_answered",
+    "A caller's request ended with the target's own answer. No action is needed."};
+inline constexpr EventDefinition kRunEnded{
+    7013, LogLevel::Info, "run_ended",
+    "A request that the gate passed to the target has ended there. The outcome says what is known of it."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked, kStoreLost,   kSourceChosen, kSourceLost,       kConfigurationInForce, kTargetChanged,
-    kCallEnded,   kCallRetried, kGateRefused,  kSidecarStopBegan, kUpdateRefused};
+    kStoreLinked,   kStoreLost,    kSourceChosen, kSourceLost,  kConfigurationInForce,
+    kTargetChanged, kCallEnded,    kCallRetried,  kGateRefused, kSidecarStopBegan,
+    kUpdateRefused, kCallAnswered, kRunEnded};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "settings/units.h"
 #include "sidecar/events.h"
 
 namespace cometstand::sidecar {
@@ -213,22 +214,36 @@
   calls_.erase(found);
 }
 
+/// The one line for a caller's request: what became of it, and by what.
+void OutboundCalls::logEnd(const CallState& call, const CallAnswer& answer, TimePoint now) const {
+  const bool is_answered = answer.outcome == CallOutcome::Answered;
+  logEvent(is_answered ? kCallAnswered : kCallEnded,
+           {{"request", call.request->request_id},
+            {"outcome", nameOf(answer.outcome)},
+            {"status", answer.reply.status},
+            {"route", call.route->name},
+            {"service", call.request->service},
+            {"endpoints", describeTried(call)},
+            {"revision", table_->revision()},
+            {"priority", call.request->priority},
+            {"objective_ms", call.request->objective_ms},
+            {"sendings", call.sendings},
+            {"refusals", call.refusals},
+            {"took_ms", ceilMilliseconds(now - call.began)},
+            {"left_ms", ceilMilliseconds(call.deadline - now)},
+            {"retry_after_ms", ceilMilliseconds(answer.retry_after)}});
+}
+
+std::string OutboundCalls::describeTried(const CallState& call) {
+  std::string text;
+  for (const auto& address : call.tried) text += (text.empty() ? "" : " ") + settings::formatAddress(address);
+  return text;
+}
+
 void OutboundCalls::finish(CallId id, CallAnswer answer, TimePoint now) {
   const auto found = calls_.find(id);
   const auto& call = found->second;
-  if (answer.outcome != CallOutcome::Answered) {
-    logEvent(kCallEnded, {{"request", call.request->request_id},
-                          {"outcome", nameOf(answer.outcome)},
-                          {"route", call.route->name},
-                          {"service", call.request->service},
-                          {"priority", call.request->priority},
-                          {"objective_ms", call.request->objective_ms},
-                          {"revision", table_->revision()},
-                          {"sendings", call.sendings},
-                          {"refusals", call.refusals},
-                          {"after_ms", ceilMilliseconds(now - call.began)},
-                          {"left_ms", ceilMilliseconds(call.deadline - now)}});
-  }
+  logEnd(call, answer, now);
   deadlines_.erase({call.deadline, id});
   calls_.erase(found);
   parts_.callers.answer(id, std::move(answer));
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -78,6 +78,8 @@
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
   void onFailed(CallId id, CallState& call, TimePoint now);
   void recall(CallState& call, TimePoint now);
+  void logEnd(const CallState& call, const CallAnswer& answer, TimePoint now) const;
+  static std::string describeTried(const CallState& call);
   void finish(CallId id, CallAnswer answer, TimePoint now);
   void finishNotRun(CallId id, TimePoint now);
   static EndpointWant wantOf(const CallState& call);
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -3,11 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/event_log.h"
+#include "sidecar/events.h"
+
 namespace cometstand::sidecar {
 namespace {
 
 /// Weight of the newest run in the smoothed run time.
 constexpr double kNewest = 0.1;
+constexpr double kPermille = 1000;
 /// A request with less time left is not worth a slot.
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(5);
 /// How long after a request's deadline the target's own word on it is waited for.
@@ -60,26 +64,38 @@
   reply.running = running();
   reply.waiting = waiting();
   reply.slots = slots();
+  reply.failure_permille = static_cast<std::uint32_t>(failure_rate_ * kPermille);
   answer_(asker, std::move(reply));
 }
 
-void TargetGate::refuse(const GateAsker& asker, wire::NotRunReason reason) {
+void TargetGate::refuse(const GateAsker& asker, const wire::ForwardRequestT& request,
+                        wire::NotRunReason reason) {
   wire::ForwardReplyT answer;
   answer.outcome = wire::ForwardOutcome::NotRun;
   answer.reason = reason;
   const Duration wait = std::max(expectedWait(UINT32_MAX), kLeastRetryAfter);
+  logEvent(kGateRefused, {{"request", request.request_id},
+                          {"reason", wire::EnumNameNotRunReason(reason)},
+                          {"service", request.service},
+                          {"instance", target_.instance()},
+                          {"sequence", target_.sequence()},
+                          {"running", running()},
+                          {"waiting", waiting()},
+                          {"slots", slots()},
+                          {"patience_ms", request.patience_ms},
+                          {"expected_wait_ms", ceilMilliseconds(wait)}});
   answer.retry_after_ms = static_cast<std::uint32_t>(ceilMilliseconds(wait));
   reply(asker, std::move(answer));
 }
 
 void TargetGate::admit(const GateAsker& asker, ForwardRequestPointer request, TimePoint now) {
   if (const auto reason = refusalOf(*request, now)) {
-    refuse(asker, *reason);
+    refuse(asker, *request, *reason);
     return;
   }
   const Duration left = std::chrono::milliseconds(request->deadline_ms);
   if (left < kLeastTimeLeft) {
-    refuse(asker, wire::NotRunReason::Deadline);
+    refuse(asker, *request, wire::NotRunReason::Deadline);
     return;
   }
   const TimePoint deadline = now + left;
@@ -90,7 +106,7 @@
   }
   const Duration patience = std::chrono::milliseconds(request->patience_ms);
   if (expectedWait(request->priority) > patience) {
-    refuse(asker, wire::NotRunReason::Full);
+    refuse(asker, *request, wire::NotRunReason::Full);
     return;
   }
   const TimePoint start_by = std::min(deadline, now + patience);
@@ -101,7 +117,7 @@
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
                        TimePoint now) {
   const RunId id{next_run_++};
-  running_.emplace(id, Running{asker, now, deadline});
+  running_.emplace(id, Running{asker, request, now, deadline});
   port_.run({id, request, target_.instance(), deadline - now});
 }
 
@@ -114,15 +130,27 @@
     const Waiting next = std::move(first->second);
     waiting_.erase(first);
     if (const auto reason = refusalOf(*next.request, now)) {
-      refuse(next.asker, *reason);
+      refuse(next.asker, *next.request, *reason);
     } else if (next.deadline - now < kLeastTimeLeft) {
-      refuse(next.asker, wire::NotRunReason::Deadline);
+      refuse(next.asker, *next.request, wire::NotRunReason::Deadline);
     } else {
       start(next.asker, next.request, next.deadline, now);
     }
   }
 }
 
+void TargetGate::logRun(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) const {
+  logEvent(kRunEnded, {{"request", run.request->request_id},
+                       {"outcome", wire::EnumNameForwardOutcome(reply.outcome)},
+                       {"status", reply.status},
+                       {"instance", target_.instance()},
+                       {"service", run.request->service},
+                       {"took_ms", ceilMilliseconds(now - run.started)},
+                       {"left_ms", ceilMilliseconds(run.deadline - now)},
+                       {"running", running()},
+                       {"retry", run.request->is_retry}});
+}
+
 void TargetGate::cancel(const GateAsker& asker, TimePoint now) {
   std::erase_if(waiting_, [&asker](const auto& item) { return item.second.asker == asker; });
   const auto run = std::find_if(running_.begin(), running_.end(),
@@ -148,33 +176,41 @@
   if (run == running_.end()) return;
   const Running finished = run->second;
   running_.erase(run);
-  if (result.reply.outcome == wire::ForwardOutcome::Answered) {
-    const auto time = static_cast<double>((now - finished.started).count());
-    mean_run_time_ = mean_run_time_ == 0 ? time : mean_run_time_ + kNewest * (time - mean_run_time_);
-  }
+  noteOutcome(result.reply, finished.started, now);
+  logRun(finished, result.reply, now);
   startWaiting(now);
   reply(finished.asker, std::move(result.reply));
 }
 
+void TargetGate::noteOutcome(const wire::ForwardReplyT& reply, TimePoint started, TimePoint now) {
+  if (reply.outcome == wire::ForwardOutcome::NotRun) return;
+  const bool is_failure = reply.outcome == wire::ForwardOutcome::Unknown;
+  failure_rate_ += kNewest * ((is_failure ? 1 : 0) - failure_rate_);
+  if (is_failure) return;
+  const auto time = static_cast<double>((now - started).count());
+  mean_run_time_ = mean_run_time_ == 0 ? time : mean_run_time_ + kNewest * (time - mean_run_time_);
+}
+
 void TargetGate::onTimer(TimePoint now) {
-  std::vector<GateAsker> late;
+  std::vector<Waiting> late;
   std::erase_if(waiting_, [&](const auto& item) {
     if (item.second.start_by > now) return false;
-    late.push_back(item.second.asker);
+    late.push_back(item.second);
     return true;
   });
-  for (const auto& asker : late) refuse(asker, wire::NotRunReason::Full);
-  std::vector<GateAsker> overdue;
+  for (const auto& waiting : late) refuse(waiting.asker, *waiting.request, wire::NotRunReason::Full);
+  std::vector<Running> overdue;
   std::erase_if(running_, [&](const auto& item) {
     if (item.second.deadline + kAnswerGrace > now) return false;
     port_.cancel(item.first);
-    overdue.push_back(item.second.asker);
+    overdue.push_back(item.second);
     return true;
   });
-  for (const auto& asker : overdue) {
+  for (const auto& run : overdue) {
     wire::ForwardReplyT answer;
     answer.outcome = wire::ForwardOutcome::Unknown;
-    reply(asker, std::move(answer));
+    logRun(run, answer, now);
+    reply(run.asker, std::move(answer));
   }
   startWaiting(now);
 }
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -71,6 +71,7 @@
   };
   struct Running {
     GateAsker asker;
+    ForwardRequestPointer request;
     TimePoint started;
     TimePoint deadline;
   };
@@ -83,9 +84,11 @@
   unsigned slotsFor(std::uint32_t objective_ms) const;
   bool hasSlotFor(std::uint32_t objective_ms) const { return running_.size() < slotsFor(objective_ms); }
   void noteObjective(std::uint32_t objective_ms, TimePoint now);
-  void refuse(const GateAsker& asker, wire::NotRunReason reason);
+  void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason);
   void start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline, TimePoint now);
   void startWaiting(TimePoint now);
+  void noteOutcome(const wire::ForwardReplyT& reply, TimePoint started, TimePoint now);
+  void logRun(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) const;
   void reply(const GateAsker& asker, wire::ForwardReplyT reply);
 
   const SidecarOptions& options_;
@@ -98,6 +101,8 @@
   std::uint64_t next_run_ = 1;
   /// Smoothed time that the target takes for a request, in microseconds.
   double mean_run_time_ = 0;
+  /// Smoothed share of runs that ended without a whole answer.
+  double failure_rate_ = 0;
   std::optional<TimePoint> stopping_since_;
   /// The shortest objective that came lately, in milliseconds; a large number for none.
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -51,6 +51,8 @@
   const std::string& instance() const { return beat_.instance; }
   const std::string& service() const { return beat_.service; }
   unsigned slots() const { return beat_.slots; }
+  /// @return number of the heartbeat that this is known from; 0 if the target was asked.
+  std::uint64_t sequence() const { return beat_.sequence; }
   /// @return until when the target is slow from its start.
   TimePoint coldUntil() const { return cold_until_; }
   /// When the target began to leave.
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Bounds of the voters of a cluster that keeps itself.
+constexpr std::size_t kLeastVoters = 3;
+constexpr std::size_t kMostVoters = 9;
 constexpr std::uint64_t kMaxId = std::numeric_limits<std::int64_t>::max();
 
 void declareReplicas(settings::SettingsTable& table, StoreSettings& store) {
@@ -43,9 +46,9 @@
       "Where the first voters listen. With it, replicas form the cluster, join it and replace each other "
       "without an operator, and store.replicas is not given.");
   table.integer<std::size_t>(
-      "store.tolerated_losses", store.tolerated_losses, {1, 4},
+      "store.tolerated_losses", store.tolerated_losses, {0, 1'000},
       "Replicas that may be lost at once, with their disks. With store.seeds, the cluster "
-      "keeps twice as many voters and one more, as far as there are replicas.");
+      "keeps twice as many voters and one more, from 3 to 9, as far as there are replicas.");
   table.duration(
       "store.replace_silent_after", store.options.replace_silent_after, {milliseconds(100), hours(24)},
       "With store.seeds: a voter without an answer for this long gives its place to a replica that has "
@@ -189,7 +192,7 @@
 
 void completeStoreOptions(StoreSettings& store) {
   if (store.advertise.host.empty()) store.advertise = store.common.listen;
-  store.options.voters = 2 * store.tolerated_losses + 1;
+  store.options.voters = std::clamp<std::size_t>(2 * store.tolerated_losses + 1, kLeastVoters, kMostVoters);
   store.options.self = toReplica({store.id, store.name, store.advertise, store.common.region});
   store.options.self.zone = store.common.zone;
   store.options.initial_voters.clear();
--- a/tests/relay/endpoints_test.cpp
+++ b/tests/relay/endpoints_test.cpp
@@ -212,6 +212,46 @@
   CHECK(relay.core.probeTargets().size() == targets);
 }
 
+TEST_CASE("a relay that stops asks its endpoints until it has ended") {
+  EndpointFixture relay;
+  const auto targets = relay.core.probeTargets().size();
+  relay.core.beginStop(relay.driver.now());
+  CHECK(relay.core.probeTargets().size() == targets);
+}
+
+// astana seeds 989 and 7340250 of the simulator: nobody asked the endpoints of a zone whose relay was gone.
+TEST_CASE("endpoints of a zone without any relay left are looked after by another zone's relay") {
+  EndpointFixture relay;
+  auto far = config::test::endpoint("far", 9009);
+  far.zone = "krk-b";
+  std::vector<wire::EndpointSpecT> specs{far};
+  for (int i = 1; i <= 3; ++i) {
+    specs.push_back(config::test::endpoint("e" + std::to_string(i), static_cast<std::uint16_t>(9000 + i)));
+  }
+  relay.receiveDelta({changeAt(12, config::test::putService("napisy", "editor-desk", specs))}, 12);
+  const auto isProbed = [&relay] {
+    const auto targets = relay.core.probeTargets();
+    return std::any_of(targets.begin(), targets.end(),
+                       [](const ProbeTarget& target) { return target.endpoint.endpoint == "far"; });
+  };
+  const LinkId peer = relay.joinPeer("relay-b1", "krk-b");
+  relay.advanceWithBeats(1);
+  CHECK_FALSE(isProbed());
+  relay.driver.lose(peer);
+  relay.advanceWithBeats(2);
+  REQUIRE(isProbed());
+  relay.probe("far", EndpointState::Live);
+  // The zone may be cut off from here and well: silence says nothing.
+  relay.advanceWithBeats(20);
+  CHECK(relay.state("far") == EndpointState::Live);
+  relay.probeAll({"e1", "e2", "e3"}, EndpointState::Live);
+  relay.probe("far", EndpointState::Leaving);
+  CHECK(relay.state("far") == EndpointState::Leaving);
+  relay.joinPeer("relay-b1", "krk-b");
+  relay.advanceWithBeats(2);
+  CHECK_FALSE(isProbed());
+}
+
 TEST_CASE("proxies are told how many share each endpoint's connections") {
   EndpointFixture relay;
   relay.driver.advance(seconds(2));
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -118,6 +118,30 @@
   CHECK(fixture.target.orders.size() == 1);
 }
 
+// wn-mesh, the incident of 2026-12-02: targets that broke off their answers looked idle and drew the most
+// requests.
+TEST_CASE("the gate tells how many of its target's runs fail, and a failing endpoint is chosen last") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  for (std::uint64_t number = 1; number <= 20; ++number) {
+    fixture.admit(number);
+    RunResult result;
+    result.reply.outcome = ForwardOutcome::Unknown;
+    fixture.gate.onResult(fixture.target.orders.back().id, result, fixture.now);
+  }
+  const auto& reply = fixture.replies.at(20);
+  CHECK(reply.failure_permille > 800);
+
+  SidecarFixture sidecar;
+  sidecar.configure();
+  sidecar.addPeer(SidecarFixture::kPeer);
+  sidecar.addPeer(SidecarFixture::kOtherPeer);
+  sidecar.say(SidecarFixture::kPeer, reply, 0);
+  for (int i = 0; i < 2; ++i) sidecar.call("/write/1");
+  CHECK(sidecar.forwardsTo(SidecarFixture::kPeer).empty());
+  CHECK(sidecar.forwardsTo(SidecarFixture::kOtherPeer).size() == 2);
+}
+
 TEST_CASE("a request for another service is refused as not run") {
   GateFixture fixture;
   auto beat = SidecarFixture::makeBeat("a", 1);
