--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -39,7 +39,7 @@
 }
 
 std::optional<Address> PeerLinks::onLinkOpened(LinkId link) {
-  const auto address = addressOf(link);
+  auto address = addressOf(link);
   if (!address) return std::nullopt;
   auto& peer = peers_.at(*address);
   peer.is_open = true;
@@ -48,7 +48,7 @@
 }
 
 std::optional<Address> PeerLinks::onLinkClosed(LinkId link, TimePoint now) {
-  const auto address = addressOf(link);
+  auto address = addressOf(link);
   if (!address) return std::nullopt;
   addresses_.erase(link);
   auto& peer = peers_.at(*address);
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -71,7 +71,6 @@
   PeerLinks peers_;
   TargetGate gate_;
   OutboundCalls calls_;
-  std::uint64_t record_sequence_ = 0;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
   bool stopped_ = false;
--- a/tests/net/tls_context_test.cpp
+++ b/tests/net/tls_context_test.cpp
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "net/link.h"
 #include "rehearsal/certificates/certificate_maker.h"
+#include "runtime/process_core.h"
 
 using namespace cometstand;
 namespace asio = boost::asio;
@@ -42,8 +43,8 @@
 
 /// What both ends of one connection saw.
 struct Meeting {
-  std::optional<PeerIdentity> seen_by_server;
-  std::optional<PeerIdentity> seen_by_client;
+  std::optional<net::PeerIdentity> seen_by_server;
+  std::optional<net::PeerIdentity> seen_by_client;
   bool server_got_message = false;
   bool server_closed = false;
   bool client_closed = false;
@@ -61,14 +62,14 @@
         std::move(socket), server_tls,
         net::LinkHandlers{[&](const wire::EnvelopeT&) { meeting.server_got_message = true; },
                           [&](const std::string&) { meeting.server_closed = true; }});
-    server->accept([&](const PeerIdentity& peer) { meeting.seen_by_server = peer; });
+    server->accept([&](const net::PeerIdentity& peer) { meeting.seen_by_server = peer; });
   });
   auto client = std::make_shared<net::Link>(
       tcp::socket(io), client_tls,
       net::LinkHandlers{[](const wire::EnvelopeT&) {},
                         [&](const std::string&) { meeting.client_closed = true; }});
   client->connect({"127.0.0.1", acceptor.local_endpoint().port()}, kWaitLimit,
-                  [&](const PeerIdentity& peer) {
+                  [&](const net::PeerIdentity& peer) {
                     meeting.seen_by_client = peer;
                     client->send(runtime::makeEnvelope(wire::StatusRequestT{}));
                   });
--- a/tests/relay/endpoints_test.cpp
+++ b/tests/relay/endpoints_test.cpp
@@ -229,17 +229,17 @@
     specs.push_back(config::test::endpoint("e" + std::to_string(i), static_cast<std::uint16_t>(9000 + i)));
   }
   relay.receiveDelta({changeAt(12, config::test::putService("napisy", "editor-desk", specs))}, 12);
-  const auto isProbed = [&relay] {
+  const auto is_probed = [&relay] {
     const auto targets = relay.core.probeTargets();
     return std::any_of(targets.begin(), targets.end(),
                        [](const ProbeTarget& target) { return target.endpoint.endpoint == "far"; });
   };
   const LinkId peer = relay.joinPeer("relay-b1", "krk-b");
   relay.advanceWithBeats(1);
-  CHECK_FALSE(isProbed());
+  CHECK_FALSE(is_probed());
   relay.driver.lose(peer);
   relay.advanceWithBeats(2);
-  REQUIRE(isProbed());
+  REQUIRE(is_probed());
   relay.probe("far", EndpointState::Live);
   // The zone may be cut off from here and well: silence says nothing.
   relay.advanceWithBeats(20);
@@ -249,7 +249,7 @@
   CHECK(relay.state("far") == EndpointState::Leaving);
   relay.joinPeer("relay-b1", "krk-b");
   relay.advanceWithBeats(2);
-  CHECK_FALSE(isProbed());
+  CHECK_FALSE(is_probed());
 }
 
 TEST_CASE("proxies are told how many share each endpoint's connections") {
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -31,7 +31,8 @@
 class RecordingCallers : public CallerPort {
  public:
   void answer(CallId id, CallAnswer answer) override {
-    REQUIRE(answers.emplace(id, std::move(answer)).second);
+    const bool is_first = answers.emplace(id, std::move(answer)).second;
+    REQUIRE(is_first);
   }
 
   std::map<CallId, CallAnswer> answers;
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -12,7 +12,8 @@
  public:
   GateFixture()
       : gate(options, target, [this](const GateAsker& asker, wire::ForwardReplyT reply) {
-          REQUIRE(replies.emplace(asker.request_id, std::move(reply)).second);
+          const bool is_first = replies.emplace(asker.request_id, std::move(reply)).second;
+          REQUIRE(is_first);
         }) {}
 
   void admit(std::uint64_t number, unsigned priority = 1, std::uint32_t deadline_ms = 1'000) {
--- a/tests/store/self_forming_test.cpp
+++ b/tests/store/self_forming_test.cpp
@@ -301,7 +301,7 @@
   report.records[0]->endpoint = "instance-2";
   report.records[0]->state = wire::EndpointState::Live;
   cluster.network.send(other, runtime::makeEnvelope(report));
-  const auto lastState = [&] {
+  const auto last_state = [&] {
     std::optional<wire::EndpointState> state;
     for (const auto& message : cluster.network.received(node)) {
       const auto* records = message.body.AsEndpointUpdate();
@@ -310,12 +310,12 @@
     return state;
   };
   cluster.network.runFor(milliseconds(100));
-  CHECK(lastState() == wire::EndpointState::Live);
+  CHECK(last_state() == wire::EndpointState::Live);
   cluster.network.disconnect(other);
   cluster.network.runFor(seconds(1));
-  CHECK(lastState() == wire::EndpointState::Live);
+  CHECK(last_state() == wire::EndpointState::Live);
   cluster.network.runFor(seconds(2));
-  CHECK(lastState() == wire::EndpointState::Gone);
+  CHECK(last_state() == wire::EndpointState::Gone);
 }
 
 }  // namespace cometstand::store::test
