Wait for room on a full disk instead of leaving the cluster for good

Cause: a store whose disk was full once reported the write as failed, took no part any more and was never restarted. Ruled out: the election (the last leader was Failed, not deposed); replacement of voters (it worked until no learner was left). Change: DataFolder tries an operation again that found no room, after cutting a torn record off; a full disk is then the same as one that hangs. Other failures are as before: the replica leaves. The first test fails without the change.

--- a/src/runtime/data_folder.cpp
+++ b/src/runtime/data_folder.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,9 +12,13 @@
 #include <fstream>
 #include <iterator>
 #include <span>
+#include <thread>
 #include <utility>
 
 #include "base/error.h"
+#include "base/event_log.h"
+#include "base/time.h"
+#include "runtime/events.h"
 
 namespace cometstand::runtime {
 namespace {
@@ -21,9 +26,20 @@
 constexpr const char* kLockFile = "lock";
 constexpr const char* kTemporarySuffix = ".tmp";
 constexpr mode_t kPrivateFile = 0600;
+/// Pause before an operation is tried again that found the disk full.
+constexpr auto kFullDiskPause = std::chrono::milliseconds(100);
+
+/// The disk has no room; nothing of the operation is left behind.
+class DiskFullError : public Error {
+ public:
+  using Error::Error;
+};
 
 [[noreturn]] void throwSystemError(const std::string& what, const std::string& remedy) {
-  throw Error(ErrorKind::InputOutput, fmt::format("{}: {}", what, std::strerror(errno)), remedy);
+  const int reason = errno;
+  const std::string text = fmt::format("{}: {}", what, std::strerror(reason));
+  if (reason == ENOSPC || reason == EDQUOT) throw DiskFullError(ErrorKind::InputOutput, text, remedy);
+  throw Error(ErrorKind::InputOutput, text, remedy);
 }
 
 /// Closes its file descriptor when it goes out of scope.
@@ -46,11 +62,41 @@
     }
   }
 
+  /// After a failure the system may have dropped what earlier operations wrote, so it is never a
+  /// DiskFullError.
   void sync() const {
-    if (::fsync(value_) != 0) throwSystemError("cannot sync", "replace the data folder's disk");
+    if (::fsync(value_) == 0) return;
+    throw Error(ErrorKind::InputOutput, fmt::format("cannot sync: {}", std::strerror(errno)),
+                "replace the data folder's disk");
+  }
+
+  /// Appends all of the bytes or, on failure, none.
+  void appendAll(std::span<const std::uint8_t> bytes) const {
+    const off_t size = sizeNow();
+    try {
+      writeAll(bytes);
+    } catch (const DiskFullError&) {
+      cutTo(size);
+      throw;
+    }
   }
 
  private:
+  off_t sizeNow() const {
+    struct stat status {};
+    if (::fstat(value_, &status) != 0)
+      throwSystemError("cannot read the size", "replace the data folder's disk");
+    return status.st_size;
+  }
+
+  /// @throw Error, never a DiskFullError, if the file cannot be cut: a torn record would stay before the
+  /// next.
+  void cutTo(off_t size) const {
+    if (sizeNow() == size || ::ftruncate(value_, size) == 0) return;
+    throw Error(ErrorKind::InputOutput, fmt::format("cannot cut a torn record off: {}", std::strerror(errno)),
+                "replace the data folder's disk");
+  }
+
   int value_;
 };
 
@@ -109,7 +155,7 @@
                             writes[i + 1].file == writes[i].file;
     if (first_failure_.empty()) {
       try {
-        applyOne(writes[i], !next_joins);
+        applyWhenThereIsRoom(writes[i], !next_joins);
       } catch (const Error& error) {
         first_failure_ = error.what();
         // Earlier appends of this run may not be synced either.
@@ -122,6 +168,22 @@
   return results;
 }
 
+void DataFolder::applyWhenThereIsRoom(const FileWrite& write, bool sync_now) {
+  bool was_full = false;
+  while (true) {
+    try {
+      applyOne(write, sync_now);
+      if (was_full) logEvent(kDiskHasRoom, {{"file", write.file}});
+      return;
+    } catch (const DiskFullError& error) {
+      if (interrupted_) throw;
+      if (!was_full) logEvent(kDiskFull, {{"file", write.file}, {"reason", error.what()}});
+      was_full = true;
+    }
+    std::this_thread::sleep_for(kFullDiskPause);
+  }
+}
+
 void DataFolder::applyOne(const FileWrite& write, bool sync_now) {
   switch (write.mode) {
     case FileWriteMode::Append:
@@ -140,7 +202,7 @@
   const auto path = path_ / write.file;
   const bool is_new = !std::filesystem::exists(path);
   const Descriptor descriptor(path, O_WRONLY | O_APPEND | O_CREAT);
-  descriptor.writeAll(write.bytes);
+  descriptor.appendAll(write.bytes);
   if (sync_now) descriptor.sync();
   if (is_new) syncFolder();
 }
--- a/src/runtime/data_folder.h
+++ b/src/runtime/data_folder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -15,7 +16,7 @@
   std::string error;
 };
 
-/// A process's data folder on a real disk. Used by one thread at a time.
+/// A process's data folder on a real disk. Used by one thread at a time, but for interrupt().
 class DataFolder : public FileReader {
  public:
   /// Creates the folder if it is missing and takes an exclusive lock on it.
@@ -29,11 +30,18 @@
   std::optional<std::vector<std::uint8_t>> read(const std::string& file) const override;
   std::vector<std::string> list() const override;
 
-  /// Carries out the operations in order. Neighbouring appends to one file are synced together. After a
-  /// failure the remaining operations are not tried and reported as failed, now and in later calls.
+  /// Carries out the operations in order. Neighbouring appends to one file are synced together. While the
+  /// disk is full, the operation that found it full is tried again and the call does not return: the folder
+  /// is then no worse than one on a disk that hangs. After any other failure the remaining operations are not
+  /// tried and reported as failed, now and in later calls.
   std::vector<FileWriteResult> apply(const std::vector<FileWrite>& writes);
 
+  /// From now on a full disk is a failure like any other: apply() returns soon. For the end of the process;
+  /// any thread.
+  void interrupt() { interrupted_ = true; }
+
  private:
+  void applyWhenThereIsRoom(const FileWrite& write, bool sync_now);
   void applyOne(const FileWrite& write, bool sync_now);
   void append(const FileWrite& write, bool sync_now) const;
   void replace(const FileWrite& write) const;
@@ -43,6 +51,7 @@
   std::filesystem::path path_;
   int lock_descriptor_ = -1;
   std::string first_failure_;
+  std::atomic<bool> interrupted_ = false;
 };
 
 /// The data folder of a process that keeps nothing.
--- a/src/runtime/events.h
+++ b/src/runtime/events.h
@@ -15,6 +15,15 @@
     1003, LogLevel::Error, "file_write_failed",
     "The data folder could not be written. Free space or replace the disk, then restart the process."};
 
-inline constexpr std::array kRuntimeEvents{kAcceptFailed, kLinkClosed, kFileWriteFailed};
+inline constexpr EventDefinition kDiskFull{1004, LogLevel::Error, "disk_full",
+                                           "The data folder's disk has no room. The process goes on and "
+                                           "tries again; nothing that waits for this write "
+                                           "is acknowledged. Free space on the disk."};
+inline constexpr EventDefinition kDiskHasRoom{
+    1005, LogLevel::Info, "disk_has_room",
+    "A write that found the disk full has succeeded. No action is needed."};
+
+inline constexpr std::array kRuntimeEvents{kAcceptFailed, kLinkClosed, kFileWriteFailed, kDiskFull,
+                                           kDiskHasRoom};
 
 }  // namespace cometstand::runtime
--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -33,7 +33,10 @@
   }
 }
 
-ProcessRunner::~ProcessRunner() { disk_thread_.join(); }
+ProcessRunner::~ProcessRunner() {
+  if (folder_) folder_->interrupt();
+  disk_thread_.join();
+}
 
 void ProcessRunner::start() {
   const EmptyFileReader no_files;
--- a/tests/runtime/data_folder_test.cpp
+++ b/tests/runtime/data_folder_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <future>
 
 #include "base/error.h"
 
@@ -75,5 +76,34 @@
   CHECK_FALSE(results[0].error.empty());
 }
 
+/// Makes the folder's file one that has no room for a byte; the folder's next operation finds it full.
+void makeFull(const std::filesystem::path& folder) {
+  std::filesystem::create_symlink("/dev/full", folder / "file");
+}
+
+TEST_CASE("an operation on a full disk is carried out once there is room", "[data_folder]") {
+  const TemporaryFolder temporary;
+  DataFolder folder(temporary.path());
+  makeFull(temporary.path());
+  auto results = std::async(std::launch::async, [&folder] {
+    return folder.apply({write(1, FileWriteMode::Append, {1}), write(2, FileWriteMode::Append, {2})});
+  });
+  // It has to fail at least once; however long it takes, it does not end before there is room.
+  CHECK(results.wait_for(std::chrono::milliseconds(50)) == std::future_status::timeout);
+  std::filesystem::remove(temporary.path() / "file");
+  for (const auto& result : results.get()) CHECK(result.error.empty());
+  CHECK(folder.read("file") == std::vector<std::uint8_t>{1, 2});
+}
+
+TEST_CASE("an operation that waits for room ends when it is interrupted", "[data_folder]") {
+  const TemporaryFolder temporary;
+  DataFolder folder(temporary.path());
+  makeFull(temporary.path());
+  auto results = std::async(std::launch::async,
+                            [&folder] { return folder.apply({write(1, FileWriteMode::Append, {1})}); });
+  folder.interrupt();
+  CHECK_FALSE(results.get().at(0).error.empty());
+}
+
 }  // namespace
 }  // namespace cometstand::runtime
