Settings are read again on SIGHUP and when the file changes

Seeds that a running process is given later are tried beside the stores that it knows; a file that cannot be read is logged, and the process goes on with what it had. Until now SIGHUP was ignored. Tests: tests/admin (signal, changed file, bad file), tests/sidecar.

--- a/src/admin/events.h
+++ b/src/admin/events.h
@@ -22,7 +22,16 @@
     6005, LogLevel::Warning, "admin_accept_failed",
     "A connection to the admin pages could not be accepted. Raise the limit on open files if this repeats."};
 
-inline constexpr std::array kAdminEvents{kProgramStarted, kTlsDisabled, kStopRequested, kProgramStopped,
-                                         kAdminAcceptFailed};
+inline constexpr EventDefinition kSettingsReloaded{
+    6006, LogLevel::Info, "settings_reloaded",
+    "The settings were read again and what can change meanwhile was taken over. No action is needed."};
+inline constexpr EventDefinition kSettingsRefused{6007, LogLevel::Error, "settings_refused",
+                                                  "The settings could not be read again; the program goes on "
+                                                  "with what it had. Correct the file; it is read again "
+                                                  "once its text changes."};
+
+inline constexpr std::array kAdminEvents{kProgramStarted, kTlsDisabled,       kStopRequested,
+                                         kProgramStopped, kAdminAcceptFailed, kSettingsReloaded,
+                                         kSettingsRefused};
 
 }  // namespace cometstand::admin
--- a/src/admin/program_host.cpp
+++ b/src/admin/program_host.cpp
@@ -6,12 +6,20 @@
 
 #include "admin/events.h"
 #include "admin/process_usage.h"
+#include "base/error.h"
 #include "net/tls_context.h"
 #include "settings/program.h"
 #include "settings/units.h"
 
 namespace cometstand::admin {
 
+namespace {
+
+/// How often the settings file is compared with what was read.
+constexpr auto kSettingsWatchInterval = std::chrono::seconds(1);
+
+}  // namespace
+
 /// The program's own pages, with what is true of every program.
 class ProgramHost::HostPages : public AdminPages {
  public:
@@ -44,7 +52,7 @@
 
 ProgramHost::ProgramHost(std::string program, const settings::CommonSettings& common,
                          runtime::ProcessCore& core, const AdminPages& pages)
-    : program_(std::move(program)), signals_(io_, SIGTERM, SIGINT) {
+    : program_(std::move(program)), signals_(io_, SIGTERM, SIGINT, SIGHUP) {
   settings::applyLogLevel(common);
   setLogFormat(common.log_format == "json" ? LogFormat::Json : LogFormat::Text);
   if (common.tls.enabled) {
@@ -73,6 +81,7 @@
   for (const auto& begin : starts_) begin();
   if (admin_) admin_->start();
   awaitSignal();
+  if (source_ != nullptr) watchSettings();
   logStart();
   io_.run();
   logEvent(kProgramStopped, {{"program", program_}});
@@ -86,11 +95,39 @@
 void ProgramHost::awaitSignal() {
   signals_.async_wait([this](boost::system::error_code error, int signal) {
     if (error) return;
-    requestStop(signal == SIGINT ? "SIGINT" : "SIGTERM");
+    if (signal == SIGHUP) {
+      reload("SIGHUP");
+    } else {
+      requestStop(signal == SIGINT ? "SIGINT" : "SIGTERM");
+    }
     awaitSignal();
   });
 }
 
+void ProgramHost::setReload(settings::SettingsSource& source, std::function<void()> reload) {
+  source_ = &source;
+  reload_ = std::move(reload);
+}
+
+void ProgramHost::watchSettings() {
+  watch_timer_.expires_after(kSettingsWatchInterval);
+  watch_timer_.async_wait([this](boost::system::error_code error) {
+    if (error || stopping_) return;
+    if (source_->hasChanged()) reload("the file has another text");
+    watchSettings();
+  });
+}
+
+void ProgramHost::reload(const std::string& reason) {
+  if (!reload_ || stopping_) return;
+  try {
+    reload_();
+    logEvent(kSettingsReloaded, {{"reason", reason}});
+  } catch (const Error& error) {
+    logEvent(kSettingsRefused, {{"reason", reason}, {"error", error.what()}});
+  }
+}
+
 void ProgramHost::runStopStep(std::size_t index) {
   if (index == stop_steps_.size()) return runner_->beginStop();
   stop_steps_[index]([this, index] { boost::asio::post(io_, [this, index] { runStopStep(index + 1); }); });
--- a/src/admin/program_host.h
+++ b/src/admin/program_host.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,12 +13,13 @@
 #include "admin/admin_server.h"
 #include "runtime/process_runner.h"
 #include "settings/common_settings.h"
+#include "settings/settings_source.h"
 
 namespace cometstand::admin {
 
 /// What store, relay and proxy have in common while they run: the io_context, the runner of the core, TLS or
-/// plain TCP (logged as a warning), the admin pages, and the planned stop on SIGTERM or SIGINT. One thread
-/// runs all of it.
+/// plain TCP (logged as a warning), the admin pages, settings that are read again on SIGHUP, and the planned
+/// stop on SIGTERM or SIGINT. One thread runs all of it.
 ///
 ///     StoreCore core(options, systemSeed());
 ///     const StorePages pages(core);  // an AdminPages
@@ -48,6 +50,13 @@
   /// follows the last one.
   void addStopStep(StopStep step) { stop_steps_.push_back(std::move(step)); }
 
+  /// Has the settings read again on SIGHUP, and once the settings file has another text. Without it, SIGHUP
+  /// is ignored.
+  /// @param source must outlive the host.
+  /// @param reload loads the settings and takes over what can change while the program runs; an Error that it
+  /// throws is logged, and the program goes on with what it had.
+  void setReload(settings::SettingsSource& source, std::function<void()> reload);
+
   /// Begins the planned stop, as SIGTERM does; a second call does nothing. May be called from within the
   /// core.
   /// @param reason for the log.
@@ -65,6 +74,8 @@
   class HostPages;
 
   void awaitSignal();
+  void watchSettings();
+  void reload(const std::string& reason);
   void runStopStep(std::size_t index);
   void logStart() const;
 
@@ -77,6 +88,9 @@
   std::unique_ptr<AdminServer> admin_;
   std::vector<std::function<void()>> starts_;
   std::vector<StopStep> stop_steps_;
+  settings::SettingsSource* source_ = nullptr;
+  std::function<void()> reload_;
+  boost::asio::steady_timer watch_timer_{io_};
   bool stopping_ = false;
 };
 
--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -5,9 +5,9 @@
 
 #include <cstdio>
 #include <exception>
+#include <optional>
 
 #include "base/error.h"
-#include "settings/settings_file.h"
 
 namespace cometstand::settings {
 namespace {
@@ -49,14 +49,20 @@
 
 int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
                const std::function<int()>& body) {
+  return runProgram(argc, argv, info, table, [&body](SettingsSource&) { return body(); });
+}
+
+int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
+               const std::function<int(SettingsSource&)>& body) {
+  std::optional<SettingsSource> source;
   try {
     const auto arguments = parseProgramArguments(argc, argv, info);
     if (arguments.describe_settings) {
       fmt::print("{}", describeAsMarkdown(table));
       return kExitSuccess;
     }
-    const auto& path = arguments.settings_file;
-    table.load(path.empty() ? SettingGroup() : readSettingsFile(path), arguments.overrides);
+    source.emplace(arguments.settings_file, arguments.overrides);
+    source->load(table);
     if (arguments.check_settings) return kExitSuccess;
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
@@ -64,7 +70,7 @@
     printError(info, error);
     return kExitUsage;
   }
-  return runBody(info, body);
+  return runBody(info, [&] { return body(*source); });
 }
 
 }  // namespace cometstand::settings
--- a/src/settings/program.h
+++ b/src/settings/program.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "settings/settings_table.h"
+#include "settings/settings_source.h"
 
 namespace cometstand::settings {
 
@@ -48,4 +48,9 @@
 int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
                const std::function<int()>& body);
 
+/// The same for a program that reads its settings again while it runs.
+/// @param body is handed where the settings came from.
+int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
+               const std::function<int(SettingsSource&)>& body);
+
 }  // namespace cometstand::settings
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -29,8 +29,11 @@
                              RandomSource& random, ControlListener& listener)
     : options_(options), actions_(actions), listener_(listener), links_(actions, random) {}
 
-void ControlClient::begin(TimePoint now) {
-  for (const auto& seed : options_.seeds) {
+void ControlClient::begin(TimePoint now) { setSeeds(options_.seeds, now); }
+
+void ControlClient::setSeeds(std::vector<Address> seeds, TimePoint now) {
+  seeds_ = std::move(seeds);
+  for (const auto& seed : seeds_) {
     stores_[seed].named_at = now;
     links_.add(seed, now);
   }
@@ -182,9 +185,8 @@
     store.is_current = false;
   }
   chooseSource();
-  const auto& seeds = options_.seeds;
   for (auto store = stores_.begin(); store != stores_.end();) {
-    const bool is_seed = std::find(seeds.begin(), seeds.end(), store->first) != seeds.end();
+    const bool is_seed = std::find(seeds_.begin(), seeds_.end(), store->first) != seeds_.end();
     const bool is_kept =
         is_seed || links_.linkTo(store->first) || store->second.named_at + kUnnamedLease > now;
     if (is_kept) {
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -40,6 +40,9 @@
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
 
+  /// These stores are tried from now on, beside those that are known already.
+  void setSeeds(std::vector<runtime::Address> seeds, TimePoint now);
+
   /// The record of this sidecar's endpoint from now on; sent to every store.
   void report(const wire::EndpointRecordT& record);
 
@@ -72,6 +75,7 @@
   runtime::ActionQueue& actions_;
   ControlListener& listener_;
   PeerLinks links_;
+  std::vector<runtime::Address> seeds_;
   std::map<runtime::Address, Store> stores_;
   /// The store that sends configurations and endpoints.
   std::optional<runtime::Address> source_;
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -25,6 +25,11 @@
   void onHealth(const TargetHealth& health, TimePoint now);
   void onDeregistered(const std::string& instance, TimePoint now);
 
+  /// Other seeds from now on; stores that are known already stay so.
+  void setSeeds(std::vector<runtime::Address> seeds, TimePoint now) {
+    control_.setSeeds(std::move(seeds), now);
+  }
+
   /// @return true if callers may be sent here.
   bool ready() const { return calls_.routes() != nullptr && !stop_began_; }
   /// @return the configuration in force; nullptr before the first one.
--- a/src/store/seed_formation.cpp
+++ b/src/store/seed_formation.cpp
@@ -135,6 +135,7 @@
     return;
   }
   std::set<Address> addresses(context_.options.seeds.begin(), context_.options.seeds.end());
+  addresses.insert(later_seeds_.begin(), later_seeds_.end());
   for (const auto& [address, hinted] : hinted_) addresses.insert(address);
   for (const auto& voter : context_.consensus.membership().voters) addresses.insert(addressOf(*voter));
   addresses.erase(addressOf(context_.options.self));
--- a/src/store/seed_formation.h
+++ b/src/store/seed_formation.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "store/membership_manager.h"
 #include "store/replica_links.h"
@@ -26,6 +27,9 @@
 
   bool enabled() const { return !context_.options.seeds.empty(); }
   void begin(TimePoint now);
+  /// These addresses are asked too from now on when this replica wants to join. The first voters stay the
+  /// seeds of the start.
+  void setSeeds(std::vector<runtime::Address> seeds) { later_seeds_ = std::move(seeds); }
 
   /// @return true if the link was opened by this object and has not ended.
   bool owns(runtime::LinkId link) const { return links_.contains(link); }
@@ -68,6 +72,7 @@
   std::map<runtime::LinkId, Contact> links_;
   /// Of members that an answer named.
   std::map<runtime::Address, bool> hinted_;
+  std::vector<runtime::Address> later_seeds_;
   bool cluster_runs_ = false;
   TimePoint ask_at_;
   TimePoint leader_heard_at_;
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -45,6 +45,8 @@
   parts_->readMesh(std::move(handler), now);
 }
 
+void StoreCore::setSeeds(std::vector<runtime::Address> seeds) { parts_->setSeeds(std::move(seeds)); }
+
 consensus::Leadership StoreCore::leadership() const { return parts_->consensus().leadership(); }
 
 wire::MembershipT StoreCore::membership() const { return parts_->consensus().membership(); }
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -42,6 +42,9 @@
   /// Reads the newest mesh configuration. To be followed by the runner's flush().
   void readMesh(MeshAnswerHandler handler, TimePoint now);
 
+  /// Other seeds from now on, for a replica that wants to join.
+  void setSeeds(std::vector<runtime::Address> seeds);
+
   /// For tests, simulation and metrics.
   consensus::Leadership leadership() const;
   /// @return the latest membership in the log.
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -39,6 +39,7 @@
   void checkInvariants() const;
 
   void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  void setSeeds(std::vector<runtime::Address> seeds) { seeds_.setSeeds(std::move(seeds)); }
   void readMesh(MeshAnswerHandler handler, TimePoint now);
 
  private:
--- a/tests/admin/program_host_test.cpp
+++ b/tests/admin/program_host_test.cpp
@@ -1,10 +1,14 @@
 #include "admin/program_host.h"
 
+#include <unistd.h>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
 #include <thread>
 
 #include "tests/admin/http_get.h"
@@ -61,6 +65,23 @@
   return common;
 }
 
+/// A settings file that the test writes.
+class SettingsFixture {
+ public:
+  SettingsFixture() { write("one"); }
+  ~SettingsFixture() { std::filesystem::remove(path_); }
+  SettingsFixture(const SettingsFixture&) = delete;
+  SettingsFixture& operator=(const SettingsFixture&) = delete;
+
+  void write(const std::string& name) const { std::ofstream(path_) << "name = \"" << name << "\"\n"; }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_ =
+      (std::filesystem::temp_directory_path() / ("cometstand-reload-" + std::to_string(::getpid()) + ".toml"))
+          .string();
+};
+
 /// Runs the host in a thread of its own, until a planned stop.
 class RunningHost {
  public:
@@ -153,6 +174,53 @@
   CHECK(order == "start first second ");
 }
 
+TEST_CASE("settings are read again on SIGHUP and when the file changes; a bad file loses nothing",
+          "[admin]") {
+  const SettingsFixture file;
+  settings::SettingsSource source(file.path(), {});
+  std::mutex mutex;
+  std::string name;
+  const auto load = [&] {
+    std::string read;
+    settings::SettingsTable table;
+    table.text("name", read, "Name.").required();
+    source.load(table);
+    const std::scoped_lock lock(mutex);
+    name = read;
+  };
+  const auto awaitName = [&](const std::string& expected) {
+    const auto limit = SteadyClock::now() + kTestTimeLimit;
+    while (SteadyClock::now() < limit) {
+      {
+        const std::scoped_lock lock(mutex);
+        if (name == expected) return true;
+      }
+      std::this_thread::yield();
+    }
+    return false;
+  };
+  TestCore core;
+  const TestPages pages;
+  ProgramHost host("test", loopbackSettings(), core, pages);
+  host.setReload(source, load);
+  RunningHost running(host);
+  const auto address = host.adminAddress();
+  // It answers, so the signal is handled by now.
+  REQUIRE(get(address, "/live").result() == http::status::ok);
+
+  REQUIRE(std::raise(SIGHUP) == 0);
+  CHECK(awaitName("one"));
+  file.write("two");
+  CHECK(awaitName("two"));
+  std::ofstream(file.path()) << "name = ";
+  REQUIRE(std::raise(SIGHUP) == 0);
+  CHECK(get(address, "/live").result() == http::status::ok);
+  CHECK(awaitName("two"));
+  file.write("three");
+  CHECK(awaitName("three"));
+  CHECK(running.stop() == 0);
+}
+
 TEST_CASE("a core that stops by itself ends the program", "[admin]") {
   TestCore core(true);
   const TestPages pages;
--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -76,4 +76,12 @@
   CHECK(asked == 1);
 }
 
+TEST_CASE("a sidecar tries the stores that its settings name later") {
+  SidecarFixture sidecar;
+  const runtime::Address later{"10.0.0.77", 7000};
+  sidecar.core.setSeeds({later}, sidecar.now);
+  sidecar.pass(milliseconds(10));
+  CHECK(sidecar.links.contains(later));
+}
+
 }  // namespace cometstand::sidecar::test
