Sidecar: an old report counts as the mean of its zone; slowness is added, by the free share

Cause: in a large fleet a sender hears of each endpoint seldom. Change: what is not known of an endpoint is taken from the newer reports of its zone; slowness adds 0.5 of a full target at most, times the share of free slots; zone cost 0.3.

--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -8,8 +8,6 @@
 /// How long endpoints are kept that a store does not know when it begins to send records: it may have started
 /// a moment ago.
 constexpr Duration kUnconfirmedLease = std::chrono::seconds(3);
-/// A report of this age counts half.
-constexpr Duration kReportHalfLife = std::chrono::milliseconds(150);
 /// Spreads senders that know the same over endpoints of about the same load.
 constexpr double kRandomCost = 0.25;
 /// What an endpoint costs that breaks off every answer, in units of a full target: the sound ones go first,
@@ -17,11 +15,11 @@
 constexpr double kFailureCost = 4;
 /// Its word on that counts half after this time, so that it is tried again.
 constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
-/// How slow a target is counts half after this time, so that it is tried again.
-constexpr Duration kRunTimeHalfLife = std::chrono::seconds(4);
-/// What a request itself costs, in units of a full target of mean speed: a fast target that is half full is
-/// as good as an idle one that takes twice as long.
-constexpr double kOwnCost = 0.5;
+/// The same for how slow a target is.
+constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
+/// What a target costs that takes twice as long as the mean while all are idle, in units of a full target.
+/// The fewer slots are free, the less: when all are busy each must get its share.
+constexpr double kSlownessCost = 0.5;
 /// Bounds of how many times as slow as the mean a target counts.
 constexpr double kFastest = 0.3;
 constexpr double kSlowest = 5;
@@ -30,12 +28,6 @@
 
 constexpr std::uint64_t kRandomSteps = 1'000;
 
-/// @return how much the endpoint's latest report still counts, from 1 for a new one to 0.
-double trustIn(const Endpoint& endpoint, Duration half_life, TimePoint now) {
-  const auto age = static_cast<double>((now - endpoint.reported_at).count());
-  return 1 / (1 + age / static_cast<double>(half_life.count()));
-}
-
 }  // namespace
 
 void EndpointDirectory::apply(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
@@ -66,29 +58,16 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-double EndpointDirectory::meanRunTime(const std::string& service, TimePoint now) const {
-  double sum = 0;
-  double weights = 0;
-  for (const auto& [address, endpoint] : endpoints_) {
-    if (!endpoint.live || endpoint.run_time == 0 || endpoint.service != service) continue;
-    const double weight = trustIn(endpoint, kRunTimeHalfLife, now);
-    sum += weight * endpoint.run_time;
-    weights += weight;
-  }
-  return weights == 0 ? 0 : sum / weights;
-}
-
-double EndpointDirectory::scoreOf(const Endpoint& endpoint, const EndpointWant& want, double mean_run_time,
-                                  RandomSource& random, TimePoint now) const {
-  const double reported_load = endpoint.reported_load * trustIn(endpoint, kReportHalfLife, now);
-  const double requests = std::max<double>(endpoint.outstanding, reported_load);
+double EndpointDirectory::scoreOf(const Endpoint& endpoint, const EndpointWant& want,
+                                  const LoadEstimate& estimate, RandomSource& random, TimePoint now) const {
   const double spread = static_cast<double>(random.uniform(0, kRandomSteps)) / kRandomSteps;
-  double slowness = 1;
+  double score = estimate.requestsAt(endpoint) / endpoint.slots + kRandomCost * spread;
+  const double mean_run_time = estimate.meanRunTime();
   if (mean_run_time > 0 && endpoint.run_time > 0) {
-    const double relative = std::clamp(endpoint.run_time / mean_run_time, kFastest, kSlowest);
-    slowness += (relative - 1) * trustIn(endpoint, kRunTimeHalfLife, now);
+    const double slowness = std::clamp(endpoint.run_time / mean_run_time, kFastest, kSlowest);
+    score +=
+        kSlownessCost * estimate.freeShare() * (slowness - 1) * trustIn(endpoint, kSlownessHalfLife, now);
   }
-  double score = slowness * (kOwnCost + requests / endpoint.slots) + kRandomCost * spread;
   if (endpoint.zone != own_zone_) score += zone_cost_.of(want.bytes);
   score += kFailureCost * endpoint.failure_rate * trustIn(endpoint, kFailureHalfLife, now);
   if (endpoint.avoid_until > now) score += kAvoidCost;
@@ -97,16 +76,19 @@
 
 Endpoint* EndpointDirectory::choose(const EndpointWant& want, const std::set<runtime::Address>& tried,
                                     RandomSource& random, TimePoint now) {
-  const double mean_run_time = meanRunTime(want.service, now);
+  std::vector<Endpoint*> candidates;
+  LoadEstimate estimate(now);
+  for (auto& [address, endpoint] : endpoints_) {
+    if (!endpoint.live || !endpoint.linked || endpoint.service != want.service) continue;
+    estimate.add(endpoint);
+    if (!tried.contains(address)) candidates.push_back(&endpoint);
+  }
   Endpoint* best = nullptr;
   double best_score = 0;
-  for (auto& [address, endpoint] : endpoints_) {
-    const bool fits =
-        endpoint.live && endpoint.linked && endpoint.service == want.service && !tried.contains(address);
-    if (!fits) continue;
-    const double score = scoreOf(endpoint, want, mean_run_time, random, now);
+  for (auto* endpoint : candidates) {
+    const double score = scoreOf(*endpoint, want, estimate, random, now);
     if (best != nullptr && score >= best_score) continue;
-    best = &endpoint;
+    best = endpoint;
     best_score = score;
   }
   return best;
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "runtime/process_core.h"
 #include "schema/control_generated.h"
+#include "sidecar/load_estimate.h"
 #include "sidecar/sidecar_options.h"
 
 namespace cometstand::sidecar {
@@ -76,10 +77,7 @@
   std::vector<runtime::Address> expire(TimePoint now);
 
  private:
-  /// @return the mean run time of the service's live endpoints, as a share of the objective, in which newer
-  /// reports count more; 0 if none is known.
-  double meanRunTime(const std::string& service, TimePoint now) const;
-  double scoreOf(const Endpoint& endpoint, const EndpointWant& want, double mean_run_time,
+  double scoreOf(const Endpoint& endpoint, const EndpointWant& want, const LoadEstimate& estimate,
                  RandomSource& random, TimePoint now) const;
 
   std::string own_zone_;
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -14,7 +14,7 @@
 /// preferred until it has so much more to do. Links between zones are narrow and paid for, so bytes count.
 struct OtherZoneCost {
   /// Of a request without a body whose answer has none. Default 0.15, range 0 to 10.
-  double base = 0.4;
+  double base = 0.3;
   /// Bytes that cost as much as a full target. Default 7,000, range 1 to 1,000,000,000.
   double bytes_per_target = 8'000;
 
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -71,6 +71,15 @@
   CHECK(fixture.drawsOf(kSlow) == kDraws);
 }
 
+// wn-mesh-grown: with run time as a factor of the load, the faster targets stayed first until they had
+// queues, and requests were refused there while slots of slower ones were free.
+TEST_CASE("slower endpoints get their share once all are busy") {
+  DirectoryFixture fixture;
+  fixture.report(kFast, 250, kSlots);
+  fixture.report(kSlow, 600, kSlots);
+  CHECK(fixture.drawsOf(kSlow) > kDraws / 5);
+}
+
 TEST_CASE("an endpoint that was slow is tried again after a while") {
   DirectoryFixture fixture;
   fixture.report(kSlow, 2'000);
