--- a/src/admin/metric_set.cpp
+++ b/src/admin/metric_set.cpp
@@ -3,7 +3,9 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace cometstand::admin {
@@ -18,6 +20,22 @@
   add(name, help, prometheus::MetricType::Gauge, std::move(labels)).gauge.value = value;
 }
 
+void MetricSet::histogram(const std::string& name, const std::string& help, const LatencyHistogram& values,
+                          std::vector<Label> labels) {
+  const auto secondsOf = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+  auto& target = add(name, help, prometheus::MetricType::Histogram, std::move(labels)).histogram;
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i < values.counts().size(); ++i) {
+    count += values.counts().at(i);
+    const bool is_last = i == LatencyHistogram::kBounds.size();
+    const double bound =
+        is_last ? std::numeric_limits<double>::infinity() : secondsOf(LatencyHistogram::kBounds.at(i));
+    target.bucket.push_back({count, bound});
+  }
+  target.sample_count = count;
+  target.sample_sum = secondsOf(values.sum());
+}
+
 void MetricSet::addAll(std::vector<prometheus::MetricFamily> families) {
   std::move(families.begin(), families.end(), std::back_inserter(families_));
 }
--- a/src/admin/metric_set.h
+++ b/src/admin/metric_set.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "base/latency_histogram.h"
+
 namespace cometstand::admin {
 
 /// One name and value that tells metrics of the same name apart. Never put secrets or tokens here.
@@ -23,6 +25,10 @@
   /// Adds a value that goes up and down.
   void gauge(const std::string& name, const std::string& help, double value, std::vector<Label> labels = {});
 
+  /// Adds durations by bucket; the name ends in `_seconds`.
+  void histogram(const std::string& name, const std::string& help, const LatencyHistogram& values,
+                 std::vector<Label> labels = {});
+
   /// Adds what a prometheus::Collectable collected, for example a registry with histograms.
   void addAll(std::vector<prometheus::MetricFamily> families);
 
--- /dev/null
+++ b/src/sidecar/metrics.cpp
@@ -0,0 +1,21 @@
+#include "sidecar/metrics.h"
+
+namespace cometstand::sidecar {
+
+std::string_view nameOf(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::Answered:
+      return "answered";
+    case CallOutcome::NoRoute:
+      return "no_route";
+    case CallOutcome::NotRun:
+      return "not_run";
+    case CallOutcome::Failed:
+      return "failed";
+    case CallOutcome::TimedOut:
+      return "timed_out";
+  }
+  return "unrecognized";
+}
+
+}  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -20,22 +20,6 @@
 constexpr Duration kRefusedAvoidance = std::chrono::milliseconds(30);
 constexpr Duration kDownAvoidance = std::chrono::milliseconds(300);
 
-std::string_view nameOf(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::Answered:
-      return "answered";
-    case CallOutcome::NoRoute:
-      return "no_route";
-    case CallOutcome::NotRun:
-      return "not_run";
-    case CallOutcome::Failed:
-      return "failed";
-    case CallOutcome::TimedOut:
-      return "timed_out";
-  }
-  return "unrecognized";
-}
-
 }  // namespace
 
 using runtime::Address;
@@ -80,6 +64,7 @@
   CallAnswer answer;
   answer.outcome = outcome;
   if (outcome == CallOutcome::NotRun) answer.retry_after = kDefaultRetryAfter;
+  metrics_.noteEnd(outcome, Duration::zero());
   parts_.callers.answer(id, std::move(answer));
 }
 
@@ -190,6 +175,7 @@
     finish(id, CallAnswer(), now);
     return;
   }
+  ++metrics_.retries;
   logEvent(kCallRetried, {{"request", call.request->request_id}, {"service", call.request->service}});
   sendNext(id, now);
 }
@@ -210,6 +196,7 @@
 void OutboundCalls::cancel(CallId id, TimePoint now) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
+  ++metrics_.callers_gone;
   recall(found->second, now);
   deadlines_.erase({found->second.deadline, id});
   calls_.erase(found);
@@ -245,6 +232,7 @@
   const auto found = calls_.find(id);
   const auto& call = found->second;
   logEnd(call, answer, now);
+  metrics_.noteEnd(answer.outcome, now - call.began);
   deadlines_.erase({call.deadline, id});
   calls_.erase(found);
   parts_.callers.answer(id, std::move(answer));
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -10,6 +10,7 @@
 #include "runtime/action_queue.h"
 #include "sidecar/caller_port.h"
 #include "sidecar/endpoint_directory.h"
+#include "sidecar/metrics.h"
 #include "sidecar/peer_links.h"
 #include "sidecar/retry_budget.h"
 #include "sidecar/target_gate.h"
@@ -53,6 +54,7 @@
   void onTimer(TimePoint now);
   TimePoint nextTimer() const { return deadlines_.empty() ? TimePoint::max() : deadlines_.begin()->first; }
   std::size_t inFlight() const { return calls_.size(); }
+  const CallMetrics& metrics() const { return metrics_; }
 
  private:
   struct CallState {
@@ -90,6 +92,7 @@
   Parts parts_;
   RetryBudget budget_;
   TransferSizes sizes_;
+  CallMetrics metrics_;
   mesh::RouteTablePointer table_;
   std::map<CallId, CallState> calls_;
   std::map<std::uint64_t, CallId> sent_;
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -36,6 +36,7 @@
   const mesh::RouteTablePointer& routes() const { return calls_.routes(); }
   /// @return true from the beginning of a planned stop on.
   bool stopping() const { return stop_began_.has_value(); }
+  const CallMetrics& callMetrics() const { return calls_.metrics(); }
   std::size_t callsInFlight() const { return calls_.inFlight(); }
   const TargetGate& gate() const { return gate_; }
   const EndpointDirectory& endpoints() const { return endpoints_; }
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -4,6 +4,37 @@
 
 namespace cometstand::sidecar {
 
+namespace {
+
+void addCallMetrics(admin::MetricSet& set, const CallMetrics& calls) {
+  for (std::size_t i = 0; i < kCallOutcomes; ++i) {
+    set.histogram("cometstand_sidecar_call_seconds", "Callers' requests by outcome, from arrival to answer.",
+                  calls.latency.at(i), {{"outcome", std::string(nameOf(static_cast<CallOutcome>(i)))}});
+  }
+  set.counter("cometstand_sidecar_retries_total", "Sendings after one that may have run.",
+              static_cast<double>(calls.retries));
+  set.counter("cometstand_sidecar_callers_gone_total", "Callers that left before their answer.",
+              static_cast<double>(calls.callers_gone));
+}
+
+void addGateMetrics(admin::MetricSet& set, const GateMetrics& gate) {
+  for (std::size_t i = 0; i < kRunOutcomes; ++i) {
+    const auto outcome = static_cast<wire::ForwardOutcome>(i);
+    set.histogram("cometstand_sidecar_run_seconds", "Requests at the target by outcome, from start to end.",
+                  gate.run_time.at(i), {{"outcome", wire::EnumNameForwardOutcome(outcome)}});
+  }
+  set.histogram("cometstand_sidecar_waiting_seconds", "Time in the gate's queue of requests that were run.",
+                gate.waiting_time);
+  for (std::size_t i = 0; i < kRefusalReasons; ++i) {
+    const auto reason = static_cast<wire::NotRunReason>(i);
+    if (reason == wire::NotRunReason::None) continue;
+    set.counter("cometstand_sidecar_refusals_total", "Requests that the gate refused, by reason.",
+                static_cast<double>(gate.refusals.at(i)), {{"reason", wire::EnumNameNotRunReason(reason)}});
+  }
+}
+
+}  // namespace
+
 admin::Health SidecarPages::readiness() const {
   if (core_.stopping()) return {false, "a planned stop is under way"};
   if (core_.routes() == nullptr) return {false, "no configuration is known yet; check the stores"};
@@ -20,6 +51,8 @@
   add("calls_in_flight", "Requests of callers without an answer yet.", core_.callsInFlight());
   add("target_running", "Requests at the target.", core_.gate().running());
   add("target_waiting", "Requests that wait for a slot of the target.", core_.gate().waiting());
+  addCallMetrics(metrics, core_.callMetrics());
+  addGateMetrics(metrics, core_.gate().metrics());
 }
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -94,6 +94,7 @@
   wire::ForwardReplyT answer;
   answer.outcome = wire::ForwardOutcome::NotRun;
   answer.reason = reason;
+  metrics_.noteRefusal(reason);
   const Duration wait = std::max(expectedWait(UINT32_MAX), kLeastRetryAfter);
   logEvent(kGateRefused, {{"request", request.request_id},
                           {"reason", wire::EnumNameNotRunReason(reason)},
@@ -123,6 +124,7 @@
   noteObjective(*request, now);
   if (!yields(*request)) short_load_.onArrival(now);
   if (hasSlotFor(*request, now)) {
+    metrics_.waiting_time.note(Duration::zero());
     start(asker, request, deadline, now);
     return;
   }
@@ -133,7 +135,7 @@
   }
   const TimePoint start_by = std::min(deadline, now + patience);
   const Place place{request->priority, start_by, next_number_++};
-  waiting_.emplace(place, Waiting{asker, std::move(request), deadline, start_by});
+  waiting_.emplace(place, Waiting{asker, std::move(request), now, deadline, start_by});
 }
 
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
@@ -156,12 +158,14 @@
     } else if (next.deadline - now < kLeastTimeLeft) {
       refuse(next.asker, *next.request, wire::NotRunReason::Deadline);
     } else {
+      metrics_.waiting_time.note(now - next.came);
       start(next.asker, next.request, next.deadline, now);
     }
   }
 }
 
-void TargetGate::logRun(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) const {
+void TargetGate::noteEnd(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) {
+  metrics_.noteRun(reply.outcome, now - run.started);
   logEvent(kRunEnded, {{"request", run.request->request_id},
                        {"outcome", wire::EnumNameForwardOutcome(reply.outcome)},
                        {"status", reply.status},
@@ -201,7 +205,7 @@
   const Running finished = run->second;
   running_.erase(run);
   noteOutcome(finished, result.reply, now);
-  logRun(finished, result.reply, now);
+  noteEnd(finished, result.reply, now);
   startWaiting(now);
   reply(finished.asker, std::move(result.reply));
 }
@@ -244,7 +248,7 @@
   for (const auto& run : overdue) {
     wire::ForwardReplyT answer;
     answer.outcome = wire::ForwardOutcome::Unknown;
-    logRun(run, answer, now);
+    noteEnd(run, answer, now);
     reply(run.asker, std::move(answer));
   }
   startWaiting(now);
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "sidecar/metrics.h"
 #include "sidecar/offered_load.h"
 #include "sidecar/sidecar_options.h"
 #include "sidecar/target_port.h"
@@ -53,6 +54,7 @@
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
   unsigned running() const { return static_cast<unsigned>(running_.size()); }
+  const GateMetrics& metrics() const { return metrics_; }
   unsigned waiting() const { return static_cast<unsigned>(waiting_.size()); }
 
  private:
@@ -66,6 +68,7 @@
   struct Waiting {
     GateAsker asker;
     ForwardRequestPointer request;
+    TimePoint came;
     TimePoint deadline;
     /// The request is refused if it has no slot by then.
     TimePoint start_by;
@@ -96,13 +99,14 @@
   /// A run was given up: it would have taken longer than it had so far.
   void noteGivenUp(const Running& run, TimePoint now);
   void noteRunTime(const Running& run, TimePoint now);
-  void logRun(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) const;
+  void noteEnd(const Running& run, const wire::ForwardReplyT& reply, TimePoint now);
   void reply(const GateAsker& asker, wire::ForwardReplyT reply);
 
   const SidecarOptions& options_;
   TargetPort& port_;
   Answer answer_;
   TargetState target_;
+  GateMetrics metrics_;
   std::map<Place, Waiting> waiting_;
   std::map<RunId, Running> running_;
   std::uint64_t next_number_ = 1;
--- a/tests/admin/program_host_test.cpp
+++ b/tests/admin/program_host_test.cpp
@@ -51,6 +51,9 @@
   void addMetrics(MetricSet& metrics) const override {
     metrics.counter("cometstand_test_total", "Things counted.", 3, {{"kind", "a \"quoted\" one"}});
     metrics.counter("cometstand_test_total", "", 4, {{"kind", "other"}});
+    LatencyHistogram histogram;
+    for (const int time : {1, 3, 20'000}) histogram.note(std::chrono::milliseconds(time));
+    metrics.histogram("cometstand_test_seconds", "Times.", histogram);
   }
 
   std::atomic<bool> ready = false;
@@ -125,6 +128,13 @@
                                       "cometstand_test_total{kind=\"a \\\"quoted\\\" one\"} 3\n"
                                       "cometstand_test_total{kind=\"other\"} 4\n"));
   CHECK_THAT(metrics, Catch::Contains("process_resident_memory_bytes"));
+  CHECK_THAT(metrics, Catch::Contains("# TYPE cometstand_test_seconds histogram\n"
+                                      "cometstand_test_seconds_count 3\n"
+                                      "cometstand_test_seconds_sum 20.004\n"
+                                      "cometstand_test_seconds_bucket{le=\"0.001\"} 1\n"
+                                      "cometstand_test_seconds_bucket{le=\"0.002\"} 1\n"
+                                      "cometstand_test_seconds_bucket{le=\"0.005\"} 2\n"));
+  CHECK_THAT(metrics, Catch::Contains("cometstand_test_seconds_bucket{le=\"+Inf\"} 3\n"));
 }
 
 TEST_CASE("the admin pages refuse what they do not serve", "[admin]") {
