--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -51,9 +51,14 @@
     7013, LogLevel::Info, "run_ended",
     "A request that the gate passed to the target has ended there. The outcome says what is known of it."};
 
+inline constexpr EventDefinition kRunGivenUp{7014, LogLevel::Info, "run_given_up",
+                                             "A request was at the target when its asker gave it up: its "
+                                             "time was up, its caller left, or the link ended. "
+                                             "A long took_ms means that the target was slow."};
+
 inline constexpr std::array kSidecarEvents{
     kStoreLinked,   kStoreLost,    kSourceChosen, kSourceLost,  kConfigurationInForce,
     kTargetChanged, kCallEnded,    kCallRetried,  kGateRefused, kSidecarStopBegan,
-    kUpdateRefused, kCallAnswered, kRunEnded};
+    kUpdateRefused, kCallAnswered, kRunEnded,     kRunGivenUp};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -227,6 +227,12 @@
 void TargetGate::noteGivenUp(const Running& run, TimePoint now) {
   const auto time = static_cast<double>((now - run.started).count()) / objectiveOf(*run.request);
   if (time > relative_run_time_) relative_run_time_ = smoothed(relative_run_time_, time);
+  logEvent(kRunGivenUp, {{"request", run.request->request_id},
+                         {"instance", target_.instance()},
+                         {"service", run.request->service},
+                         {"took_ms", ceilMilliseconds(now - run.started)},
+                         {"left_ms", ceilMilliseconds(run.deadline - now)},
+                         {"running", running()}});
 }
 
 void TargetGate::onTimer(TimePoint now) {
