--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -57,7 +57,7 @@
 
 bool OutboundCalls::endsTooLate(TimePoint deadline, TimePoint now) const {
   return stop_began_ && now >= *stop_began_ + parts_.options.stop_accept_all &&
-         deadline > *stop_began_ + parts_.options.stop_maximum;
+         deadline > *stop_began_ + parts_.options.stopMaximum();
 }
 
 void OutboundCalls::refuse(CallId id, CallOutcome outcome) {
--- a/src/sidecar/retry_budget.h
+++ b/src/sidecar/retry_budget.h
@@ -10,7 +10,9 @@
 /// each service, filled by its requests.
 class RetryBudget {
  public:
-  RetryBudget(double ratio, double burst) : ratio_(ratio), burst_(burst) {}
+  /// @param shared_ratio what all sidecars together may send again, as a share of the requests; half of it is
+  /// used.
+  RetryBudget(double shared_ratio, double burst) : ratio_(shared_ratio * kUsedShare), burst_(burst) {}
 
   /// A first sending of a request for the service.
   void onRequest(const std::string& service) {
@@ -28,6 +30,7 @@
 
  private:
   static constexpr double kFirstTokens = 1;
+  static constexpr double kUsedShare = 0.5;
 
   double ratio_;
   double burst_;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -194,7 +194,7 @@
   if (!stop_began_ || stopped_) return;
   const Duration time = now - *stop_began_;
   const bool is_idle = calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0;
-  stopped_ = time >= options_.stop_maximum || (time >= options_.stop_minimum && is_idle);
+  stopped_ = time >= options_.stopMaximum() || (time >= options_.stop_minimum && is_idle);
 }
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -33,10 +33,10 @@
   /// Stores to begin with; the others are learned from them.
   std::vector<runtime::Address> seeds;
 
-  /// Sendings beyond the first of each request that this sidecar may add, as a share of the requests for a
-  /// service. Below the share that all sidecars together may add, since sums of small numbers vary. Default
-  /// 0.1, range 0 to 1.
-  double retry_ratio = 0.1;
+  /// Sendings beyond the first of each request that all sidecars together may add, as a share of the requests
+  /// for a service. Each adds half of that share of its own requests at most, since sums of small numbers
+  /// vary. Default 0.2, range 0 to 1.
+  double retry_ratio = 0.2;
   /// Such sendings that may be saved up for a service. Default 3, range 0 to 1,000.
   double retry_burst = 3;
 
@@ -63,11 +63,18 @@
   /// A planned stop: callers are served at least this long after the sidecar said that it is not ready any
   /// more. Microseconds, default 2.3 s, range 0 to 60 s.
   Duration stop_minimum = std::chrono::milliseconds(2'300);
-  /// A planned stop: after this time, only requests are taken whose own time is up before stop_maximum.
+  /// A planned stop: after this time, only requests are taken whose own time is up before stopMaximum().
   /// Microseconds, default 2.8 s, range 0 to 60 s.
   Duration stop_accept_all = std::chrono::milliseconds(2'800);
-  /// A planned stop ends after this time at the latest. Microseconds, default 5.7 s, range 0 to 10 min.
-  Duration stop_maximum = std::chrono::milliseconds(5'700);
+  /// A planned stop must be complete after this time, or the process is killed. Microseconds, default 6 s,
+  /// range 300 ms to 10 min.
+  Duration stop_time_limit = std::chrono::seconds(6);
+
+  /// @return when requests are given up in a planned stop: the last answers and the end of the process need a
+  /// while.
+  Duration stopMaximum() const { return stop_time_limit - kStopReserve; }
+
+  static constexpr Duration kStopReserve = std::chrono::milliseconds(300);
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -15,8 +15,8 @@
   table.addresses("sidecar.seeds", options.seeds, "Stores to begin with; the others are learned from them.");
   table.number(
       "sidecar.retry_ratio", options.retry_ratio, {0, 1},
-      "Sendings beyond the first of each request that this sidecar may add, as a share of the requests for a "
-      "service.");
+      "Sendings beyond the first of each request that all sidecars together may add, as a share of the "
+      "requests for a service; each uses half of it at most.");
   table.number("sidecar.retry_burst", options.retry_burst, {0, 1'000},
                "Such sendings that may be saved up for a service.");
   table.integer<unsigned>("sidecar.max_refusals", options.max_refusals, {1, 10},
@@ -41,9 +41,10 @@
       "A planned stop: callers are served at least this long after the sidecar is not ready any more.");
   table.duration("sidecar.stop_accept_all", options.stop_accept_all, {milliseconds(0), minutes(1)},
                  "A planned stop: after this time, only requests are taken whose own time is up before "
-                 "sidecar.stop_maximum.");
-  table.duration("sidecar.stop_maximum", options.stop_maximum, {milliseconds(0), minutes(10)},
-                 "A planned stop ends after this time at the latest.");
+                 "the last 300 ms of sidecar.stop_time_limit.");
+  table.duration("sidecar.stop_time_limit", options.stop_time_limit,
+                 {SidecarOptions::kStopReserve, minutes(10)},
+                 "A planned stop must be complete after this time, or the process is killed.");
   table.check([&sidecar] {
     if (!sidecar.common.listen.host.empty()) return;
     throw Error(ErrorKind::Invalid, "listen.address is not set",
--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -76,6 +76,19 @@
   CHECK(asked == 1);
 }
 
+TEST_CASE("a planned stop ends before its time limit, also with a request that is never answered") {
+  auto options = SidecarFixture::makeOptions();
+  options.stop_time_limit = std::chrono::seconds(3);
+  SidecarFixture sidecar(options);
+  sidecar.configure();
+  sidecar.addPeer(SidecarFixture::kPeer);
+  sidecar.call("/read/1", std::chrono::seconds(60));
+  sidecar.core.beginStop(sidecar.now);
+  sidecar.step();
+  sidecar.pass(options.stop_time_limit - SidecarOptions::kStopReserve + milliseconds(60));
+  CHECK(sidecar.core.stopped());
+}
+
 TEST_CASE("a sidecar tries the stores that its settings name later") {
   SidecarFixture sidecar;
   const runtime::Address later{"10.0.0.77", 7000};
