Learners that hear no leader say so

Cause: a store that had given its place as voter away (a cut of 4 s) is a learner; learners had no election timer, so one that was cut off from the other stores said for ever that it hears its leader. Ruled out: the sidecar's choice of its source (it leaves a store at the first beat that says so); the wiped store. Change: the election timer runs on learners too; when it ends, the learner knows no leader and begins no election. The test in tests/consensus fails without the change.

--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -172,7 +172,7 @@
     return transfer ? std::min(transfer->deadline, leader_state_->next_heartbeat)
                     : leader_state_->next_heartbeat;
   }
-  return isVoter(log_.membership(), self_.id) ? election_deadline_ : TimePoint::max();
+  return election_deadline_;
 }
 
 void Consensus::setRole(Role role, ReplicaId leader) {
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -18,7 +18,11 @@
 
 void Consensus::startPreVote() {
   resetElectionDeadline();
-  if (!isVoter(log_.membership(), self_.id)) return;
+  if (!isVoter(log_.membership(), self_.id)) {
+    // A learner begins no election, but must not say that it hears a leader.
+    setRole(Role::Follower, 0);
+    return;
+  }
   setRole(Role::PreCandidate, 0);
   votes_ = {self_.id};
   wire::VoteRequestT request;
--- a/tests/consensus/membership_test.cpp
+++ b/tests/consensus/membership_test.cpp
@@ -53,6 +53,23 @@
   CHECK(cluster.at(4).leadership.role == Role::Follower);
 }
 
+// The users' bench, rehearsal/days/wipe_while_cut.toml on wn-mesh: a store that had become a learner was cut
+// off, still said that it hears its leader, and the nodes that take their configurations from it missed
+// changes.
+TEST_CASE("a learner that hears nothing of its leader for a while knows none, until it hears one again") {
+  SimulatedCluster cluster(3, 1);
+  const ReplicaId leader = cluster.waitForLeader();
+  addLearner(cluster, leader, 4);
+  REQUIRE(cluster.consensus(4).leadership().leader == leader);
+  cluster.isolate(4);
+  cluster.runFor(2 * SimulatedCluster::testOptions().election_timeout_max);
+  CHECK(cluster.consensus(4).leadership().leader == 0);
+  CHECK(cluster.consensus(4).leadership().role == Role::Follower);
+  cluster.heal();
+  CHECK(cluster.runUntil([&] { return cluster.consensus(4).leadership().leader != 0; }));
+  CHECK(cluster.consensus(4).leadership().term == cluster.consensus(leader).leadership().term);
+}
+
 TEST_CASE("a learner replaces a voter only once it caught up") {
   SimulatedCluster cluster(3, 2);
   const ReplicaId leader = cluster.waitForLeader();
