--- a/src/admin/metric_set.cpp
+++ b/src/admin/metric_set.cpp
@@ -22,18 +22,18 @@
 
 void MetricSet::histogram(const std::string& name, const std::string& help, const LatencyHistogram& values,
                           std::vector<Label> labels) {
-  const auto secondsOf = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+  const auto seconds_of = [](Duration time) { return std::chrono::duration<double>(time).count(); };
   auto& target = add(name, help, prometheus::MetricType::Histogram, std::move(labels)).histogram;
   std::uint64_t count = 0;
   for (std::size_t i = 0; i < values.counts().size(); ++i) {
     count += values.counts().at(i);
     const bool is_last = i == LatencyHistogram::kBounds.size();
     const double bound =
-        is_last ? std::numeric_limits<double>::infinity() : secondsOf(LatencyHistogram::kBounds.at(i));
+        is_last ? std::numeric_limits<double>::infinity() : seconds_of(LatencyHistogram::kBounds.at(i));
     target.bucket.push_back({count, bound});
   }
   target.sample_count = count;
-  target.sample_sum = secondsOf(values.sum());
+  target.sample_sum = seconds_of(values.sum());
 }
 
 void MetricSet::addAll(std::vector<prometheus::MetricFamily> families) {
--- a/tests/admin/program_host_test.cpp
+++ b/tests/admin/program_host_test.cpp
@@ -198,7 +198,7 @@
     const std::scoped_lock lock(mutex);
     name = read;
   };
-  const auto awaitName = [&](const std::string& expected) {
+  const auto await_name = [&](const std::string& expected) {
     const auto limit = SteadyClock::now() + kTestTimeLimit;
     while (SteadyClock::now() < limit) {
       {
@@ -219,15 +219,15 @@
   REQUIRE(get(address, "/live").result() == http::status::ok);
 
   REQUIRE(std::raise(SIGHUP) == 0);
-  CHECK(awaitName("one"));
+  CHECK(await_name("one"));
   file.write("two");
-  CHECK(awaitName("two"));
+  CHECK(await_name("two"));
   std::ofstream(file.path()) << "name = ";
   REQUIRE(std::raise(SIGHUP) == 0);
   CHECK(get(address, "/live").result() == http::status::ok);
-  CHECK(awaitName("two"));
+  CHECK(await_name("two"));
   file.write("three");
-  CHECK(awaitName("three"));
+  CHECK(await_name("three"));
   CHECK(running.stop() == 0);
 }
 
--- a/tests/sidecar/load_estimate_test.cpp
+++ b/tests/sidecar/load_estimate_test.cpp
@@ -31,7 +31,7 @@
   LoadEstimate estimate(kNow);
   for (const auto* endpoint : {&fresh, &old, &other_zone}) estimate.add(*endpoint);
   CHECK(estimate.requestsAt(fresh) == Approx(kSlots));
-  CHECK(estimate.requestsAt(old) > kSlots / 2);
+  CHECK(estimate.requestsAt(old) > 0.5 * kSlots);
   CHECK(estimate.requestsAt(other_zone) == Approx(1));
 }
 
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -201,13 +201,13 @@
   }
   fixture.finish(fixture.target.orders.size() - 1);
   REQUIRE(fixture.gate.running() == 0);
-  const auto admitAll = [&](unsigned priority, std::uint32_t objective_ms) {
+  const auto admit_all = [&](unsigned priority, std::uint32_t objective_ms) {
     for (int i = 0; i < 6; ++i) fixture.admit(++number, priority, kDeadline, objective_ms);
     return fixture.gate.running();
   };
-  SECTION("less urgent long ones leave them") { CHECK(admitAll(2, kLong) == 4); }
-  SECTION("as urgent long ones do not") { CHECK(admitAll(1, kLong) == 6); }
-  SECTION("short ones take all") { CHECK(admitAll(1, kShort) == 6); }
+  SECTION("less urgent long ones leave them") { CHECK(admit_all(2, kLong) == 4); }
+  SECTION("as urgent long ones do not") { CHECK(admit_all(1, kLong) == 6); }
+  SECTION("short ones take all") { CHECK(admit_all(1, kShort) == 6); }
 }
 
 TEST_CASE("a request for another service is refused as not run") {
