--- a/src/web/server.cpp
+++ b/src/web/server.cpp
@@ -68,7 +68,7 @@
 void Server::respond(ExchangeId id, Response response) {
   const auto exchange = exchanges_.find(id);
   if (exchange == exchanges_.end()) return;
-  exchange->second->respond(std::move(response));
+  exchange->second->respond(id, std::move(response));
 }
 
 }  // namespace cometstand::web
--- a/src/web/server.h
+++ b/src/web/server.h
@@ -44,8 +44,8 @@
 
 class ServerConnection;
 
-/// An HTTP/1.1 server on one address. Requests and answers are held whole; one request at a time on a
-/// connection. Must live until the io_context has stopped running.
+/// An HTTP/1.1 server on one address. Requests and answers are held whole; answers go back in the order of
+/// the requests of a connection. Must live until the io_context has stopped running.
 class Server {
  public:
   /// @param handler must outlive the server.
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -1,8 +1,8 @@
 #include "web/server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -14,7 +14,18 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 4096;
+/// Read at once while headers are expected; most requests are smaller.
+constexpr std::size_t kHeaderReadBytes = 4096;
+/// Read at once while a body comes: a few reads for an upload of some 100 KB, little memory for each
+/// connection.
+constexpr std::size_t kBodyReadBytes = 16 * 1024;
+/// Requests of one connection that are handed out together. Callers send a handful ahead; the bound keeps one
+/// connection from taking the memory of all.
+constexpr std::size_t kMaxPipelinedRequests = 32;
+/// Bytes of later requests that are held while they wait for their turn, beyond a header's limit.
+constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
+/// How long a caller may take to close its side after the last answer.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
 
@@ -24,6 +35,10 @@
   return http::status::bad_request;
 }
 
+bool isSafe(http::verb method) {
+  return method == http::verb::get || method == http::verb::head || method == http::verb::options;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(Server& server, asio::ip::tcp::socket socket)
@@ -35,14 +50,16 @@
 void ServerConnection::start() { awaitBytes(); }
 
 bool ServerConnection::isOverdue(const ServerLimits& limits, TimePoint now) const {
-  if (state_ == State::Idle) return since_ + limits.idle_time < now;
-  return state_ == State::Reading && since_ + limits.read_time < now;
+  if (state_ == State::Lingering) return since_ + kLingerTime < now;
+  if (!pending_.empty()) return false;
+  return since_ + (parser_ ? limits.read_time : limits.idle_time) < now;
 }
 
 void ServerConnection::awaitBytes() {
-  if (read_pending_ || state_ == State::Closed) return;
+  if (read_pending_ || state_ == State::Closed || buffer_.size() >= kMaxUnreadBytes) return;
   read_pending_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  const bool has_header = parser_ && parser_->is_header_done();
+  socket_.async_read_some(buffer_.prepare(has_header ? kBodyReadBytes : kHeaderReadBytes),
                           [self = shared_from_this()](error_code error, std::size_t length) {
                             self->read_pending_ = false;
                             self->onBytes(error, length);
@@ -56,111 +73,157 @@
     return;
   }
   buffer_.commit(length);
-  if (state_ == State::Idle) readRequest();
+  parseRequests();
+  awaitBytes();
 }
 
-void ServerConnection::readRequest() {
-  state_ = State::Reading;
-  since_ = SteadyClock::now();
-  const ServerLimits limits = server_.handler_.limits();
-  parser_.emplace();
-  parser_->header_limit(limits.max_header_bytes);
-  parser_->body_limit(limits.max_body_bytes);
-  http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code error, std::size_t) { self->onHeader(error); });
+/// @return true if the next request may be read: a planned stop answers what was read and reads no more.
+bool ServerConnection::mayBegin() const {
+  if (reading_ended_) return false;
+  return pending_.empty() || (!server_.stopping_ && pending_.size() < kMaxPipelinedRequests);
 }
 
-void ServerConnection::onHeader(error_code error) {
-  if (state_ == State::Closed) return;
-  if (error) {
-    refuse(error);
-  } else if (parser_->is_done()) {
-    onWhole({});
-  } else if (boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-    asio::async_write(socket_, asio::buffer(kContinue),
-                      [self = shared_from_this()](error_code failed, std::size_t) {
-                        if (failed) {
-                          self->close();
-                        } else {
-                          self->readBody();
-                        }
-                      });
-  } else {
-    readBody();
+/// @return true if the request whose header was read has to wait for the answers before it.
+bool ServerConnection::mustWait() const {
+  if (pending_.empty()) return false;
+  const auto& request = parser_->get();
+  const bool all_safe =
+      std::all_of(pending_.begin(), pending_.end(), [](const Pending& item) { return item.has_safe_method; });
+  return !all_safe || !isSafe(request.method()) || request.count(http::field::expect) > 0;
+}
+
+void ServerConnection::parseRequests() {
+  while (state_ == State::Open && parseOne()) {
   }
+  if (state_ != State::Open || reading_ended_) buffer_.clear();
 }
 
-void ServerConnection::readBody() {
-  if (state_ == State::Closed) return;
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code error, std::size_t) { self->onWhole(error); });
+/// Parses what has come of one request. @return true if it was whole and the next one may be tried.
+bool ServerConnection::parseOne() {
+  if (buffer_.size() == 0 && !(parser_ && parser_->is_done())) return false;
+  if (!mayBegin()) return false;
+  if (!parser_) {
+    const ServerLimits limits = server_.handler_.limits();
+    since_ = SteadyClock::now();
+    continue_sent_ = false;
+    parser_.emplace();
+    parser_->header_limit(limits.max_header_bytes);
+    parser_->body_limit(limits.max_body_bytes);
+  }
+  while (!parser_->is_done()) {
+    if (parser_->is_header_done()) {
+      if (mustWait()) return false;
+      sendContinue();
+    }
+    // Without bytes the parser of a body neither advances nor asks for more.
+    if (buffer_.size() == 0) return false;
+    error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) return false;
+    if (error) {
+      refuse(error);
+      return false;
+    }
+  }
+  if (mustWait()) return false;
+  finishRequest();
+  return true;
+}
+
+void ServerConnection::sendContinue() {
+  const bool is_asked = boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
+  if (!is_asked || continue_sent_ || writing_) return;
+  continue_sent_ = true;
+  writing_ = true;
+  asio::async_write(socket_, asio::buffer(kContinue),
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      self->writing_ = false;
+                      if (error) {
+                        self->close();
+                      } else {
+                        self->writeNext();
+                      }
+                    });
 }
 
+/// The bytes are no request: what follows on the connection cannot be told apart from the rest of it.
 void ServerConnection::refuse(error_code error) {
-  const bool is_gone = error == http::error::end_of_stream || error == http::error::partial_message ||
-                       error.category() != http::make_error_code(http::error::bad_value).category();
-  if (is_gone) {
-    close();
-    return;
-  }
-  // What follows on the connection cannot be told apart from the rest of this request.
-  keep_alive_ = false;
-  Response response(statusOf(error), kHttp11);
-  state_ = State::Answering;
-  respond(std::move(response));
+  Pending item;
+  item.is_last = true;
+  item.response.emplace(statusOf(error), kHttp11);
+  pending_.push_back(std::move(item));
+  reading_ended_ = true;
+  parser_.reset();
+  writeNext();
 }
 
-void ServerConnection::onWhole(error_code error) {
-  if (state_ == State::Closed) return;
-  if (error) {
-    refuse(error);
-    return;
-  }
+void ServerConnection::finishRequest() {
   Request request = parser_->release();
-  keep_alive_ = request.keep_alive();
-  state_ = State::Answering;
-  exchange_ = ExchangeId{server_.next_exchange_++};
-  server_.exchanges_.emplace(*exchange_, this);
-  const auto self = shared_from_this();
-  server_.handler_.onRequest(*exchange_, std::move(request));
-  // What has come already belongs to the next request, which waits for its turn.
-  if (state_ == State::Answering && buffer_.size() == 0) awaitBytes();
+  parser_.reset();
+  const ExchangeId id{server_.next_exchange_++};
+  Pending item;
+  item.id = id;
+  item.has_safe_method = isSafe(request.method());
+  item.is_last = !request.keep_alive();
+  reading_ended_ = item.is_last;
+  pending_.push_back(std::move(item));
+  server_.exchanges_.emplace(id, this);
+  server_.handler_.onRequest(id, std::move(request));
+}
+
+void ServerConnection::respond(ExchangeId id, Response response) {
+  const auto item = std::find_if(pending_.begin(), pending_.end(),
+                                 [id](const Pending& pending) { return pending.id == id; });
+  if (item == pending_.end() || item->response) return;
+  server_.exchanges_.erase(id);
+  item->response = std::move(response);
+  writeNext();
 }
 
-void ServerConnection::respond(Response response) {
-  if (state_ != State::Answering) return;
-  forgetExchange();
-  state_ = State::Writing;
-  keep_alive_ = keep_alive_ && !server_.stopping_;
-  response.version(kHttp11);
-  response.keep_alive(keep_alive_);
-  response.prepare_payload();
-  response_ = std::move(response);
-  http::async_write(socket_, *response_,
-                    [self = shared_from_this()](error_code error, std::size_t) { self->onWritten(error); });
+void ServerConnection::writeNext() {
+  if (writing_ || state_ != State::Open || pending_.empty() || !pending_.front().response) return;
+  auto& item = pending_.front();
+  // In a planned stop the answer to the last request that was read closes the connection.
+  item.is_last = item.is_last || (server_.stopping_ && pending_.size() == 1);
+  reading_ended_ = reading_ended_ || item.is_last;
+  // The writing holds it: the connection may be closed, and forget the request, before the writing ends.
+  const auto response = std::make_shared<Response>(std::move(*item.response));
+  response->version(kHttp11);
+  response->keep_alive(!item.is_last);
+  response->prepare_payload();
+  writing_ = true;
+  http::async_write(socket_, *response, [self = shared_from_this(), response](error_code error, std::size_t) {
+    self->onWritten(error);
+  });
 }
 
 void ServerConnection::onWritten(error_code error) {
-  if (state_ == State::Closed) return;
-  response_.reset();
-  if (error || !keep_alive_) {
+  writing_ = false;
+  if (state_ != State::Open) return;
+  if (error) {
     close();
     return;
   }
-  state_ = State::Idle;
-  since_ = SteadyClock::now();
-  if (buffer_.size() > 0 && !read_pending_) {
-    readRequest();
-  } else {
-    awaitBytes();
+  const bool was_last = pending_.front().is_last;
+  pending_.pop_front();
+  if (was_last) {
+    linger();
+    return;
   }
+  if (pending_.empty()) since_ = SteadyClock::now();
+  writeNext();
+  parseRequests();
+  awaitBytes();
 }
 
-void ServerConnection::forgetExchange() {
-  if (!exchange_) return;
-  server_.exchanges_.erase(*exchange_);
-  exchange_.reset();
+void ServerConnection::linger() {
+  state_ = State::Lingering;
+  since_ = SteadyClock::now();
+  buffer_.clear();
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  awaitBytes();
 }
 
 void ServerConnection::close() {
@@ -171,10 +234,12 @@
   socket_.close(ignored);
   const auto self = shared_from_this();
   server_.connections_.erase(this);
-  if (!exchange_) return;
-  const ExchangeId id = *exchange_;
-  forgetExchange();
-  server_.handler_.onCallerGone(id);
+  for (const auto& item : std::exchange(pending_, {})) {
+    const bool is_waiting = item.id && !item.response;
+    if (!is_waiting) continue;
+    server_.exchanges_.erase(*item.id);
+    server_.handler_.onCallerGone(*item.id);
+  }
 }
 
 }  // namespace cometstand::web
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -2,48 +2,79 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <optional>
 
 #include "web/server.h"
 
 namespace cometstand::web {
 
-/// One caller's connection to a Server. While it rests or waits for an answer, one read is always pending, so
-/// that a caller who leaves is noticed at once.
+/// One caller's connection to a Server. A read is pending whenever there is room for bytes, so that a caller
+/// who leaves is noticed at once.
+///
+/// Requests that a caller sends before it has its answers (pipelining) are handed out together and answered
+/// in the order in which they came, if all of them have safe methods (RFC 9112, section 9.3.2). Any other
+/// request waits until those before it are answered.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(Server& server, boost::asio::ip::tcp::socket socket);
 
   void start();
-  void respond(Response response);
+  /// Takes the answer to one request; it is written when those before it are.
+  void respond(ExchangeId id, Response response);
   void close();
   /// @return true if the connection has rested, or a request has been on its way, for too long.
   bool isOverdue(const ServerLimits& limits, TimePoint now) const;
 
  private:
-  enum class State : std::uint8_t { Idle, Reading, Answering, Writing, Closed };
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  enum class State : std::uint8_t {
+    Open,
+    /// The last answer is written. What still comes is thrown away: closing a socket that holds unread bytes
+    /// resets the connection, and the caller could lose the answer.
+    Lingering,
+    Closed,
+  };
+
+  /// A request whose answer is not written yet.
+  struct Pending {
+    /// Empty for a request that could not be read.
+    std::optional<ExchangeId> id;
+    bool has_safe_method = false;
+    /// The caller, or an error, asks to close the connection after this answer.
+    bool is_last = false;
+    std::optional<Response> response;
+  };
+
   void awaitBytes();
   void onBytes(boost::system::error_code error, std::size_t length);
-  void readRequest();
-  void onHeader(boost::system::error_code error);
-  void readBody();
-  void onWhole(boost::system::error_code error);
+  void parseRequests();
+  bool parseOne();
+  bool mayBegin() const;
+  bool mustWait() const;
+  void finishRequest();
   void refuse(boost::system::error_code error);
+  void sendContinue();
+  void writeNext();
   void onWritten(boost::system::error_code error);
-  void forgetExchange();
+  void linger();
 
   Server& server_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
+  /// Set while a request is being read.
   std::optional<Parser> parser_;
-  std::optional<Response> response_;
-  State state_ = State::Idle;
+  /// Oldest first; the front one's answer is written next.
+  std::deque<Pending> pending_;
+  State state_ = State::Open;
   bool read_pending_ = false;
-  bool keep_alive_ = true;
+  bool writing_ = false;
+  bool continue_sent_ = false;
+  /// No request is read any more.
+  bool reading_ended_ = false;
+  /// When the connection began to rest, the request that is read began, or lingering began.
   TimePoint since_;
-  std::optional<ExchangeId> exchange_;
 };
 
 }  // namespace cometstand::web
--- a/tests/web/server_client_test.cpp
+++ b/tests/web/server_client_test.cpp
@@ -1,15 +1,13 @@
 // The server and the client against each other and against raw bytes, on loopback with ports that the system
 // picks.
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "server_fixture.h"
 #include "web/client.h"
-#include "web/server.h"
 
 namespace cometstand::web {
 namespace {
@@ -19,76 +17,6 @@
 
 constexpr auto kPatience = std::chrono::seconds(10);
 
-/// Answers at once with the request's target, or keeps the exchange open.
-class EchoHandler : public RequestHandler {
- public:
-  void onRequest(ExchangeId id, Request request) override {
-    requests.push_back(request);
-    last = id;
-    if (!answers) return;
-    Response response;
-    response.result(200);
-    response.set("X-Id", std::string(request["X-Id"]));
-    response.body() = std::string(request.target());
-    server->respond(id, std::move(response));
-  }
-  void onCallerGone(ExchangeId id) override { gone.push_back(id); }
-  ServerLimits limits() const override { return server_limits; }
-
-  Server* server = nullptr;
-  bool answers = true;
-  ServerLimits server_limits;
-  std::vector<Request> requests;
-  std::vector<ExchangeId> gone;
-  ExchangeId last{};
-};
-
-struct ServerFixture {
-  ServerFixture() : server(io, {"127.0.0.1", 0}, handler) {
-    handler.server = &server;
-    server.start();
-  }
-
-  /// Runs until the condition holds.
-  template <typename Condition>
-  bool runUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      io.run_one_for(std::chrono::milliseconds(20));
-    }
-    return true;
-  }
-
-  tcp::socket connect() {
-    tcp::socket socket(io);
-    const auto address = server.listenAddress();
-    socket.connect({asio::ip::make_address(address.host), address.port});
-    return socket;
-  }
-
-  /// @return what comes until the text ends so, or the connection ends.
-  std::string readUntil(tcp::socket& socket, const std::string& end) {
-    std::string text;
-    bool ended = false;
-    std::array<char, 512> part{};
-    std::function<void()> read = [&] {
-      socket.async_read_some(asio::buffer(part), [&](boost::system::error_code error, std::size_t length) {
-        text.append(part.data(), length);
-        ended = error.failed() || text.ends_with(end);
-        if (!ended) read();
-      });
-    };
-    read();
-    runUntil([&] { return ended; });
-    return text;
-  }
-
-  asio::io_context io;
-  EchoHandler handler;
-  Server server;
-};
-
 /// A server that sends fixed bytes to each connection once a request has begun to come.
 class RawServer {
  public:
@@ -166,7 +94,7 @@
   REQUIRE(fixture.runUntil([&] { return !fixture.handler.requests.empty(); }));
   socket.close();
   REQUIRE(fixture.runUntil([&] { return !fixture.handler.gone.empty(); }));
-  CHECK(fixture.handler.gone.front() == fixture.handler.last);
+  CHECK(fixture.handler.gone.front() == fixture.handler.ids.front());
 }
 
 TEST_CASE("bytes that are no request, or more than is allowed, are refused and the connection ends",
