--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -392,11 +392,13 @@
   ForwardRequest = 32,
   ForwardReply = 33,
   ForwardCancel = 34,
+  BodyGrant = 35,
+  BodyPart = 36,
   MIN = NONE,
-  MAX = ForwardCancel
+  MAX = BodyPart
 };
 
-inline const Body (&EnumValuesBody())[35] {
+inline const Body (&EnumValuesBody())[37] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -432,13 +434,15 @@
     Body::StoreBeat,
     Body::ForwardRequest,
     Body::ForwardReply,
-    Body::ForwardCancel
+    Body::ForwardCancel,
+    Body::BodyGrant,
+    Body::BodyPart
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[36] = {
+  static const char * const names[38] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -474,13 +478,15 @@
     "ForwardRequest",
     "ForwardReply",
     "ForwardCancel",
+    "BodyGrant",
+    "BodyPart",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ForwardCancel)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyPart)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -625,6 +631,14 @@
   static const Body enum_value = Body::ForwardCancel;
 };
 
+template<> struct BodyTraits<cometstand::wire::BodyGrant> {
+  static const Body enum_value = Body::BodyGrant;
+};
+
+template<> struct BodyTraits<cometstand::wire::BodyPart> {
+  static const Body enum_value = Body::BodyPart;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -765,6 +779,14 @@
   static const Body enum_value = Body::ForwardCancel;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::BodyGrantT> {
+  static const Body enum_value = Body::BodyGrant;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::BodyPartT> {
+  static const Body enum_value = Body::BodyPart;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1067,6 +1089,22 @@
     return type == Body::ForwardCancel ?
       reinterpret_cast<const cometstand::wire::ForwardCancelT *>(value) : nullptr;
   }
+  cometstand::wire::BodyGrantT *AsBodyGrant() {
+    return type == Body::BodyGrant ?
+      reinterpret_cast<cometstand::wire::BodyGrantT *>(value) : nullptr;
+  }
+  const cometstand::wire::BodyGrantT *AsBodyGrant() const {
+    return type == Body::BodyGrant ?
+      reinterpret_cast<const cometstand::wire::BodyGrantT *>(value) : nullptr;
+  }
+  cometstand::wire::BodyPartT *AsBodyPart() {
+    return type == Body::BodyPart ?
+      reinterpret_cast<cometstand::wire::BodyPartT *>(value) : nullptr;
+  }
+  const cometstand::wire::BodyPartT *AsBodyPart() const {
+    return type == Body::BodyPart ?
+      reinterpret_cast<const cometstand::wire::BodyPartT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4446,6 +4484,12 @@
   const cometstand::wire::ForwardCancel *body_as_ForwardCancel() const {
     return body_type() == cometstand::wire::Body::ForwardCancel ? static_cast<const cometstand::wire::ForwardCancel *>(body()) : nullptr;
   }
+  const cometstand::wire::BodyGrant *body_as_BodyGrant() const {
+    return body_type() == cometstand::wire::Body::BodyGrant ? static_cast<const cometstand::wire::BodyGrant *>(body()) : nullptr;
+  }
+  const cometstand::wire::BodyPart *body_as_BodyPart() const {
+    return body_type() == cometstand::wire::Body::BodyPart ? static_cast<const cometstand::wire::BodyPart *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4595,6 +4639,14 @@
   return body_as_ForwardCancel();
 }
 
+template<> inline const cometstand::wire::BodyGrant *Envelope::body_as<cometstand::wire::BodyGrant>() const {
+  return body_as_BodyGrant();
+}
+
+template<> inline const cometstand::wire::BodyPart *Envelope::body_as<cometstand::wire::BodyPart>() const {
+  return body_as_BodyPart();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6117,6 +6169,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancel *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6272,6 +6332,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancel *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyPart *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6415,6 +6483,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ForwardCancelT *>(value);
       return CreateForwardCancel(_fbb, ptr, _rehasher).Union();
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyGrantT *>(value);
+      return CreateBodyGrant(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<const cometstand::wire::BodyPartT *>(value);
+      return CreateBodyPart(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6557,6 +6633,14 @@
       value = new cometstand::wire::ForwardCancelT(*reinterpret_cast<cometstand::wire::ForwardCancelT *>(u.value));
       break;
     }
+    case Body::BodyGrant: {
+      value = new cometstand::wire::BodyGrantT(*reinterpret_cast<cometstand::wire::BodyGrantT *>(u.value));
+      break;
+    }
+    case Body::BodyPart: {
+      value = new cometstand::wire::BodyPartT(*reinterpret_cast<cometstand::wire::BodyPartT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6734,6 +6818,16 @@
       delete ptr;
       break;
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<cometstand::wire::BodyGrantT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::BodyPart: {
+      auto ptr = reinterpret_cast<cometstand::wire::BodyPartT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -86,6 +86,14 @@
 struct ForwardCancelBuilder;
 struct ForwardCancelT;
 
+struct BodyGrant;
+struct BodyGrantBuilder;
+struct BodyGrantT;
+
+struct BodyPart;
+struct BodyPartBuilder;
+struct BodyPartT;
+
 enum class ForwardOutcome : uint8_t {
   Answered = 0,
   NotRun = 1,
@@ -1581,6 +1589,7 @@
   uint32_t patience_ms = 0;
   uint32_t priority = 0;
   bool is_retry = false;
+  uint32_t announced_bytes = 0;
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1603,7 +1612,8 @@
     VT_OBJECTIVE_MS = 20,
     VT_PATIENCE_MS = 22,
     VT_PRIORITY = 24,
-    VT_IS_RETRY = 26
+    VT_IS_RETRY = 26,
+    VT_ANNOUNCED_BYTES = 28
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1641,6 +1651,9 @@
   bool is_retry() const {
     return GetField<uint8_t>(VT_IS_RETRY, 0) != 0;
   }
+  uint32_t announced_bytes() const {
+    return GetField<uint32_t>(VT_ANNOUNCED_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1663,6 +1676,7 @@
            VerifyField<uint32_t>(verifier, VT_PATIENCE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANNOUNCED_BYTES, 4) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1710,6 +1724,9 @@
   void add_is_retry(bool is_retry) {
     fbb_.AddElement<uint8_t>(ForwardRequest::VT_IS_RETRY, static_cast<uint8_t>(is_retry), 0);
   }
+  void add_announced_bytes(uint32_t announced_bytes) {
+    fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANNOUNCED_BYTES, announced_bytes, 0);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1734,8 +1751,10 @@
     uint32_t objective_ms = 0,
     uint32_t patience_ms = 0,
     uint32_t priority = 0,
-    bool is_retry = false) {
+    bool is_retry = false,
+    uint32_t announced_bytes = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_announced_bytes(announced_bytes);
   builder_.add_priority(priority);
   builder_.add_patience_ms(patience_ms);
   builder_.add_objective_ms(objective_ms);
@@ -1769,7 +1788,8 @@
     uint32_t objective_ms = 0,
     uint32_t patience_ms = 0,
     uint32_t priority = 0,
-    bool is_retry = false) {
+    bool is_retry = false,
+    uint32_t announced_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -1790,7 +1810,8 @@
       objective_ms,
       patience_ms,
       priority,
-      is_retry);
+      is_retry,
+      announced_bytes);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1809,6 +1830,7 @@
   uint32_t slots = 0;
   uint32_t failure_permille = 0;
   uint32_t run_time_permille = 0;
+  uint32_t intake_wait_ms = 0;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1831,7 +1853,8 @@
     VT_WAITING = 20,
     VT_SLOTS = 22,
     VT_FAILURE_PERMILLE = 24,
-    VT_RUN_TIME_PERMILLE = 26
+    VT_RUN_TIME_PERMILLE = 26,
+    VT_INTAKE_WAIT_MS = 28
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -1869,6 +1892,9 @@
   uint32_t run_time_permille() const {
     return GetField<uint32_t>(VT_RUN_TIME_PERMILLE, 0);
   }
+  uint32_t intake_wait_ms() const {
+    return GetField<uint32_t>(VT_INTAKE_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -1886,6 +1912,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            VerifyField<uint32_t>(verifier, VT_RUN_TIME_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INTAKE_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1933,6 +1960,9 @@
   void add_run_time_permille(uint32_t run_time_permille) {
     fbb_.AddElement<uint32_t>(ForwardReply::VT_RUN_TIME_PERMILLE, run_time_permille, 0);
   }
+  void add_intake_wait_ms(uint32_t intake_wait_ms) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_INTAKE_WAIT_MS, intake_wait_ms, 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1957,8 +1987,10 @@
     uint32_t waiting = 0,
     uint32_t slots = 0,
     uint32_t failure_permille = 0,
-    uint32_t run_time_permille = 0) {
+    uint32_t run_time_permille = 0,
+    uint32_t intake_wait_ms = 0) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_intake_wait_ms(intake_wait_ms);
   builder_.add_run_time_permille(run_time_permille);
   builder_.add_failure_permille(failure_permille);
   builder_.add_slots(slots);
@@ -1992,7 +2024,8 @@
     uint32_t waiting = 0,
     uint32_t slots = 0,
     uint32_t failure_permille = 0,
-    uint32_t run_time_permille = 0) {
+    uint32_t run_time_permille = 0,
+    uint32_t intake_wait_ms = 0) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -2008,7 +2041,8 @@
       waiting,
       slots,
       failure_permille,
-      run_time_permille);
+      run_time_permille,
+      intake_wait_ms);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2058,6 +2092,132 @@
 
 flatbuffers::Offset<ForwardCancel> CreateForwardCancel(flatbuffers::FlatBufferBuilder &_fbb, const ForwardCancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BodyGrantT : public flatbuffers::NativeTable {
+  typedef BodyGrant TableType;
+  uint32_t bytes = 0;
+};
+
+struct BodyGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyGrantT NativeTableType;
+  typedef BodyGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BYTES = 4
+  };
+  uint32_t bytes() const {
+    return GetField<uint32_t>(VT_BYTES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_BYTES, 4) &&
+           verifier.EndTable();
+  }
+  BodyGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyGrantBuilder {
+  typedef BodyGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_bytes(uint32_t bytes) {
+    fbb_.AddElement<uint32_t>(BodyGrant::VT_BYTES, bytes, 0);
+  }
+  explicit BodyGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyGrant> CreateBodyGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t bytes = 0) {
+  BodyGrantBuilder builder_(_fbb);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct BodyGrant::Traits {
+  using type = BodyGrant;
+  static auto constexpr Create = CreateBodyGrant;
+};
+
+flatbuffers::Offset<BodyGrant> CreateBodyGrant(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct BodyPartT : public flatbuffers::NativeTable {
+  typedef BodyPart TableType;
+  std::vector<uint8_t> bytes{};
+};
+
+struct BodyPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyPartT NativeTableType;
+  typedef BodyPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BYTES = 4
+  };
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+  BodyPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyPartBuilder {
+  typedef BodyPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(BodyPart::VT_BYTES, bytes);
+  }
+  explicit BodyPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  BodyPartBuilder builder_(_fbb);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct BodyPart::Traits {
+  using type = BodyPart;
+  static auto constexpr Create = CreateBodyPart;
+};
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return cometstand::wire::CreateBodyPart(
+      _fbb,
+      bytes__);
+}
+
+flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline TrafficShareT *TrafficShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TrafficShareT>();
   UnPackTo(_o.get(), _resolver);
@@ -2636,7 +2796,8 @@
         objective_ms(o.objective_ms),
         patience_ms(o.patience_ms),
         priority(o.priority),
-        is_retry(o.is_retry) {
+        is_retry(o.is_retry),
+        announced_bytes(o.announced_bytes) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -2654,6 +2815,7 @@
   std::swap(patience_ms, o.patience_ms);
   std::swap(priority, o.priority);
   std::swap(is_retry, o.is_retry);
+  std::swap(announced_bytes, o.announced_bytes);
   return *this;
 }
 
@@ -2678,6 +2840,7 @@
   { auto _e = patience_ms(); _o->patience_ms = _e; }
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = is_retry(); _o->is_retry = _e; }
+  { auto _e = announced_bytes(); _o->announced_bytes = _e; }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2700,6 +2863,7 @@
   auto _patience_ms = _o->patience_ms;
   auto _priority = _o->priority;
   auto _is_retry = _o->is_retry;
+  auto _announced_bytes = _o->announced_bytes;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -2713,7 +2877,8 @@
       _objective_ms,
       _patience_ms,
       _priority,
-      _is_retry);
+      _is_retry,
+      _announced_bytes);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
@@ -2727,7 +2892,8 @@
         waiting(o.waiting),
         slots(o.slots),
         failure_permille(o.failure_permille),
-        run_time_permille(o.run_time_permille) {
+        run_time_permille(o.run_time_permille),
+        intake_wait_ms(o.intake_wait_ms) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -2745,6 +2911,7 @@
   std::swap(slots, o.slots);
   std::swap(failure_permille, o.failure_permille);
   std::swap(run_time_permille, o.run_time_permille);
+  std::swap(intake_wait_ms, o.intake_wait_ms);
   return *this;
 }
 
@@ -2769,6 +2936,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = failure_permille(); _o->failure_permille = _e; }
   { auto _e = run_time_permille(); _o->run_time_permille = _e; }
+  { auto _e = intake_wait_ms(); _o->intake_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2791,6 +2959,7 @@
   auto _slots = _o->slots;
   auto _failure_permille = _o->failure_permille;
   auto _run_time_permille = _o->run_time_permille;
+  auto _intake_wait_ms = _o->intake_wait_ms;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -2804,7 +2973,8 @@
       _waiting,
       _slots,
       _failure_permille,
-      _run_time_permille);
+      _run_time_permille,
+      _intake_wait_ms);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2830,6 +3000,58 @@
       _fbb);
 }
 
+inline BodyGrantT *BodyGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyGrant::UnPackTo(BodyGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = bytes(); _o->bytes = _e; }
+}
+
+inline flatbuffers::Offset<BodyGrant> BodyGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyGrant> CreateBodyGrant(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _bytes = _o->bytes;
+  return cometstand::wire::CreateBodyGrant(
+      _fbb,
+      _bytes);
+}
+
+inline BodyPartT *BodyPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyPart::UnPackTo(BodyPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+}
+
+inline flatbuffers::Offset<BodyPart> BodyPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  return cometstand::wire::CreateBodyPart(
+      _fbb,
+      _bytes);
+}
+
 }  // namespace wire
 }  // namespace cometstand
 
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -25,6 +25,9 @@
 constexpr double kSlowest = 5;
 constexpr double kPermille = 1000;
 constexpr double kAvoidCost = 100;
+/// How long bodies wait at an endpoint counts half after this time: the queue there is some bodies long, each
+/// of which takes some 100 ms on a narrow link.
+constexpr Duration kIntakeHalfLife = std::chrono::milliseconds(500);
 
 constexpr std::uint64_t kRandomSteps = 1'000;
 
@@ -70,6 +73,12 @@
   }
   if (endpoint.zone != own_zone_) score += zone_cost_.of(want.bytes);
   score += kFailureCost * endpoint.failure_rate * trustIn(endpoint, kFailureHalfLife, now);
+  if (want.has_large_body && want.patience > Duration::zero()) {
+    // An endpoint that would make the body wait for as long as it may counts like a full target.
+    const double share =
+        static_cast<double>(endpoint.intake_wait.count()) / static_cast<double>(want.patience.count());
+    score += share * trustIn(endpoint, kIntakeHalfLife, now);
+  }
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
@@ -104,6 +113,7 @@
   endpoint.reported_load = reply.running + reply.waiting;
   endpoint.failure_rate = reply.failure_permille / kPermille;
   endpoint.run_time = reply.run_time_permille / kPermille;
+  endpoint.intake_wait = std::chrono::milliseconds(reply.intake_wait_ms);
   endpoint.reported_at = now;
 }
 
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -34,6 +34,8 @@
   /// Time that the target takes for a run, as a share of the run's objective, as its sidecar said; 0 if not
   /// known.
   double run_time = 0;
+  /// Time until the endpoint could receive another large body, as its sidecar said.
+  Duration intake_wait{};
   TimePoint reported_at;
   /// Not chosen before, unless there is no other.
   TimePoint avoid_until;
@@ -46,6 +48,10 @@
   std::string service;
   /// Size of the bodies of the request and, as far as known, of its answer.
   std::size_t bytes = 0;
+  /// The request's body is announced and sent as the endpoint grants.
+  bool has_large_body = false;
+  /// How long the request may wait at an endpoint.
+  Duration patience{};
 };
 
 /// The endpoints of the mesh as the stores and the answers of the endpoints themselves tell. Hints: the
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kRefusedAvoidance = std::chrono::milliseconds(30);
 constexpr Duration kDownAvoidance = std::chrono::milliseconds(300);
 
+/// Bodies up to this size go with their request; larger ones are announced and sent as the endpoint grants.
+/// On a link of 6 Mbit/s this much takes 5 ms.
+constexpr std::size_t kMostInlineBody = 4 * 1024;
+
 }  // namespace
 
 using runtime::Address;
@@ -69,7 +73,12 @@
 }
 
 EndpointWant OutboundCalls::wantOf(const CallState& call) const {
-  return {call.request->service, call.request->body.size() + sizes_.answerBytes(call.route->name)};
+  EndpointWant want;
+  want.service = call.request->service;
+  want.bytes = call.request->body.size() + sizes_.answerBytes(call.route->name);
+  want.has_large_body = call.request->body.size() > kMostInlineBody;
+  want.patience = patienceShare(call);
+  return want;
 }
 
 void OutboundCalls::sendNext(CallId id, TimePoint now) {
@@ -93,27 +102,65 @@
   call.tried.insert(endpoint.address);
   sent_.emplace(number, id);
   ++endpoint.outstanding;
-  // A copy for each sending: the last one may still be on its way.
-  auto request = std::make_shared<wire::ForwardRequestT>(*call.request);
-  request->deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
-  request->patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
-  request->is_retry = call.sendings > 0;
+  call.body_sent = 0;
+  call.announced = announces(call, endpoint);
+  auto request = requestFor(call, now);
   if (endpoint.address == parts_.options.advertise) {
-    parts_.gate.admit({runtime::LinkId{}, number}, std::move(request), now);
-    return;
+    parts_.gate.admit({runtime::LinkId{}, number},
+                      std::make_shared<const wire::ForwardRequestT>(std::move(request)), now);
+  } else {
+    parts_.actions.send(*parts_.peers.linkTo(endpoint.address), std::move(request), number);
   }
-  wire::EnvelopeT envelope;
-  envelope.request_id = number;
-  envelope.body.Set(std::move(*request));
-  parts_.actions.send(*parts_.peers.linkTo(endpoint.address),
-                      std::make_shared<const wire::EnvelopeT>(std::move(envelope)));
+}
+
+bool OutboundCalls::announces(const CallState& call, const Endpoint& endpoint) const {
+  return call.request->body.size() > kMostInlineBody && endpoint.address != parts_.options.advertise;
+}
+
+/// @return a copy for one sending, as the last one may still be on its way; without a body that is announced.
+wire::ForwardRequestT OutboundCalls::requestFor(CallState& call, TimePoint now) const {
+  auto body = std::move(call.request->body);
+  wire::ForwardRequestT request = *call.request;
+  if (call.announced) {
+    request.announced_bytes = static_cast<std::uint32_t>(body.size());
+  } else {
+    request.body = body;
+  }
+  call.request->body = std::move(body);
+  request.deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
+  request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
+  request.is_retry = call.sendings > 0;
+  return request;
+}
+
+bool OutboundCalls::isWhollySent(const CallState& call) {
+  return !call.announced || call.body_sent == call.request->body.size();
+}
+
+void OutboundCalls::onGrant(const Address& from, std::uint64_t request_id, std::size_t bytes) {
+  const auto sent = sent_.find(request_id);
+  if (sent == sent_.end()) return;
+  auto& call = calls_.at(sent->second);
+  const auto link = parts_.peers.linkTo(from);
+  if (call.at != from || !call.announced || !link) return;
+  const auto& body = call.request->body;
+  const std::size_t length = std::min(bytes, body.size() - call.body_sent);
+  if (length == 0) return;
+  wire::BodyPartT part;
+  const auto begin = body.begin() + static_cast<std::ptrdiff_t>(call.body_sent);
+  part.bytes.assign(begin, begin + static_cast<std::ptrdiff_t>(length));
+  call.body_sent += length;
+  parts_.actions.send(*link, std::move(part), request_id);
 }
 
 /// What one endpoint after another may take together, at least a little for each.
 Duration OutboundCalls::patienceOf(const CallState& call, TimePoint now) const {
+  return std::max(patienceShare(call) - (now - call.began), parts_.options.least_patience);
+}
+
+Duration OutboundCalls::patienceShare(const CallState& call) const {
   const Duration objective = std::chrono::milliseconds(call.route->objective_ms);
-  const auto share = std::chrono::duration_cast<Duration>(objective * parts_.options.queue_share);
-  return std::max(share - (now - call.began), parts_.options.least_patience);
+  return std::chrono::duration_cast<Duration>(objective * parts_.options.queue_share);
 }
 
 void OutboundCalls::onReply(const Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
@@ -251,6 +298,15 @@
   finish(id, std::move(answer), now);
 }
 
+/// @return what is known of a request whose endpoint was lost before it had the whole body.
+wire::ForwardReplyT OutboundCalls::lostBeforeWhole() {
+  wire::ForwardReplyT reply;
+  reply.outcome = wire::ForwardOutcome::NotRun;
+  reply.reason = wire::NotRunReason::TargetDown;
+  reply.retry_after_ms = static_cast<std::uint32_t>(ceilMilliseconds(kDefaultRetryAfter));
+  return reply;
+}
+
 void OutboundCalls::onPeerLost(const Address& address, TimePoint now) {
   std::vector<CallId> lost;
   for (const auto& [id, call] : calls_) {
@@ -266,7 +322,11 @@
     if (found == calls_.end()) continue;
     sent_.erase(found->second.sent_as);
     found->second.at.reset();
-    onFailed(id, found->second, now);
+    if (isWhollySent(found->second)) {
+      onFailed(id, found->second, now);
+    } else {
+      onRefused(id, found->second, lostBeforeWhole(), now);
+    }
   }
 }
 
@@ -274,7 +334,7 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const CallId id = deadlines_.begin()->second;
     auto& call = calls_.at(id);
-    const bool may_have_run = call.may_have_run || call.at.has_value();
+    const bool may_have_run = call.may_have_run || (call.at.has_value() && isWhollySent(call));
     recall(call, now);
     if (may_have_run) {
       finish(id, {CallOutcome::TimedOut, {}, Duration::zero()}, now);
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -49,6 +49,8 @@
   /// @param request_id as it was sent; `from` the endpoint's address.
   void onReply(const runtime::Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
                TimePoint now);
+  /// The endpoint is ready to receive so many more bytes of an announced body.
+  void onGrant(const runtime::Address& from, std::uint64_t request_id, std::size_t bytes);
   /// The link to the endpoint ended: what was sent over it may have run.
   void onPeerLost(const runtime::Address& address, TimePoint now);
   void onTimer(TimePoint now);
@@ -71,6 +73,9 @@
     /// Where the request is now, and under which number it was sent.
     std::optional<runtime::Address> at;
     std::uint64_t sent_as = 0;
+    /// The body was announced to the endpoint, which got so much of it.
+    bool announced = false;
+    std::size_t body_sent = 0;
     Duration retry_after = Duration::zero();
   };
 
@@ -78,6 +83,10 @@
   void refuse(CallId id, CallOutcome outcome);
   void sendNext(CallId id, TimePoint now);
   void send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now);
+  bool announces(const CallState& call, const Endpoint& endpoint) const;
+  wire::ForwardRequestT requestFor(CallState& call, TimePoint now) const;
+  /// @return true if the endpoint got all of the request, so that it may run.
+  static bool isWhollySent(const CallState& call);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
   void onFailed(CallId id, CallState& call, TimePoint now);
   void recall(CallState& call, TimePoint now);
@@ -87,6 +96,8 @@
   void finishNotRun(CallId id, TimePoint now);
   EndpointWant wantOf(const CallState& call) const;
   Duration patienceOf(const CallState& call, TimePoint now) const;
+  Duration patienceShare(const CallState& call) const;
+  static wire::ForwardReplyT lostBeforeWhole();
   Duration comeBackAfter(const CallState& call);
 
   Parts parts_;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -28,6 +28,7 @@
             [this](const GateAsker& asker, wire::ForwardReplyT reply) {
               answerAsker(asker, std::move(reply));
             }),
+      intake_(intakeListener()),
       calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers}) {}
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
@@ -52,6 +53,7 @@
     if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = false;
     calls_.onPeerLost(*address, now);
   } else {
+    intake_.cancelLink(link, now);
     gate_.cancelLink(link, now);
   }
 }
@@ -63,15 +65,48 @@
   } else if (const auto address = peers_.addressOf(link)) {
     if (const auto* reply = message.body.AsForwardReply()) {
       calls_.onReply(*address, message.request_id, *reply, now);
+    } else if (const auto* grant = message.body.AsBodyGrant()) {
+      calls_.onGrant(*address, message.request_id, grant->bytes);
     }
-  } else if (const auto* request = message.body.AsForwardRequest()) {
-    gate_.admit({link, message.request_id}, std::make_shared<const wire::ForwardRequestT>(*request), now);
+  } else {
+    onAskerMessage(link, message, now);
+  }
+}
+
+/// What another sidecar says of its requests for the target beside this one.
+void SidecarCore::onAskerMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const GateAsker asker{link, message.request_id};
+  if (const auto* request = message.body.AsForwardRequest()) {
+    if (request->announced_bytes == 0) {
+      gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(*request), now);
+    } else if (!gate_.refuseNow(asker, *request, now)) {
+      intake_.announce(asker, std::make_shared<wire::ForwardRequestT>(*request), now);
+    }
+  } else if (const auto* part = message.body.AsBodyPart()) {
+    intake_.onPart(asker, part->bytes, now);
   } else if (message.body.AsForwardCancel() != nullptr) {
-    gate_.cancel({link, message.request_id}, now);
+    intake_.cancel(asker, now);
+    gate_.cancel(asker, now);
   }
 }
 
+BodyIntake::Listener SidecarCore::intakeListener() {
+  BodyIntake::Listener listener;
+  listener.grant = [this](const GateAsker& asker, std::uint32_t bytes) {
+    wire::BodyGrantT grant;
+    grant.bytes = bytes;
+    actions_.send(asker.link, grant, asker.request_id);
+  };
+  listener.whole = [this](const GateAsker& asker, std::shared_ptr<wire::ForwardRequestT> request) {
+    gate_.admit(asker, std::move(request), now_);
+  };
+  listener.refuse = [this](const GateAsker& asker, const wire::ForwardRequestT& request,
+                           wire::NotRunReason reason) { gate_.refuse(asker, request, reason); };
+  return listener;
+}
+
 void SidecarCore::answerAsker(const GateAsker& asker, wire::ForwardReplyT reply) {
+  reply.intake_wait_ms = static_cast<std::uint32_t>(ceilMilliseconds(intake_.expectedWait()));
   if (asker.link == LinkId{}) {
     calls_.onReply(options_.advertise, asker.request_id, reply, now_);
   } else {
@@ -165,6 +200,8 @@
   now_ = now;
   control_.onTimer(now);
   peers_.onTimer(now);
+  intake_.onTimer(now);
+  if (gate_.isLeaving(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
   gate_.onTimer(now);
   calls_.onTimer(now);
   checkStop(now);
@@ -174,8 +211,8 @@
 }
 
 TimePoint SidecarCore::nextTimer() const {
-  TimePoint next =
-      std::min({control_.nextTimer(), peers_.nextTimer(), gate_.nextTimer(), calls_.nextTimer(), expire_at_});
+  TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), gate_.nextTimer(),
+                             calls_.nextTimer(), expire_at_});
   if (stop_began_ && !stopped_) next = std::min(next, now_ + kStopCheckInterval);
   return next;
 }
@@ -193,7 +230,8 @@
 void SidecarCore::checkStop(TimePoint now) {
   if (!stop_began_ || stopped_) return;
   const Duration time = now - *stop_began_;
-  const bool is_idle = calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0;
+  const bool is_idle =
+      calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0 && intake_.size() == 0;
   stopped_ = time >= options_.stopMaximum() || (time >= options_.stop_minimum && is_idle);
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "runtime/process_core.h"
+#include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
 #include "sidecar/outbound_calls.h"
 
@@ -59,7 +60,9 @@
   void onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) override;
   void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) override;
 
+  void onAskerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
+  BodyIntake::Listener intakeListener();
   void onTargetChanged(TimePoint now);
   void askTarget();
   wire::EndpointRecordT ownRecord() const;
@@ -76,6 +79,7 @@
   EndpointDirectory endpoints_;
   PeerLinks peers_;
   TargetGate gate_;
+  BodyIntake intake_;
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -48,6 +48,7 @@
   if (target_.condition() == TargetCondition::Unheard) return wire::NotRunReason::TargetDown;
   if (target_.service() != request.service) return wire::NotRunReason::WrongTarget;
   if (isLeaving(now)) return wire::NotRunReason::Leaving;
+  if (std::chrono::milliseconds(request.deadline_ms) < kLeastTimeLeft) return wire::NotRunReason::Deadline;
   return std::nullopt;
 }
 
@@ -110,17 +111,22 @@
   reply(asker, std::move(answer));
 }
 
+bool TargetGate::refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now) {
+  auto reason = refusalOf(request, now);
+  const Duration patience = std::chrono::milliseconds(request.patience_ms);
+  const bool is_full = !hasSlotFor(request, now) && expectedWait(request.priority) > patience;
+  if (!reason && is_full) reason = wire::NotRunReason::Full;
+  if (!reason) return false;
+  refuse(asker, request, *reason);
+  return true;
+}
+
 void TargetGate::admit(const GateAsker& asker, ForwardRequestPointer request, TimePoint now) {
   if (const auto reason = refusalOf(*request, now)) {
     refuse(asker, *request, *reason);
     return;
   }
-  const Duration left = std::chrono::milliseconds(request->deadline_ms);
-  if (left < kLeastTimeLeft) {
-    refuse(asker, *request, wire::NotRunReason::Deadline);
-    return;
-  }
-  const TimePoint deadline = now + left;
+  const TimePoint deadline = now + std::chrono::milliseconds(request->deadline_ms);
   noteObjective(*request, now);
   if (!yields(*request)) short_load_.onArrival(now);
   if (hasSlotFor(*request, now)) {
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "sidecar/gate_asker.h"
 #include "sidecar/metrics.h"
 #include "sidecar/offered_load.h"
 #include "sidecar/sidecar_options.h"
@@ -16,14 +17,6 @@
 
 namespace cometstand::sidecar {
 
-/// Who waits for the answer to a request at the gate: a link to another sidecar, or this sidecar itself.
-struct GateAsker {
-  /// The default stands for this sidecar's own callers.
-  runtime::LinkId link{};
-  std::uint64_t request_id = 0;
-  friend auto operator<=>(const GateAsker&, const GateAsker&) = default;  // NOLINT(modernize-use-nullptr)
-};
-
 /// Decides which requests the target beside this sidecar gets, and when. All requests for the target pass
 /// here, so the gate knows exactly what the target has to do: it refuses at once what cannot be run in time,
 /// lets the more urgent go first, and passes nothing to a target that leaves.
@@ -42,6 +35,12 @@
   const TargetState& target() const { return target_; }
 
   void admit(const GateAsker& asker, ForwardRequestPointer request, TimePoint now);
+  /// Refuses the request if admit() would refuse it at once. @return true if so.
+  bool refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now);
+  /// Answers that the request has not run and will not.
+  void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason);
+  /// @return true if new requests are refused since the target or this sidecar leaves.
+  bool isLeaving(TimePoint now) const;
   void cancel(const GateAsker& asker, TimePoint now);
   /// All requests of one link are given up.
   void cancelLink(runtime::LinkId link, TimePoint now);
@@ -81,7 +80,6 @@
   };
 
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
-  bool isLeaving(TimePoint now) const;
   Duration expectedWait(unsigned priority) const;
   unsigned slots() const;
   /// @return true if requests come that have a much shorter objective and are more urgent.
@@ -92,7 +90,6 @@
     return running_.size() < slotsFor(request, now);
   }
   void noteObjective(const wire::ForwardRequestT& request, TimePoint now);
-  void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason);
   void start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline, TimePoint now);
   void startWaiting(TimePoint now);
   void noteOutcome(const Running& run, const wire::ForwardReplyT& reply, TimePoint now);
