--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -73,12 +73,22 @@
   shortest_seen_at_ = now;
 }
 
-Duration TargetGate::expectedWait(unsigned priority) const {
-  unsigned ahead = 1;
-  for (const auto& [place, waiting] : waiting_) {
-    if (place.priority <= priority) ++ahead;
-  }
-  return Duration(static_cast<Duration::rep>(mean_run_time_ * ahead / slots()));
+TargetGate::Place TargetGate::placeOf(const wire::ForwardRequestT& request, TimePoint now) const {
+  const TimePoint deadline = now + std::chrono::milliseconds(request.deadline_ms);
+  const TimePoint start_by = std::min(deadline, now + std::chrono::milliseconds(request.patience_ms));
+  return {request.priority, start_by, next_number_};
+}
+
+Duration TargetGate::expectedWait(std::size_t ahead) const {
+  return Duration(static_cast<Duration::rep>(mean_run_time_ * static_cast<double>(ahead + 1) / slots()));
+}
+
+/// @return true if the request gets no slot at once, and would wait longer than it may behind those that go
+/// first.
+bool TargetGate::isFullFor(const wire::ForwardRequestT& request, TimePoint now) const {
+  if (hasSlotFor(request, now)) return false;
+  const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(placeOf(request, now)));
+  return expectedWait(static_cast<std::size_t>(ahead)) > std::chrono::milliseconds(request.patience_ms);
 }
 
 void TargetGate::reply(const GateAsker& asker, wire::ForwardReplyT reply) {
@@ -96,7 +106,7 @@
   answer.outcome = wire::ForwardOutcome::NotRun;
   answer.reason = reason;
   metrics_.noteRefusal(reason);
-  const Duration wait = std::max(expectedWait(UINT32_MAX), kLeastRetryAfter);
+  const Duration wait = std::max(expectedWait(waiting_.size()), kLeastRetryAfter);
   logEvent(kGateRefused, {{"request", request.request_id},
                           {"reason", wire::EnumNameNotRunReason(reason)},
                           {"service", request.service},
@@ -113,9 +123,7 @@
 
 bool TargetGate::refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now) {
   auto reason = refusalOf(request, now);
-  const Duration patience = std::chrono::milliseconds(request.patience_ms);
-  const bool is_full = !hasSlotFor(request, now) && expectedWait(request.priority) > patience;
-  if (!reason && is_full) reason = wire::NotRunReason::Full;
+  if (!reason && isFullFor(request, now)) reason = wire::NotRunReason::Full;
   if (!reason) return false;
   refuse(asker, request, *reason);
   return true;
@@ -134,14 +142,13 @@
     start(asker, request, deadline, now);
     return;
   }
-  const Duration patience = std::chrono::milliseconds(request->patience_ms);
-  if (expectedWait(request->priority) > patience) {
+  if (isFullFor(*request, now)) {
     refuse(asker, *request, wire::NotRunReason::Full);
     return;
   }
-  const TimePoint start_by = std::min(deadline, now + patience);
-  const Place place{request->priority, start_by, next_number_++};
-  waiting_.emplace(place, Waiting{asker, std::move(request), now, deadline, start_by});
+  const Place place = placeOf(*request, now);
+  ++next_number_;
+  waiting_.emplace(place, Waiting{asker, std::move(request), now, deadline, place.start_by});
 }
 
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -80,7 +80,11 @@
   };
 
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
-  Duration expectedWait(unsigned priority) const;
+  /// @return where a request that comes now would wait.
+  Place placeOf(const wire::ForwardRequestT& request, TimePoint now) const;
+  /// @return the expected wait of a request behind so many others that wait.
+  Duration expectedWait(std::size_t ahead) const;
+  bool isFullFor(const wire::ForwardRequestT& request, TimePoint now) const;
   unsigned slots() const;
   /// @return true if requests come that have a much shorter objective and are more urgent.
   bool yields(const wire::ForwardRequestT& request) const;
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -24,7 +24,7 @@
     request->priority = priority;
     request->deadline_ms = deadline_ms;
     request->objective_ms = objective_ms;
-    request->patience_ms = 100;
+    request->patience_ms = patience_ms;
     gate.admit({runtime::LinkId{1}, number}, request, now);
   }
 
@@ -35,6 +35,7 @@
   }
 
   SidecarOptions options;
+  std::uint32_t patience_ms = 100;
   RecordingTarget target;
   std::map<std::uint64_t, wire::ForwardReplyT> replies;
   TimePoint now{std::chrono::seconds(100)};
@@ -242,4 +243,21 @@
   CHECK(fixture.target.cancelled.size() == 1);
 }
 
+TEST_CASE("a request that can wait less goes before others of its priority, and is not refused for them") {
+  GateFixture fixture;
+  fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
+  // The target takes 100 ms for a run, so that those who wait behind three others wait longer than they may.
+  for (std::uint64_t number = 1; number <= 2; ++number) fixture.admit(number);
+  fixture.now += milliseconds(100);
+  for (std::size_t order = 0; order < 2; ++order) fixture.finish(order);
+  fixture.patience_ms = 200;
+  for (std::uint64_t number = 3; number <= 7; ++number) fixture.admit(number);
+  REQUIRE(fixture.gate.waiting() == 3);
+  fixture.patience_ms = 60;
+  fixture.admit(8);
+  CHECK_FALSE(fixture.replies.contains(8));
+  fixture.finish(2);
+  CHECK(fixture.target.orders.back().request->request_id == "r8");
+}
+
 }  // namespace cometstand::sidecar::test
