--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -16,6 +16,11 @@
 
 constexpr std::uint64_t kBootstrapIncarnation = 0;
 constexpr Term kBootstrapTerm = 1;
+/// The first pre-votes of a replica that has just started come after the shortest election timeout divided by
+/// a number between these: 60 to 150 ms by default, which leaves the others' links time to open and still
+/// differs enough between replicas that one of them is first.
+constexpr Duration::rep kStartupShareShortest = 5;
+constexpr Duration::rep kStartupShareLongest = 2;
 
 const char* roleName(Role role) {
   switch (role) {
@@ -65,7 +70,7 @@
   delivered_index_ = commit_index_;
   output_.installed_snapshot = log_.snapshot();
   setRole(Role::Follower, 0);
-  resetElectionDeadline();
+  resetPreVoteDeadline();
 }
 
 void Consensus::bootstrap(const wire::MembershipT& membership, TimePoint now) {
@@ -209,6 +214,18 @@
   election_deadline_ = now_ + random_.uniform(options_.election_timeout_min, options_.election_timeout_max);
 }
 
+/// Until a replica heard a leader since its start, it asks for pre-votes sooner: after all replicas ended
+/// there is no leader to wait for, and if there is one, those who hear it refuse. The election itself, which
+/// raises the term, keeps the usual pace.
+void Consensus::resetPreVoteDeadline() {
+  if (last_leader_contact_) {
+    resetElectionDeadline();
+    return;
+  }
+  election_deadline_ = now_ + random_.uniform(options_.election_timeout_min / kStartupShareShortest,
+                                              options_.election_timeout_min / kStartupShareLongest);
+}
+
 void Consensus::advanceCommit(LogIndex index) {
   if (index <= commit_index_) return;
   checkInvariant(index <= log_.lastIndex(), "only entries in the log are committed");
--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -112,6 +112,7 @@
   void advanceCommit(LogIndex index);
   void deliverCommitted();
   void resetElectionDeadline();
+  void resetPreVoteDeadline();
   template <typename Body>
   void send(ReplicaId to, Body body, runtime::WriteId after);
   template <typename Body>
--- a/src/consensus/consensus_election.cpp
+++ b/src/consensus/consensus_election.cpp
@@ -17,7 +17,7 @@
 }
 
 void Consensus::startPreVote() {
-  resetElectionDeadline();
+  resetPreVoteDeadline();
   if (!isVoter(log_.membership(), self_.id)) {
     // A learner begins no election, but must not say that it hears a leader.
     setRole(Role::Follower, 0);
--- a/tests/consensus/election_test.cpp
+++ b/tests/consensus/election_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "base/error.h"
@@ -263,4 +264,31 @@
   }
 }
 
+TEST_CASE("replicas that all start anew elect a leader before the shortest election timeout has passed") {
+  SimulatedCluster cluster(3, GENERATE(1, 2, 3, 4, 5));
+  cluster.waitForLeader();
+  for (const ReplicaId id : cluster.ids()) cluster.crash(id);
+  for (const ReplicaId id : cluster.ids()) cluster.start(id);
+  const auto leads = [&cluster] {
+    const auto ids = cluster.ids();
+    return std::any_of(ids.begin(), ids.end(),
+                       [&](ReplicaId id) { return cluster.at(id).leadership.role == Role::Leader; });
+  };
+  CHECK(cluster.runUntil(leads, SimulatedCluster::testOptions().election_timeout_min));
+}
+
+TEST_CASE("a replica that starts beside a live leader does not disturb it") {
+  SimulatedCluster cluster(3, GENERATE(1, 2, 3));
+  const ReplicaId leader = cluster.waitForLeader();
+  const Term term = cluster.at(leader).leadership.term;
+  const ReplicaId other = leader % 3 + 1;
+  for (int i = 0; i < 5; ++i) {
+    cluster.crash(other);
+    cluster.start(other);
+    cluster.runFor(milliseconds(400));
+  }
+  CHECK(cluster.at(leader).leadership.role == Role::Leader);
+  CHECK(cluster.at(leader).leadership.term == term);
+}
+
 }  // namespace cometstand::consensus
