--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(10);
 /// When to come back if nothing better is known, and the least wait that is named.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(80);
+/// Callers wait for as much of the time that they have left, but no longer, before they come back.
+constexpr double kHonouredShare = 1.0 / 3;
 /// An endpoint whose link ended while it had requests is avoided for a while.
 constexpr Duration kLostPeerAvoidance = std::chrono::milliseconds(1'500);
 constexpr Duration kRefusedAvoidance = std::chrono::milliseconds(30);
@@ -45,7 +47,8 @@
   state.request->objective_ms = route->objective_ms;
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   state.began = now;
-  state.deadline = now + std::min(call.deadline.value_or(timeout), timeout);
+  state.caller_leaves = now + call.deadline.value_or(timeout);
+  state.deadline = std::min(state.caller_leaves, now + timeout);
   if (endsTooLate(state.deadline, now)) {
     refuse(id, CallOutcome::NotRun);
     return;
@@ -280,21 +283,25 @@
   const auto& call = found->second;
   logEnd(call, answer, now);
   metrics_.noteEnd(answer.outcome, now - call.began);
+  refusals_.note(call.request->service, answer.outcome == CallOutcome::NotRun);
   deadlines_.erase({call.deadline, id});
   calls_.erase(found);
   parts_.callers.answer(id, std::move(answer));
 }
 
-Duration OutboundCalls::comeBackAfter(const CallState& call) {
+/// @return a time drawn from a span that grows with the share of requests that are refused: callers who are
+/// refused together do not come back together, and the more there are, the longer each is put off.
+Duration OutboundCalls::comeBackAfter(const CallState& call, TimePoint now) {
   const Duration least = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
-  // Spread, so that those that were refused together do not come back together.
-  return parts_.random.uniform(least, 2 * least);
+  const auto honoured = std::chrono::duration_cast<Duration>((call.caller_leaves - now) * kHonouredShare);
+  const auto spread = std::chrono::duration_cast<Duration>(honoured * refusals_.of(call.request->service));
+  return parts_.random.uniform(least, least + std::max(least, spread));
 }
 
 void OutboundCalls::finishNotRun(CallId id, TimePoint now) {
   CallAnswer answer;
   answer.outcome = CallOutcome::NotRun;
-  answer.retry_after = comeBackAfter(calls_.at(id));
+  answer.retry_after = comeBackAfter(calls_.at(id), now);
   finish(id, std::move(answer), now);
 }
 
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -12,6 +12,7 @@
 #include "sidecar/endpoint_directory.h"
 #include "sidecar/metrics.h"
 #include "sidecar/peer_links.h"
+#include "sidecar/refusal_share.h"
 #include "sidecar/retry_budget.h"
 #include "sidecar/target_gate.h"
 #include "sidecar/transfer_sizes.h"
@@ -64,6 +65,8 @@
     mesh::RoutePointer route;
     TimePoint began;
     TimePoint deadline;
+    /// When the caller gives up; later than the deadline if the route allows less time.
+    TimePoint caller_leaves;
     /// Endpoints that were asked.
     std::set<runtime::Address> tried;
     /// Sendings that reached a target, or may have.
@@ -98,10 +101,11 @@
   Duration patienceOf(const CallState& call, TimePoint now) const;
   Duration patienceShare(const CallState& call) const;
   static wire::ForwardReplyT lostBeforeWhole();
-  Duration comeBackAfter(const CallState& call);
+  Duration comeBackAfter(const CallState& call, TimePoint now);
 
   Parts parts_;
   RetryBudget budget_;
+  RefusalShare refusals_;
   TransferSizes sizes_;
   CallMetrics metrics_;
   mesh::RouteTablePointer table_;
