--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -46,8 +46,8 @@
 
   OtherZoneCost zone_cost;
 
-  /// Part of a request's objective that it may wait for a slot of its target. Default 0.15, range 0 to 1: with 0.4
-  /// answers under overload came late, with 0.08 too few were served (docs/FURTHER.md, round 5).
+  /// Part of a request's objective that it may wait for a slot of its target. Default 0.15, range 0 to 1:
+  /// with 0.4 answers under overload came late, with 0.08 too few were served (docs/FURTHER.md, round 5).
   double queue_share = 0.15;
 
   /// Requests of a short objective may wait this long all the same. Microseconds, default 20 ms, range 0 to
--- a/tests/sidecar/outbound_calls_test.cpp
+++ b/tests/sidecar/outbound_calls_test.cpp
@@ -120,22 +120,23 @@
   CHECK_FALSE(sidecar.callers.answers.contains(short_one));
 }
 
-TEST_CASE("the more requests are refused, the later callers are told to come back, within what they have left") {
+TEST_CASE(
+    "the more requests are refused, the later callers are told to come back, within what they have left") {
   SidecarFixture sidecar;
   sidecar.configure();
-  const auto refusedFor = [&sidecar](Duration deadline) {
+  const auto refused_for = [&sidecar](Duration deadline) {
     return sidecar.callers.answers.at(sidecar.call("/read/1", deadline)).retry_after;
   };
-  const Duration first = refusedFor(seconds(3));
+  const Duration first = refused_for(seconds(3));
   CHECK(first > Duration::zero());
   CHECK(first <= milliseconds(160));
   Duration longest = Duration::zero();
-  for (int i = 0; i < 100; ++i) longest = std::max(longest, refusedFor(seconds(3)));
+  for (int i = 0; i < 100; ++i) longest = std::max(longest, refused_for(seconds(3)));
   CHECK(longest > milliseconds(700));
   // A caller waits for a third of its time at most; the least wait is 80 ms.
   CHECK(longest <= milliseconds(1'080));
   Duration longest_of_short = Duration::zero();
-  for (int i = 0; i < 100; ++i) longest_of_short = std::max(longest_of_short, refusedFor(milliseconds(300)));
+  for (int i = 0; i < 100; ++i) longest_of_short = std::max(longest_of_short, refused_for(milliseconds(300)));
   CHECK(longest_of_short <= milliseconds(180));
 }
 
