--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -53,8 +53,9 @@
   add("target_waiting", "Requests that wait for a slot of the target.", core_.gate().waiting());
   add("bodies_arriving", "Large bodies that are announced or on their way to this sidecar.",
       core_.intake().size());
-  add("intake_wait_seconds", "Expected time until a large body that is announced now would begin to come.",
-      std::chrono::duration<double>(core_.intake().expectedWait()).count());
+  metrics.gauge("cometstand_sidecar_intake_wait_seconds",
+                "Expected time until a large body that is announced now would begin to come.",
+                std::chrono::duration<double>(core_.intake().expectedWait()).count());
   addCallMetrics(metrics, core_.callMetrics());
   addGateMetrics(metrics, core_.gate().metrics());
 }
