--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -119,4 +119,23 @@
   CHECK(draws < kDraws * 3 / 4);
 }
 
+TEST_CASE("an endpoint that joins gets requests though nothing is known of it yet") {
+  DirectoryFixture fixture;
+  for (const auto& address : {kFast, kSlow}) fixture.report(address, 200, 2);
+  const runtime::Address joined{"10.0.0.4", 7000};
+  wire::EndpointUpdateT update;
+  auto record = std::make_shared<wire::EndpointRecordT>();
+  record->service = "shop";
+  record->endpoint = "instance-new";
+  record->address = joined.host;
+  record->port = joined.port;
+  record->zone = "zone-a";
+  record->state = GENERATE(wire::EndpointState::Live, wire::EndpointState::Cold);
+  record->slots = kSlots;
+  update.records.push_back(std::move(record));
+  fixture.directory.apply(update, false, fixture.now);
+  fixture.directory.find(joined)->linked = true;
+  CHECK(fixture.drawsOf(joined) > 0);
+}
+
 }  // namespace cometstand::sidecar::test
