Endpoint records go to nodes together; after a cut a node waits for its own zone's store

Ruled out: bodies (28 MB of requests and answers that leave their zone while their own is cut), consensus. Change: a store collects changed records for its step of 100 ms; a node that has a configuration takes no store of another zone for 0.5 s after it lost its source, if its own zone has one.

--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -17,6 +17,9 @@
 /// The same for a store that is not the source; its beats come every 15 s.
 constexpr Duration kStoreSilence = std::chrono::seconds(35);
 
+/// After a cut a sidecar that has a configuration takes no store of another zone for this long, while one of
+/// its own zone may come back: each new source sends it the whole list of endpoints. Some reconnects.
+constexpr Duration kNearStorePatience = std::chrono::milliseconds(500);
 /// A store that no beat names any more, and that does not answer, is forgotten after this time.
 constexpr Duration kUnnamedLease = std::chrono::seconds(10);
 
@@ -137,8 +140,9 @@
 }
 
 void ControlClient::chooseSource(TimePoint now) {
-  const auto best = bestSource();
+  const auto best = bestSource(now);
   if (best == source_) return;
+  if (!best) sourceless_since_ = now;
   if (source_) {
     if (const auto link = links_.linkTo(*source_)) {
       wire::NodeSubscribeT leave;
@@ -163,14 +167,23 @@
   actions_.send(*links_.linkTo(*source_), request, 0);
 }
 
+bool ControlClient::waitsForNear(TimePoint now) const {
+  if (revision_ == 0 || source_ || now >= sourceless_since_ + kNearStorePatience) return false;
+  return std::any_of(stores_.begin(), stores_.end(),
+                     [this](const auto& item) { return item.second.zone == options_.zone; });
+}
+
 /// The store of the own zone if there is one, else the one in use, else any.
-std::optional<Address> ControlClient::bestSource() const {
+std::optional<Address> ControlClient::bestSource(TimePoint now) const {
+  const bool near_only = waitsForNear(now);
   std::optional<Address> best;
   int best_rank = 0;
   for (const auto& [address, store] : stores_) {
     if (!isUsable(address, store) || store.revision < revision_) continue;
     constexpr int kNear = 2;
-    const int rank = 1 + (store.zone == options_.zone ? kNear : 0) + (source_ == address ? 1 : 0);
+    const bool is_near = store.zone == options_.zone;
+    if (near_only && !is_near) continue;
+    const int rank = 1 + (is_near ? kNear : 0) + (source_ == address ? 1 : 0);
     if (rank <= best_rank) continue;
     best = address;
     best_rank = rank;
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -66,7 +66,9 @@
   void onUpdate(const wire::MeshUpdateT& update, TimePoint now);
   void closeSilent(TimePoint now);
   void chooseSource(TimePoint now);
-  std::optional<runtime::Address> bestSource() const;
+  std::optional<runtime::Address> bestSource(TimePoint now) const;
+  /// @return true while a store of the own zone may still come in place of a lost source.
+  bool waitsForNear(TimePoint now) const;
   void subscribe(std::uint64_t have_revision);
   bool isUsable(const runtime::Address& address, const Store& store) const;
   void sendReport(runtime::LinkId link) const;
@@ -79,6 +81,8 @@
   std::map<runtime::Address, Store> stores_;
   /// The store that sends configurations and endpoints.
   std::optional<runtime::Address> source_;
+  /// Since when there is none.
+  TimePoint sourceless_since_;
   /// The next endpoint records from the source are all that it knows.
   bool awaits_whole_ = false;
   std::uint64_t revision_ = 0;
--- a/src/store/node_hub.cpp
+++ b/src/store/node_hub.cpp
@@ -9,6 +9,7 @@
 namespace cometstand::store {
 namespace {
 
+/// Also the time for which changed endpoint records are collected.
 constexpr Duration kStepInterval = std::chrono::milliseconds(100);
 /// Between two beats to a node that takes its configurations from this replica.
 constexpr Duration kBeatInterval = std::chrono::milliseconds(300);
@@ -73,13 +74,14 @@
     endpoint.reported_by = link;
     endpoint.lost_at.reset();
     endpoint.record = record;
-    broadcast(record);
+    announce(record);
   }
 }
 
-void NodeHub::broadcast(const std::shared_ptr<wire::EndpointRecordT>& record) {
+void NodeHub::sendChanged() {
+  if (changed_.empty()) return;
   wire::EndpointUpdateT update;
-  update.records.push_back(record);
+  update.records = std::exchange(changed_, {});
   const auto message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(update)));
   for (const auto& [link, node] : nodes_) {
     if (node.subscribed) context_.actions.send(link, message);
@@ -192,7 +194,7 @@
     }
     auto gone = std::make_shared<wire::EndpointRecordT>(*endpoint.record);
     gone->state = wire::EndpointState::Gone;
-    broadcast(gone);
+    announce(std::move(gone));
     item = endpoints_.erase(item);
   }
 }
@@ -202,6 +204,7 @@
   beat_at_ = now + kStepInterval;
   closeSilent(now);
   expireEndpoints(now);
+  sendChanged();
   sendBeats(now);
 }
 
--- a/src/store/node_hub.h
+++ b/src/store/node_hub.h
@@ -3,6 +3,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "store/store_context.h"
 
@@ -50,7 +52,9 @@
   void onReport(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
   void takeConfiguration();
   void sendConfiguration(runtime::LinkId link, Node& node);
-  void broadcast(const std::shared_ptr<wire::EndpointRecordT>& record);
+  /// The record goes to all subscribed nodes with the next step.
+  void announce(std::shared_ptr<wire::EndpointRecordT> record) { changed_.push_back(std::move(record)); }
+  void sendChanged();
   bool needsStores(const Node& node, TimePoint now) const;
   void sendBeats(TimePoint now);
   bool isCurrent() const { return context_.consensus.leadership().leader != 0; }
@@ -63,6 +67,9 @@
   std::map<runtime::LinkId, Node> nodes_;
   /// By the name of the node beside the endpoint.
   std::map<std::string, Endpoint> endpoints_;
+  /// Records that the subscribed nodes do not have yet, in the order in which they came. Sent together: after
+  /// a start of the whole fleet each of n nodes is told of n endpoints.
+  std::vector<std::shared_ptr<wire::EndpointRecordT>> changed_;
   /// The newest configuration and the one before it.
   std::uint64_t revision_ = 0;
   std::vector<std::uint8_t> configuration_;
--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -104,6 +104,51 @@
   CHECK(sidecar.links.at(other) == link);
 }
 
+// steppe-record-large, trouble-1, 11.6 s: machines that had been cut off took configuration and endpoints
+// from a store of another zone first, and from their own zone's a moment later.
+TEST_CASE("after a cut a sidecar waits a while for a store of its own zone") {
+  SidecarFixture sidecar;
+  const runtime::Address near{"10.0.0.8", 7000};
+  wire::StoreBeatT beat;
+  beat.is_current = true;
+  for (const auto& [address, zone] :
+       {std::pair{SidecarFixture::kStore, "zone-b"}, std::pair{near, "zone-a"}}) {
+    auto store = std::make_shared<wire::NetworkEndpointT>();
+    store->host = address.host;
+    store->port = address.port;
+    store->zone = zone;
+    beat.replicas.push_back(store);
+  }
+  sidecar.say(SidecarFixture::kStore, beat);
+  sidecar.configure();
+  sidecar.core.onTimer(sidecar.now);
+  sidecar.step();
+  const auto subscriptions_to = [&sidecar](const runtime::Address& store) {
+    return std::count_if(sidecar.sent.begin(), sidecar.sent.end(), [&](const auto& message) {
+      const auto* request = message.message->body.AsNodeSubscribe();
+      return message.link == sidecar.links.at(store) && request != nullptr && request->wants_updates;
+    });
+  };
+  for (const auto& store : {SidecarFixture::kStore, near}) {
+    sidecar.core.onLinkClosed(sidecar.links.at(store), sidecar.now);
+    sidecar.step();
+  }
+  sidecar.pass(milliseconds(200));
+  sidecar.sent.clear();
+  beat.replicas.clear();
+  beat.revision = 1;
+  sidecar.say(SidecarFixture::kStore, beat);
+  CHECK(subscriptions_to(SidecarFixture::kStore) == 0);
+  SECTION("which is taken when it comes") {
+    sidecar.say(near, beat);
+    CHECK(subscriptions_to(near) == 1);
+  }
+  SECTION("and takes another if it does not come") {
+    sidecar.pass(milliseconds(600));
+    CHECK(subscriptions_to(SidecarFixture::kStore) == 1);
+  }
+}
+
 TEST_CASE("a planned stop ends before its time limit, also with a request that is never answered") {
   auto options = SidecarFixture::makeOptions();
   options.stop_time_limit = std::chrono::seconds(3);
--- a/tests/store/self_forming_test.cpp
+++ b/tests/store/self_forming_test.cpp
@@ -354,4 +354,42 @@
   CHECK(count(served, false) >= kSeconds);
 }
 
+// steppe-record-large, trouble-1: after the start each of 280 nodes got 280 messages of one endpoint each.
+TEST_CASE("endpoints that are reported together are told together") {
+  SelfForming cluster;
+  cluster.network.startAll();
+  REQUIRE(cluster.settles());
+  const auto connect = [&](const std::string& name) {
+    const auto client = cluster.network.connect(0);
+    wire::NodeHelloT hello;
+    hello.node = name;
+    cluster.network.send(client, runtime::makeEnvelope(hello));
+    return client;
+  };
+  const auto node = connect("node");
+  cluster.network.send(node, runtime::makeEnvelope(wire::NodeSubscribeT()));
+  cluster.network.runFor(milliseconds(200));
+  cluster.network.received(node).clear();
+  constexpr std::size_t kOthers = 20;
+  for (std::size_t i = 0; i < kOthers; ++i) {
+    const auto other = connect("other-" + std::to_string(i));
+    wire::EndpointUpdateT report;
+    report.records.push_back(std::make_shared<wire::EndpointRecordT>());
+    report.records[0]->endpoint = "instance-" + std::to_string(i);
+    report.records[0]->state = wire::EndpointState::Live;
+    cluster.network.send(other, runtime::makeEnvelope(report));
+  }
+  cluster.network.runFor(milliseconds(200));
+  std::size_t messages = 0;
+  std::size_t records = 0;
+  for (const auto& message : cluster.network.received(node)) {
+    const auto* update = message.body.AsEndpointUpdate();
+    if (update == nullptr) continue;
+    ++messages;
+    records += update->records.size();
+  }
+  CHECK(records == kOthers);
+  CHECK(messages <= 2);
+}
+
 }  // namespace cometstand::store::test
