--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -55,15 +55,7 @@
 TEST_CASE("a store that no longer hears its leader is left for one that does") {
   SidecarFixture sidecar;
   const runtime::Address other{"10.0.0.8", 7000};
-  wire::StoreBeatT beat;
-  beat.is_current = true;
-  auto address = std::make_shared<wire::NetworkEndpointT>();
-  address->host = other.host;
-  address->port = other.port;
-  beat.replicas.push_back(address);
-  sidecar.say(SidecarFixture::kStore, beat);
-  sidecar.core.onTimer(sidecar.now);
-  sidecar.step();
+  auto beat = sidecar.tellStores({{other, "zone-b"}});
   REQUIRE(sidecar.links.contains(other));
   beat.replicas.clear();
   sidecar.say(other, beat);
@@ -79,15 +71,7 @@
 TEST_CASE("a store that was silent while another was the source has a while to answer once it is chosen") {
   SidecarFixture sidecar;
   const runtime::Address other{"10.0.0.8", 7000};
-  wire::StoreBeatT beat;
-  beat.is_current = true;
-  auto address = std::make_shared<wire::NetworkEndpointT>();
-  address->host = other.host;
-  address->port = other.port;
-  beat.replicas.push_back(address);
-  sidecar.say(SidecarFixture::kStore, beat);
-  sidecar.core.onTimer(sidecar.now);
-  sidecar.step();
+  auto beat = sidecar.tellStores({{other, "zone-b"}});
   beat.replicas.clear();
   sidecar.say(other, beat);
   for (int i = 0; i < 50; ++i) {
@@ -109,20 +93,8 @@
 TEST_CASE("after a cut a sidecar waits a while for a store of its own zone") {
   SidecarFixture sidecar;
   const runtime::Address near{"10.0.0.8", 7000};
-  wire::StoreBeatT beat;
-  beat.is_current = true;
-  for (const auto& [address, zone] :
-       {std::pair{SidecarFixture::kStore, "zone-b"}, std::pair{near, "zone-a"}}) {
-    auto store = std::make_shared<wire::NetworkEndpointT>();
-    store->host = address.host;
-    store->port = address.port;
-    store->zone = zone;
-    beat.replicas.push_back(store);
-  }
-  sidecar.say(SidecarFixture::kStore, beat);
+  auto beat = sidecar.tellStores({{SidecarFixture::kStore, "zone-b"}, {near, "zone-a"}});
   sidecar.configure();
-  sidecar.core.onTimer(sidecar.now);
-  sidecar.step();
   const auto subscriptions_to = [&sidecar](const runtime::Address& store) {
     return std::count_if(sidecar.sent.begin(), sidecar.sent.end(), [&](const auto& message) {
       const auto* request = message.message->body.AsNodeSubscribe();
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -90,6 +90,28 @@
     step();
   }
 
+  struct NamedStore {
+    runtime::Address address;
+    std::string zone;
+  };
+
+  /// The first store names these, to which the sidecar then links itself. @return the heartbeat that said so.
+  wire::StoreBeatT tellStores(const std::vector<NamedStore>& stores) {
+    wire::StoreBeatT beat;
+    beat.is_current = true;
+    for (const auto& named : stores) {
+      auto store = std::make_shared<wire::NetworkEndpointT>();
+      store->host = named.address.host;
+      store->port = named.address.port;
+      store->zone = named.zone;
+      beat.replicas.push_back(std::move(store));
+    }
+    say(kStore, beat);
+    core.onTimer(now);
+    step();
+    return beat;
+  }
+
   static wire::MeshConfigurationT makeConfiguration() {
     wire::MeshConfigurationT configuration;
     for (const char* name : {"read", "write"}) {
--- a/tests/store/self_forming_test.cpp
+++ b/tests/store/self_forming_test.cpp
@@ -38,6 +38,15 @@
     setUp(index, false);
   }
 
+  /// @return a node that is linked to the first replica and has said its name.
+  MemoryNetwork::ClientId connectNode(const std::string& name) {
+    const auto client = network.connect(0);
+    wire::NodeHelloT hello;
+    hello.node = name;
+    network.send(client, runtime::makeEnvelope(hello));
+    return client;
+  }
+
   bool hasLeader() { return network.leader().has_value(); }
 
   bool settles(Duration limit = seconds(20)) {
@@ -246,10 +255,7 @@
 TEST_CASE("a linked node hears at once that its store hears a leader") {
   SelfForming cluster;
   cluster.network.start(0);
-  const auto node = cluster.network.connect(0);
-  wire::NodeHelloT hello;
-  hello.node = "node-1";
-  cluster.network.send(node, runtime::makeEnvelope(hello));
+  const auto node = cluster.connectNode("node-1");
   cluster.network.runFor(milliseconds(250));
   cluster.network.start(1);
   cluster.network.start(2);
@@ -268,14 +274,7 @@
   cluster.network.startAll();
   REQUIRE(cluster.settles());
   REQUIRE(cluster.change(0, 5) == MeshAnswerKind::Done);
-  const auto connect = [&](const std::string& name) {
-    const auto client = cluster.network.connect(0);
-    wire::NodeHelloT hello;
-    hello.node = name;
-    cluster.network.send(client, runtime::makeEnvelope(hello));
-    return client;
-  };
-  const auto node = connect("node-1");
+  const auto node = cluster.connectNode("node-1");
   cluster.network.send(node, runtime::makeEnvelope(wire::NodeSubscribeT()));
   cluster.network.runFor(milliseconds(200));
   const auto updates = [&] {
@@ -295,7 +294,7 @@
   const auto before = mesh::decompress(updates()[0]->configuration);
   CHECK(mesh::decompress(updates()[1]->configuration, before) == std::vector<std::uint8_t>{3, 4, 6});
 
-  const auto other = connect("node-2");
+  const auto other = cluster.connectNode("node-2");
   wire::EndpointUpdateT report;
   report.records.push_back(std::make_shared<wire::EndpointRecordT>());
   report.records[0]->endpoint = "instance-2";
@@ -324,16 +323,9 @@
   SelfForming cluster;
   cluster.network.startAll();
   REQUIRE(cluster.settles());
-  const auto connect = [&](const std::string& name) {
-    const auto client = cluster.network.connect(0);
-    wire::NodeHelloT hello;
-    hello.node = name;
-    cluster.network.send(client, runtime::makeEnvelope(hello));
-    return client;
-  };
-  const auto served = connect("node-1");
+  const auto served = cluster.connectNode("node-1");
   cluster.network.send(served, runtime::makeEnvelope(wire::NodeSubscribeT()));
-  const auto reserve = connect("node-2");
+  const auto reserve = cluster.connectNode("node-2");
   constexpr int kSeconds = 10;
   for (int i = 0; i < kSeconds; ++i) {
     cluster.network.runFor(seconds(1));
@@ -359,20 +351,13 @@
   SelfForming cluster;
   cluster.network.startAll();
   REQUIRE(cluster.settles());
-  const auto connect = [&](const std::string& name) {
-    const auto client = cluster.network.connect(0);
-    wire::NodeHelloT hello;
-    hello.node = name;
-    cluster.network.send(client, runtime::makeEnvelope(hello));
-    return client;
-  };
-  const auto node = connect("node");
+  const auto node = cluster.connectNode("node");
   cluster.network.send(node, runtime::makeEnvelope(wire::NodeSubscribeT()));
   cluster.network.runFor(milliseconds(200));
   cluster.network.received(node).clear();
   constexpr std::size_t kOthers = 20;
   for (std::size_t i = 0; i < kOthers; ++i) {
-    const auto other = connect("other-" + std::to_string(i));
+    const auto other = cluster.connectNode("other-" + std::to_string(i));
     wire::EndpointUpdateT report;
     report.records.push_back(std::make_shared<wire::EndpointRecordT>());
     report.records[0]->endpoint = "instance-" + std::to_string(i);
