--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -137,21 +137,23 @@
     return configuration;
   }
 
-  void configure(std::uint64_t revision = 1) {
+  void configure(std::uint64_t revision = 1,
+                 const wire::MeshConfigurationT& configuration = makeConfiguration()) {
     wire::StoreBeatT beat;
     beat.is_current = true;
     beat.revision = revision;
     say(kStore, beat);
     wire::MeshUpdateT update;
     update.revision = revision;
-    update.configuration = mesh::compress(mesh::encodeConfiguration(makeConfiguration()));
+    update.configuration = mesh::compress(mesh::encodeConfiguration(configuration));
     say(kStore, update);
   }
 
-  void addPeer(const runtime::Address& address, wire::EndpointState state = wire::EndpointState::Live) {
+  void addPeer(const runtime::Address& address, wire::EndpointState state = wire::EndpointState::Live,
+               const std::string& service = "shop") {
     wire::EndpointUpdateT update;
     auto record = std::make_shared<wire::EndpointRecordT>();
-    record->service = "shop";
+    record->service = service;
     record->endpoint = "instance-" + address.host;
     record->address = address.host;
     record->port = address.port;
