A store whose last word is old may become the source

The only store of a zone froze from 3.94 to 7.46 s; its sidecars noticed after 1.2 s, but passed over all other stores, since the revision that these had told was older than the one in force. That word was seconds old: stores that do not serve a sidecar are heard each 15 s only since. Ruled out: the wait for the own zone (it ends after 0.5 s, and does not apply while another store can be had), the frozen store's new link (it is not current before it speaks). Change: only a word of the last 1.2 s excludes a store; a source that proves to be behind is left again. The test fails without the change.

--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -96,6 +96,7 @@
   auto& store = stores_[address];
   store.is_current = beat.is_current;
   store.revision = beat.revision;
+  store.told_at = now;
   learnStores(beat, now);
   // The answer to the beat shows that this sidecar is alive.
   actions_.send(link, wire::EndpointUpdateT(), 0);
@@ -139,6 +140,12 @@
   return store.is_current && links_.linkTo(address).has_value();
 }
 
+/// A store that is not the source seldom says what it has; an old word of it says nothing. Once it is the
+/// source it sends heartbeats, and is left again if it proves to be behind.
+bool ControlClient::isBehind(const Store& store, TimePoint now) const {
+  return store.revision < revision_ && now < store.told_at + kSourceSilence;
+}
+
 void ControlClient::chooseSource(TimePoint now) {
   const auto best = bestSource(now);
   if (best == source_) return;
@@ -179,7 +186,7 @@
   std::optional<Address> best;
   int best_rank = 0;
   for (const auto& [address, store] : stores_) {
-    if (!isUsable(address, store) || store.revision < revision_) continue;
+    if (!isUsable(address, store) || isBehind(store, now)) continue;
     constexpr int kNear = 2;
     const bool is_near = store.zone == options_.zone;
     if (near_only && !is_near) continue;
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -56,6 +56,8 @@
     TimePoint heard_at;
     bool is_current = false;
     std::uint64_t revision = 0;
+    /// When a heartbeat told the revision.
+    TimePoint told_at;
     /// Named by the newest beat of some store, or a seed.
     TimePoint named_at;
   };
@@ -71,6 +73,7 @@
   bool waitsForNear(TimePoint now) const;
   void subscribe(std::uint64_t have_revision);
   bool isUsable(const runtime::Address& address, const Store& store) const;
+  bool isBehind(const Store& store, TimePoint now) const;
   void sendReport(runtime::LinkId link) const;
 
   const SidecarOptions& options_;
--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -88,6 +88,36 @@
   CHECK(sidecar.links.at(other) == link);
 }
 
+// steppe-record, trouble-1, 5.04 to 7.56 s (score e68ce570, CONFIG): the only store of a zone was frozen, and
+// its sidecars took no other one, since what they had heard of the others' revisions was seconds old.
+TEST_CASE("a silent source is left for a store whose last word is older than the revision in force") {
+  SidecarFixture sidecar;
+  const runtime::Address other{"10.0.0.8", 7000};
+  auto beat = sidecar.tellStores({{SidecarFixture::kStore, "zone-a"}, {other, "zone-b"}});
+  beat.replicas.clear();
+  sidecar.say(other, beat);
+  sidecar.configure(5);
+  sidecar.sent.clear();
+  sidecar.pass(std::chrono::seconds(3));
+  const auto subscribed_to = [&sidecar](const runtime::Address& store) {
+    return std::any_of(sidecar.sent.begin(), sidecar.sent.end(), [&](const auto& message) {
+      const auto* request = message.message->body.AsNodeSubscribe();
+      return message.link == sidecar.links.at(store) && request != nullptr && request->wants_updates;
+    });
+  };
+  SECTION("while it says nothing else") {}
+  SECTION("but not for one that says so now") {
+    beat.revision = 4;
+    sidecar.say(other, beat);
+    sidecar.sent.clear();
+    sidecar.say(other, beat);
+    sidecar.pass(milliseconds(300));
+    CHECK_FALSE(subscribed_to(other));
+    return;
+  }
+  CHECK(subscribed_to(other));
+}
+
 // steppe-record-large, trouble-1, 11.6 s: machines that had been cut off took configuration and endpoints
 // from a store of another zone first, and from their own zone's a moment later.
 TEST_CASE("after a cut a sidecar waits a while for a store of its own zone") {
