--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -394,11 +394,13 @@
   ForwardCancel = 34,
   BodyGrant = 35,
   BodyPart = 36,
+  RolloutUpdate = 37,
+  RolloutReport = 38,
   MIN = NONE,
-  MAX = BodyPart
+  MAX = RolloutReport
 };
 
-inline const Body (&EnumValuesBody())[37] {
+inline const Body (&EnumValuesBody())[39] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -436,13 +438,15 @@
     Body::ForwardReply,
     Body::ForwardCancel,
     Body::BodyGrant,
-    Body::BodyPart
+    Body::BodyPart,
+    Body::RolloutUpdate,
+    Body::RolloutReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[38] = {
+  static const char * const names[40] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -480,13 +484,15 @@
     "ForwardCancel",
     "BodyGrant",
     "BodyPart",
+    "RolloutUpdate",
+    "RolloutReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyPart)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -639,6 +645,14 @@
   static const Body enum_value = Body::BodyPart;
 };
 
+template<> struct BodyTraits<cometstand::wire::RolloutUpdate> {
+  static const Body enum_value = Body::RolloutUpdate;
+};
+
+template<> struct BodyTraits<cometstand::wire::RolloutReport> {
+  static const Body enum_value = Body::RolloutReport;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -787,6 +801,14 @@
   static const Body enum_value = Body::BodyPart;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::RolloutUpdateT> {
+  static const Body enum_value = Body::RolloutUpdate;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::RolloutReportT> {
+  static const Body enum_value = Body::RolloutReport;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1105,6 +1127,22 @@
     return type == Body::BodyPart ?
       reinterpret_cast<const cometstand::wire::BodyPartT *>(value) : nullptr;
   }
+  cometstand::wire::RolloutUpdateT *AsRolloutUpdate() {
+    return type == Body::RolloutUpdate ?
+      reinterpret_cast<cometstand::wire::RolloutUpdateT *>(value) : nullptr;
+  }
+  const cometstand::wire::RolloutUpdateT *AsRolloutUpdate() const {
+    return type == Body::RolloutUpdate ?
+      reinterpret_cast<const cometstand::wire::RolloutUpdateT *>(value) : nullptr;
+  }
+  cometstand::wire::RolloutReportT *AsRolloutReport() {
+    return type == Body::RolloutReport ?
+      reinterpret_cast<cometstand::wire::RolloutReportT *>(value) : nullptr;
+  }
+  const cometstand::wire::RolloutReportT *AsRolloutReport() const {
+    return type == Body::RolloutReport ?
+      reinterpret_cast<const cometstand::wire::RolloutReportT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3342,6 +3380,7 @@
   cometstand::wire::EndpointState state = cometstand::wire::EndpointState::Cold;
   uint32_t slots = 6;
   uint32_t max_connections = 130;
+  std::string version{};
 };
 
 struct EndpointRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3359,7 +3398,8 @@
     VT_SEQUENCE = 18,
     VT_STATE = 20,
     VT_SLOTS = 22,
-    VT_MAX_CONNECTIONS = 24
+    VT_MAX_CONNECTIONS = 24,
+    VT_VERSION = 26
   };
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
@@ -3394,6 +3434,9 @@
   uint32_t max_connections() const {
     return GetField<uint32_t>(VT_MAX_CONNECTIONS, 130);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TENANT) &&
@@ -3412,6 +3455,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_MAX_CONNECTIONS, 4) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
   EndpointRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3456,6 +3501,9 @@
   void add_max_connections(uint32_t max_connections) {
     fbb_.AddElement<uint32_t>(EndpointRecord::VT_MAX_CONNECTIONS, max_connections, 130);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(EndpointRecord::VT_VERSION, version);
+  }
   explicit EndpointRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3479,10 +3527,12 @@
     uint64_t sequence = 0,
     cometstand::wire::EndpointState state = cometstand::wire::EndpointState::Cold,
     uint32_t slots = 6,
-    uint32_t max_connections = 130) {
+    uint32_t max_connections = 130,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   EndpointRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_version(version);
   builder_.add_max_connections(max_connections);
   builder_.add_slots(slots);
   builder_.add_zone(zone);
@@ -3512,12 +3562,14 @@
     uint64_t sequence = 0,
     cometstand::wire::EndpointState state = cometstand::wire::EndpointState::Cold,
     uint32_t slots = 6,
-    uint32_t max_connections = 130) {
+    uint32_t max_connections = 130,
+    const char *version = nullptr) {
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return cometstand::wire::CreateEndpointRecord(
       _fbb,
       tenant__,
@@ -3530,7 +3582,8 @@
       sequence,
       state,
       slots,
-      max_connections);
+      max_connections,
+      version__);
 }
 
 flatbuffers::Offset<EndpointRecord> CreateEndpointRecord(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4490,6 +4543,12 @@
   const cometstand::wire::BodyPart *body_as_BodyPart() const {
     return body_type() == cometstand::wire::Body::BodyPart ? static_cast<const cometstand::wire::BodyPart *>(body()) : nullptr;
   }
+  const cometstand::wire::RolloutUpdate *body_as_RolloutUpdate() const {
+    return body_type() == cometstand::wire::Body::RolloutUpdate ? static_cast<const cometstand::wire::RolloutUpdate *>(body()) : nullptr;
+  }
+  const cometstand::wire::RolloutReport *body_as_RolloutReport() const {
+    return body_type() == cometstand::wire::Body::RolloutReport ? static_cast<const cometstand::wire::RolloutReport *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4647,6 +4706,14 @@
   return body_as_BodyPart();
 }
 
+template<> inline const cometstand::wire::RolloutUpdate *Envelope::body_as<cometstand::wire::RolloutUpdate>() const {
+  return body_as_RolloutUpdate();
+}
+
+template<> inline const cometstand::wire::RolloutReport *Envelope::body_as<cometstand::wire::RolloutReport>() const {
+  return body_as_RolloutReport();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5592,6 +5659,7 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = max_connections(); _o->max_connections = _e; }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
 }
 
 inline flatbuffers::Offset<EndpointRecord> EndpointRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5613,6 +5681,7 @@
   auto _state = _o->state;
   auto _slots = _o->slots;
   auto _max_connections = _o->max_connections;
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
   return cometstand::wire::CreateEndpointRecord(
       _fbb,
       _tenant,
@@ -5625,7 +5694,8 @@
       _sequence,
       _state,
       _slots,
-      _max_connections);
+      _max_connections,
+      _version);
 }
 
 inline EndpointUpdateT::EndpointUpdateT(const EndpointUpdateT &o) {
@@ -6177,6 +6247,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::BodyPart *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RolloutReport: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6340,6 +6418,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::BodyPart *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutUpdate *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::RolloutReport: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6491,6 +6577,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::BodyPartT *>(value);
       return CreateBodyPart(_fbb, ptr, _rehasher).Union();
     }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutUpdateT *>(value);
+      return CreateRolloutUpdate(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::RolloutReport: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutReportT *>(value);
+      return CreateRolloutReport(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6641,6 +6735,14 @@
       value = new cometstand::wire::BodyPartT(*reinterpret_cast<cometstand::wire::BodyPartT *>(u.value));
       break;
     }
+    case Body::RolloutUpdate: {
+      value = new cometstand::wire::RolloutUpdateT(*reinterpret_cast<cometstand::wire::RolloutUpdateT *>(u.value));
+      break;
+    }
+    case Body::RolloutReport: {
+      value = new cometstand::wire::RolloutReportT(*reinterpret_cast<cometstand::wire::RolloutReportT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6828,6 +6930,16 @@
       delete ptr;
       break;
     }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<cometstand::wire::RolloutUpdateT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::RolloutReport: {
+      auto ptr = reinterpret_cast<cometstand::wire::RolloutReportT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -50,6 +50,22 @@
 struct MeshStateBuilder;
 struct MeshStateT;
 
+struct RolloutOrder;
+struct RolloutOrderBuilder;
+struct RolloutOrderT;
+
+struct RolloutStep;
+struct RolloutStepBuilder;
+struct RolloutStepT;
+
+struct RolloutRecord;
+struct RolloutRecordBuilder;
+struct RolloutRecordT;
+
+struct RolloutState;
+struct RolloutStateBuilder;
+struct RolloutStateT;
+
 struct NodeHello;
 struct NodeHelloBuilder;
 struct NodeHelloT;
@@ -66,6 +82,18 @@
 struct StoreBeatBuilder;
 struct StoreBeatT;
 
+struct RolloutUpdate;
+struct RolloutUpdateBuilder;
+struct RolloutUpdateT;
+
+struct RouteSample;
+struct RouteSampleBuilder;
+struct RouteSampleT;
+
+struct RolloutReport;
+struct RolloutReportBuilder;
+struct RolloutReportT;
+
 struct NetworkEndpoint;
 struct NetworkEndpointBuilder;
 struct NetworkEndpointT;
@@ -94,6 +122,45 @@
 struct BodyPartBuilder;
 struct BodyPartT;
 
+enum class RolloutPhase : uint8_t {
+  Canary = 0,
+  Promoting = 1,
+  Succeeded = 2,
+  RollingBack = 3,
+  RolledBack = 4,
+  MIN = Canary,
+  MAX = RolledBack
+};
+
+inline const RolloutPhase (&EnumValuesRolloutPhase())[5] {
+  static const RolloutPhase values[] = {
+    RolloutPhase::Canary,
+    RolloutPhase::Promoting,
+    RolloutPhase::Succeeded,
+    RolloutPhase::RollingBack,
+    RolloutPhase::RolledBack
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRolloutPhase() {
+  static const char * const names[6] = {
+    "Canary",
+    "Promoting",
+    "Succeeded",
+    "RollingBack",
+    "RolledBack",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRolloutPhase(RolloutPhase e) {
+  if (flatbuffers::IsOutRange(e, RolloutPhase::Canary, RolloutPhase::RolledBack)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRolloutPhase()[index];
+}
+
 enum class ForwardOutcome : uint8_t {
   Answered = 0,
   NotRun = 1,
@@ -1051,6 +1118,544 @@
 
 flatbuffers::Offset<MeshState> CreateMeshState(flatbuffers::FlatBufferBuilder &_fbb, const MeshStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RolloutOrderT : public flatbuffers::NativeTable {
+  typedef RolloutOrder TableType;
+  std::string service{};
+  std::string version{};
+  uint32_t duration_ms = 0;
+  bool may_repeat = false;
+};
+
+struct RolloutOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutOrderT NativeTableType;
+  typedef RolloutOrderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6,
+    VT_DURATION_MS = 8,
+    VT_MAY_REPEAT = 10
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  bool may_repeat() const {
+    return GetField<uint8_t>(VT_MAY_REPEAT, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) &&
+           verifier.EndTable();
+  }
+  RolloutOrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutOrderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutOrder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutOrderBuilder {
+  typedef RolloutOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutOrder::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutOrder::VT_VERSION, version);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(RolloutOrder::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_may_repeat(bool may_repeat) {
+    fbb_.AddElement<uint8_t>(RolloutOrder::VT_MAY_REPEAT, static_cast<uint8_t>(may_repeat), 0);
+  }
+  explicit RolloutOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutOrder> CreateRolloutOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t duration_ms = 0,
+    bool may_repeat = false) {
+  RolloutOrderBuilder builder_(_fbb);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  builder_.add_may_repeat(may_repeat);
+  return builder_.Finish();
+}
+
+struct RolloutOrder::Traits {
+  using type = RolloutOrder;
+  static auto constexpr Create = CreateRolloutOrder;
+};
+
+inline flatbuffers::Offset<RolloutOrder> CreateRolloutOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *version = nullptr,
+    uint32_t duration_ms = 0,
+    bool may_repeat = false) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return cometstand::wire::CreateRolloutOrder(
+      _fbb,
+      service__,
+      version__,
+      duration_ms,
+      may_repeat);
+}
+
+flatbuffers::Offset<RolloutOrder> CreateRolloutOrder(flatbuffers::FlatBufferBuilder &_fbb, const RolloutOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutStepT : public flatbuffers::NativeTable {
+  typedef RolloutStep TableType;
+  std::string service{};
+  uint64_t number = 0;
+  cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary;
+  uint32_t canary_permille = 0;
+  uint32_t elapsed_ms = 0;
+  std::vector<std::string> replaced_versions{};
+  std::string reason{};
+};
+
+struct RolloutStep FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutStepT NativeTableType;
+  typedef RolloutStepBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_NUMBER = 6,
+    VT_PHASE = 8,
+    VT_CANARY_PERMILLE = 10,
+    VT_ELAPSED_MS = 12,
+    VT_REPLACED_VERSIONS = 14,
+    VT_REASON = 16
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  cometstand::wire::RolloutPhase phase() const {
+    return static_cast<cometstand::wire::RolloutPhase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  uint32_t canary_permille() const {
+    return GetField<uint32_t>(VT_CANARY_PERMILLE, 0);
+  }
+  uint32_t elapsed_ms() const {
+    return GetField<uint32_t>(VT_ELAPSED_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *replaced_versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REPLACED_VERSIONS);
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CANARY_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ELAPSED_MS, 4) &&
+           VerifyOffset(verifier, VT_REPLACED_VERSIONS) &&
+           verifier.VerifyVector(replaced_versions()) &&
+           verifier.VerifyVectorOfStrings(replaced_versions()) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           verifier.EndTable();
+  }
+  RolloutStepT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutStepT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutStep> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStepT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutStepBuilder {
+  typedef RolloutStep Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutStep::VT_SERVICE, service);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RolloutStep::VT_NUMBER, number, 0);
+  }
+  void add_phase(cometstand::wire::RolloutPhase phase) {
+    fbb_.AddElement<uint8_t>(RolloutStep::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_canary_permille(uint32_t canary_permille) {
+    fbb_.AddElement<uint32_t>(RolloutStep::VT_CANARY_PERMILLE, canary_permille, 0);
+  }
+  void add_elapsed_ms(uint32_t elapsed_ms) {
+    fbb_.AddElement<uint32_t>(RolloutStep::VT_ELAPSED_MS, elapsed_ms, 0);
+  }
+  void add_replaced_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replaced_versions) {
+    fbb_.AddOffset(RolloutStep::VT_REPLACED_VERSIONS, replaced_versions);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(RolloutStep::VT_REASON, reason);
+  }
+  explicit RolloutStepBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutStep> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutStep>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutStep> CreateRolloutStep(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t number = 0,
+    cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary,
+    uint32_t canary_permille = 0,
+    uint32_t elapsed_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replaced_versions = 0,
+    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+  RolloutStepBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_reason(reason);
+  builder_.add_replaced_versions(replaced_versions);
+  builder_.add_elapsed_ms(elapsed_ms);
+  builder_.add_canary_permille(canary_permille);
+  builder_.add_service(service);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct RolloutStep::Traits {
+  using type = RolloutStep;
+  static auto constexpr Create = CreateRolloutStep;
+};
+
+inline flatbuffers::Offset<RolloutStep> CreateRolloutStepDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t number = 0,
+    cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary,
+    uint32_t canary_permille = 0,
+    uint32_t elapsed_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *replaced_versions = nullptr,
+    const char *reason = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto replaced_versions__ = replaced_versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*replaced_versions) : 0;
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return cometstand::wire::CreateRolloutStep(
+      _fbb,
+      service__,
+      number,
+      phase,
+      canary_permille,
+      elapsed_ms,
+      replaced_versions__,
+      reason__);
+}
+
+flatbuffers::Offset<RolloutStep> CreateRolloutStep(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStepT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutRecordT : public flatbuffers::NativeTable {
+  typedef RolloutRecord TableType;
+  uint64_t number = 0;
+  std::string service{};
+  std::string version{};
+  uint32_t duration_ms = 0;
+  cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary;
+  uint32_t canary_permille = 0;
+  uint32_t elapsed_ms = 0;
+  std::vector<std::string> replaced_versions{};
+  std::string reason{};
+  uint32_t step = 0;
+};
+
+struct RolloutRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutRecordT NativeTableType;
+  typedef RolloutRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_SERVICE = 6,
+    VT_VERSION = 8,
+    VT_DURATION_MS = 10,
+    VT_PHASE = 12,
+    VT_CANARY_PERMILLE = 14,
+    VT_ELAPSED_MS = 16,
+    VT_REPLACED_VERSIONS = 18,
+    VT_REASON = 20,
+    VT_STEP = 22
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  cometstand::wire::RolloutPhase phase() const {
+    return static_cast<cometstand::wire::RolloutPhase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  uint32_t canary_permille() const {
+    return GetField<uint32_t>(VT_CANARY_PERMILLE, 0);
+  }
+  uint32_t elapsed_ms() const {
+    return GetField<uint32_t>(VT_ELAPSED_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *replaced_versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REPLACED_VERSIONS);
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CANARY_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ELAPSED_MS, 4) &&
+           VerifyOffset(verifier, VT_REPLACED_VERSIONS) &&
+           verifier.VerifyVector(replaced_versions()) &&
+           verifier.VerifyVectorOfStrings(replaced_versions()) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           verifier.EndTable();
+  }
+  RolloutRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutRecordBuilder {
+  typedef RolloutRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RolloutRecord::VT_NUMBER, number, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutRecord::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutRecord::VT_VERSION, version);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(RolloutRecord::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_phase(cometstand::wire::RolloutPhase phase) {
+    fbb_.AddElement<uint8_t>(RolloutRecord::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_canary_permille(uint32_t canary_permille) {
+    fbb_.AddElement<uint32_t>(RolloutRecord::VT_CANARY_PERMILLE, canary_permille, 0);
+  }
+  void add_elapsed_ms(uint32_t elapsed_ms) {
+    fbb_.AddElement<uint32_t>(RolloutRecord::VT_ELAPSED_MS, elapsed_ms, 0);
+  }
+  void add_replaced_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replaced_versions) {
+    fbb_.AddOffset(RolloutRecord::VT_REPLACED_VERSIONS, replaced_versions);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(RolloutRecord::VT_REASON, reason);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(RolloutRecord::VT_STEP, step, 0);
+  }
+  explicit RolloutRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t duration_ms = 0,
+    cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary,
+    uint32_t canary_permille = 0,
+    uint32_t elapsed_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replaced_versions = 0,
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    uint32_t step = 0) {
+  RolloutRecordBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_step(step);
+  builder_.add_reason(reason);
+  builder_.add_replaced_versions(replaced_versions);
+  builder_.add_elapsed_ms(elapsed_ms);
+  builder_.add_canary_permille(canary_permille);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct RolloutRecord::Traits {
+  using type = RolloutRecord;
+  static auto constexpr Create = CreateRolloutRecord;
+};
+
+inline flatbuffers::Offset<RolloutRecord> CreateRolloutRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *service = nullptr,
+    const char *version = nullptr,
+    uint32_t duration_ms = 0,
+    cometstand::wire::RolloutPhase phase = cometstand::wire::RolloutPhase::Canary,
+    uint32_t canary_permille = 0,
+    uint32_t elapsed_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *replaced_versions = nullptr,
+    const char *reason = nullptr,
+    uint32_t step = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto replaced_versions__ = replaced_versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*replaced_versions) : 0;
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return cometstand::wire::CreateRolloutRecord(
+      _fbb,
+      number,
+      service__,
+      version__,
+      duration_ms,
+      phase,
+      canary_permille,
+      elapsed_ms,
+      replaced_versions__,
+      reason__,
+      step);
+}
+
+flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutStateT : public flatbuffers::NativeTable {
+  typedef RolloutState TableType;
+  uint64_t last_number = 0;
+  std::vector<std::shared_ptr<cometstand::wire::RolloutRecordT>> records{};
+  RolloutStateT() = default;
+  RolloutStateT(const RolloutStateT &o);
+  RolloutStateT(RolloutStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  RolloutStateT &operator=(RolloutStateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RolloutState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutStateT NativeTableType;
+  typedef RolloutStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LAST_NUMBER = 4,
+    VT_RECORDS = 6
+  };
+  uint64_t last_number() const {
+    return GetField<uint64_t>(VT_LAST_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  RolloutStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutStateBuilder {
+  typedef RolloutState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_last_number(uint64_t last_number) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_LAST_NUMBER, last_number, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>> records) {
+    fbb_.AddOffset(RolloutState::VT_RECORDS, records);
+  }
+  explicit RolloutStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutState> CreateRolloutState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>> records = 0) {
+  RolloutStateBuilder builder_(_fbb);
+  builder_.add_last_number(last_number);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct RolloutState::Traits {
+  using type = RolloutState;
+  static auto constexpr Create = CreateRolloutState;
+};
+
+inline flatbuffers::Offset<RolloutState> CreateRolloutStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_number = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>(*records) : 0;
+  return cometstand::wire::CreateRolloutState(
+      _fbb,
+      last_number,
+      records__);
+}
+
+flatbuffers::Offset<RolloutState> CreateRolloutState(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeHelloT : public flatbuffers::NativeTable {
   typedef NodeHello TableType;
   std::string node{};
@@ -1277,124 +1882,542 @@
   return builder_.Finish();
 }
 
-struct MeshUpdate::Traits {
-  using type = MeshUpdate;
-  static auto constexpr Create = CreateMeshUpdate;
+struct MeshUpdate::Traits {
+  using type = MeshUpdate;
+  static auto constexpr Create = CreateMeshUpdate;
+};
+
+inline flatbuffers::Offset<MeshUpdate> CreateMeshUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    const std::vector<uint8_t> *configuration = nullptr,
+    uint64_t base_revision = 0) {
+  auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
+  return cometstand::wire::CreateMeshUpdate(
+      _fbb,
+      revision,
+      configuration__,
+      base_revision);
+}
+
+flatbuffers::Offset<MeshUpdate> CreateMeshUpdate(flatbuffers::FlatBufferBuilder &_fbb, const MeshUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StoreBeatT : public flatbuffers::NativeTable {
+  typedef StoreBeat TableType;
+  uint64_t revision = 0;
+  bool is_current = false;
+  std::vector<std::shared_ptr<cometstand::wire::NetworkEndpointT>> replicas{};
+  StoreBeatT() = default;
+  StoreBeatT(const StoreBeatT &o);
+  StoreBeatT(StoreBeatT&&) FLATBUFFERS_NOEXCEPT = default;
+  StoreBeatT &operator=(StoreBeatT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StoreBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreBeatT NativeTableType;
+  typedef StoreBeatBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4,
+    VT_IS_CURRENT = 6,
+    VT_REPLICAS = 8
+  };
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool is_current() const {
+    return GetField<uint8_t>(VT_IS_CURRENT, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *replicas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *>(VT_REPLICAS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_CURRENT, 1) &&
+           VerifyOffset(verifier, VT_REPLICAS) &&
+           verifier.VerifyVector(replicas()) &&
+           verifier.VerifyVectorOfTables(replicas()) &&
+           verifier.EndTable();
+  }
+  StoreBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoreBeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoreBeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoreBeatBuilder {
+  typedef StoreBeat Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StoreBeat::VT_REVISION, revision, 0);
+  }
+  void add_is_current(bool is_current) {
+    fbb_.AddElement<uint8_t>(StoreBeat::VT_IS_CURRENT, static_cast<uint8_t>(is_current), 0);
+  }
+  void add_replicas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>> replicas) {
+    fbb_.AddOffset(StoreBeat::VT_REPLICAS, replicas);
+  }
+  explicit StoreBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreBeat> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreBeat>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreBeat> CreateStoreBeat(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    bool is_current = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>> replicas = 0) {
+  StoreBeatBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_replicas(replicas);
+  builder_.add_is_current(is_current);
+  return builder_.Finish();
+}
+
+struct StoreBeat::Traits {
+  using type = StoreBeat;
+  static auto constexpr Create = CreateStoreBeat;
+};
+
+inline flatbuffers::Offset<StoreBeat> CreateStoreBeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    bool is_current = false,
+    const std::vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *replicas = nullptr) {
+  auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>(*replicas) : 0;
+  return cometstand::wire::CreateStoreBeat(
+      _fbb,
+      revision,
+      is_current,
+      replicas__);
+}
+
+flatbuffers::Offset<StoreBeat> CreateStoreBeat(flatbuffers::FlatBufferBuilder &_fbb, const StoreBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutUpdateT : public flatbuffers::NativeTable {
+  typedef RolloutUpdate TableType;
+  std::vector<std::shared_ptr<cometstand::wire::RolloutRecordT>> records{};
+  std::shared_ptr<cometstand::wire::NetworkEndpointT> leader{};
+  RolloutUpdateT() = default;
+  RolloutUpdateT(const RolloutUpdateT &o);
+  RolloutUpdateT(RolloutUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
+  RolloutUpdateT &operator=(RolloutUpdateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RolloutUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutUpdateT NativeTableType;
+  typedef RolloutUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4,
+    VT_LEADER = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *>(VT_RECORDS);
+  }
+  const cometstand::wire::NetworkEndpoint *leader() const {
+    return GetPointer<const cometstand::wire::NetworkEndpoint *>(VT_LEADER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyTable(leader()) &&
+           verifier.EndTable();
+  }
+  RolloutUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutUpdateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutUpdate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutUpdateBuilder {
+  typedef RolloutUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>> records) {
+    fbb_.AddOffset(RolloutUpdate::VT_RECORDS, records);
+  }
+  void add_leader(flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader) {
+    fbb_.AddOffset(RolloutUpdate::VT_LEADER, leader);
+  }
+  explicit RolloutUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>> records = 0,
+    flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader = 0) {
+  RolloutUpdateBuilder builder_(_fbb);
+  builder_.add_leader(leader);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct RolloutUpdate::Traits {
+  using type = RolloutUpdate;
+  static auto constexpr Create = CreateRolloutUpdate;
+};
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> *records = nullptr,
+    flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader = 0) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RolloutRecord>>(*records) : 0;
+  return cometstand::wire::CreateRolloutUpdate(
+      _fbb,
+      records__,
+      leader);
+}
+
+flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RouteSampleT : public flatbuffers::NativeTable {
+  typedef RouteSample TableType;
+  std::string route{};
+  uint64_t ended = 0;
+  uint64_t failed = 0;
+  std::vector<uint64_t> run_times{};
+};
+
+struct RouteSample FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RouteSampleT NativeTableType;
+  typedef RouteSampleBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_ENDED = 6,
+    VT_FAILED = 8,
+    VT_RUN_TIMES = 10
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint64_t ended() const {
+    return GetField<uint64_t>(VT_ENDED, 0);
+  }
+  uint64_t failed() const {
+    return GetField<uint64_t>(VT_FAILED, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *run_times() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RUN_TIMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint64_t>(verifier, VT_ENDED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FAILED, 8) &&
+           VerifyOffset(verifier, VT_RUN_TIMES) &&
+           verifier.VerifyVector(run_times()) &&
+           verifier.EndTable();
+  }
+  RouteSampleT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RouteSampleT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RouteSample> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteSampleT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RouteSampleBuilder {
+  typedef RouteSample Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(RouteSample::VT_ROUTE, route);
+  }
+  void add_ended(uint64_t ended) {
+    fbb_.AddElement<uint64_t>(RouteSample::VT_ENDED, ended, 0);
+  }
+  void add_failed(uint64_t failed) {
+    fbb_.AddElement<uint64_t>(RouteSample::VT_FAILED, failed, 0);
+  }
+  void add_run_times(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> run_times) {
+    fbb_.AddOffset(RouteSample::VT_RUN_TIMES, run_times);
+  }
+  explicit RouteSampleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RouteSample> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RouteSample>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RouteSample> CreateRouteSample(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint64_t ended = 0,
+    uint64_t failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> run_times = 0) {
+  RouteSampleBuilder builder_(_fbb);
+  builder_.add_failed(failed);
+  builder_.add_ended(ended);
+  builder_.add_run_times(run_times);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct RouteSample::Traits {
+  using type = RouteSample;
+  static auto constexpr Create = CreateRouteSample;
 };
 
-inline flatbuffers::Offset<MeshUpdate> CreateMeshUpdateDirect(
+inline flatbuffers::Offset<RouteSample> CreateRouteSampleDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    const std::vector<uint8_t> *configuration = nullptr,
-    uint64_t base_revision = 0) {
-  auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
-  return cometstand::wire::CreateMeshUpdate(
+    const char *route = nullptr,
+    uint64_t ended = 0,
+    uint64_t failed = 0,
+    const std::vector<uint64_t> *run_times = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto run_times__ = run_times ? _fbb.CreateVector<uint64_t>(*run_times) : 0;
+  return cometstand::wire::CreateRouteSample(
       _fbb,
-      revision,
-      configuration__,
-      base_revision);
+      route__,
+      ended,
+      failed,
+      run_times__);
 }
 
-flatbuffers::Offset<MeshUpdate> CreateMeshUpdate(flatbuffers::FlatBufferBuilder &_fbb, const MeshUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RouteSample> CreateRouteSample(flatbuffers::FlatBufferBuilder &_fbb, const RouteSampleT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct StoreBeatT : public flatbuffers::NativeTable {
-  typedef StoreBeat TableType;
-  uint64_t revision = 0;
-  bool is_current = false;
-  std::vector<std::shared_ptr<cometstand::wire::NetworkEndpointT>> replicas{};
-  StoreBeatT() = default;
-  StoreBeatT(const StoreBeatT &o);
-  StoreBeatT(StoreBeatT&&) FLATBUFFERS_NOEXCEPT = default;
-  StoreBeatT &operator=(StoreBeatT o) FLATBUFFERS_NOEXCEPT;
+struct RolloutReportT : public flatbuffers::NativeTable {
+  typedef RolloutReport TableType;
+  std::string service{};
+  uint64_t number = 0;
+  uint32_t step = 0;
+  uint64_t incarnation = 0;
+  std::string endpoint{};
+  std::string version{};
+  uint64_t begun = 0;
+  uint32_t in_flight = 0;
+  bool is_closed = false;
+  uint32_t cold_ms = 0;
+  uint32_t slots = 0;
+  std::vector<std::shared_ptr<cometstand::wire::RouteSampleT>> samples{};
+  RolloutReportT() = default;
+  RolloutReportT(const RolloutReportT &o);
+  RolloutReportT(RolloutReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  RolloutReportT &operator=(RolloutReportT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct StoreBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef StoreBeatT NativeTableType;
-  typedef StoreBeatBuilder Builder;
+struct RolloutReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutReportT NativeTableType;
+  typedef RolloutReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4,
-    VT_IS_CURRENT = 6,
-    VT_REPLICAS = 8
+    VT_SERVICE = 4,
+    VT_NUMBER = 6,
+    VT_STEP = 8,
+    VT_INCARNATION = 10,
+    VT_ENDPOINT = 12,
+    VT_VERSION = 14,
+    VT_BEGUN = 16,
+    VT_IN_FLIGHT = 18,
+    VT_IS_CLOSED = 20,
+    VT_COLD_MS = 22,
+    VT_SLOTS = 24,
+    VT_SAMPLES = 26
   };
-  uint64_t revision() const {
-    return GetField<uint64_t>(VT_REVISION, 0);
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
-  bool is_current() const {
-    return GetField<uint8_t>(VT_IS_CURRENT, 0) != 0;
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *replicas() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *>(VT_REPLICAS);
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint64_t begun() const {
+    return GetField<uint64_t>(VT_BEGUN, 0);
+  }
+  uint32_t in_flight() const {
+    return GetField<uint32_t>(VT_IN_FLIGHT, 0);
+  }
+  bool is_closed() const {
+    return GetField<uint8_t>(VT_IS_CLOSED, 0) != 0;
+  }
+  uint32_t cold_ms() const {
+    return GetField<uint32_t>(VT_COLD_MS, 0);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RouteSample>> *samples() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RouteSample>> *>(VT_SAMPLES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_IS_CURRENT, 1) &&
-           VerifyOffset(verifier, VT_REPLICAS) &&
-           verifier.VerifyVector(replicas()) &&
-           verifier.VerifyVectorOfTables(replicas()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint64_t>(verifier, VT_BEGUN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_IN_FLIGHT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_CLOSED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyOffset(verifier, VT_SAMPLES) &&
+           verifier.VerifyVector(samples()) &&
+           verifier.VerifyVectorOfTables(samples()) &&
            verifier.EndTable();
   }
-  StoreBeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(StoreBeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<StoreBeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RolloutReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct StoreBeatBuilder {
-  typedef StoreBeat Table;
+struct RolloutReportBuilder {
+  typedef RolloutReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(StoreBeat::VT_REVISION, revision, 0);
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutReport::VT_SERVICE, service);
   }
-  void add_is_current(bool is_current) {
-    fbb_.AddElement<uint8_t>(StoreBeat::VT_IS_CURRENT, static_cast<uint8_t>(is_current), 0);
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_NUMBER, number, 0);
   }
-  void add_replicas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>> replicas) {
-    fbb_.AddOffset(StoreBeat::VT_REPLICAS, replicas);
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_STEP, step, 0);
   }
-  explicit StoreBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_INCARNATION, incarnation, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(RolloutReport::VT_ENDPOINT, endpoint);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutReport::VT_VERSION, version);
+  }
+  void add_begun(uint64_t begun) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_BEGUN, begun, 0);
+  }
+  void add_in_flight(uint32_t in_flight) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_IN_FLIGHT, in_flight, 0);
+  }
+  void add_is_closed(bool is_closed) {
+    fbb_.AddElement<uint8_t>(RolloutReport::VT_IS_CLOSED, static_cast<uint8_t>(is_closed), 0);
+  }
+  void add_cold_ms(uint32_t cold_ms) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_COLD_MS, cold_ms, 0);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_SLOTS, slots, 0);
+  }
+  void add_samples(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RouteSample>>> samples) {
+    fbb_.AddOffset(RolloutReport::VT_SAMPLES, samples);
+  }
+  explicit RolloutReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<StoreBeat> Finish() {
+  flatbuffers::Offset<RolloutReport> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<StoreBeat>(end);
+    auto o = flatbuffers::Offset<RolloutReport>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<StoreBeat> CreateStoreBeat(
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    bool is_current = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>> replicas = 0) {
-  StoreBeatBuilder builder_(_fbb);
-  builder_.add_revision(revision);
-  builder_.add_replicas(replicas);
-  builder_.add_is_current(is_current);
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t number = 0,
+    uint32_t step = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint64_t begun = 0,
+    uint32_t in_flight = 0,
+    bool is_closed = false,
+    uint32_t cold_ms = 0,
+    uint32_t slots = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::RouteSample>>> samples = 0) {
+  RolloutReportBuilder builder_(_fbb);
+  builder_.add_begun(begun);
+  builder_.add_incarnation(incarnation);
+  builder_.add_number(number);
+  builder_.add_samples(samples);
+  builder_.add_slots(slots);
+  builder_.add_cold_ms(cold_ms);
+  builder_.add_in_flight(in_flight);
+  builder_.add_version(version);
+  builder_.add_endpoint(endpoint);
+  builder_.add_step(step);
+  builder_.add_service(service);
+  builder_.add_is_closed(is_closed);
   return builder_.Finish();
 }
 
-struct StoreBeat::Traits {
-  using type = StoreBeat;
-  static auto constexpr Create = CreateStoreBeat;
+struct RolloutReport::Traits {
+  using type = RolloutReport;
+  static auto constexpr Create = CreateRolloutReport;
 };
 
-inline flatbuffers::Offset<StoreBeat> CreateStoreBeatDirect(
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0,
-    bool is_current = false,
-    const std::vector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>> *replicas = nullptr) {
-  auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::NetworkEndpoint>>(*replicas) : 0;
-  return cometstand::wire::CreateStoreBeat(
+    const char *service = nullptr,
+    uint64_t number = 0,
+    uint32_t step = 0,
+    uint64_t incarnation = 0,
+    const char *endpoint = nullptr,
+    const char *version = nullptr,
+    uint64_t begun = 0,
+    uint32_t in_flight = 0,
+    bool is_closed = false,
+    uint32_t cold_ms = 0,
+    uint32_t slots = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::RouteSample>> *samples = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto samples__ = samples ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RouteSample>>(*samples) : 0;
+  return cometstand::wire::CreateRolloutReport(
       _fbb,
-      revision,
-      is_current,
-      replicas__);
+      service__,
+      number,
+      step,
+      incarnation,
+      endpoint__,
+      version__,
+      begun,
+      in_flight,
+      is_closed,
+      cold_ms,
+      slots,
+      samples__);
 }
 
-flatbuffers::Offset<StoreBeat> CreateStoreBeat(flatbuffers::FlatBufferBuilder &_fbb, const StoreBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RolloutReport> CreateRolloutReport(flatbuffers::FlatBufferBuilder &_fbb, const RolloutReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct NetworkEndpointT : public flatbuffers::NativeTable {
   typedef NetworkEndpoint TableType;
@@ -1590,6 +2613,7 @@
   uint32_t priority = 0;
   bool is_retry = false;
   uint32_t announced_bytes = 0;
+  std::string route{};
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1613,7 +2637,8 @@
     VT_PATIENCE_MS = 22,
     VT_PRIORITY = 24,
     VT_IS_RETRY = 26,
-    VT_ANNOUNCED_BYTES = 28
+    VT_ANNOUNCED_BYTES = 28,
+    VT_ROUTE = 30
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1654,6 +2679,9 @@
   uint32_t announced_bytes() const {
     return GetField<uint32_t>(VT_ANNOUNCED_BYTES, 0);
   }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1677,6 +2705,8 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
            VerifyField<uint32_t>(verifier, VT_ANNOUNCED_BYTES, 4) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1727,6 +2757,9 @@
   void add_announced_bytes(uint32_t announced_bytes) {
     fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANNOUNCED_BYTES, announced_bytes, 0);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(ForwardRequest::VT_ROUTE, route);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1752,8 +2785,10 @@
     uint32_t patience_ms = 0,
     uint32_t priority = 0,
     bool is_retry = false,
-    uint32_t announced_bytes = 0) {
+    uint32_t announced_bytes = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_route(route);
   builder_.add_announced_bytes(announced_bytes);
   builder_.add_priority(priority);
   builder_.add_patience_ms(patience_ms);
@@ -1789,7 +2824,8 @@
     uint32_t patience_ms = 0,
     uint32_t priority = 0,
     bool is_retry = false,
-    uint32_t announced_bytes = 0) {
+    uint32_t announced_bytes = 0,
+    const char *route = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -1797,6 +2833,7 @@
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       service__,
@@ -1811,7 +2848,8 @@
       patience_ms,
       priority,
       is_retry,
-      announced_bytes);
+      announced_bytes,
+      route__);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2588,6 +3626,179 @@
       _accepted);
 }
 
+inline RolloutOrderT *RolloutOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutOrderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutOrder::UnPackTo(RolloutOrderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = duration_ms(); _o->duration_ms = _e; }
+  { auto _e = may_repeat(); _o->may_repeat = _e; }
+}
+
+inline flatbuffers::Offset<RolloutOrder> RolloutOrder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutOrder(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutOrder> CreateRolloutOrder(flatbuffers::FlatBufferBuilder &_fbb, const RolloutOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutOrderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _duration_ms = _o->duration_ms;
+  auto _may_repeat = _o->may_repeat;
+  return cometstand::wire::CreateRolloutOrder(
+      _fbb,
+      _service,
+      _version,
+      _duration_ms,
+      _may_repeat);
+}
+
+inline RolloutStepT *RolloutStep::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutStepT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutStep::UnPackTo(RolloutStepT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = canary_permille(); _o->canary_permille = _e; }
+  { auto _e = elapsed_ms(); _o->elapsed_ms = _e; }
+  { auto _e = replaced_versions(); if (_e) { _o->replaced_versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replaced_versions[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+}
+
+inline flatbuffers::Offset<RolloutStep> RolloutStep::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStepT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutStep(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutStep> CreateRolloutStep(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStepT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutStepT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _number = _o->number;
+  auto _phase = _o->phase;
+  auto _canary_permille = _o->canary_permille;
+  auto _elapsed_ms = _o->elapsed_ms;
+  auto _replaced_versions = _o->replaced_versions.size() ? _fbb.CreateVectorOfStrings(_o->replaced_versions) : 0;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  return cometstand::wire::CreateRolloutStep(
+      _fbb,
+      _service,
+      _number,
+      _phase,
+      _canary_permille,
+      _elapsed_ms,
+      _replaced_versions,
+      _reason);
+}
+
+inline RolloutRecordT *RolloutRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutRecord::UnPackTo(RolloutRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = duration_ms(); _o->duration_ms = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = canary_permille(); _o->canary_permille = _e; }
+  { auto _e = elapsed_ms(); _o->elapsed_ms = _e; }
+  { auto _e = replaced_versions(); if (_e) { _o->replaced_versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replaced_versions[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = step(); _o->step = _e; }
+}
+
+inline flatbuffers::Offset<RolloutRecord> RolloutRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutRecord> CreateRolloutRecord(flatbuffers::FlatBufferBuilder &_fbb, const RolloutRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _duration_ms = _o->duration_ms;
+  auto _phase = _o->phase;
+  auto _canary_permille = _o->canary_permille;
+  auto _elapsed_ms = _o->elapsed_ms;
+  auto _replaced_versions = _o->replaced_versions.size() ? _fbb.CreateVectorOfStrings(_o->replaced_versions) : 0;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _step = _o->step;
+  return cometstand::wire::CreateRolloutRecord(
+      _fbb,
+      _number,
+      _service,
+      _version,
+      _duration_ms,
+      _phase,
+      _canary_permille,
+      _elapsed_ms,
+      _replaced_versions,
+      _reason,
+      _step);
+}
+
+inline RolloutStateT::RolloutStateT(const RolloutStateT &o)
+      : last_number(o.last_number) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new cometstand::wire::RolloutRecordT(*records_) : nullptr); }
+}
+
+inline RolloutStateT &RolloutStateT::operator=(RolloutStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(last_number, o.last_number);
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline RolloutStateT *RolloutState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutState::UnPackTo(RolloutStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = last_number(); _o->last_number = _e; }
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::shared_ptr<cometstand::wire::RolloutRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RolloutState> RolloutState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutState> CreateRolloutState(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _last_number = _o->last_number;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateRolloutState(
+      _fbb,
+      _last_number,
+      _records);
+}
+
 inline NodeHelloT *NodeHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeHelloT>();
   UnPackTo(_o.get(), _resolver);
@@ -2724,6 +3935,173 @@
       _replicas);
 }
 
+inline RolloutUpdateT::RolloutUpdateT(const RolloutUpdateT &o)
+      : leader((o.leader) ? new cometstand::wire::NetworkEndpointT(*o.leader) : nullptr) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new cometstand::wire::RolloutRecordT(*records_) : nullptr); }
+}
+
+inline RolloutUpdateT &RolloutUpdateT::operator=(RolloutUpdateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(records, o.records);
+  std::swap(leader, o.leader);
+  return *this;
+}
+
+inline RolloutUpdateT *RolloutUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutUpdateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutUpdate::UnPackTo(RolloutUpdateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::shared_ptr<cometstand::wire::RolloutRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leader(); if (_e) _o->leader = std::shared_ptr<cometstand::wire::NetworkEndpointT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<RolloutUpdate> RolloutUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutUpdate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RolloutRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leader = _o->leader ? CreateNetworkEndpoint(_fbb, _o->leader.get(), _rehasher) : 0;
+  return cometstand::wire::CreateRolloutUpdate(
+      _fbb,
+      _records,
+      _leader);
+}
+
+inline RouteSampleT *RouteSample::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RouteSampleT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RouteSample::UnPackTo(RouteSampleT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = ended(); _o->ended = _e; }
+  { auto _e = failed(); _o->failed = _e; }
+  { auto _e = run_times(); if (_e) { _o->run_times.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->run_times[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<RouteSample> RouteSample::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteSampleT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRouteSample(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RouteSample> CreateRouteSample(flatbuffers::FlatBufferBuilder &_fbb, const RouteSampleT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteSampleT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _ended = _o->ended;
+  auto _failed = _o->failed;
+  auto _run_times = _o->run_times.size() ? _fbb.CreateVector(_o->run_times) : 0;
+  return cometstand::wire::CreateRouteSample(
+      _fbb,
+      _route,
+      _ended,
+      _failed,
+      _run_times);
+}
+
+inline RolloutReportT::RolloutReportT(const RolloutReportT &o)
+      : service(o.service),
+        number(o.number),
+        step(o.step),
+        incarnation(o.incarnation),
+        endpoint(o.endpoint),
+        version(o.version),
+        begun(o.begun),
+        in_flight(o.in_flight),
+        is_closed(o.is_closed),
+        cold_ms(o.cold_ms),
+        slots(o.slots) {
+  samples.reserve(o.samples.size());
+  for (const auto &samples_ : o.samples) { samples.emplace_back((samples_) ? new cometstand::wire::RouteSampleT(*samples_) : nullptr); }
+}
+
+inline RolloutReportT &RolloutReportT::operator=(RolloutReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(number, o.number);
+  std::swap(step, o.step);
+  std::swap(incarnation, o.incarnation);
+  std::swap(endpoint, o.endpoint);
+  std::swap(version, o.version);
+  std::swap(begun, o.begun);
+  std::swap(in_flight, o.in_flight);
+  std::swap(is_closed, o.is_closed);
+  std::swap(cold_ms, o.cold_ms);
+  std::swap(slots, o.slots);
+  std::swap(samples, o.samples);
+  return *this;
+}
+
+inline RolloutReportT *RolloutReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutReport::UnPackTo(RolloutReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = begun(); _o->begun = _e; }
+  { auto _e = in_flight(); _o->in_flight = _e; }
+  { auto _e = is_closed(); _o->is_closed = _e; }
+  { auto _e = cold_ms(); _o->cold_ms = _e; }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = samples(); if (_e) { _o->samples.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->samples[_i] = std::shared_ptr<cometstand::wire::RouteSampleT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RolloutReport> RolloutReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReport(flatbuffers::FlatBufferBuilder &_fbb, const RolloutReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _number = _o->number;
+  auto _step = _o->step;
+  auto _incarnation = _o->incarnation;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _begun = _o->begun;
+  auto _in_flight = _o->in_flight;
+  auto _is_closed = _o->is_closed;
+  auto _cold_ms = _o->cold_ms;
+  auto _slots = _o->slots;
+  auto _samples = _o->samples.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::RouteSample>> (_o->samples.size(), [](size_t i, _VectorArgs *__va) { return CreateRouteSample(*__va->__fbb, __va->__o->samples[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateRolloutReport(
+      _fbb,
+      _service,
+      _number,
+      _step,
+      _incarnation,
+      _endpoint,
+      _version,
+      _begun,
+      _in_flight,
+      _is_closed,
+      _cold_ms,
+      _slots,
+      _samples);
+}
+
 inline NetworkEndpointT *NetworkEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NetworkEndpointT>();
   UnPackTo(_o.get(), _resolver);
@@ -2797,7 +4175,8 @@
         patience_ms(o.patience_ms),
         priority(o.priority),
         is_retry(o.is_retry),
-        announced_bytes(o.announced_bytes) {
+        announced_bytes(o.announced_bytes),
+        route(o.route) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -2816,6 +4195,7 @@
   std::swap(priority, o.priority);
   std::swap(is_retry, o.is_retry);
   std::swap(announced_bytes, o.announced_bytes);
+  std::swap(route, o.route);
   return *this;
 }
 
@@ -2841,6 +4221,7 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = is_retry(); _o->is_retry = _e; }
   { auto _e = announced_bytes(); _o->announced_bytes = _e; }
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2864,6 +4245,7 @@
   auto _priority = _o->priority;
   auto _is_retry = _o->is_retry;
   auto _announced_bytes = _o->announced_bytes;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -2878,7 +4260,8 @@
       _patience_ms,
       _priority,
       _is_retry,
-      _announced_bytes);
+      _announced_bytes,
+      _route);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -60,35 +60,41 @@
   ClaimRequest = 2,
   ClaimFinish = 3,
   MeshChange = 4,
+  RolloutOrder = 5,
+  RolloutStep = 6,
   MIN = NONE,
-  MAX = MeshChange
+  MAX = RolloutStep
 };
 
-inline const StoreCommandBody (&EnumValuesStoreCommandBody())[5] {
+inline const StoreCommandBody (&EnumValuesStoreCommandBody())[7] {
   static const StoreCommandBody values[] = {
     StoreCommandBody::NONE,
     StoreCommandBody::ChangeCommand,
     StoreCommandBody::ClaimRequest,
     StoreCommandBody::ClaimFinish,
-    StoreCommandBody::MeshChange
+    StoreCommandBody::MeshChange,
+    StoreCommandBody::RolloutOrder,
+    StoreCommandBody::RolloutStep
   };
   return values;
 }
 
 inline const char * const *EnumNamesStoreCommandBody() {
-  static const char * const names[6] = {
+  static const char * const names[8] = {
     "NONE",
     "ChangeCommand",
     "ClaimRequest",
     "ClaimFinish",
     "MeshChange",
+    "RolloutOrder",
+    "RolloutStep",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameStoreCommandBody(StoreCommandBody e) {
-  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::MeshChange)) return "";
+  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::RolloutStep)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesStoreCommandBody()[index];
 }
@@ -113,6 +119,14 @@
   static const StoreCommandBody enum_value = StoreCommandBody::MeshChange;
 };
 
+template<> struct StoreCommandBodyTraits<cometstand::wire::RolloutOrder> {
+  static const StoreCommandBody enum_value = StoreCommandBody::RolloutOrder;
+};
+
+template<> struct StoreCommandBodyTraits<cometstand::wire::RolloutStep> {
+  static const StoreCommandBody enum_value = StoreCommandBody::RolloutStep;
+};
+
 template<typename T> struct StoreCommandBodyUnionTraits {
   static const StoreCommandBody enum_value = StoreCommandBody::NONE;
 };
@@ -133,6 +147,14 @@
   static const StoreCommandBody enum_value = StoreCommandBody::MeshChange;
 };
 
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::RolloutOrderT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::RolloutOrder;
+};
+
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::RolloutStepT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::RolloutStep;
+};
+
 struct StoreCommandBodyUnion {
   StoreCommandBody type;
   void *value;
@@ -195,6 +217,22 @@
     return type == StoreCommandBody::MeshChange ?
       reinterpret_cast<const cometstand::wire::MeshChangeT *>(value) : nullptr;
   }
+  cometstand::wire::RolloutOrderT *AsRolloutOrder() {
+    return type == StoreCommandBody::RolloutOrder ?
+      reinterpret_cast<cometstand::wire::RolloutOrderT *>(value) : nullptr;
+  }
+  const cometstand::wire::RolloutOrderT *AsRolloutOrder() const {
+    return type == StoreCommandBody::RolloutOrder ?
+      reinterpret_cast<const cometstand::wire::RolloutOrderT *>(value) : nullptr;
+  }
+  cometstand::wire::RolloutStepT *AsRolloutStep() {
+    return type == StoreCommandBody::RolloutStep ?
+      reinterpret_cast<cometstand::wire::RolloutStepT *>(value) : nullptr;
+  }
+  const cometstand::wire::RolloutStepT *AsRolloutStep() const {
+    return type == StoreCommandBody::RolloutStep ?
+      reinterpret_cast<const cometstand::wire::RolloutStepT *>(value) : nullptr;
+  }
 };
 
 bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type);
@@ -374,6 +412,12 @@
   const cometstand::wire::MeshChange *body_as_MeshChange() const {
     return body_type() == cometstand::wire::StoreCommandBody::MeshChange ? static_cast<const cometstand::wire::MeshChange *>(body()) : nullptr;
   }
+  const cometstand::wire::RolloutOrder *body_as_RolloutOrder() const {
+    return body_type() == cometstand::wire::StoreCommandBody::RolloutOrder ? static_cast<const cometstand::wire::RolloutOrder *>(body()) : nullptr;
+  }
+  const cometstand::wire::RolloutStep *body_as_RolloutStep() const {
+    return body_type() == cometstand::wire::StoreCommandBody::RolloutStep ? static_cast<const cometstand::wire::RolloutStep *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -402,6 +446,14 @@
   return body_as_MeshChange();
 }
 
+template<> inline const cometstand::wire::RolloutOrder *StoreCommand::body_as<cometstand::wire::RolloutOrder>() const {
+  return body_as_RolloutOrder();
+}
+
+template<> inline const cometstand::wire::RolloutStep *StoreCommand::body_as<cometstand::wire::RolloutStep>() const {
+  return body_as_RolloutStep();
+}
+
 struct StoreCommandBuilder {
   typedef StoreCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1097,6 +1149,7 @@
   std::vector<std::shared_ptr<cometstand::wire::TenantClaimsT>> claims{};
   std::vector<std::shared_ptr<cometstand::wire::AcceptedChangeT>> history{};
   std::shared_ptr<cometstand::wire::MeshStateT> mesh{};
+  std::shared_ptr<cometstand::wire::RolloutStateT> rollouts{};
   StoreStateT() = default;
   StoreStateT(const StoreStateT &o);
   StoreStateT(StoreStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1114,7 +1167,8 @@
     VT_REQUESTS = 10,
     VT_CLAIMS = 12,
     VT_HISTORY = 14,
-    VT_MESH = 16
+    VT_MESH = 16,
+    VT_ROLLOUTS = 18
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1137,6 +1191,9 @@
   const cometstand::wire::MeshState *mesh() const {
     return GetPointer<const cometstand::wire::MeshState *>(VT_MESH);
   }
+  const cometstand::wire::RolloutState *rollouts() const {
+    return GetPointer<const cometstand::wire::RolloutState *>(VT_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1155,6 +1212,8 @@
            verifier.VerifyVectorOfTables(history()) &&
            VerifyOffset(verifier, VT_MESH) &&
            verifier.VerifyTable(mesh()) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyTable(rollouts()) &&
            verifier.EndTable();
   }
   StoreStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1187,6 +1246,9 @@
   void add_mesh(flatbuffers::Offset<cometstand::wire::MeshState> mesh) {
     fbb_.AddOffset(StoreState::VT_MESH, mesh);
   }
+  void add_rollouts(flatbuffers::Offset<cometstand::wire::RolloutState> rollouts) {
+    fbb_.AddOffset(StoreState::VT_ROLLOUTS, rollouts);
+  }
   explicit StoreStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1206,10 +1268,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TenantRequests>>> requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TenantClaims>>> claims = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>>> history = 0,
-    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0) {
+    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
+    flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0) {
   StoreStateBuilder builder_(_fbb);
   builder_.add_pruned_version(pruned_version);
   builder_.add_version(version);
+  builder_.add_rollouts(rollouts);
   builder_.add_mesh(mesh);
   builder_.add_history(history);
   builder_.add_claims(claims);
@@ -1231,7 +1295,8 @@
     const std::vector<flatbuffers::Offset<cometstand::wire::TenantRequests>> *requests = nullptr,
     const std::vector<flatbuffers::Offset<cometstand::wire::TenantClaims>> *claims = nullptr,
     const std::vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *history = nullptr,
-    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0) {
+    flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
+    flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>>(*requests) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>>(*claims) : 0;
@@ -1244,7 +1309,8 @@
       requests__,
       claims__,
       history__,
-      mesh);
+      mesh,
+      rollouts);
 }
 
 flatbuffers::Offset<StoreState> CreateStoreState(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1631,7 +1697,8 @@
 inline StoreStateT::StoreStateT(const StoreStateT &o)
       : version(o.version),
         pruned_version(o.pruned_version),
-        mesh((o.mesh) ? new cometstand::wire::MeshStateT(*o.mesh) : nullptr) {
+        mesh((o.mesh) ? new cometstand::wire::MeshStateT(*o.mesh) : nullptr),
+        rollouts((o.rollouts) ? new cometstand::wire::RolloutStateT(*o.rollouts) : nullptr) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
   requests.reserve(o.requests.size());
@@ -1650,6 +1717,7 @@
   std::swap(claims, o.claims);
   std::swap(history, o.history);
   std::swap(mesh, o.mesh);
+  std::swap(rollouts, o.rollouts);
   return *this;
 }
 
@@ -1669,6 +1737,7 @@
   { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::shared_ptr<cometstand::wire::TenantClaimsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = history(); if (_e) { _o->history.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->history[_i] = std::shared_ptr<cometstand::wire::AcceptedChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = mesh(); if (_e) _o->mesh = std::shared_ptr<cometstand::wire::MeshStateT>(_e->UnPack(_resolver)); }
+  { auto _e = rollouts(); if (_e) _o->rollouts = std::shared_ptr<cometstand::wire::RolloutStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreState> StoreState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1686,6 +1755,7 @@
   auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateTenantClaims(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _history = _o->history.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> (_o->history.size(), [](size_t i, _VectorArgs *__va) { return CreateAcceptedChange(*__va->__fbb, __va->__o->history[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _mesh = _o->mesh ? CreateMeshState(_fbb, _o->mesh.get(), _rehasher) : 0;
+  auto _rollouts = _o->rollouts ? CreateRolloutState(_fbb, _o->rollouts.get(), _rehasher) : 0;
   return cometstand::wire::CreateStoreState(
       _fbb,
       _version,
@@ -1694,7 +1764,8 @@
       _requests,
       _claims,
       _history,
-      _mesh);
+      _mesh,
+      _rollouts);
 }
 
 inline bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type) {
@@ -1718,6 +1789,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::MeshChange *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case StoreCommandBody::RolloutOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutOrder *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case StoreCommandBody::RolloutStep: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutStep *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1753,6 +1832,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::MeshChange *>(obj);
       return ptr->UnPack(resolver);
     }
+    case StoreCommandBody::RolloutOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutOrder *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case StoreCommandBody::RolloutStep: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutStep *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1776,6 +1863,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::MeshChangeT *>(value);
       return CreateMeshChange(_fbb, ptr, _rehasher).Union();
     }
+    case StoreCommandBody::RolloutOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutOrderT *>(value);
+      return CreateRolloutOrder(_fbb, ptr, _rehasher).Union();
+    }
+    case StoreCommandBody::RolloutStep: {
+      auto ptr = reinterpret_cast<const cometstand::wire::RolloutStepT *>(value);
+      return CreateRolloutStep(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1798,6 +1893,14 @@
       value = new cometstand::wire::MeshChangeT(*reinterpret_cast<cometstand::wire::MeshChangeT *>(u.value));
       break;
     }
+    case StoreCommandBody::RolloutOrder: {
+      value = new cometstand::wire::RolloutOrderT(*reinterpret_cast<cometstand::wire::RolloutOrderT *>(u.value));
+      break;
+    }
+    case StoreCommandBody::RolloutStep: {
+      value = new cometstand::wire::RolloutStepT(*reinterpret_cast<cometstand::wire::RolloutStepT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1825,6 +1928,16 @@
       delete ptr;
       break;
     }
+    case StoreCommandBody::RolloutOrder: {
+      auto ptr = reinterpret_cast<cometstand::wire::RolloutOrderT *>(value);
+      delete ptr;
+      break;
+    }
+    case StoreCommandBody::RolloutStep: {
+      auto ptr = reinterpret_cast<cometstand::wire::RolloutStepT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -68,6 +68,10 @@
   }
 }
 
+void ControlClient::send(const Address& store, wire::RolloutReportT report) {
+  if (const auto link = links_.linkTo(store)) actions_.send(*link, std::move(report), 0);
+}
+
 void ControlClient::onLinkClosed(LinkId link, TimePoint now) {
   const auto address = links_.onLinkClosed(link, now);
   if (!address) return;
@@ -89,6 +93,8 @@
     onUpdate(*update, now);
   } else if (const auto* endpoints = message.body.AsEndpointUpdate()) {
     if (is_source) listener_.onEndpoints(*endpoints, std::exchange(awaits_whole_, false), now);
+  } else if (const auto* rollouts = message.body.AsRolloutUpdate()) {
+    if (is_source) listener_.onRollouts(*rollouts, now);
   }
 }
 
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -19,6 +19,7 @@
   virtual void onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) = 0;
   /// @param is_whole the records are all that the store knows.
   virtual void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) = 0;
+  virtual void onRollouts(const wire::RolloutUpdateT& update, TimePoint now) = 0;
 };
 
 /// The links of a sidecar to all stores. It reports its own endpoint to each of them, and takes
@@ -46,6 +47,9 @@
   /// The record of this sidecar's endpoint from now on; sent to every store.
   void report(const wire::EndpointRecordT& record);
 
+  /// Sends a report on a roll-out to the store, if it is linked.
+  void send(const runtime::Address& store, wire::RolloutReportT report);
+
   std::uint64_t revision() const { return revision_; }
   /// @return true while a store that hears its leader is linked.
   bool isCurrent() const { return source_.has_value(); }
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -24,6 +24,7 @@
 constexpr double kFastest = 0.3;
 constexpr double kSlowest = 5;
 constexpr double kPermille = 1000;
+constexpr std::size_t kThousand = 1'000;
 constexpr double kAvoidCost = 100;
 /// How long bodies wait at an endpoint counts half after this time: the queue there is some bodies long, each
 /// of which takes some 100 ms on a narrow link.
@@ -49,6 +50,7 @@
     endpoint.address = address;
     setService(endpoint, record->service);
     endpoint.instance = record->endpoint;
+    endpoint.version = record->version;
     endpoint.zone = record->zone;
     endpoint.slots = std::max(1U, record->slots);
     endpoint.live = record->state == wire::EndpointState::Live || record->state == wire::EndpointState::Cold;
@@ -107,8 +109,10 @@
   for (auto* endpoint : listed->second) {
     if (!endpoint->live || !endpoint->linked) continue;
     estimate.add(*endpoint);
-    if (!tried.contains(endpoint->address)) candidates.push_back(endpoint);
+    const bool is_candidate = !tried.contains(endpoint->address) && want.versions.admits(endpoint->version);
+    if (is_candidate) candidates.push_back(endpoint);
   }
+  if (want.versions.pool == VersionFilter::Pool::Canary) keepShare(candidates, want.versions.canary_permille);
   Endpoint* best = nullptr;
   double best_score = 0;
   for (auto* endpoint : candidates) {
@@ -120,6 +124,14 @@
   return best;
 }
 
+void EndpointDirectory::keepShare(std::vector<Endpoint*>& candidates, unsigned permille) {
+  const std::size_t wanted = (candidates.size() * permille + kThousand - 1) / kThousand;
+  if (wanted >= candidates.size()) return;
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto* left, const auto* right) { return left->instance < right->instance; });
+  candidates.resize(wanted);
+}
+
 bool EndpointDirectory::knows(const std::string& service) const {
   const auto listed = by_service_.find(service);
   return listed != by_service_.end() && std::any_of(listed->second.begin(), listed->second.end(),
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -11,6 +11,7 @@
 #include "schema/control_generated.h"
 #include "sidecar/load_estimate.h"
 #include "sidecar/sidecar_options.h"
+#include "sidecar/version_filter.h"
 
 namespace cometstand::sidecar {
 
@@ -20,6 +21,8 @@
   runtime::Address address;
   std::string service;
   std::string instance;
+  /// Of the target's software; empty if not known.
+  std::string version;
   std::string zone;
   unsigned slots = 1;
   bool live = false;
@@ -52,6 +55,8 @@
   bool has_large_body = false;
   /// How long the request may wait at an endpoint.
   Duration patience{};
+  /// Versions that may get it.
+  VersionFilter versions{};
 };
 
 /// The endpoints of the mesh as the stores and the answers of the endpoints themselves tell. Hints: the
@@ -83,6 +88,8 @@
   std::vector<runtime::Address> expire(TimePoint now);
 
  private:
+  /// Leaves as many of the candidates as the share of a new version wants, the same at every sender.
+  static void keepShare(std::vector<Endpoint*>& candidates, unsigned permille);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
   double scoreOf(const Endpoint& endpoint, const EndpointWant& want, const LoadEstimate& estimate,
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -69,11 +69,22 @@
   return want;
 }
 
+Endpoint* OutboundCalls::chooseFor(const CallState& call, TimePoint now) {
+  if (call.deadline - now < kLeastTimeLeft) return nullptr;
+  const auto& service = call.request->service;
+  auto want = wantOf(call);
+  want.versions = parts_.rollouts.filterFor(service, call.tried.empty(), parts_.random, now);
+  auto* endpoint = parts_.endpoints.choose(want, call.tried, parts_.random, now);
+  const bool may_fall_back =
+      want.versions.pool == VersionFilter::Pool::Canary && parts_.rollouts.isCanary(service);
+  if (endpoint != nullptr || !may_fall_back) return endpoint;
+  want.versions = parts_.rollouts.filterFor(service, false, parts_.random, now);
+  return parts_.endpoints.choose(want, call.tried, parts_.random, now);
+}
+
 void OutboundCalls::sendNext(CallId id, TimePoint now) {
   auto& call = calls_.at(id);
-  auto* endpoint = call.deadline - now < kLeastTimeLeft
-                       ? nullptr
-                       : parts_.endpoints.choose(wantOf(call), call.tried, parts_.random, now);
+  auto* endpoint = chooseFor(call, now);
   if (endpoint != nullptr) {
     send(id, call, *endpoint, now);
   } else if (call.may_have_run) {
@@ -118,6 +129,7 @@
   request.deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
   request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request.is_retry = call.sendings > 0;
+  if (parts_.rollouts.running(request.service) != nullptr) request.route = call.route->name;
   return request;
 }
 
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -14,6 +14,7 @@
 #include "sidecar/peer_links.h"
 #include "sidecar/refusal_share.h"
 #include "sidecar/retry_budget.h"
+#include "sidecar/rollout_view.h"
 #include "sidecar/target_gate.h"
 #include "sidecar/transfer_sizes.h"
 
@@ -34,6 +35,7 @@
     const PeerLinks& peers;
     TargetGate& gate;
     CallerPort& callers;
+    const RolloutView& rollouts;
   };
 
   explicit OutboundCalls(const Parts& parts)
@@ -98,6 +100,8 @@
   void finish(CallId id, CallAnswer answer, TimePoint now);
   void finishNotRun(CallId id, TimePoint now);
   EndpointWant wantOf(const CallState& call) const;
+  /// @return the endpoint that gets the next sending; nullptr if there is none.
+  Endpoint* chooseFor(const CallState& call, TimePoint now);
   Duration patienceOf(const CallState& call, TimePoint now) const;
   Duration patienceShare(const CallState& call) const;
   static wire::ForwardReplyT lostBeforeWhole();
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kExpireInterval = std::chrono::milliseconds(500);
+/// Between two reports on a roll-out; the leader takes none into account that is older than 800 ms.
+constexpr Duration kRolloutReportInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -24,12 +26,13 @@
       control_(options_, actions_, random_, *this),
       endpoints_(options_.zone, options_.zone_cost),
       peers_(actions_, random_),
+      incarnation_(random_.uniform(0, UINT64_MAX)),
       gate_(options_, target,
             [this](const GateAsker& asker, wire::ForwardReplyT reply) {
               answerAsker(asker, std::move(reply));
             }),
       intake_(intakeListener()),
-      calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers}) {}
+      calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers, rollouts_}) {}
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
@@ -168,6 +171,7 @@
   wire::EndpointUpdateT update;
   update.records.push_back(std::make_shared<wire::EndpointRecordT>(record));
   onEndpoints(update, false, now);
+  applyRollouts(now);
   gate_.onTargetChanged(now);
 }
 
@@ -180,6 +184,7 @@
   record.port = options_.advertise.port;
   record.zone = options_.zone;
   record.slots = target.slots();
+  record.version = target.version();
   const bool is_live = target.condition() == TargetCondition::Ready && !stop_began_;
   record.state = is_live ? wire::EndpointState::Live : wire::EndpointState::Leaving;
   return record;
@@ -192,9 +197,45 @@
 
 void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
   endpoints_.apply(update, is_whole, now);
+  for (const auto& record : update.records) rollouts_.noteVersion(record->service, record->version, now);
   linkTo(update, now);
 }
 
+void SidecarCore::onRollouts(const wire::RolloutUpdateT& update, TimePoint now) {
+  rollouts_.apply(update, now);
+  applyRollouts(now);
+  // The leader waits for this sidecar's word on the step.
+  reportRollout(now);
+}
+
+void SidecarCore::applyRollouts(TimePoint now) {
+  const auto& target = gate_.target();
+  const auto* running = rollouts_.running(target.service());
+  gate_.samples().follow(running == nullptr ? 0 : running->number);
+  gate_.setVersionClosed(rollouts_.isClosed(target.service(), target.version(), now));
+}
+
+void SidecarCore::reportRollout(TimePoint now) {
+  rollout_report_at_ = now + kRolloutReportInterval;
+  const auto& target = gate_.target();
+  const auto* running = rollouts_.running(target.service());
+  if (running == nullptr || !rollouts_.leader()) return;
+  wire::RolloutReportT report;
+  report.service = target.service();
+  report.number = running->number;
+  report.step = running->step;
+  report.incarnation = incarnation_;
+  report.endpoint = target.instance();
+  report.version = target.version();
+  report.in_flight = gate_.running() + gate_.waiting() + static_cast<std::uint32_t>(intake_.size());
+  report.is_closed = gate_.isClosed(now);
+  report.cold_ms =
+      static_cast<std::uint32_t>(ceilMilliseconds(std::max(Duration::zero(), target.coldUntil() - now)));
+  report.slots = target.condition() == TargetCondition::Ready ? target.slots() : 0;
+  gate_.samples().fill(report);
+  control_.send(*rollouts_.leader(), std::move(report));
+}
+
 void SidecarCore::linkTo(const wire::EndpointUpdateT& update, TimePoint now) {
   for (const auto& record : update.records) {
     const Address address{record->address, record->port};
@@ -214,7 +255,9 @@
   control_.onTimer(now);
   peers_.onTimer(now);
   intake_.onTimer(now);
-  if (gate_.isLeaving(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
+  applyRollouts(now);
+  if (now >= rollout_report_at_) reportRollout(now);
+  if (gate_.isClosed(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
   gate_.onTimer(now);
   calls_.onTimer(now);
   checkStop(now);
@@ -226,6 +269,11 @@
 TimePoint SidecarCore::nextTimer() const {
   TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), gate_.nextTimer(),
                              calls_.nextTimer(), expire_at_});
+  if (rollouts_.running(gate_.target().service()) != nullptr) {
+    next = std::min(next, rollout_report_at_);
+    // Afterwards the gate stays as it is until the next word of a store.
+    if (rollouts_.leaseEnd() > now_) next = std::min(next, rollouts_.leaseEnd());
+  }
   if (stop_began_ && !stopped_) next = std::min(next, now_ + kStopCheckInterval);
   return next;
 }
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -60,6 +60,11 @@
   // ControlListener
   void onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) override;
   void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) override;
+  void onRollouts(const wire::RolloutUpdateT& update, TimePoint now) override;
+
+  /// Brings the gate in line with what is known of the target's version.
+  void applyRollouts(TimePoint now);
+  void reportRollout(TimePoint now);
 
   void onAskerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
@@ -80,6 +85,9 @@
   ControlClient control_;
   EndpointDirectory endpoints_;
   PeerLinks peers_;
+  RolloutView rollouts_;
+  std::uint64_t incarnation_;
+  TimePoint rollout_report_at_;
   TargetGate gate_;
   BodyIntake intake_;
   OutboundCalls calls_;
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -23,6 +23,8 @@
 constexpr double kMostKept = 1.0 / 3;
 /// How long an objective counts as one that comes.
 constexpr Duration kObjectiveMemory = std::chrono::seconds(2);
+/// The first status by which a target says that it failed.
+constexpr unsigned kFirstErrorStatus = 500;
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
 
 /// @return the mean with one more value; the first value is the mean.
@@ -47,7 +49,7 @@
                                                         TimePoint now) const {
   if (target_.condition() == TargetCondition::Unheard) return wire::NotRunReason::TargetDown;
   if (target_.service() != request.service) return wire::NotRunReason::WrongTarget;
-  if (isLeaving(now)) return wire::NotRunReason::Leaving;
+  if (isClosed(now)) return wire::NotRunReason::Leaving;
   if (std::chrono::milliseconds(request.deadline_ms) < kLeastTimeLeft) return wire::NotRunReason::Deadline;
   return std::nullopt;
 }
@@ -154,7 +156,8 @@
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
                        TimePoint now) {
   const RunId id{next_run_++};
-  running_.emplace(id, Running{asker, request, now, deadline});
+  running_.emplace(id, Running{asker, request, now, deadline, now < target_.coldUntil()});
+  samples_.noteBegun();
   port_.run({id, request, target_.instance(), deadline - now});
 }
 
@@ -179,6 +182,10 @@
 
 void TargetGate::noteEnd(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) {
   metrics_.noteRun(reply.outcome, now - run.started);
+  if (reply.outcome != wire::ForwardOutcome::NotRun) {
+    const bool failed = reply.outcome == wire::ForwardOutcome::Unknown || reply.status >= kFirstErrorStatus;
+    samples_.noteEnded(run.request->route, failed, now - run.started, run.was_cold);
+  }
   logEvent(kRunEnded, {{"request", run.request->request_id},
                        {"outcome", wire::EnumNameForwardOutcome(reply.outcome)},
                        {"status", reply.status},
@@ -240,6 +247,9 @@
 void TargetGate::noteGivenUp(const Running& run, TimePoint now) {
   const auto time = static_cast<double>((now - run.started).count()) / objectiveOf(*run.request);
   if (time > relative_run_time_) relative_run_time_ = smoothed(relative_run_time_, time);
+  // The sender gives up at the request's deadline; before that, its caller has left.
+  if (now + kAnswerGrace >= run.deadline)
+    samples_.noteEnded(run.request->route, true, now - run.started, run.was_cold);
   logEvent(kRunGivenUp, {{"request", run.request->request_id},
                          {"instance", target_.instance()},
                          {"service", run.request->service},
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -11,6 +11,7 @@
 #include "sidecar/gate_asker.h"
 #include "sidecar/metrics.h"
 #include "sidecar/offered_load.h"
+#include "sidecar/run_samples.h"
 #include "sidecar/sidecar_options.h"
 #include "sidecar/target_port.h"
 #include "sidecar/target_state.h"
@@ -45,6 +46,11 @@
   /// All requests of one link are given up.
   void cancelLink(runtime::LinkId link, TimePoint now);
   void onResult(RunId id, RunResult result, TimePoint now);
+  /// The target gets no new requests from now on, or gets them again, because of its version.
+  void setVersionClosed(bool is_closed) { is_version_closed_ = is_closed; }
+  /// @return true if new requests are refused because of the target's version or since it leaves.
+  bool isClosed(TimePoint now) const { return is_version_closed_ || isLeaving(now); }
+  RunSamples& samples() { return samples_; }
   /// The target's state may have changed.
   void onTargetChanged(TimePoint now) { startWaiting(now); }
   /// From now on the gate refuses what is new after the grace.
@@ -77,6 +83,8 @@
     ForwardRequestPointer request;
     TimePoint started;
     TimePoint deadline;
+    /// The target was slow from its start when the run began.
+    bool was_cold = false;
   };
 
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -120,6 +128,8 @@
   /// Smoothed share of runs that ended without a whole answer.
   double failure_rate_ = 0;
   std::optional<TimePoint> stopping_since_;
+  bool is_version_closed_ = false;
+  RunSamples samples_;
   /// The shortest objective that came lately, in milliseconds; a large number for none.
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
   unsigned shortest_priority_ = 0;
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -10,7 +10,7 @@
   if (!is_same && !beat_.instance.empty()) past_instances_.insert(beat_.instance);
   const bool was_leaving = is_same && condition_ == TargetCondition::Leaving;
   const bool changed = !is_same || beat.slots != beat_.slots || beat.service != beat_.service ||
-                       (condition_ == TargetCondition::Ready) != beat.ready;
+                       beat.version != beat_.version || (condition_ == TargetCondition::Ready) != beat.ready;
   beat_ = beat;
   cold_until_ = now + beat.cold_remaining;
   if (was_leaving) return false;
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -22,6 +22,8 @@
   std::string instance;
   std::string service;
   std::string zone;
+  /// Of the target's software; empty if it does not say.
+  std::string version;
   unsigned slots = 1;
   bool ready = true;
   /// Rises with each heartbeat of one instance.
@@ -50,6 +52,8 @@
   TargetCondition condition() const { return condition_; }
   const std::string& instance() const { return beat_.instance; }
   const std::string& service() const { return beat_.service; }
+  /// @return empty until a heartbeat told it.
+  const std::string& version() const { return beat_.version; }
   unsigned slots() const { return beat_.slots; }
   /// @return number of the heartbeat that this is known from; 0 if the target was asked.
   std::uint64_t sequence() const { return beat_.sequence; }
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -52,10 +52,17 @@
 inline constexpr EventDefinition kNodeLost{
     3013, LogLevel::Info, "node_lost",
     "A node's link ended. If it does not come back, its endpoint is taken out after a short lease."};
+inline constexpr EventDefinition kRolloutOrdered{
+    3014, LogLevel::Info, "rollout_ordered",
+    "An operator orders a roll-out of a service's version, or sends the order again. No action is needed."};
+inline constexpr EventDefinition kRolloutStep{
+    3015, LogLevel::Info, "rollout_step",
+    "The leader decided a step of a roll-out; the reason names what decided it. After a rollback, look into "
+    "the route that the reason names."};
 
 inline constexpr std::array kStoreEvents{
     kReaderAdmitted, kReaderLost, kReaderRefused,   kReaderSilent,     kSnapshotTooLarge,
     kUnexpectedPeer, kStopBegan,  kReplacementDone, kBootstrapRefused, kFormationWaiting,
-    kMembershipStep, kNodeLinked, kNodeLost};
+    kMembershipStep, kNodeLinked, kNodeLost,        kRolloutOrdered,   kRolloutStep};
 
 }  // namespace cometstand::store
--- a/src/store/mesh_service.h
+++ b/src/store/mesh_service.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
 
 #include "store/mesh_register.h"
+#include "store/proposal_waits.h"
 #include "store/store_context.h"
 
 namespace cometstand::store {
@@ -48,24 +48,20 @@
   void read(MeshAnswerHandler handler, TimePoint now);
 
   /// @param results of the entry's commands.
-  void onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results);
-  void onLeadershipLost();
-  void onTimer(TimePoint now);
-  TimePoint nextTimer() const;
-  bool idle() const { return pending_.empty(); }
+  void onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results) {
+    proposals_.onApplied(entry, results);
+  }
+  void onLeadershipLost() { proposals_.onLeadershipLost(); }
+  void onTimer(TimePoint now) { proposals_.onTimer(now); }
+  TimePoint nextTimer() const { return proposals_.nextTimer(); }
+  bool idle() const { return proposals_.idle(); }
 
  private:
-  struct Pending {
-    consensus::LogIndex index = 0;
-    consensus::Term term = 0;
-    TimePoint deadline;
-    MeshAnswerHandler handler;
-  };
-
   MeshAnswer notLeader() const;
+  MeshAnswer answerOf(const CommandResult* result) const;
 
   StoreContext& context_;
-  std::deque<Pending> pending_;
+  ProposalWaits proposals_{context_};
 };
 
 }  // namespace cometstand::store
--- a/src/store/node_hub.cpp
+++ b/src/store/node_hub.cpp
@@ -1,5 +1,6 @@
 #include "store/node_hub.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -13,10 +14,12 @@
 constexpr Duration kStepInterval = std::chrono::milliseconds(100);
 /// Between two beats to a node that takes its configurations from this replica.
 constexpr Duration kBeatInterval = std::chrono::milliseconds(300);
-/// The same to a node that does not. Most of these are in other zones, and every node has a link to every
-/// replica: with 20 replicas and 280 nodes, beats each 1.5 s were two fifths of all bytes between zones. Such
-/// a node is told at once when this replica loses its leader or hears one again, so the beat only shows that
-/// the link works.
+/// Between two words on a running roll-out; nodes' leases on it are five times as long.
+constexpr Duration kRolloutInterval = std::chrono::milliseconds(300);
+/// Between two heartbeats to a node that takes its configurations from another replica. Most of these are in
+/// other zones, and every node has a link to every replica: with 20 replicas and 280 nodes, beats each 1.5 s
+/// were two fifths of all bytes between zones. Such a node is told at once when this replica loses its leader
+/// or hears one again, so the beat only shows that the link works.
 constexpr Duration kIdleBeatInterval = std::chrono::seconds(15);
 /// Between two lists of all stores to a node that takes its configurations from this replica: a store that
 /// was down is found again.
@@ -58,6 +61,8 @@
   node.subscribed = request.wants_updates;
   if (!node.subscribed) return;
   node.beat_at = TimePoint();
+  // First: a node that knows a configuration begins to send requests.
+  if (hasRollouts() && isCurrent()) context_.actions.send(link, makeRolloutUpdate());
   node.sent_revision = request.have_revision;
   sendConfiguration(link, node);
   wire::EndpointUpdateT update;
@@ -116,7 +121,51 @@
   context_.actions.send(link, update);
 }
 
-void NodeHub::onApplied() {
+std::optional<std::string> NodeHub::nameOf(LinkId link) const {
+  const auto node = nodes_.find(link);
+  return node == nodes_.end() ? std::nullopt : std::optional(node->second.name);
+}
+
+std::vector<std::pair<std::string, std::shared_ptr<const wire::EndpointRecordT>>> NodeHub::endpointsOf(
+    const std::string& service) const {
+  std::vector<std::pair<std::string, std::shared_ptr<const wire::EndpointRecordT>>> endpoints;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (endpoint.record->service == service) endpoints.emplace_back(name, endpoint.record);
+  }
+  return endpoints;
+}
+
+runtime::MessagePointer NodeHub::makeRolloutUpdate() const {
+  wire::RolloutUpdateT update;
+  for (const auto& [service, record] : context_.state.rollouts().all()) {
+    update.records.push_back(std::make_shared<wire::RolloutRecordT>(*record));
+  }
+  if (const auto leader = context_.leader()) {
+    update.leader = std::make_shared<wire::NetworkEndpointT>();
+    update.leader->host = leader->host;
+    update.leader->port = leader->port;
+  }
+  return std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(update)));
+}
+
+void NodeHub::sendRollouts(TimePoint now) {
+  const auto& rollouts = context_.state.rollouts();
+  const auto& all = rollouts.all();
+  const bool runs =
+      std::any_of(all.begin(), all.end(), [](const auto& item) { return !isOver(item.second->phase); });
+  const bool is_due = sent_rollouts_ != rollouts.changes() || (runs && now >= rollouts_at_);
+  // Without a leader the state may be old, and the nodes' leases are to end.
+  if (!is_due || !isCurrent()) return;
+  sent_rollouts_ = rollouts.changes();
+  rollouts_at_ = now + kRolloutInterval;
+  const auto message = makeRolloutUpdate();
+  for (const auto& [link, node] : nodes_) {
+    if (node.subscribed) context_.actions.send(link, message);
+  }
+}
+
+void NodeHub::onApplied(TimePoint now) {
+  sendRollouts(now);
   for (auto& [link, node] : nodes_) {
     if (node.subscribed) sendConfiguration(link, node);
   }
@@ -204,6 +253,7 @@
   beat_at_ = now + kStepInterval;
   closeSilent(now);
   expireEndpoints(now);
+  sendRollouts(now);
   sendChanged();
   sendBeats(now);
 }
--- a/src/store/node_hub.h
+++ b/src/store/node_hub.h
@@ -24,11 +24,16 @@
   bool onMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void onLinkClosed(runtime::LinkId link, TimePoint now);
   /// The mesh configuration may have changed.
-  void onApplied();
+  void onApplied(TimePoint now);
   void onTimer(TimePoint now);
   TimePoint nextTimer() const { return nodes_.empty() && endpoints_.empty() ? TimePoint::max() : beat_at_; }
 
   std::size_t nodes() const { return nodes_.size(); }
+  /// @return the name that the node on the link gave itself.
+  std::optional<std::string> nameOf(runtime::LinkId link) const;
+  /// @return the endpoints of the service with the names of their nodes.
+  std::vector<std::pair<std::string, std::shared_ptr<const wire::EndpointRecordT>>> endpointsOf(
+      const std::string& service) const;
 
  private:
   struct Node {
@@ -50,6 +55,10 @@
 
   void onSubscribe(runtime::LinkId link, const wire::NodeSubscribeT& request);
   void onReport(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
+  bool hasRollouts() const { return !context_.state.rollouts().all().empty(); }
+  runtime::MessagePointer makeRolloutUpdate() const;
+  /// To all subscribed nodes, if anything changed or the last word on a running roll-out is old.
+  void sendRollouts(TimePoint now);
   void takeConfiguration();
   void sendConfiguration(runtime::LinkId link, Node& node);
   /// The record goes to all subscribed nodes with the next step.
@@ -85,6 +94,9 @@
   /// Whether this replica heard a leader when the last beats went.
   bool was_current_ = false;
   TimePoint beat_at_;
+  /// RolloutRegister::changes() as the subscribed nodes were told, and when to tell them again.
+  std::uint64_t sent_rollouts_ = 0;
+  TimePoint rollouts_at_;
 };
 
 }  // namespace cometstand::store
--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -39,8 +39,10 @@
   const auto history = builder_.CreateVector(history_);
   flatbuffers::Offset<wire::MeshState> mesh;
   if (state_.mesh != nullptr) mesh = wire::CreateMeshState(builder_, state_.mesh.get());
+  flatbuffers::Offset<wire::RolloutState> rollouts;
+  if (state_.rollouts != nullptr) rollouts = wire::CreateRolloutState(builder_, state_.rollouts.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history, mesh));
+                                         claims, history, mesh, rollouts));
   finished_ = true;
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -68,6 +68,8 @@
     if (mesh->digest == nullptr) return MeshChangeResult::Stale;
     return mesh_.apply(*mesh);
   }
+  if (const auto* order = command.body.AsRolloutOrder()) return rollouts_.apply(*order);
+  if (const auto* step = command.body.AsRolloutStep()) return rollouts_.apply(*step);
   return notRun<wire::CommandReplyT>(
       Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
 }
@@ -169,6 +171,7 @@
   state.claims = claims_.save();
   state.history.assign(history_.begin(), history_.end());
   if (mesh_.revision() != 0) state.mesh = mesh_.capture();
+  state.rollouts = rollouts_.capture();
   return state;
 }
 
@@ -188,6 +191,7 @@
   claims_.restore(state.claims);
   history_.assign(state.history.begin(), state.history.end());
   mesh_.restore(state.mesh);
+  rollouts_.restore(state.rollouts);
 }
 
 }  // namespace cometstand::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -14,6 +14,7 @@
 #include "store/claim_table.h"
 #include "store/mesh_register.h"
 #include "store/request_table.h"
+#include "store/rollout_register.h"
 
 namespace cometstand::store {
 
@@ -22,8 +23,9 @@
 inline constexpr const char* kBootstrapOperator = "bootstrap";
 
 /// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end, a
-/// MeshChangeResult for a change of the whole mesh configuration.
-using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult>;
+/// MeshChangeResult for a change of the whole mesh configuration, a RolloutResult for an order or a step of a
+/// roll-out.
+using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult>;
 
 /// The replicated state: catalog, answered requests, claims, history. Owns no input or output and never looks
 /// at a clock or a random number: equal sequences of apply() give equal states and results on every replica.
@@ -41,6 +43,7 @@
   const RequestTable& requests() const { return requests_; }
   const ClaimTable& claims() const { return claims_; }
   const MeshRegister& mesh() const { return mesh_; }
+  const RolloutRegister& rollouts() const { return rollouts_; }
   /// @return the newest accepted changes, the oldest first.
   const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
 
@@ -69,6 +72,7 @@
   RequestTable requests_;
   ClaimTable claims_;
   MeshRegister mesh_;
+  RolloutRegister rollouts_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
 };
 
--- a/src/store/store_context.h
+++ b/src/store/store_context.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "base/error.h"
 #include "base/random.h"
 #include "consensus/consensus.h"
@@ -22,6 +24,10 @@
   StoreMetrics& metrics;
 
   bool isLeader() const { return consensus.leadership().role == consensus::Role::Leader; }
+  /// @return where the leader listens, which may be this replica; nothing while none is known.
+  std::optional<runtime::Address> leader() const;
+  /// @return the same, but nothing if this replica leads.
+  std::optional<runtime::Address> otherLeader() const;
 };
 
 /// Who waits for the answer to a request.
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -45,6 +45,14 @@
   parts_->readMesh(std::move(handler), now);
 }
 
+void StoreCore::orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now) {
+  parts_->orderRollout(order, std::move(handler), now);
+}
+
+void StoreCore::readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now) {
+  parts_->readRollout(service, std::move(handler), now);
+}
+
 void StoreCore::setSeeds(std::vector<runtime::Address> seeds) { parts_->setSeeds(std::move(seeds)); }
 
 consensus::Leadership StoreCore::leadership() const { return parts_->consensus().leadership(); }
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -9,6 +9,7 @@
 #include "store/mesh_service.h"
 #include "store/metrics.h"
 #include "store/options.h"
+#include "store/rollout_service.h"
 
 namespace cometstand::store {
 
@@ -42,6 +43,12 @@
   /// Reads the newest mesh configuration. To be followed by the runner's flush().
   void readMesh(MeshAnswerHandler handler, TimePoint now);
 
+  /// Orders a roll-out of a service's version. To be followed by the runner's flush().
+  /// @param handler called exactly once, now or later, with the outcome.
+  void orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now);
+  /// Reads the service's newest roll-out. To be followed by the runner's flush().
+  void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
+
   /// Other seeds from now on, for a replica that wants to join.
   void setSeeds(std::vector<runtime::Address> seeds);
 
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -123,6 +123,8 @@
     }
   } else if (const auto* request = body.AsCommandRequest()) {
     if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
+  } else if (const auto* report = body.AsRolloutReport()) {
+    if (seeds_.enabled()) rollout_controller_.onReport(link, *report, now);
   } else if (seeds_.enabled() && nodes_.onMessage(link, message, now)) {
     return;
   } else if (requireRole(link, "relay")) {
@@ -200,6 +202,8 @@
   seeds_.onTimer(now);
   members_.onTimer(now);
   mesh_.onTimer(now);
+  rollouts_.onTimer(now);
+  rollout_controller_.onTimer(now);
   nodes_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
@@ -216,10 +220,10 @@
 TimePoint StoreParts::nextTimer() const {
   const TimePoint consensus_timer = holdsElections() ? TimePoint::max() : consensus_.nextTimer();
   return std::min({consensus_timer, formation_.nextTimer(), seeds_.nextTimer(), members_.nextTimer(),
-                   mesh_.nextTimer(), nodes_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
-                   writer_.nextTimer(), claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(),
-                   admin_.nextTimer(), forwarder_.nextTimer(),
-                   stop_passed_ ? TimePoint::max() : stop_deadline_});
+                   mesh_.nextTimer(), rollouts_.nextTimer(), rollout_controller_.nextTimer(),
+                   nodes_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(), writer_.nextTimer(),
+                   claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
+                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
@@ -243,7 +247,8 @@
     state_.restore(output.installed_snapshot->state);
     applied_index_ = output.installed_snapshot->last_index;
     snapshot_.reset();
-    nodes_.onApplied();
+    rollout_clock_.refresh(state_.rollouts(), now);
+    nodes_.onApplied(now);
   }
   applyCommitted(output.committed, now);
   for (const auto& read : output.reads) reads_.onResult(read, now);
@@ -262,6 +267,7 @@
   ++metrics_.leaderships_lost;
   writer_.onLeadershipLost();
   mesh_.onLeadershipLost();
+  rollouts_.onLeadershipLost();
   claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
@@ -277,8 +283,10 @@
     const auto results = state_.apply(entry->data);
     writer_.onApplied(*entry, results);
     mesh_.onApplied(*entry, results);
+    rollouts_.onApplied(*entry, results);
   }
-  nodes_.onApplied();
+  rollout_clock_.refresh(state_.rollouts(), now);
+  nodes_.onApplied(now);
   readers_.sendChanges();
   waits_.check();
   beginSnapshotIfDue(now);
@@ -322,7 +330,8 @@
 void StoreParts::stepStop(TimePoint now) {
   if (!stopping_) return;
   if (now >= stop_deadline_) stop_passed_ = true;
-  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !mesh_.idle() || !admin_.idle())
+  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !mesh_.idle() || !rollouts_.idle() ||
+      !admin_.idle())
     return;
   // By then a transfer to a replica that does not answer has been given up.
   next_transfer_ = now + 2 * options_.consensus.election_timeout_max;
@@ -332,7 +341,8 @@
 TimePoint StoreParts::stopTimer() const {
   if (!stopping_ || stop_passed_) return TimePoint::max();
   // What is still to be answered ends by an event, and the handover follows that.
-  const bool may_hand_over = context_.isLeader() && writer_.idle() && mesh_.idle() && admin_.idle();
+  const bool may_hand_over =
+      context_.isLeader() && writer_.idle() && mesh_.idle() && rollouts_.idle() && admin_.idle();
   return may_hand_over ? std::min(next_transfer_, stop_deadline_) : stop_deadline_;
 }
 
@@ -352,6 +362,16 @@
   drain(now);
 }
 
+void StoreParts::orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now) {
+  rollouts_.order(order, std::move(handler), now);
+  drain(now);
+}
+
+void StoreParts::readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now) {
+  rollouts_.read(service, std::move(handler), now);
+  drain(now);
+}
+
 StoreMetrics StoreParts::metrics() const {
   StoreMetrics metrics = metrics_;
   const auto leadership = consensus_.leadership();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -9,6 +9,8 @@
 #include "store/membership_manager.h"
 #include "store/mesh_service.h"
 #include "store/node_hub.h"
+#include "store/rollout_controller.h"
+#include "store/rollout_service.h"
 #include "store/seed_formation.h"
 #include "store/snapshot_writer.h"
 #include "store/store_context.h"
@@ -41,6 +43,8 @@
   void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
   void setSeeds(std::vector<runtime::Address> seeds) { seeds_.setSeeds(std::move(seeds)); }
   void readMesh(MeshAnswerHandler handler, TimePoint now);
+  void orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now);
+  void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
 
  private:
   bool holdsElections() const { return formation_.holdsElections() || seeds_.holdsElections(); }
@@ -80,6 +84,9 @@
   SeedFormation seeds_{context_, members_};
   MeshService mesh_{context_};
   NodeHub nodes_{context_};
+  RolloutClock rollout_clock_;
+  RolloutService rollouts_{context_, rollout_clock_};
+  RolloutController rollout_controller_{context_, rollout_clock_, nodes_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   ClaimExpiry claim_expiry_{context_, writer_};
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -10,6 +10,7 @@
 #include "platform/heartbeat_format.h"
 #include "platform/message_format.h"
 #include "platform/names.h"
+#include "platform/rollout_format.h"
 
 namespace cometstand::platform {
 namespace {
@@ -49,6 +50,50 @@
   CHECK(configuration.limits->idle_timeout_ms == 15'000);
 }
 
+TEST_CASE("an order of a roll-out is read, and its state is told in the platform's words", "[platform]") {
+  const auto order =
+      readRolloutOrder(R"({"service":"shop","to_version":"v2","duration_s":12.5,"new_field":1})");
+  CHECK(order.service == "shop");
+  CHECK(order.version == "v2");
+  CHECK(order.duration_ms == 12'500);
+  wire::RolloutRecordT rollout;
+  rollout.version = "v2";
+  const auto stateOf = [&rollout](wire::RolloutPhase phase) {
+    rollout.phase = phase;
+    return rolloutText(rollout);
+  };
+  CHECK(stateOf(wire::RolloutPhase::Canary) == R"({"state":"running","to_version":"v2"})");
+  CHECK(stateOf(wire::RolloutPhase::Promoting) == R"({"state":"running","to_version":"v2"})");
+  CHECK(stateOf(wire::RolloutPhase::RollingBack) == R"({"state":"running","to_version":"v2"})");
+  CHECK(stateOf(wire::RolloutPhase::Succeeded) == R"({"state":"succeeded","to_version":"v2"})");
+  CHECK(stateOf(wire::RolloutPhase::RolledBack) == R"({"state":"rolled_back","to_version":"v2"})");
+}
+
+TEST_CASE("what is no order of a roll-out is refused with a kind and a remedy", "[platform]") {
+  const std::string body =
+      GENERATE(as<std::string>(), "", "[]", R"({"to_version":"v2","duration_s":12})",
+               R"({"service":"shop","duration_s":12})", R"({"service":"shop","to_version":"v2"})",
+               R"({"service":"","to_version":"v2","duration_s":12})",
+               R"({"service":"shop","to_version":"","duration_s":12})",
+               R"({"service":"shop","to_version":"v2","duration_s":0})",
+               R"({"service":"shop","to_version":"v2","duration_s":-1})",
+               R"({"service":"shop","to_version":"v2","duration_s":1e9})",
+               R"({"service":"shop","to_version":2,"duration_s":12})");
+  try {
+    readRolloutOrder(body);
+    FAIL("it was read: " << body);
+  } catch (const Error& error) {
+    CHECK_FALSE(error.remedy().empty());
+  }
+}
+
+TEST_CASE("a heartbeat tells the version of the target's software, if it says one", "[platform]") {
+  const std::string text =
+      R"({"info":{"service":"shop","version":"v1","slots":6},"status":{"state":"ready","sequence":4}})";
+  CHECK(readHeartbeat("i-1", text).version == "v1");
+  CHECK(readHeartbeat("i-1", replaced(text, R"("version":"v1",)", "")).version.empty());
+}
+
 TEST_CASE("an order of the same bytes on another base is another change", "[platform]") {
   CHECK(readChange("r5", kOrder).digest->low() == readChange("r5", kOrder).digest->low());
   CHECK(readChange("r5", kOrder).digest->low() != readChange("r6", kOrder).digest->low());
--- /dev/null
+++ b/tests/rollout/rollout_test.cpp
@@ -0,0 +1,130 @@
+// Roll-outs of versions by the real stores and sidecars, with faults, against what targets see.
+#include <catch2/catch.hpp>
+
+#include "rollout_mesh.h"
+
+namespace cometstand::rollout::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Phase = wire::RolloutPhase;
+
+constexpr Duration kDuration = seconds(12);
+/// Operators' bounds: share and number of requests for a bad version, and the time after its 50th bad answer.
+constexpr double kExposureShare = 0.1;
+constexpr double kExposureSlack = 50;
+constexpr Duration kRollbackTime = seconds(5);
+
+void checkPromises(const RolloutMesh& mesh, const Behaviour& behaviour) {
+  CHECK(mesh.observed.at_old_after_success == 0);
+  CHECK(mesh.observed.at_new_after_rollback == 0);
+  if (!behaviour.isBad()) return;
+  const double bound = kExposureShare * static_cast<double>(mesh.observed.all_since_order) + kExposureSlack;
+  CHECK(static_cast<double>(mesh.observed.new_since_order) <= bound);
+  if (mesh.observed.fiftieth_bad)
+    CHECK(mesh.observed.last_new <= *mesh.observed.fiftieth_bad + kRollbackTime);
+}
+
+Behaviour failing(double share) {
+  Behaviour behaviour;
+  behaviour.failing = share;
+  return behaviour;
+}
+
+Behaviour slow(double factor) {
+  Behaviour behaviour;
+  behaviour.slowness = factor;
+  return behaviour;
+}
+
+}  // namespace
+
+TEST_CASE("a good version is promoted in time, and nothing is left at the old one") {
+  RolloutMesh mesh(GENERATE(range(1, 6)), Behaviour());
+  mesh.order(kDuration);
+  mesh.runFor(kDuration - milliseconds(200));
+  INFO(mesh.reason());
+  CHECK(mesh.phase() == Phase::Succeeded);
+  mesh.runFor(seconds(3));
+  checkPromises(mesh, Behaviour());
+}
+
+TEST_CASE("a bad version is rolled back in time, whatever is bad about it") {
+  const auto behaviour = GENERATE(
+      failing(0.2), failing(0.9), slow(3), slow(6),
+      [] {
+        auto late = failing(0.5);
+        late.bad_after = seconds(6);
+        return late;
+      }(),
+      [] {
+        auto loaded = failing(0.6);
+        loaded.bad_from_load = 2;
+        return loaded;
+      }(),
+      [] {
+        auto one_route = failing(0.5);
+        one_route.bad_route = "write";
+        return one_route;
+      }());
+  RolloutMesh mesh(GENERATE(1, 2), behaviour);
+  mesh.order(kDuration);
+  mesh.runFor(kDuration - milliseconds(200));
+  INFO(mesh.reason());
+  CHECK(mesh.phase() == Phase::RolledBack);
+  mesh.runFor(seconds(3));
+  checkPromises(mesh, behaviour);
+}
+
+TEST_CASE("a roll-out ends well though the leader dies at any moment") {
+  const auto behaviour = GENERATE(Behaviour(), failing(0.4));
+  const Duration moment = milliseconds(GENERATE(200, 2'000, 4'500, 6'500, 7'300, 7'500));
+  RolloutMesh mesh(3, behaviour);
+  mesh.order(kDuration);
+  mesh.runFor(moment);
+  const auto leader = mesh.leader();
+  REQUIRE(leader);
+  mesh.network.crash(*leader);
+  mesh.runFor(seconds(2));
+  mesh.network.start(*leader);
+  mesh.runFor(kDuration);
+  INFO(mesh.reason());
+  CHECK(mesh.phase() == (behaviour.isBad() ? Phase::RolledBack : Phase::Succeeded));
+  checkPromises(mesh, behaviour);
+}
+
+TEST_CASE("what was acknowledged is there after all stores have died") {
+  RolloutMesh mesh(4, Behaviour());
+  mesh.order(kDuration);
+  mesh.runFor(seconds(3));
+  for (const auto id : mesh.stores) mesh.network.crash(id);
+  mesh.runFor(seconds(1));
+  for (const auto id : mesh.stores) mesh.network.start(id);
+  mesh.runFor(seconds(3));
+  CHECK(mesh.phase().has_value());
+  mesh.runFor(kDuration);
+  CHECK((mesh.phase() == Phase::Succeeded || mesh.phase() == Phase::RolledBack));
+  checkPromises(mesh, Behaviour());
+}
+
+TEST_CASE("a sidecar that is cut off does no harm") {
+  const auto behaviour = GENERATE(Behaviour(), failing(0.4));
+  const bool is_old = GENERATE(true, false);
+  const Duration moment = milliseconds(GENERATE(1'500, 5'000, 7'300));
+  RolloutMesh mesh(5, behaviour);
+  mesh.order(kDuration);
+  mesh.runFor(moment);
+  const auto id = (is_old ? mesh.old_sidecars : mesh.new_sidecars).at(2);
+  mesh.network.cut(id);
+  mesh.runFor(seconds(4));
+  mesh.network.mend(id);
+  mesh.runFor(kDuration);
+  INFO(mesh.reason());
+  const auto phase = mesh.phase();
+  CHECK((phase == Phase::Succeeded || phase == Phase::RolledBack));
+  if (behaviour.isBad()) CHECK(phase == Phase::RolledBack);
+  CHECK(mesh.observed.at_new_after_rollback == 0);
+}
+
+}  // namespace cometstand::rollout::test
