Retries: the last token for a service is left to its most urgent requests

Retries are bounded by a shared budget, which long requests and the calls of runs in progress used alike; a call that fails costs a run as well.

--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -49,6 +49,8 @@
   }
   state.route = std::move(route);
   budget_.onRequest(state.request->service);
+  auto& most_urgent = most_urgent_.try_emplace(state.request->service, state.request->priority).first->second;
+  most_urgent = std::min(most_urgent, state.request->priority);
   deadlines_.emplace(state.deadline, id);
   calls_.emplace(id, std::move(state));
   sendNext(id, now);
@@ -180,10 +182,10 @@
   switch (reply.outcome) {
     case wire::ForwardOutcome::Answered:
       sizes_.note(call.route->name, reply.body.size());
+      parts_.endpoints.noteAnswered(call.request->service, now - call.sent_at);
       finish(id, {CallOutcome::Answered, reply, Duration::zero()}, now);
       return;
     case wire::ForwardOutcome::NotRun:
-      parts_.endpoints.noteAnswered(call.request->service, now - call.sent_at);
       onRefused(id, call, reply, now);
       return;
     case wire::ForwardOutcome::Unknown:
@@ -192,6 +194,11 @@
   }
 }
 
+bool OutboundCalls::isUrgent(const CallState& call) const {
+  const auto known = most_urgent_.find(call.request->service);
+  return known == most_urgent_.end() || call.request->priority <= known->second;
+}
+
 void OutboundCalls::onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now) {
   const Duration wish = std::chrono::milliseconds(reply.retry_after_ms);
   call.retry_after = call.retry_after == Duration::zero() ? wish : std::min(call.retry_after, wish);
@@ -206,7 +213,7 @@
   if (reached_target) ++call.sendings;
   const bool is_allowed = call.refusals < parts_.options.max_refusals &&
                           call.sendings < call.route->max_attempts &&
-                          (!reached_target || budget_.take(call.request->service));
+                          (!reached_target || budget_.take(call.request->service, isUrgent(call)));
   if (is_allowed) {
     sendNext(id, now);
   } else if (call.may_have_run) {
@@ -220,7 +227,8 @@
   call.may_have_run = true;
   ++call.sendings;
   const bool may_repeat = call.route->repeatable && call.sendings < call.route->max_attempts &&
-                          call.deadline - now >= kLeastTimeLeft && budget_.take(call.request->service);
+                          call.deadline - now >= kLeastTimeLeft &&
+                          budget_.take(call.request->service, isUrgent(call));
   if (!may_repeat) {
     finish(id, CallAnswer(), now);
     return;
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -106,10 +106,14 @@
   Duration patienceOf(const CallState& call, TimePoint now) const;
   Duration patienceShare(const CallState& call) const;
   static wire::ForwardReplyT lostBeforeWhole();
+  /// @return true unless more urgent requests come for the same service.
+  bool isUrgent(const CallState& call) const;
   Duration comeBackAfter(const CallState& call, TimePoint now);
 
   Parts parts_;
   RetryBudget budget_;
+  /// The most urgent priority of each service's requests.
+  std::map<std::string, unsigned> most_urgent_;
   RefusalShare refusals_;
   TransferSizes sizes_;
   CallMetrics metrics_;
--- a/src/sidecar/retry_budget.h
+++ b/src/sidecar/retry_budget.h
@@ -20,16 +20,20 @@
     tokens = std::min(tokens + ratio_, std::max(burst_, kFirstTokens));
   }
 
+  /// @param is_urgent false leaves the last token to more urgent requests for the service.
   /// @return true if one more sending is allowed; it is then counted.
-  bool take(const std::string& service) {
+  bool take(const std::string& service, bool is_urgent) {
     const auto tokens = tokens_.find(service);
-    if (tokens == tokens_.end() || tokens->second < 1) return false;
+    const double least = is_urgent ? 1 : 1 + kReserved;
+    if (tokens == tokens_.end() || tokens->second < least) return false;
     tokens->second -= 1;
     return true;
   }
 
  private:
   static constexpr double kFirstTokens = 1;
+  /// Tokens that are kept for urgent requests.
+  static constexpr double kReserved = 1;
   static constexpr double kUsedShare = 0.5;
 
   double ratio_;
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -57,11 +57,11 @@
 }
 
 unsigned TargetGate::slots() const { return std::max(1U, target_.slots()); }
+
 bool TargetGate::isLong(const wire::ForwardRequestT& request) const {
   return request.objective_ms / options_.long_objective_ratio >= shortest_objective_ms_;
 }
 
-
 bool TargetGate::yields(const wire::ForwardRequestT& request) const {
   return isLong(request) && request.priority > shortest_priority_;
 }
@@ -89,6 +89,7 @@
   shortest_priority_ = request.priority;
   shortest_seen_at_ = now;
 }
+
 bool TargetGate::isYieldedTo(const wire::ForwardRequestT& request, TimePoint now) const {
   return yielding_seen_at_ && now < *yielding_seen_at_ + kObjectiveMemory && !isLong(request);
 }
@@ -103,7 +104,6 @@
   return std::max(asked, objective - kLongRuns * short_load_.runTime());
 }
 
-
 TargetGate::Place TargetGate::placeOf(const wire::ForwardRequestT& request, TimePoint now) const {
   const TimePoint deadline = now + std::chrono::milliseconds(request.deadline_ms);
   const TimePoint start_by = std::min(deadline, now + patienceFor(request, now));
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -92,20 +92,20 @@
   };
 
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
-  /// @return where a request that comes now would wait.
-  Place placeOf(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return true if requests came lately that yield to such a one.
   bool isYieldedTo(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return how long a request that comes now may wait for a slot.
   Duration patienceFor(const wire::ForwardRequestT& request, TimePoint now) const;
+  /// @return where a request that comes now would wait.
+  Place placeOf(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return the expected wait of a request behind so many others that wait.
   Duration expectedWait(std::size_t ahead) const;
   bool isFullFor(const wire::ForwardRequestT& request, TimePoint now) const;
   unsigned slots() const;
-  /// @return true if requests come that have a much shorter objective and are more urgent.
-  bool yields(const wire::ForwardRequestT& request) const;
   /// @return true if requests come that have a much shorter objective.
   bool isLong(const wire::ForwardRequestT& request) const;
+  /// @return true if requests come that have a much shorter objective and are more urgent.
+  bool yields(const wire::ForwardRequestT& request) const;
   /// @return slots that requests which yield may take together: the others' offered load is kept for them.
   unsigned slotsForYielding(TimePoint now) const;
   bool hasSlotFor(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -143,10 +143,10 @@
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
   unsigned shortest_priority_ = 0;
   TimePoint shortest_seen_at_;
+  /// When a request came last that yields to others.
+  std::optional<TimePoint> yielding_seen_at_;
   /// Of the requests that do not yield to others.
   OfferedLoad short_load_;
 };
-  /// When a request came last that yields to others.
-  std::optional<TimePoint> yielding_seen_at_;
 
 }  // namespace cometstand::sidecar
