--- a/src/store/mesh_service.cpp
+++ b/src/store/mesh_service.cpp
@@ -31,7 +31,7 @@
   return answer;
 }
 
-void MeshService::change(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
+void MeshService::change(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now) {
   if (!context_.isLeader()) {
     handler(notLeader());
     return;
--- a/src/store/mesh_service.h
+++ b/src/store/mesh_service.h
@@ -44,7 +44,7 @@
 
   /// @param change with the contents as they are. @param handler called exactly once, now or later.
   /// @throw Error(Invalid) if the change is too large.
-  void change(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  void change(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now);
   void read(MeshAnswerHandler handler, TimePoint now);
 
   /// @param results of the entry's commands.
--- a/src/store/rollout_service.cpp
+++ b/src/store/rollout_service.cpp
@@ -40,7 +40,7 @@
                      [&service](const auto& known) { return known->name == service; });
 }
 
-void RolloutService::order(wire::RolloutOrderT order, RolloutAnswerHandler handler, TimePoint now) {
+void RolloutService::order(wire::RolloutOrderT order, const RolloutAnswerHandler& handler, TimePoint now) {
   if (!context_.isLeader()) {
     handler(notLeader());
     return;
--- a/src/store/rollout_service.h
+++ b/src/store/rollout_service.h
@@ -41,7 +41,7 @@
   RolloutService(StoreContext& context, const RolloutClock& clock) : context_(context), clock_(clock) {}
 
   /// @param handler called exactly once, now or later.
-  void order(wire::RolloutOrderT order, RolloutAnswerHandler handler, TimePoint now);
+  void order(wire::RolloutOrderT order, const RolloutAnswerHandler& handler, TimePoint now);
   void read(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
 
   void onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results) {
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -37,16 +37,17 @@
 
 bool StoreCore::stopped() const { return parts_->stopped(); }
 
-void StoreCore::changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
-  parts_->changeMesh(change, std::move(handler), now);
+void StoreCore::changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now) {
+  parts_->changeMesh(change, handler, now);
 }
 
 void StoreCore::readMesh(MeshAnswerHandler handler, TimePoint now) {
   parts_->readMesh(std::move(handler), now);
 }
 
-void StoreCore::orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now) {
-  parts_->orderRollout(order, std::move(handler), now);
+void StoreCore::orderRollout(const wire::RolloutOrderT& order, const RolloutAnswerHandler& handler,
+                             TimePoint now) {
+  parts_->orderRollout(order, handler, now);
 }
 
 void StoreCore::readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now) {
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -39,13 +39,13 @@
 
   /// Changes the whole mesh configuration. To be followed by the runner's flush().
   /// @param handler called exactly once, now or later, with the outcome.
-  void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  void changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now);
   /// Reads the newest mesh configuration. To be followed by the runner's flush().
   void readMesh(MeshAnswerHandler handler, TimePoint now);
 
   /// Orders a roll-out of a service's version. To be followed by the runner's flush().
   /// @param handler called exactly once, now or later, with the outcome.
-  void orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now);
+  void orderRollout(const wire::RolloutOrderT& order, const RolloutAnswerHandler& handler, TimePoint now);
   /// Reads the service's newest roll-out. To be followed by the runner's flush().
   void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
 
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -352,8 +352,9 @@
          (!context_.isLeader() && !readers_.owesGoodbye() && writer_.idle() && forwarder_.idle());
 }
 
-void StoreParts::changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now) {
-  mesh_.change(change, std::move(handler), now);
+void StoreParts::changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler,
+                            TimePoint now) {
+  mesh_.change(change, handler, now);
   drain(now);
 }
 
@@ -362,8 +363,9 @@
   drain(now);
 }
 
-void StoreParts::orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now) {
-  rollouts_.order(order, std::move(handler), now);
+void StoreParts::orderRollout(const wire::RolloutOrderT& order, const RolloutAnswerHandler& handler,
+                              TimePoint now) {
+  rollouts_.order(order, handler, now);
   drain(now);
 }
 
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -40,10 +40,10 @@
   StoreMetrics metrics() const;
   void checkInvariants() const;
 
-  void changeMesh(const wire::MeshChangeT& change, MeshAnswerHandler handler, TimePoint now);
+  void changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now);
   void setSeeds(std::vector<runtime::Address> seeds) { seeds_.setSeeds(std::move(seeds)); }
   void readMesh(MeshAnswerHandler handler, TimePoint now);
-  void orderRollout(const wire::RolloutOrderT& order, RolloutAnswerHandler handler, TimePoint now);
+  void orderRollout(const wire::RolloutOrderT& order, const RolloutAnswerHandler& handler, TimePoint now);
   void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
 
  private:
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -58,15 +58,15 @@
   CHECK(order.duration_ms == 12'500);
   wire::RolloutRecordT rollout;
   rollout.version = "v2";
-  const auto stateOf = [&rollout](wire::RolloutPhase phase) {
+  const auto state_of = [&rollout](wire::RolloutPhase phase) {
     rollout.phase = phase;
     return rolloutText(rollout);
   };
-  CHECK(stateOf(wire::RolloutPhase::Canary) == R"({"state":"running","to_version":"v2"})");
-  CHECK(stateOf(wire::RolloutPhase::Promoting) == R"({"state":"running","to_version":"v2"})");
-  CHECK(stateOf(wire::RolloutPhase::RollingBack) == R"({"state":"running","to_version":"v2"})");
-  CHECK(stateOf(wire::RolloutPhase::Succeeded) == R"({"state":"succeeded","to_version":"v2"})");
-  CHECK(stateOf(wire::RolloutPhase::RolledBack) == R"({"state":"rolled_back","to_version":"v2"})");
+  CHECK(state_of(wire::RolloutPhase::Canary) == R"({"state":"running","to_version":"v2"})");
+  CHECK(state_of(wire::RolloutPhase::Promoting) == R"({"state":"running","to_version":"v2"})");
+  CHECK(state_of(wire::RolloutPhase::RollingBack) == R"({"state":"running","to_version":"v2"})");
+  CHECK(state_of(wire::RolloutPhase::Succeeded) == R"({"state":"succeeded","to_version":"v2"})");
+  CHECK(state_of(wire::RolloutPhase::RolledBack) == R"({"state":"rolled_back","to_version":"v2"})");
 }
 
 TEST_CASE("what is no order of a roll-out is refused with a kind and a remedy", "[platform]") {
--- a/tests/sidecar/rollout_view_test.cpp
+++ b/tests/sidecar/rollout_view_test.cpp
@@ -115,16 +115,16 @@
   REQUIRE(fixture.target.orders.size() == 1);
   fixture.sent.clear();
   fixture.say(SidecarFixture::kStore, makeUpdate(Phase::Promoting));
-  const auto lastReport = [&fixture] {
+  const auto last_report = [&fixture] {
     std::optional<wire::RolloutReportT> report;
     for (const auto& message : fixture.sent) {
       if (const auto* found = message.message->body.AsRolloutReport()) report = *found;
     }
     return report;
   };
-  REQUIRE(lastReport());
-  CHECK(lastReport()->is_closed);
-  CHECK(lastReport()->in_flight == 1);
+  REQUIRE(last_report());
+  CHECK(last_report()->is_closed);
+  CHECK(last_report()->in_flight == 1);
   const auto refused = fixture.call("/read/2");
   CHECK(fixture.callers.answers.at(refused).outcome == CallOutcome::NotRun);
   CHECK(fixture.target.orders.size() == 1);
@@ -134,7 +134,7 @@
   fixture.core.onRunResult(fixture.target.orders.front().id, result, fixture.now);
   fixture.step();
   fixture.pass(milliseconds(300));
-  CHECK(lastReport()->in_flight == 0);
+  CHECK(last_report()->in_flight == 0);
 }
 
 TEST_CASE("requests that run while a roll-out goes on are counted by route") {
