--- a/src/store/options.cpp
+++ b/src/store/options.cpp
@@ -28,6 +28,8 @@
 void StoreOptions::check() const {
   consensus.check();
   checkRange<std::size_t>("voters", voters, 1, 9);
+  checkRange<double>("rollout_exposure_share", rollout_exposure_share, 0, 1);
+  checkRange<std::uint64_t>("rollout_exposure_slack", rollout_exposure_slack, 0, 1'000'000);
   checkRange("replace_silent_after", replace_silent_after, milliseconds(100), hours(24));
   checkRange<std::size_t>("max_readers", max_readers, 1, 1'000);
   checkRange("reader_join_rate", reader_join_rate, 0.1, 10'000.0);
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -37,6 +37,11 @@
   /// Microseconds, default 3 s, range 100 ms to 24 h.
   Duration replace_silent_after = std::chrono::seconds(3);
 
+  /// Operators' bound on what a version may get before it is promoted: this share of the service's requests
+  /// since the order, and so many besides. Defaults 0.1 and 50, ranges 0 to 1 and 0 to 1,000,000.
+  double rollout_exposure_share = 0.1;
+  std::uint64_t rollout_exposure_slack = 50;
+
   consensus::ConsensusOptions consensus;
 
   /// Credential "bootstrap" of the tenant mesh, for the first administrator: salt, and SHA-256 of salt
--- a/src/store/rollout_controller.cpp
+++ b/src/store/rollout_controller.cpp
@@ -18,13 +18,14 @@
 /// How far a new leader's count of the time since the order may lag behind.
 constexpr Duration kClockStepInterval = std::chrono::seconds(1);
 
-/// Share of a service's requests that a version gets until it is promoted, in thousandths. Operators' bound
-/// is a tenth of all since the order; what is left is a margin for reports on their way.
-constexpr std::uint32_t kCanaryPermille = 60;
-/// Above this share of all requests since the order, or below so many requests, a version gets nothing more
-/// for now.
-constexpr double kMostExposure = 0.08;
-constexpr double kFreeExposure = 25;
+/// Of operators' bound on what a version gets until it is promoted: the share that senders draw by, and the
+/// part of the bound above which the version gets nothing more for now. What is left is a margin for reports
+/// on their way and for chance.
+constexpr double kDrawnPart = 0.6;
+constexpr double kMostPart = 0.8;
+/// The same of the requests that are allowed besides.
+constexpr double kSlackPart = 0.5;
+constexpr double kThousand = 1'000;
 
 /// Targets of the new version are taken to be complete if none came for this long and all are warm.
 constexpr Duration kSettleTime = std::chrono::milliseconds(500);
@@ -148,7 +149,11 @@
   if (!isReady(record, watch, now)) return 0;
   const auto exposed = static_cast<double>(watch.reports.begun(record.version));
   const auto all = static_cast<double>(watch.reports.begun(std::nullopt));
-  return exposed > kFreeExposure + kMostExposure * all ? 0 : kCanaryPermille;
+  const auto& options = context_.options;
+  const double most = kSlackPart * static_cast<double>(options.rollout_exposure_slack) +
+                      kMostPart * options.rollout_exposure_share * all;
+  if (exposed > most) return 0;
+  return static_cast<std::uint32_t>(kThousand * kDrawnPart * options.rollout_exposure_share);
 }
 
 bool RolloutController::canCarryAll(const wire::RolloutRecordT& record, const Watch& watch,
--- a/src/store/rollout_controller.h
+++ b/src/store/rollout_controller.h
@@ -16,7 +16,7 @@
 ///
 /// Bounds, all by steady clocks:
 /// - Until a version is promoted its targets get at most the step's share of the requests, and less once the
-///   counted requests come near kMostExposure of all since the order.
+///   counted requests come near operators' bound on all since the order.
 /// - A sidecar that hears of no roll-out for its lease (see sidecar::RolloutView) sends nothing to the new
 ///   version, so a rollback holds everywhere kCloseTime after its step.
 /// - Succeeded is said only when each target of an older version has reported, after that step, that it is
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -49,6 +49,10 @@
       "store.tolerated_losses", store.tolerated_losses, {0, 1'000},
       "Replicas that may be lost at once, with their disks. With store.seeds, the cluster "
       "keeps twice as many voters and one more, from 3 to 9, as far as there are replicas.");
+  table.number("store.rollout_exposure_share", store.options.rollout_exposure_share, {0, 1},
+               "Share of a service's requests that a version may get at most before a roll-out promotes it.");
+  table.integer<std::uint64_t>("store.rollout_exposure_slack", store.options.rollout_exposure_slack,
+                               {0, 1'000'000}, "Requests that such a version may get besides that share.");
   table.duration(
       "store.replace_silent_after", store.options.replace_silent_after, {milliseconds(100), hours(24)},
       "With store.seeds: a voter without an answer for this long gives its place to a replica that has "
