--- /dev/null
+++ b/src/store/store_messages.cpp
@@ -0,0 +1,134 @@
+#include "base/error.h"
+#include "base/event_log.h"
+#include "store/events.h"
+#include "store/replies.h"
+#include "store/store_parts.h"
+
+/// Which part of a replica gets a message, by the link that it came on, and who may send it.
+namespace cometstand::store {
+
+using runtime::LinkId;
+
+namespace {
+
+/// About what a claim takes in a log entry besides its texts, in bytes.
+constexpr std::size_t kClaimCost = 512;
+
+std::size_t costOf(const wire::ClaimRequestT& /*request*/) { return kClaimCost; }
+
+std::size_t costOf(const wire::ClaimFinishT& finish) {
+  return kClaimCost + (finish.answer == nullptr ? 0 : finish.answer->body.size());
+}
+
+}  // namespace
+
+void StoreParts::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (seeds_.owns(link)) {
+    onSeedMessage(link, message, now);
+  } else if (replicas_.owns(link)) {
+    onOwnLinkMessage(link, message, now);
+  } else if (incoming_.contains(link)) {
+    onIncomingMessage(link, message, now);
+  }
+  drain(now);
+}
+
+void StoreParts::onOwnLinkMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (const auto* consensus_message = message.body.AsConsensusMessage()) {
+    consensus_.onMessage(*consensus_message, now);
+  } else if (const auto* reply = message.body.AsCommandReply()) {
+    forwarder_.onReply(link, message.request_id, *reply);
+  } else if (const auto* formation = message.body.AsFormationReply()) {
+    formation_.onReply(*formation, now);
+  }
+}
+
+void StoreParts::onSeedMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  if (const auto* formation = message.body.AsFormationReply()) seeds_.onReply(link, *formation, now);
+}
+
+bool StoreParts::requireRole(LinkId link, const char* role, const char* other_role) {
+  const auto& peer = incoming_.at(link);
+  if (peer.role.empty() || peer.role == role || peer.role == other_role) return true;
+  logEvent(kUnexpectedPeer, {{"role", peer.role}, {"name", peer.name}, {"wanted", role}});
+  actions_.close(link);
+  return false;
+}
+
+void StoreParts::onIncomingMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const auto& body = message.body;
+  if (const auto* consensus_message = body.AsConsensusMessage()) {
+    if (requireRole(link, "store")) onConsensusMessage(link, *consensus_message, now);
+  } else if (const auto* formation = body.AsFormationRequest()) {
+    if (!requireRole(link, "store")) return;
+    if (seeds_.enabled()) {
+      seeds_.onRequest({link, message.request_id}, *formation, now);
+    } else {
+      formation_.onRequest({link, message.request_id});
+    }
+  } else if (const auto* request = body.AsCommandRequest()) {
+    if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
+  } else if (const auto* report = body.AsRolloutReport()) {
+    if (seeds_.enabled()) rollout_controller_.onReport(link, *report, now);
+  } else if (seeds_.enabled() && nodes_.onMessage(link, message, now)) {
+    return;
+  } else if (requireRole(link, "relay")) {
+    onRelayMessage(link, message, now);
+  }
+}
+
+void StoreParts::onConsensusMessage(LinkId link, const wire::ConsensusMessageT& message, TimePoint now) {
+  replicas_.onHeard(message.from, link);
+  consensus_.onMessage(message, now);
+}
+
+void StoreParts::onCommand(LinkId link, std::uint64_t request_id, const wire::CommandRequestT& request,
+                           TimePoint now) {
+  const auto& peer = incoming_.at(link);
+  const bool is_other_tenant =
+      peer.role == "operator" && !peer.tenant.empty() && peer.tenant != request.tenant;
+  const bool is_false_forward = request.forwarded && peer.role == "operator";
+  if (is_other_tenant || is_false_forward) {
+    sendReply(context_, {link, request_id},
+              notRun<wire::CommandReplyT>(Error(ErrorKind::Forbidden,
+                                                "the certificate does not allow the command's tenant",
+                                                "use the certificate of that tenant's operator")));
+    return;
+  }
+  commands_.onCommand({link, request_id}, request, now);
+}
+
+void StoreParts::onRelayMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
+  const auto& body = message.body;
+  readers_.onHeard(link);
+  if (const auto* request = body.AsFollowRequest()) {
+    readers_.onFollowRequest(link, *request, now);
+  } else if (const auto* claim = body.AsClaimRequest()) {
+    onClaim(link, message.request_id, *claim, now);
+  } else if (const auto* finish = body.AsClaimFinish()) {
+    onClaim(link, message.request_id, *finish, now);
+  } else if (body.AsFreshnessRequest() != nullptr) {
+    readers_.onFreshnessRequest(link, message.request_id, now);
+  } else if (const auto* report = body.AsInForceReport()) {
+    readers_.onReport(link, *report);
+    waits_.check();
+  } else if (const auto* status = body.AsStatusReply()) {
+    statuses_.onReply(link, message.request_id, *status);
+  }
+}
+
+template <typename Claim>
+void StoreParts::onClaim(LinkId link, std::uint64_t request_id, const Claim& claim, TimePoint now) {
+  if (stopping_ || !context_.isLeader() || !readers_.isReader(link)) {
+    const auto kind = stopping_ ? ErrorKind::Stopping : ErrorKind::Unavailable;
+    const Error error(kind, "this replica does not lead, or is about to stop",
+                      "send the request again with the same key", options_.retry_after);
+    actions_.send(link, notRun<wire::ClaimReplyT>(error), request_id);
+    return;
+  }
+  wire::StoreCommandT command;
+  command.body.Set(Claim(claim));
+  writer_.add({link, request_id}, std::move(command), costOf(claim), now);
+}
+
+}  // namespace cometstand::store
