--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -11,9 +11,8 @@
 
 /// With less time left a request is not sent any more.
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(10);
-/// An endpoint that refused is avoided for a while: a full one for the time that it expects a request to
-/// wait, but at least for about the time in which one of its slots gets free, one whose target is down or
-/// leaves for as long as news of that take to come round.
+/// An endpoint that refused is avoided for a while: a full one for about the time in which one of its slots
+/// gets free, one whose target is down or leaves for as long as news of that take to come round.
 constexpr Duration kRefusedAvoidance = std::chrono::milliseconds(30);
 constexpr Duration kDownAvoidance = std::chrono::milliseconds(300);
 /// Bodies up to this size go with their request; larger ones are announced and sent as the endpoint grants.
@@ -207,7 +206,7 @@
     auto* endpoint = parts_.endpoints.find(address);
     if (endpoint == nullptr || call.refusals > 1) continue;
     const bool is_full = reply.reason == wire::NotRunReason::Full;
-    endpoint->avoid_until = now + (is_full ? std::max(kRefusedAvoidance, wish) : kDownAvoidance);
+    endpoint->avoid_until = now + (is_full ? kRefusedAvoidance : kDownAvoidance);
   }
   const bool reached_target = reply.reached_target;
   if (reached_target) ++call.sendings;
--- a/tests/sidecar/outbound_calls_test.cpp
+++ b/tests/sidecar/outbound_calls_test.cpp
@@ -67,24 +67,6 @@
   CHECK(sidecar.callers.answers.at(id).retry_after > Duration::zero());
 }
 
-TEST_CASE("an endpoint that is full is left alone for as long as it expects requests to wait") {
-  SidecarFixture sidecar;
-  sidecar.configure();
-  sidecar.addPeer(SidecarFixture::kPeer);
-  sidecar.call("/write/1");
-  const auto numbers = sidecar.forwardsTo(SidecarFixture::kPeer);
-  REQUIRE(numbers.size() == 1);
-  wire::ForwardReplyT full;
-  full.outcome = ForwardOutcome::NotRun;
-  full.reason = wire::NotRunReason::Full;
-  full.retry_after_ms = 200;
-  sidecar.say(SidecarFixture::kPeer, full, numbers[0]);
-  sidecar.addPeer(SidecarFixture::kOtherPeer);
-  sidecar.pass(milliseconds(150));
-  for (int i = 0; i < 20; ++i) sidecar.call("/write/x");
-  CHECK(sidecar.forwardsTo(SidecarFixture::kPeer).empty());
-}
-
 TEST_CASE("a request whose endpoint says nothing is answered at its deadline and recalled") {
   SidecarFixture sidecar;
   sidecar.configure();
