A target that ends under its requests is told from a broken connection, and logged with their digests

The gate now asks, after a run without an answer, whether the target's address still accepts a connection. If it is refused, or another instance is heard there within 10 s, target_ended names the contents that were at the target. run_ended carries the digest of a run without an answer. No request is decided otherwise than before.

Ruled out as evidence: a run without an answer alone, since full targets reset connections and faulty ones break answers off.

--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -63,9 +63,15 @@
                                               "intake_wait_ms on all sidecars of a service means "
                                               "that its machines' links are too narrow for the uploads."};
 
+inline constexpr EventDefinition kTargetEnded{7016, LogLevel::Warning, "target_ended",
+                                              "The target beside this sidecar ended while it had requests; "
+                                              "contents names them by digest. If one digest "
+                                              "comes again and again in these events, that request ends the "
+                                              "targets that run it: see docs/OPERATIONS.md."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked,   kStoreLost,    kSourceChosen, kSourceLost,  kConfigurationInForce,
-    kTargetChanged, kCallEnded,    kCallRetried,  kGateRefused, kSidecarStopBegan,
-    kUpdateRefused, kCallAnswered, kRunEnded,     kRunGivenUp,  kBodyRefused};
+    kStoreLinked, kStoreLost,   kSourceChosen, kSourceLost,       kConfigurationInForce, kTargetChanged,
+    kCallEnded,   kCallRetried, kGateRefused,  kSidecarStopBegan, kUpdateRefused,        kCallAnswered,
+    kRunEnded,    kRunGivenUp,  kBodyRefused,  kTargetEnded};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -148,6 +148,11 @@
   if (gate_.target().onReadyWhenAsked(health.instance, options_.service, health.slots)) onTargetChanged(now);
 }
 
+void SidecarCore::onProbed(ProbeOutcome outcome, TimePoint now) {
+  now_ = now;
+  gate_.onProbed(outcome, now);
+}
+
 /// A sidecar that starts beside a target that runs need not wait for its next heartbeat.
 void SidecarCore::askTarget() {
   if (asked_target_ || gate_.target().condition() != TargetCondition::Unheard) return;
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -23,6 +23,7 @@
   void onCallerGone(CallId id, TimePoint now) { calls_.cancel(id, now); }
   void onRunResult(RunId id, RunResult result, TimePoint now);
   void onHeartbeat(const Heartbeat& beat, TimePoint now);
+  void onProbed(ProbeOutcome outcome, TimePoint now);
   void onHealth(const TargetHealth& health, TimePoint now);
   void onDeregistered(const std::string& instance, TimePoint now);
 
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "sidecar/content_digest.h"
 #include "sidecar/events.h"
 
 namespace cometstand::sidecar {
@@ -29,10 +30,18 @@
 /// The first status by which a target says that it failed.
 constexpr unsigned kFirstErrorStatus = 500;
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
+/// Characters of the list of contents in a log line: about 15 digests.
+constexpr std::size_t kMostLoggedContents = 500;
 
 /// @return the mean with one more value; the first value is the mean.
 double smoothed(double mean, double value) { return mean == 0 ? value : mean + kNewest * (value - mean); }
 
+/// @return the digest of a request without an answer, which may have ended its target; empty for all others.
+std::string contentOf(const wire::ForwardRequestT& request, const wire::ForwardReplyT& reply) {
+  const bool is_answered = reply.outcome != wire::ForwardOutcome::Unknown;
+  return is_answered ? "" : formatDigest(digestsOf(request).exact);
+}
+
 /// @return microseconds.
 double objectiveOf(const wire::ForwardRequestT& request) {
   const Duration objective = std::chrono::milliseconds(std::max<std::uint32_t>(1, request.objective_ms));
@@ -190,7 +199,7 @@
                        TimePoint now) {
   const RunId id{next_run_++};
   const bool is_cold = now < target_.coldUntil();
-  running_.emplace(id, Running{asker, request, now, deadline, is_cold, yields(*request)});
+  running_.emplace(id, Running{asker, request, now, deadline, is_cold, yields(*request), target_.instance()});
   samples_.noteBegun();
   port_.run({id, request, target_.instance(), deadline - now});
 }
@@ -228,7 +237,8 @@
                        {"took_ms", ceilMilliseconds(now - run.started)},
                        {"left_ms", ceilMilliseconds(run.deadline - now)},
                        {"running", running()},
-                       {"retry", run.request->is_retry}});
+                       {"retry", run.request->is_retry},
+                       {"content", contentOf(*run.request, reply)}});
 }
 
 void TargetGate::cancel(const GateAsker& asker, TimePoint now) {
@@ -258,12 +268,46 @@
   if (run == running_.end()) return;
   const Running finished = run->second;
   running_.erase(run);
+  watchResult(finished, result, now);
   noteOutcome(finished, result.reply, now);
   noteEnd(finished, result.reply, now);
   startWaiting(now);
   reply(finished.asker, std::move(result.reply));
 }
 
+void TargetGate::watchResult(const Running& run, const RunResult& result, TimePoint now) {
+  if (result.reply.outcome == wire::ForwardOutcome::Unknown) {
+    // A target that leaves ends anyway.
+    if (target_.condition() != TargetCondition::Leaving) watch_.onBroken(run.request, run.instance, now);
+  } else if (result.reply.outcome == wire::ForwardOutcome::Answered) {
+    watch_.onAnswered(run.instance, run.started);
+  }
+}
+
+void TargetGate::onTargetChanged(TimePoint now) {
+  noteEndOfTarget(watch_.onInstance(target_.instance(), now), now);
+  startWaiting(now);
+}
+
+std::vector<TargetWatch::Run> TargetGate::runsAtTarget() const {
+  std::vector<TargetWatch::Run> runs;
+  for (const auto& [id, run] : running_) runs.push_back({run.request, run.started});
+  return runs;
+}
+
+void TargetGate::noteEndOfTarget(const std::optional<TargetEnd>& end, TimePoint /*now*/) const {
+  if (!end) return;
+  std::string contents;
+  for (const auto& request : end->requests) {
+    if (contents.size() >= kMostLoggedContents) break;
+    contents += (contents.empty() ? "" : " ") + formatDigest(digestsOf(*request).exact);
+  }
+  logEvent(kTargetEnded, {{"instance", end->instance},
+                          {"service", target_.service()},
+                          {"requests", end->requests.size()},
+                          {"contents", contents}});
+}
+
 void TargetGate::noteOutcome(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) {
   if (reply.outcome == wire::ForwardOutcome::NotRun) return;
   const bool is_failure = reply.outcome == wire::ForwardOutcome::Unknown;
@@ -281,6 +325,7 @@
 void TargetGate::noteGivenUp(const Running& run, TimePoint now) {
   const auto time = static_cast<double>((now - run.started).count()) / objectiveOf(*run.request);
   if (time > relative_run_time_) relative_run_time_ = smoothed(relative_run_time_, time);
+  watch_.onGivenUp(run.request, now);
   // The sender gives up at the request's deadline; before that, its caller has left.
   if (now + kAnswerGrace >= run.deadline)
     samples_.noteEnded(run.request->route, true, now - run.started, run.was_cold);
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -15,6 +15,7 @@
 #include "sidecar/sidecar_options.h"
 #include "sidecar/target_port.h"
 #include "sidecar/target_state.h"
+#include "sidecar/target_watch.h"
 
 namespace cometstand::sidecar {
 
@@ -30,7 +31,10 @@
 
   /// @param port must outlive the gate.
   TargetGate(const SidecarOptions& options, TargetPort& port, Answer answer)
-      : options_(options), port_(port), answer_(std::move(answer)) {}
+      : options_(options),
+        port_(port),
+        answer_(std::move(answer)),
+        watch_(port, [this] { return runsAtTarget(); }) {}
 
   TargetState& target() { return target_; }
   const TargetState& target() const { return target_; }
@@ -46,13 +50,14 @@
   /// All requests of one link are given up.
   void cancelLink(runtime::LinkId link, TimePoint now);
   void onResult(RunId id, RunResult result, TimePoint now);
+  void onProbed(ProbeOutcome outcome, TimePoint now) { noteEndOfTarget(watch_.onProbed(outcome, now), now); }
   /// The target gets no new requests from now on, or gets them again, because of its version.
   void setVersionClosed(bool is_closed) { is_version_closed_ = is_closed; }
   /// @return true if new requests are refused because of the target's version or since it leaves.
   bool isClosed(TimePoint now) const { return is_version_closed_ || isLeaving(now); }
   RunSamples& samples() { return samples_; }
   /// The target's state may have changed.
-  void onTargetChanged(TimePoint now) { startWaiting(now); }
+  void onTargetChanged(TimePoint now);
   /// New requests are refused from then on, as this sidecar stops.
   void closeAt(TimePoint time) { close_at_ = time; }
   /// @return the time that the target usually takes for a request; zero before the first.
@@ -89,6 +94,8 @@
     bool was_cold = false;
     /// It yielded when it began, and counts among those that do until it ends.
     bool yields = false;
+    /// Of the target that got it.
+    std::string instance;
   };
 
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -118,6 +125,10 @@
   void noteRunTime(const Running& run, TimePoint now);
   void noteEnd(const Running& run, const wire::ForwardReplyT& reply, TimePoint now);
   void reply(const GateAsker& asker, wire::ForwardReplyT reply);
+  /// Tells the watch over the target what came of a run.
+  void watchResult(const Running& run, const RunResult& result, TimePoint now);
+  void noteEndOfTarget(const std::optional<TargetEnd>& end, TimePoint now) const;
+  std::vector<TargetWatch::Run> runsAtTarget() const;
 
   const SidecarOptions& options_;
   TargetPort& port_;
@@ -147,6 +158,7 @@
   std::optional<TimePoint> yielding_seen_at_;
   /// Of the requests that do not yield to others.
   OfferedLoad short_load_;
+  TargetWatch watch_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -38,6 +38,16 @@
   unsigned slots = 1;
 };
 
+/// What came of a connection that was opened to see whether the target lives.
+enum class ProbeOutcome : std::uint8_t {
+  /// Somebody listens at the target's address.
+  Accepted,
+  /// Nobody listens there.
+  Refused,
+  /// Nothing is known.
+  Unknown,
+};
+
 /// Carries requests to the target. Its answers come through SidecarCore::onRunResult(), never from within
 /// run().
 class TargetPort {
@@ -46,6 +56,8 @@
   virtual void run(RunOrder order) = 0;
   /// Asks the target for its health, once. The answer comes through SidecarCore::onHealth().
   virtual void askHealth(const std::string& path) = 0;
+  /// Opens a connection to the target and closes it. The outcome comes through SidecarCore::onProbed().
+  virtual void probe() = 0;
   /// Gives the request up: the target sees its connection close. No result follows.
   virtual void cancel(RunId id) = 0;
 };
--- a/src/web/client.cpp
+++ b/src/web/client.cpp
@@ -1,11 +1,25 @@
 #include "web/client.h"
 
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <utility>
 
 #include "web/client_connection.h"
 
 namespace cometstand::web {
 
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+ConnectOutcome outcomeOf(error_code error) {
+  if (!error) return ConnectOutcome::Accepted;
+  return error == asio::error::connection_refused ? ConnectOutcome::Refused : ConnectOutcome::Failed;
+}
+
+}  // namespace
+
 Client::Client(boost::asio::io_context& io, runtime::Address address)
     : io_(io), address_(std::move(address)) {}
 
@@ -14,6 +28,8 @@
   for (const auto& [id, connection] : busy) connection->close();
   const auto idle = std::exchange(idle_, {});
   for (const auto& connection : idle) connection->close();
+  error_code ignored;
+  if (probe_ != nullptr) probe_->close(ignored);
 }
 
 std::shared_ptr<ClientConnection> Client::takeIdle() {
@@ -37,6 +53,20 @@
   connection->send(id, std::move(request), std::move(matcher), std::move(handler));
 }
 
+void Client::probe(ConnectHandler handler) {
+  error_code parse_error;
+  const auto host = asio::ip::make_address(address_.host, parse_error);
+  probe_ = std::make_shared<asio::ip::tcp::socket>(io_);
+  ++connections_opened_;
+  probe_->async_connect({host, address_.port},
+                        [socket = probe_, handler = std::move(handler)](error_code error) {
+                          if (error == asio::error::operation_aborted) return;
+                          error_code ignored;
+                          socket->close(ignored);
+                          handler(outcomeOf(error));
+                        });
+}
+
 void Client::cancel(SendId id) {
   const auto found = busy_.find(id);
   if (found == busy_.end()) return;
--- a/src/web/client.h
+++ b/src/web/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -34,6 +35,17 @@
 
 class ClientConnection;
 
+/// What came of a connection that carries nothing.
+enum class ConnectOutcome : std::uint8_t {
+  Accepted,
+  /// Nobody listens at the address.
+  Refused,
+  /// It failed otherwise.
+  Failed,
+};
+
+using ConnectHandler = std::function<void(ConnectOutcome)>;
+
 /// An HTTP/1.1 client of one server, with kept connections and one request at a time on each. An answer may
 /// come before the whole request has been sent; the connection is then not used again. A kept connection on
 /// which anything arrives unasked is closed.
@@ -47,6 +59,8 @@
 
   /// @param handler called exactly once, later, unless cancel() comes first.
   void send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler);
+  /// Opens a connection and closes it at once. @param handler called once, later, unless the client is gone.
+  void probe(ConnectHandler handler);
   /// Closes the request's connection.
   void cancel(SendId id);
 
@@ -64,6 +78,8 @@
   std::deque<std::shared_ptr<ClientConnection>> idle_;
   std::map<SendId, std::shared_ptr<ClientConnection>> busy_;
   std::uint64_t connections_opened_ = 0;
+  /// Of the newest probe.
+  std::shared_ptr<boost::asio::ip::tcp::socket> probe_;
 };
 
 }  // namespace cometstand::web
--- a/tests/rollout/rollout_mesh.h
+++ b/tests/rollout/rollout_mesh.h
@@ -89,6 +89,7 @@
 
     void run(sidecar::RunOrder order) override;
     void askHealth(const std::string& /*path*/) override {}
+    void probe() override {}
     void cancel(sidecar::RunId run) override { running.erase(run); }
     void answer(sidecar::CallId /*id*/, sidecar::CallAnswer /*answer*/) override {}
   };
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -20,11 +20,13 @@
  public:
   void run(RunOrder order) override { orders.push_back(std::move(order)); }
   void askHealth(const std::string& path) override { asked.push_back(path); }
+  void probe() override { ++probes; }
   void cancel(RunId id) override { cancelled.push_back(id); }
 
   std::vector<RunOrder> orders;
   std::vector<RunId> cancelled;
   std::vector<std::string> asked;
+  unsigned probes = 0;
 };
 
 /// Notes what callers are answered.
--- /dev/null
+++ b/tests/sidecar/target_watch_test.cpp
@@ -0,0 +1,91 @@
+#include "sidecar/target_watch.h"
+
+#include "tests/sidecar/sidecar_fixture.h"
+
+namespace cometstand::sidecar::test {
+namespace {
+
+class WatchFixture {
+ public:
+  static ForwardRequestPointer makeRequest(const std::string& id) {
+    auto request = std::make_shared<wire::ForwardRequestT>();
+    request->request_id = id;
+    return request;
+  }
+
+  static std::vector<std::string> idsOf(const TargetEnd& end) {
+    std::vector<std::string> ids;
+    for (const auto& request : end.requests) ids.push_back(request->request_id);
+    return ids;
+  }
+
+  RecordingTarget target;
+  std::vector<TargetWatch::Run> running;
+  TargetWatch watch{target, [this] { return running; }};
+  TimePoint now{std::chrono::seconds(100)};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(WatchFixture, "a target whose address refuses connections after a broken run has ended") {
+  running.push_back({makeRequest("beside"), now - milliseconds(50)});
+  watch.onBroken(makeRequest("broken"), "a", now);
+  CHECK(target.probes == 1);
+  // Never reached the target: it was passed on after the target ended.
+  running.push_back({makeRequest("late"), now + milliseconds(1)});
+  const auto end = watch.onProbed(ProbeOutcome::Refused, now + milliseconds(2));
+  REQUIRE(end);
+  CHECK(end->instance == "a");
+  CHECK(idsOf(*end) == std::vector<std::string>{"broken", "beside"});
+}
+
+TEST_CASE_METHOD(WatchFixture, "an end is told once, however many runs break") {
+  watch.onBroken(makeRequest("1"), "a", now);
+  watch.onBroken(makeRequest("2"), "a", now);
+  CHECK(target.probes == 1);
+  CHECK(watch.onProbed(ProbeOutcome::Refused, now));
+  watch.onBroken(makeRequest("3"), "a", now);
+  CHECK(target.probes == 1);
+  CHECK_FALSE(watch.onProbed(ProbeOutcome::Refused, now));
+  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(4)));
+}
+
+TEST_CASE_METHOD(WatchFixture, "a target that accepts connections and answers has not ended") {
+  watch.onBroken(makeRequest("1"), "a", now);
+  CHECK_FALSE(watch.onProbed(ProbeOutcome::Accepted, now));
+  watch.onAnswered("a", now + milliseconds(10));
+  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(4)));
+}
+
+TEST_CASE_METHOD(WatchFixture,
+                 "an answer to a run from before the broken one does not show that a target lives") {
+  watch.onBroken(makeRequest("1"), "a", now);
+  watch.onAnswered("a", now - milliseconds(10));
+  CHECK(watch.onProbed(ProbeOutcome::Refused, now));
+}
+
+TEST_CASE_METHOD(WatchFixture,
+                 "another instance soon after a broken run shows that the one before has ended") {
+  watch.onBroken(makeRequest("1"), "a", now);
+  CHECK_FALSE(watch.onProbed(ProbeOutcome::Unknown, now));
+  CHECK_FALSE(watch.onInstance("a", now + std::chrono::seconds(1)));
+  const auto end = watch.onInstance("b", now + std::chrono::seconds(4));
+  REQUIRE(end);
+  CHECK(end->instance == "a");
+}
+
+TEST_CASE_METHOD(WatchFixture, "another instance long after a broken run explains nothing") {
+  watch.onBroken(makeRequest("1"), "a", now);
+  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(11)));
+}
+
+TEST_CASE_METHOD(WatchFixture, "a run that was given up shortly before may have ended the target") {
+  watch.onGivenUp(makeRequest("old"), now - std::chrono::seconds(2));
+  watch.onGivenUp(makeRequest("left"), now - milliseconds(100));
+  watch.onBroken(makeRequest("broken"), "a", now);
+  const auto end = watch.onProbed(ProbeOutcome::Refused, now);
+  REQUIRE(end);
+  CHECK(idsOf(*end) == std::vector<std::string>{"broken", "left"});
+}
+
+}  // namespace cometstand::sidecar::test
--- a/tests/web/server_client_test.cpp
+++ b/tests/web/server_client_test.cpp
@@ -149,6 +149,29 @@
   CHECK(sendOnce(io, client, "1").outcome == SendOutcome::NotSent);
 }
 
+TEST_CASE("a probe tells whether anybody listens", "[web]") {
+  asio::io_context io;
+  std::optional<ConnectOutcome> outcome;
+  const auto probe = [&](runtime::Address address) {
+    Client client(io, std::move(address));
+    outcome.reset();
+    client.probe([&outcome](ConnectOutcome got) { outcome = got; });
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!outcome && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(20));
+    io.restart();
+    return outcome;
+  };
+  runtime::Address address;
+  {
+    RawServer server(io, "", false);
+    address = server.address();
+    CHECK(probe(address) == ConnectOutcome::Accepted);
+  }
+  io.poll();
+  io.restart();
+  CHECK(probe(address) == ConnectOutcome::Refused);
+}
+
 TEST_CASE("an answer that is cut short, or is none, is broken", "[web]") {
   asio::io_context io;
   const std::string bytes =
