--- a/src/operator/command.h
+++ b/src/operator/command.h
@@ -31,6 +31,8 @@
 /// Names only: no query gives a secret's value.
 struct ShowSecrets {};
 struct ShowReplicas {};
+/// Requests, by content, that are refused or suspected since targets ended under them.
+struct ShowQuarantine {};
 
 enum class ProxyField : std::uint8_t {
   Zone,
@@ -136,16 +138,22 @@
   std::uint64_t id = 0;
 };
 
+/// Nothing is held against the content any more.
+struct ReleaseContent {
+  /// 32 hexadecimal digits.
+  std::string content;
+};
+
 /// Answers once the version is in force on every proxy, or the time limit passed.
 struct WaitInForce {
   std::uint64_t version = 0;
   Duration timeout = Duration::zero();
 };
 
-using Command =
-    std::variant<ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints, ShowChanges,
-                 ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, Change, DrainEndpoint, StopProxy,
-                 StopRelay, TransferLeader, AddReplica, ReplaceReplica, RemoveReplica, WaitInForce>;
+using Command = std::variant<ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints,
+                             ShowChanges, ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, ShowQuarantine,
+                             Change, DrainEndpoint, StopProxy, StopRelay, TransferLeader, AddReplica,
+                             ReplaceReplica, RemoveReplica, ReleaseContent, WaitInForce>;
 
 /// A command that is not of the language. The message names line and column.
 class ParseError : public Error {
--- a/src/operator/parser.cpp
+++ b/src/operator/parser.cpp
@@ -74,12 +74,12 @@
     plain<ShowVersion>("version") | kShowProxies[kEmit] | kShowRoute[kEmit] | plain<ShowRoutes>("routes") |
     plain<ShowServices>("services") | kShowEndpoints[kEmit] | kShowChanges[kEmit] |
     plain<ShowNodes>("nodes") | plain<ShowTenants>("tenants") | plain<ShowSecrets>("secrets") |
-    plain<ShowReplicas>("replicas");
+    plain<ShowReplicas>("replicas") | plain<ShowQuarantine>("quarantine");
 
 const auto kShow = x3::rule<class ShowRule, Command>{} =
     keyword("show") > labeled(
                           "version, proxies, route, routes, services, endpoints, changes, nodes, tenants, "
-                          "secrets or replicas",
+                          "secrets, replicas or quarantine",
                           kQuery[kEmit]);
 
 // ---- drain, stop, transfer, replicas, wait ----------------------------------------------------------
@@ -134,6 +134,10 @@
     keyword("remove") > keyword("replica") >
     labeled(kReplicaLabel, kInteger<std::uint64_t>[into(&RemoveReplica::id)]);
 
+const auto kRelease = x3::rule<class ReleaseRule, ReleaseContent>{} =
+    keyword("release") > keyword("content") >
+    labeled("a content's digest", kName[into(&ReleaseContent::content)]);
+
 const auto kWait = x3::rule<class WaitRule, WaitInForce>{} =
     x3::omit[keyword("wait")][([](auto& context) { x3::_val(context).timeout = kDefaultWait; })] >
     keyword("version") > labeled("a version", kInteger<std::uint64_t>[into(&WaitInForce::version)]) >
@@ -144,10 +148,10 @@
 
 const auto kCommand = x3::rule<class CommandRule, Command>{} =
     kShow[kEmit] | kChange[kEmit] | kDrain[kEmit] | kStop[kEmit] | kTransfer[kEmit] | kAddReplica[kEmit] |
-    kReplaceReplica[kEmit] | kRemoveReplica[kEmit] | kWait[kEmit];
+    kReplaceReplica[kEmit] | kRemoveReplica[kEmit] | kRelease[kEmit] | kWait[kEmit];
 
 const auto kWhole = x3::rule<class WholeRule, Command>{} =
-    x3::expect[labeled("show, change, drain, stop, transfer, add, replace, remove or wait",
+    x3::expect[labeled("show, change, drain, stop, transfer, add, replace, remove, release or wait",
                        kCommand[kEmit])] > -x3::lit(';') > labeled("the end of the command", x3::eoi);
 
 }  // namespace
--- a/src/operator/printer.cpp
+++ b/src/operator/printer.cpp
@@ -141,6 +141,7 @@
   std::string operator()(const ShowTenants& /*command*/) const { return "show tenants"; }
   std::string operator()(const ShowSecrets& /*command*/) const { return "show secrets"; }
   std::string operator()(const ShowReplicas& /*command*/) const { return "show replicas"; }
+  std::string operator()(const ShowQuarantine& /*command*/) const { return "show quarantine"; }
 
   std::string operator()(const ShowProxies& command) const {
     std::string text = "show proxies";
@@ -191,6 +192,7 @@
   std::string operator()(const RemoveReplica& command) const {
     return fmt::format("remove replica {}", command.id);
   }
+  std::string operator()(const ReleaseContent& command) const { return "release content " + command.content; }
   std::string operator()(const WaitInForce& command) const {
     return fmt::format("wait version {} in force timeout {}", command.version,
                        settings::formatDuration(command.timeout));
--- a/src/operator/semantics.cpp
+++ b/src/operator/semantics.cpp
@@ -97,7 +97,8 @@
       [](const auto& one) {
         using Type = std::decay_t<decltype(one)>;
         return kIsOneOf<Type, ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints,
-                        ShowChanges, ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, WaitInForce>;
+                        ShowChanges, ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, ShowQuarantine,
+                        WaitInForce>;
       },
       command);
 }
--- a/src/store/command_execution.cpp
+++ b/src/store/command_execution.cpp
@@ -45,6 +45,11 @@
   sendReply(context_, call.asker, parts_.replicas.showReplicas());
 }
 
+void CommandService::run(const Call& call, const command::ShowQuarantine& /*query*/) {
+  requireAdministrator(call);
+  sendReply(context_, call.asker, showQuarantine(context_.state));
+}
+
 void CommandService::run(const Call& call, const command::ShowProxies& query) {
   const auto render = [&state = context_.state, scope = call.identity.scope,
                        query](const wire::StatusReplyT& status) {
@@ -147,4 +152,9 @@
   parts_.replicas.removeReplica(call.asker, order.id, call.now);
 }
 
+void CommandService::run(const Call& call, const command::ReleaseContent& order) {
+  requireAdministrator(call);
+  parts_.quarantine.releaseByOperator(call.asker, order.content, call.now);
+}
+
 }  // namespace cometstand::store
--- a/src/store/command_service.h
+++ b/src/store/command_service.h
@@ -7,6 +7,7 @@
 #include "store/command_forwarder.h"
 #include "store/in_force_waits.h"
 #include "store/log_writer.h"
+#include "store/quarantine_keeper.h"
 #include "store/queries.h"
 #include "store/reader_hub.h"
 #include "store/replica_admin.h"
@@ -23,6 +24,7 @@
   InForceWaits& waits;
   ReplicaAdmin& replicas;
   CommandForwarder& forwarder;
+  QuarantineKeeper& quarantine;
 };
 
 /// Takes operators' commands: parses them, passes them on to the leader, and there checks the credential and
@@ -71,6 +73,7 @@
   void run(const Call& call, const command::ShowTenants& query);
   void run(const Call& call, const command::ShowSecrets& query);
   void run(const Call& call, const command::ShowReplicas& query);
+  void run(const Call& call, const command::ShowQuarantine& query);
   void run(const Call& call, const command::WaitInForce& query);
   void run(const Call& call, const command::DrainEndpoint& order);
   void run(const Call& call, const command::StopProxy& order);
@@ -79,6 +82,7 @@
   void run(const Call& call, const command::AddReplica& order);
   void run(const Call& call, const command::ReplaceReplica& order);
   void run(const Call& call, const command::RemoveReplica& order);
+  void run(const Call& call, const command::ReleaseContent& order);
   /// @throw Error(Forbidden)
   static void requireAdministrator(const Call& call);
   /// @throw Error(Unavailable) if there is no reader.
--- a/src/store/quarantine_keeper.cpp
+++ b/src/store/quarantine_keeper.cpp
@@ -1,12 +1,17 @@
 #include "store/quarantine_keeper.h"
 
+#include <fmt/format.h>
 #include <fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
 
+#include "base/error.h"
 #include "base/event_log.h"
 #include "store/events.h"
+#include "store/log_writer.h"
+#include "store/queries.h"
+#include "store/replies.h"
 
 namespace cometstand::store {
 namespace {
@@ -97,7 +102,7 @@
   if (!context_.consensus.propose(encodeBatch(batch), now)) proposed_.clear();
 }
 
-void QuarantineKeeper::onApplied() {
+void QuarantineKeeper::logChanges() {
   const auto& quarantine = context_.state.quarantine();
   if (quarantine.lastNumber() == logged_) return;
   for (const auto& [digest, record] : quarantine.all()) {
@@ -114,6 +119,7 @@
 
 void QuarantineKeeper::onLeadershipLost() {
   proposed_.clear();
+  releases_.onLeadershipLost();
   seen_.clear();
   events_.clear();
 }
@@ -146,7 +152,42 @@
   propose(std::move(release), now);
 }
 
+void QuarantineKeeper::releaseByOperator(const Asker& asker, const std::string& content, TimePoint now) {
+  const auto& records = context_.state.quarantine().all();
+  const auto found = std::find_if(records.begin(), records.end(), [&content](const auto& item) {
+    return mesh::formatDigest(item.first) == content;
+  });
+  if (found == records.end()) {
+    throw Error(ErrorKind::NotFound, fmt::format("nothing is held against content {}", content),
+                "see show quarantine");
+  }
+  const auto& record = *found->second;
+  wire::ContentReleaseT release;
+  release.digest = mesh::writeDigest(found->first);
+  release.is_final = true;
+  logEvent(kContentReleased, {{"content", content},
+                              {"service", record.service},
+                              {"caller", record.caller_service},
+                              {"state", wire::EnumNameContentState(record.state)},
+                              {"final", true},
+                              {"reason", "an operator's order"}});
+  const auto answer = [this, asker, content](const CommandResult* result) {
+    if (result != nullptr) {
+      sendReply(context_, asker, makeTable(context_.state.catalog().version(), {"released"}, {{content}}));
+      return;
+    }
+    const Error error(ErrorKind::Unknown, "whether the content was released is not known",
+                      "see show quarantine");
+    sendReply(context_, asker, unknownOutcome<wire::CommandReplyT>(error));
+  };
+  if (!releases_.propose(std::move(release), answer, now)) {
+    throw Error(ErrorKind::Unavailable, "this replica does not lead any more", "send the command again",
+                context_.options.retry_after);
+  }
+}
+
 void QuarantineKeeper::onTimer(TimePoint now) {
+  releases_.onTimer(now);
   if (now < scan_at_ || !context_.isLeader()) return;
   scan_at_ = now + kScanInterval;
   scan(now);
@@ -154,7 +195,8 @@
 
 TimePoint QuarantineKeeper::nextTimer() const {
   const bool has_records = !context_.state.quarantine().all().empty();
-  return context_.isLeader() && has_records ? scan_at_ : TimePoint::max();
+  const TimePoint scan_at = context_.isLeader() && has_records ? scan_at_ : TimePoint::max();
+  return std::min(scan_at, releases_.nextTimer());
 }
 
 }  // namespace cometstand::store
--- a/src/store/quarantine_keeper.h
+++ b/src/store/quarantine_keeper.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "store/proposal_waits.h"
 #include "store/store_context.h"
 
 namespace cometstand::store {
@@ -16,9 +17,15 @@
 
   /// @param link of the node; it is told if the report was taken before.
   void onReport(runtime::LinkId link, const wire::CrashReportT& report, TimePoint now);
+  /// Answers once nothing is held against the content.
+  /// @throw Error(NotFound) if nothing is now.
+  void releaseByOperator(const Asker& asker, const std::string& content, TimePoint now);
   void onClearance(const wire::ContentClearanceT& clearance, TimePoint now);
-  /// To be called after entries were applied: logs what changed.
-  void onApplied();
+  void onApplied(const wire::LogEntryT& entry, const std::vector<CommandResult>& results) {
+    releases_.onApplied(entry, results);
+  }
+  /// To be called after entries were applied, or a snapshot: logs what changed.
+  void logChanges();
   void onLeadershipLost();
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
@@ -48,6 +55,8 @@
   std::map<std::string, Event> events_;
   std::uint64_t last_event_ = 0;
   std::map<std::string, TimePoint> proposed_;
+  /// Operators' releases.
+  ProposalWaits releases_{context_};
   std::map<mesh::ContentDigest, Seen> seen_;
   TimePoint scan_at_;
   /// QuarantineRegister::lastNumber() up to which changes were logged.
--- a/src/store/queries.cpp
+++ b/src/store/queries.cpp
@@ -148,6 +148,18 @@
   return makeTable(state.catalog().version(), {"tenant", "secret", "changed_at"}, rows);
 }
 
+wire::CommandReplyT showQuarantine(const StateMachine& state) {
+  Rows rows;
+  for (const auto& [digest, record] : state.quarantine().all()) {
+    rows.push_back({mesh::formatDigest(digest), wire::EnumNameContentState(record->state), record->service,
+                    record->caller_service, std::to_string(record->crashes),
+                    std::to_string(record->quarantines),
+                    fmt::format("{}", fmt::join(record->instances, ", "))});
+  }
+  return makeTable(state.catalog().version(),
+                   {"content", "state", "service", "caller", "crashes", "quarantines", "instances"}, rows);
+}
+
 wire::CommandReplyT showChanges(const StateMachine& state, const Scope& scope,
                                 const command::ShowChanges& query) {
   Rows rows;
--- a/src/store/queries.h
+++ b/src/store/queries.h
@@ -27,6 +27,7 @@
 wire::CommandReplyT showNodes(const StateMachine& state, const Scope& scope);
 wire::CommandReplyT showTenants(const StateMachine& state, const Scope& scope);
 wire::CommandReplyT showSecrets(const StateMachine& state, const Scope& scope);
+wire::CommandReplyT showQuarantine(const StateMachine& state);
 wire::CommandReplyT showChanges(const StateMachine& state, const Scope& scope,
                                 const command::ShowChanges& query);
 
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -168,9 +168,10 @@
     writer_.onApplied(*entry, results);
     mesh_.onApplied(*entry, results);
     rollouts_.onApplied(*entry, results);
+    quarantine_.onApplied(*entry, results);
   }
   rollout_clock_.refresh(state_.rollouts(), now);
-  quarantine_.onApplied();
+  quarantine_.logChanges();
   nodes_.onApplied(now);
   readers_.sendChanges();
   waits_.check();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -96,7 +96,7 @@
   InForceWaits waits_{context_, readers_};
   ReplicaAdmin admin_{context_};
   CommandForwarder forwarder_{context_, replicas_};
-  CommandService commands_{context_, {readers_, writer_, statuses_, waits_, admin_, forwarder_}};
+  CommandService commands_{context_, {readers_, writer_, statuses_, waits_, admin_, forwarder_, quarantine_}};
 
   /// Certificates of the open incoming links.
   std::map<runtime::LinkId, runtime::PeerIdentity> incoming_;
--- a/tests/store/command_test.cpp
+++ b/tests/store/command_test.cpp
@@ -226,6 +226,17 @@
   REQUIRE(kindOf(trio.run(target, "transfer leader to 9")) == ErrorKind::NotFound);
 }
 
+TEST_CASE("an administrator sees what is quarantined, and cannot release what is not held") {
+  Trio trio;
+  trio.begin();
+  const auto leader = trio.waitForLeader();
+  const auto shown = trio.run(leader, "show quarantine");
+  REQUIRE(shown.outcome == wire::Outcome::Completed);
+  REQUIRE(shown.rows.empty());
+  REQUIRE(kindOf(trio.run(leader, "release content 39fc2d8932dd40fce561ebe2e83585ef")) ==
+          ErrorKind::NotFound);
+}
+
 TEST_CASE("one tenant's commands cannot keep another's out of the log") {
   Trio trio;
   for (std::size_t i = 0; i < 3; ++i) {
