--- a/tests/quarantine/crash_mesh.cpp
+++ b/tests/quarantine/crash_mesh.cpp
@@ -1,9 +1,6 @@
 #include "crash_mesh.h"
 
 #include <algorithm>
-#include <stdexcept>
-
-#include "mesh/configuration.h"
 
 namespace cometstand::quarantine::test {
 namespace {
@@ -20,10 +17,6 @@
 constexpr Duration kLeastDown = milliseconds(2'500);
 constexpr Duration kMostDown = milliseconds(5'000);
 
-runtime::Address addressOf(std::size_t number) {
-  return {"10.0." + std::to_string(number / 200) + "." + std::to_string(1 + number % 200), 7'000};
-}
-
 wire::MeshConfigurationT makeConfiguration() {
   wire::MeshConfigurationT configuration;
   for (const char* name : {"read", "write"}) {
@@ -50,29 +43,13 @@
 
 }  // namespace
 
-CrashMesh::CrashMesh(std::uint64_t seed, MeshShape shape) : random_(seed), shape_(shape) {
-  for (std::size_t i = 0; i < shape_.stores; ++i) addStore(shape_.stores);
-  for (const auto id : stores) network.start(id);
-  network.runFor(seconds(3));
-  configure();
+CrashMesh::CrashMesh(std::uint64_t seed, MeshShape shape)
+    : random_(seed), shape_(shape), store_group_(network, random_, shape.stores) {
+  store_group_.configure(makeConfiguration());
   for (std::size_t i = 0; i < shape_.sidecars; ++i) addSidecar();
   network.runFor(seconds(4));
 }
 
-void CrashMesh::addStore(std::size_t count) {
-  store::StoreOptions options;
-  options.self.id = stores.size() + 1;
-  options.self.name = "store-" + std::to_string(options.self.id);
-  const auto address = addressOf(options.self.id);
-  options.self.address = address.host;
-  options.self.port = address.port;
-  options.bootstrap = true;
-  for (std::size_t i = 1; i <= count; ++i) options.seeds.push_back(addressOf(i));
-  stores.push_back(network.add(address, [this, options] {
-    return std::make_unique<store::StoreCore>(options, random_.uniform(0, UINT64_MAX));
-  }));
-}
-
 void CrashMesh::addSidecar() {
   auto& machine = machines_.emplace_back();
   machine.mesh = this;
@@ -80,8 +57,8 @@
   sidecar::SidecarOptions options;
   options.node = machine.name;
   options.service = kService;
-  options.advertise = addressOf(100 + machines_.size());
-  for (std::size_t i = 1; i <= shape_.stores; ++i) options.seeds.push_back(addressOf(i));
+  options.advertise = rollout::test::addressOf(100 + machines_.size());
+  options.seeds = store_group_.seeds();
   machine.id = network.add(options.advertise, [this, options, &machine] {
     machine.running.clear();
     machine.calls.clear();
@@ -94,34 +71,6 @@
   keepCalling(machine);
 }
 
-void CrashMesh::configure() {
-  const auto id = leader();
-  if (!id) throw std::logic_error("the stores have no leader");
-  wire::MeshChangeT change;
-  change.revision = 1;
-  change.document = {1};
-  change.configuration = mesh::encodeConfiguration(makeConfiguration());
-  change.digest = std::make_shared<wire::Digest>(1, 1);
-  network.call(*id, [&] {
-    storeAt(*id).changeMesh(
-        change, [](const store::MeshAnswer&) {}, network.now());
-  });
-  network.runFor(seconds(1));
-}
-
-std::optional<ProcessId> CrashMesh::leader() {
-  std::optional<ProcessId> best;
-  consensus::Term best_term = 0;
-  for (const auto id : stores) {
-    if (!network.isRunning(id)) continue;
-    const auto leadership = storeAt(id).leadership();
-    if (leadership.role != consensus::Role::Leader || leadership.term <= best_term) continue;
-    best = id;
-    best_term = leadership.term;
-  }
-  return best;
-}
-
 void CrashMesh::startTarget(Machine& machine) {
   machine.is_up = true;
   machine.sequence = 0;
--- a/tests/quarantine/crash_mesh.h
+++ b/tests/quarantine/crash_mesh.h
@@ -11,13 +11,14 @@
 
 #include "base/random.h"
 #include "sidecar/sidecar_core.h"
-#include "store/store_core.h"
 #include "tests/rollout/process_network.h"
+#include "tests/rollout/store_group.h"
 
 namespace cometstand::quarantine::test {
 
 using rollout::test::ProcessId;
 using rollout::test::ProcessNetwork;
+using rollout::test::StoreGroup;
 
 /// A mesh to be built.
 struct MeshShape {
@@ -45,8 +46,8 @@
   void crashTargets(std::size_t count);
   void runFor(Duration time) { network.runFor(time); }
 
-  std::optional<ProcessId> leader();
-  store::StoreCore& storeAt(ProcessId id) { return dynamic_cast<store::StoreCore&>(network.core(id)); }
+  const std::vector<ProcessId>& stores() const { return store_group_.ids(); }
+  std::optional<ProcessId> leader() const { return store_group_.leader(); }
   sidecar::SidecarCore& sidecarAt(ProcessId id) {
     return dynamic_cast<sidecar::SidecarCore&>(network.core(id));
   }
@@ -70,7 +71,6 @@
   PathRecord innocents() const;
 
   ProcessNetwork network;
-  std::vector<ProcessId> stores;
   std::vector<ProcessId> sidecars;
 
  private:
@@ -96,9 +96,7 @@
     void answer(sidecar::CallId id, sidecar::CallAnswer answer) override;
   };
 
-  void addStore(std::size_t count);
   void addSidecar();
-  void configure();
   void startTarget(Machine& machine);
   void crashTarget(Machine& machine);
   void beat(Machine& machine);
@@ -110,6 +108,7 @@
 
   RandomSource random_;
   MeshShape shape_;
+  StoreGroup store_group_;
   std::deque<Machine> machines_;
   std::set<std::string> poison_;
   std::map<std::string, PathRecord> records_;
--- a/tests/quarantine/quarantine_test.cpp
+++ b/tests/quarantine/quarantine_test.cpp
@@ -67,9 +67,9 @@
   const auto ended = mesh.at(kPoison).ended.size();
   REQUIRE(ended >= 3);
   for (const auto id : mesh.sidecars) mesh.network.crash(id);
-  for (const auto id : mesh.stores) mesh.network.crash(id);
+  for (const auto id : mesh.stores()) mesh.network.crash(id);
   mesh.runFor(seconds(1));
-  for (const auto id : mesh.stores) mesh.network.start(id);
+  for (const auto id : mesh.stores()) mesh.network.start(id);
   for (const auto id : mesh.sidecars) mesh.network.start(id);
   mesh.runFor(seconds(20));
   CHECK(mesh.at(kPoison).ended.size() == ended);
@@ -160,7 +160,7 @@
   mesh.keepSending(kPoison, random.uniform(milliseconds(30), milliseconds(900)));
   for (int i = 0; i < 6; ++i) {
     mesh.runFor(random.uniform(milliseconds(100), milliseconds(5'000)));
-    const auto& from = random.uniform(0, 2) == 0 ? mesh.stores : mesh.sidecars;
+    const auto& from = random.uniform(0, 2) == 0 ? mesh.stores() : mesh.sidecars;
     const auto id = from.at(random.uniform(0, from.size() - 1));
     const auto fault = random.uniform(0, 2);
     if (fault == 0) mesh.network.cut(id);
@@ -181,6 +181,24 @@
   CHECK(innocents.quarantined == 0);
 }
 
+/// Prints how long it takes until every sidecar refuses, by the number of sidecars.
+TEST_CASE("time until all sidecars know", "[.][scale]") {
+  const auto count = GENERATE(as<std::size_t>(), 30, 100, 300);
+  MeshShape shape;
+  shape.sidecars = count;
+  shape.call_interval = milliseconds(25) * static_cast<int>(count) / 8;
+  CrashMesh mesh(1, shape);
+  mesh.poison(kPoison);
+  mesh.keepSending(kPoison, milliseconds(400));
+  while (mesh.at(kPoison).ended.size() < 3) mesh.runFor(milliseconds(1));
+  const TimePoint third = mesh.network.now();
+  const auto knows = [&mesh](ProcessId id) { return mesh.sidecarAt(id).quarantine().quarantined() > 0; };
+  while (!std::all_of(mesh.sidecars.begin(), mesh.sidecars.end(), knows)) mesh.runFor(milliseconds(1));
+  const Duration took = mesh.network.now() - third;
+  WARN(count << " sidecars: all knew " << ceilMilliseconds(took) << " ms after the third end");
+  CHECK(took < kLearningTime);
+}
+
 /// Prints what a way to judge costs: docs/design/quarantine.md compares some by it.
 TEST_CASE("cost for innocents beside crashes of every kind", "[.][compare]") {
   constexpr std::uint64_t kSeeds = 30;
--- a/tests/rollout/rollout_mesh.cpp
+++ b/tests/rollout/rollout_mesh.cpp
@@ -2,9 +2,6 @@
 
 #include <stdexcept>
 
-#include "mesh/compression.h"
-#include "mesh/configuration.h"
-
 namespace cometstand::rollout::test {
 namespace {
 
@@ -21,8 +18,6 @@
 constexpr std::size_t kBadAnswers = 50;
 constexpr double kThousand = 1'000;
 
-runtime::Address addressOf(std::size_t number) { return {"10.0.0." + std::to_string(number), 7'000}; }
-
 wire::MeshConfigurationT makeConfiguration() {
   wire::MeshConfigurationT configuration;
   for (const char* name : {"read", "write"}) {
@@ -50,30 +45,13 @@
 }  // namespace
 
 RolloutMesh::RolloutMesh(std::uint64_t seed, Behaviour new_version)
-    : random_(seed), new_version_(std::move(new_version)) {
-  for (std::size_t i = 0; i < kStores; ++i) addStore();
-  for (const auto id : stores) network.start(id);
-  network.runFor(seconds(3));
-  configure();
+    : random_(seed), new_version_(std::move(new_version)), store_group_(network, random_, kStores) {
+  store_group_.configure(makeConfiguration());
   for (std::size_t i = 0; i < kSidecars; ++i) old_sidecars.push_back(addSidecar("v1"));
   network.runFor(seconds(4));
   watchState();
 }
 
-void RolloutMesh::addStore() {
-  store::StoreOptions options;
-  options.self.id = stores.size() + 1;
-  options.self.name = "store-" + std::to_string(options.self.id);
-  const auto address = addressOf(options.self.id);
-  options.self.address = address.host;
-  options.self.port = address.port;
-  options.bootstrap = true;
-  for (std::size_t i = 1; i <= kStores; ++i) options.seeds.push_back(addressOf(i));
-  stores.push_back(network.add(address, [this, options] {
-    return std::make_unique<store::StoreCore>(options, random_.uniform(0, UINT64_MAX));
-  }));
-}
-
 ProcessId RolloutMesh::addSidecar(const std::string& version) {
   auto& machine = machines_.emplace_back();
   machine.mesh = this;
@@ -83,7 +61,7 @@
   options.node = machine.instance;
   options.service = kService;
   options.advertise = addressOf(100 + machines_.size());
-  for (std::size_t i = 1; i <= kStores; ++i) options.seeds.push_back(addressOf(i));
+  options.seeds = store_group_.seeds();
   machine.id = network.add(options.advertise, [this, options, &machine] {
     machine.running.clear();
     return std::make_unique<sidecar::SidecarCore>(options, random_.uniform(0, UINT64_MAX), machine, machine);
@@ -95,45 +73,16 @@
   return machine.id;
 }
 
-void RolloutMesh::configure() {
-  const auto id = leader();
-  if (!id) throw std::logic_error("the stores have no leader");
-  wire::MeshChangeT change;
-  change.revision = 1;
-  change.document = {1};
-  change.configuration = mesh::encodeConfiguration(makeConfiguration());
-  change.digest = std::make_shared<wire::Digest>(1, 1);
-  network.call(*id, [&] {
-    storeAt(*id).changeMesh(
-        change, [](const store::MeshAnswer&) {}, network.now());
-  });
-  network.runFor(seconds(1));
-}
-
-std::optional<ProcessId> RolloutMesh::leader() {
-  std::optional<ProcessId> best;
-  consensus::Term best_term = 0;
-  for (const auto id : stores) {
-    if (!network.isRunning(id)) continue;
-    const auto leadership = storeAt(id).leadership();
-    if (leadership.role != consensus::Role::Leader || leadership.term <= best_term) continue;
-    best = id;
-    best_term = leadership.term;
-  }
-  return best;
-}
-
 void RolloutMesh::order(Duration time) {
   duration = time;
-  const auto id = leader();
-  if (!id) throw std::logic_error("the stores have no leader");
+  const auto id = store_group_.requireLeader();
   wire::RolloutOrderT order;
   order.service = kService;
   order.version = "v2";
   order.duration_ms = static_cast<std::uint32_t>(ceilMilliseconds(time));
   bool is_done = false;
-  network.call(*id, [&] {
-    storeAt(*id).orderRollout(
+  network.call(id, [&] {
+    storeAt(id).orderRollout(
         order,
         [&is_done](const store::RolloutAnswer& answer) {
           is_done = answer.kind == store::RolloutAnswerKind::Done;
@@ -198,7 +147,7 @@
 
 /// Looks at every store: what any of them would tell an operator counts as said.
 void RolloutMesh::watchState() {
-  for (const auto id : stores) {
+  for (const auto id : stores()) {
     if (!network.isRunning(id)) continue;
     const auto record = storeAt(id).stateMachine().rollouts().find(kService);
     if (record != nullptr) noteState(record->phase);
--- a/tests/rollout/rollout_mesh.h
+++ b/tests/rollout/rollout_mesh.h
@@ -12,6 +12,7 @@
 #include "process_network.h"
 #include "sidecar/sidecar_core.h"
 #include "store/store_core.h"
+#include "tests/rollout/store_group.h"
 
 namespace cometstand::rollout::test {
 
@@ -56,6 +57,7 @@
  public:
   RolloutMesh(std::uint64_t seed, Behaviour new_version);
 
+  const std::vector<ProcessId>& stores() const { return store_group_.ids(); }
   /// Orders the roll-out, whoever leads; the targets of the new version start a moment later.
   void order(Duration duration);
   /// @return the state as the leader has it; nothing without a leader.
@@ -64,12 +66,11 @@
   std::string reason();
   void runFor(Duration time) { network.runFor(time); }
 
-  std::optional<ProcessId> leader();
-  store::StoreCore& storeAt(ProcessId id) { return dynamic_cast<store::StoreCore&>(network.core(id)); }
+  std::optional<ProcessId> leader() const { return store_group_.leader(); }
+  store::StoreCore& storeAt(ProcessId id) const { return store_group_.at(id); }
 
   ProcessNetwork network;
   Observed observed;
-  std::vector<ProcessId> stores;
   std::vector<ProcessId> old_sidecars;
   std::vector<ProcessId> new_sidecars;
   /// Sidecars that were cut off: what begins at their own targets is not counted.
@@ -94,12 +95,10 @@
     void answer(sidecar::CallId /*id*/, sidecar::CallAnswer /*answer*/) override {}
   };
 
-  void addStore();
   ProcessId addSidecar(const std::string& version);
   sidecar::SidecarCore& sidecarAt(ProcessId id) {
     return dynamic_cast<sidecar::SidecarCore&>(network.core(id));
   }
-  void configure();
   void beat(Machine& machine, Duration cold);
   void keepBeating(Machine& machine);
   void keepCalling(Machine& machine);
@@ -111,6 +110,7 @@
 
   RandomSource random_;
   Behaviour new_version_;
+  StoreGroup store_group_;
   std::deque<Machine> machines_;
   std::uint64_t next_call_ = 1;
   bool succeeded_ = false;
--- a/tests/rollout/rollout_test.cpp
+++ b/tests/rollout/rollout_test.cpp
@@ -60,7 +60,7 @@
   const std::uint64_t which = random.uniform(0, 2);
   const auto number = static_cast<std::size_t>(random.uniform(0, 2));
   mesh.network.at(begin, [&mesh, is_cut, which, number, end] {
-    const auto& group = which == 0 ? mesh.stores : which == 1 ? mesh.old_sidecars : mesh.new_sidecars;
+    const auto& group = which == 0 ? mesh.stores() : which == 1 ? mesh.old_sidecars : mesh.new_sidecars;
     if (number >= group.size() || !mesh.network.isRunning(group[number])) return;
     const ProcessId id = group[number];
     if (is_cut) {
@@ -159,9 +159,9 @@
   RolloutMesh mesh(4, Behaviour());
   mesh.order(kDuration);
   mesh.runFor(seconds(3));
-  for (const auto id : mesh.stores) mesh.network.crash(id);
+  for (const auto id : mesh.stores()) mesh.network.crash(id);
   mesh.runFor(seconds(1));
-  for (const auto id : mesh.stores) mesh.network.start(id);
+  for (const auto id : mesh.stores()) mesh.network.start(id);
   mesh.runFor(seconds(3));
   CHECK(mesh.phase().has_value());
   mesh.runFor(kDuration);
