--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -51,10 +51,12 @@
   add("calls_in_flight", "Requests of callers without an answer yet.", core_.callsInFlight());
   add("target_running", "Requests at the target.", core_.gate().running());
   add("target_waiting", "Requests that wait for a slot of the target.", core_.gate().waiting());
-  add("contents_quarantined", "Requests by content that are refused since they ended targets.",
-      core_.quarantine().quarantined());
-  add("contents_suspected", "Requests by content that were at targets when they ended, more than once.",
-      core_.quarantine().suspected());
+  metrics.gauge("cometstand_sidecar_contents_quarantined",
+                "Requests by content that are refused since they ended targets.",
+                static_cast<double>(core_.quarantine().quarantined()));
+  metrics.gauge("cometstand_sidecar_contents_suspected",
+                "Requests by content that were at targets when they ended, more than once.",
+                static_cast<double>(core_.quarantine().suspected()));
   add("bodies_arriving", "Large bodies that are announced or on their way to this sidecar.",
       core_.intake().size());
   metrics.gauge("cometstand_sidecar_intake_wait_seconds",
