--- a/src/sidecar/quarantine.cpp
+++ b/src/sidecar/quarantine.cpp
@@ -17,8 +17,8 @@
 constexpr Duration kResendInterval = std::chrono::milliseconds(500);
 /// Reports that are sent again; a target ends once in some seconds at most.
 constexpr std::size_t kMostReports = 8;
-/// Bodies up to this size are remembered when they have run to their end. Larger ones hardly come twice, and
-/// hashing one takes longer than 10 microseconds.
+/// Bodies up to this size are remembered when they have run to their end: larger ones hardly come twice, and
+/// their digest costs the more.
 constexpr std::size_t kMostRememberedBody = 4 * 1024;
 /// Characters of the list of contents in a log line: about 15 digests.
 constexpr std::size_t kMostLoggedContents = 500;
--- a/src/sidecar/run_memory.h
+++ b/src/sidecar/run_memory.h
@@ -29,7 +29,8 @@
  private:
   /// A content that turns against its targets is innocent for so much longer.
   static constexpr Duration kSpan = std::chrono::seconds(5);
-  /// Of a generation: about 300 KB in all. A flood of contents only shortens the time.
+  /// Of a generation: reckoned at 300 KB in all, 32 bytes and a node for each. A flood of contents only
+  /// shortens the time.
   static constexpr std::size_t kMostContents = 4'096;
 
   using Digests = std::unordered_set<mesh::ContentDigest, mesh::ContentDigestHash>;
--- a/src/store/quarantine_register.cpp
+++ b/src/store/quarantine_register.cpp
@@ -8,7 +8,7 @@
 
 using State = wire::ContentState;
 
-/// Contents of one state that are kept. A record takes about 250 bytes, so all together take half a megabyte;
+/// Contents of one state that are kept. A record is reckoned at 250 bytes, all at half a megabyte;
 /// each quarantined one has cost three targets, so that no caller fills this quickly.
 constexpr std::size_t kMostRecords = 1'024;
 /// Suspects of one crash; targets have fewer slots.
