--- a/src/mesh/configuration.cpp
+++ b/src/mesh/configuration.cpp
@@ -68,7 +68,14 @@
 
 void checkConfiguration(const wire::MeshConfigurationT& configuration) {
   std::set<std::string> services;
-  for (const auto& service : configuration.services) services.insert(service->name);
+  for (const auto& service : configuration.services) {
+    if (service->cold_requests_per_second < 0) {
+      throw Error(ErrorKind::Invalid,
+                  fmt::format("service {}: the rate of its cold targets is below zero", service->name),
+                  "set a rate of zero for none");
+    }
+    services.insert(service->name);
+  }
   std::set<std::pair<std::string, std::string>> places;
   for (const auto& route : configuration.routes) {
     checkPlace(*route);
--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -8,7 +8,11 @@
     : revision_(revision) {
   if (configuration.limits) limits_ = *configuration.limits;
   for (const auto& route : configuration.routes) routes_[route->host].push_back(route);
-  for (const auto& service : configuration.services) health_paths_[service->name] = service->health_path;
+  for (const auto& service : configuration.services) {
+    health_paths_[service->name] = service->health_path;
+    cold_starts_[service->name] = {service->cold_requests_per_second,
+                                   std::chrono::milliseconds(service->cold_start_ms)};
+  }
   for (auto& [host, routes] : routes_) {
     std::stable_sort(routes.begin(), routes.end(), [](const RoutePointer& left, const RoutePointer& right) {
       return left->path_prefix.size() > right->path_prefix.size();
@@ -21,6 +25,11 @@
   return found == health_paths_.end() ? std::string() : found->second;
 }
 
+ColdStart RouteTable::coldStart(const std::string& service) const {
+  const auto found = cold_starts_.find(service);
+  return found == cold_starts_.end() ? ColdStart() : found->second;
+}
+
 RoutePointer RouteTable::find(std::string_view host, std::string_view path) const {
   const auto routes = routes_.find(host.substr(0, host.find(':')));
   if (routes == routes_.end()) return nullptr;
--- a/src/mesh/route_table.h
+++ b/src/mesh/route_table.h
@@ -8,10 +8,19 @@
 #include <vector>
 
 #include "base/random.h"
+#include "base/time.h"
 #include "schema/mesh_generated.h"
 
 namespace cometstand::mesh {
 
+/// How the targets of a service start.
+struct ColdStart {
+  /// Requests a second that a target bears while it is cold; 0 if that has no bound.
+  double requests_per_second = 0;
+  /// Time from a target's start for which it is cold.
+  Duration time = Duration::zero();
+};
+
 using RoutePointer = std::shared_ptr<const wire::MeshRouteT>;
 
 /// One configuration, in the form in which requests look it up. Never changed once made.
@@ -25,6 +34,9 @@
   /// @return where the service's endpoints answer for their health; empty if the service is not known.
   std::string healthPath(const std::string& service) const;
 
+  /// @return how the service's targets start; nothing of it is bounded if the service is not known.
+  ColdStart coldStart(const std::string& service) const;
+
   /// @param host as the caller sent it; a port after it is not looked at.
   /// @param path with or without a query.
   /// @return of the host's routes the one with the longest prefix that begins the path; nullptr if there is
@@ -37,6 +49,7 @@
   /// By host, the longest prefix first.
   std::map<std::string, std::vector<RoutePointer>, std::less<>> routes_;
   std::map<std::string, std::string> health_paths_;
+  std::map<std::string, ColdStart> cold_starts_;
 };
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -399,11 +399,12 @@
   CrashReport = 39,
   ContentClearance = 40,
   QuarantineUpdate = 41,
+  EvacuationUpdate = 42,
   MIN = NONE,
-  MAX = QuarantineUpdate
+  MAX = EvacuationUpdate
 };
 
-inline const Body (&EnumValuesBody())[42] {
+inline const Body (&EnumValuesBody())[43] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -446,13 +447,14 @@
     Body::RolloutReport,
     Body::CrashReport,
     Body::ContentClearance,
-    Body::QuarantineUpdate
+    Body::QuarantineUpdate,
+    Body::EvacuationUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[43] = {
+  static const char * const names[44] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -495,13 +497,14 @@
     "CrashReport",
     "ContentClearance",
     "QuarantineUpdate",
+    "EvacuationUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuarantineUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EvacuationUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -674,6 +677,10 @@
   static const Body enum_value = Body::QuarantineUpdate;
 };
 
+template<> struct BodyTraits<cometstand::wire::EvacuationUpdate> {
+  static const Body enum_value = Body::EvacuationUpdate;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -842,6 +849,10 @@
   static const Body enum_value = Body::QuarantineUpdate;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::EvacuationUpdateT> {
+  static const Body enum_value = Body::EvacuationUpdate;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1200,6 +1211,14 @@
     return type == Body::QuarantineUpdate ?
       reinterpret_cast<const cometstand::wire::QuarantineUpdateT *>(value) : nullptr;
   }
+  cometstand::wire::EvacuationUpdateT *AsEvacuationUpdate() {
+    return type == Body::EvacuationUpdate ?
+      reinterpret_cast<cometstand::wire::EvacuationUpdateT *>(value) : nullptr;
+  }
+  const cometstand::wire::EvacuationUpdateT *AsEvacuationUpdate() const {
+    return type == Body::EvacuationUpdate ?
+      reinterpret_cast<const cometstand::wire::EvacuationUpdateT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3438,6 +3457,7 @@
   uint32_t slots = 6;
   uint32_t max_connections = 130;
   std::string version{};
+  uint32_t cold_ms = 0;
 };
 
 struct EndpointRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3456,7 +3476,8 @@
     VT_STATE = 20,
     VT_SLOTS = 22,
     VT_MAX_CONNECTIONS = 24,
-    VT_VERSION = 26
+    VT_VERSION = 26,
+    VT_COLD_MS = 28
   };
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
@@ -3494,6 +3515,9 @@
   const flatbuffers::String *version() const {
     return GetPointer<const flatbuffers::String *>(VT_VERSION);
   }
+  uint32_t cold_ms() const {
+    return GetField<uint32_t>(VT_COLD_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TENANT) &&
@@ -3514,6 +3538,7 @@
            VerifyField<uint32_t>(verifier, VT_MAX_CONNECTIONS, 4) &&
            VerifyOffset(verifier, VT_VERSION) &&
            verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            verifier.EndTable();
   }
   EndpointRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3561,6 +3586,9 @@
   void add_version(flatbuffers::Offset<flatbuffers::String> version) {
     fbb_.AddOffset(EndpointRecord::VT_VERSION, version);
   }
+  void add_cold_ms(uint32_t cold_ms) {
+    fbb_.AddElement<uint32_t>(EndpointRecord::VT_COLD_MS, cold_ms, 0);
+  }
   explicit EndpointRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3585,10 +3613,12 @@
     cometstand::wire::EndpointState state = cometstand::wire::EndpointState::Cold,
     uint32_t slots = 6,
     uint32_t max_connections = 130,
-    flatbuffers::Offset<flatbuffers::String> version = 0) {
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t cold_ms = 0) {
   EndpointRecordBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_cold_ms(cold_ms);
   builder_.add_version(version);
   builder_.add_max_connections(max_connections);
   builder_.add_slots(slots);
@@ -3620,7 +3650,8 @@
     cometstand::wire::EndpointState state = cometstand::wire::EndpointState::Cold,
     uint32_t slots = 6,
     uint32_t max_connections = 130,
-    const char *version = nullptr) {
+    const char *version = nullptr,
+    uint32_t cold_ms = 0) {
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
@@ -3640,7 +3671,8 @@
       state,
       slots,
       max_connections,
-      version__);
+      version__,
+      cold_ms);
 }
 
 flatbuffers::Offset<EndpointRecord> CreateEndpointRecord(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4615,6 +4647,9 @@
   const cometstand::wire::QuarantineUpdate *body_as_QuarantineUpdate() const {
     return body_type() == cometstand::wire::Body::QuarantineUpdate ? static_cast<const cometstand::wire::QuarantineUpdate *>(body()) : nullptr;
   }
+  const cometstand::wire::EvacuationUpdate *body_as_EvacuationUpdate() const {
+    return body_type() == cometstand::wire::Body::EvacuationUpdate ? static_cast<const cometstand::wire::EvacuationUpdate *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4792,6 +4827,10 @@
   return body_as_QuarantineUpdate();
 }
 
+template<> inline const cometstand::wire::EvacuationUpdate *Envelope::body_as<cometstand::wire::EvacuationUpdate>() const {
+  return body_as_EvacuationUpdate();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5738,6 +5777,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = max_connections(); _o->max_connections = _e; }
   { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = cold_ms(); _o->cold_ms = _e; }
 }
 
 inline flatbuffers::Offset<EndpointRecord> EndpointRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5760,6 +5800,7 @@
   auto _slots = _o->slots;
   auto _max_connections = _o->max_connections;
   auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _cold_ms = _o->cold_ms;
   return cometstand::wire::CreateEndpointRecord(
       _fbb,
       _tenant,
@@ -5773,7 +5814,8 @@
       _state,
       _slots,
       _max_connections,
-      _version);
+      _version,
+      _cold_ms);
 }
 
 inline EndpointUpdateT::EndpointUpdateT(const EndpointUpdateT &o) {
@@ -6345,6 +6387,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuarantineUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::EvacuationUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6528,6 +6574,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuarantineUpdate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::EvacuationUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdate *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6699,6 +6749,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuarantineUpdateT *>(value);
       return CreateQuarantineUpdate(_fbb, ptr, _rehasher).Union();
     }
+    case Body::EvacuationUpdate: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdateT *>(value);
+      return CreateEvacuationUpdate(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6869,6 +6923,10 @@
       value = new cometstand::wire::QuarantineUpdateT(*reinterpret_cast<cometstand::wire::QuarantineUpdateT *>(u.value));
       break;
     }
+    case Body::EvacuationUpdate: {
+      value = new cometstand::wire::EvacuationUpdateT(*reinterpret_cast<cometstand::wire::EvacuationUpdateT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7081,6 +7139,11 @@
       delete ptr;
       break;
     }
+    case Body::EvacuationUpdate: {
+      auto ptr = reinterpret_cast<cometstand::wire::EvacuationUpdateT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -66,6 +66,22 @@
 struct RolloutStateBuilder;
 struct RolloutStateT;
 
+struct EvacuationOrder;
+struct EvacuationOrderBuilder;
+struct EvacuationOrderT;
+
+struct EvacuationRecord;
+struct EvacuationRecordBuilder;
+struct EvacuationRecordT;
+
+struct EvacuationState;
+struct EvacuationStateBuilder;
+struct EvacuationStateT;
+
+struct EvacuationUpdate;
+struct EvacuationUpdateBuilder;
+struct EvacuationUpdateT;
+
 struct NodeHello;
 struct NodeHelloBuilder;
 struct NodeHelloT;
@@ -267,11 +283,13 @@
   TargetDown = 4,
   Deadline = 5,
   Quarantined = 6,
+  Cold = 7,
+  Evacuated = 8,
   MIN = None,
-  MAX = Quarantined
+  MAX = Evacuated
 };
 
-inline const NotRunReason (&EnumValuesNotRunReason())[7] {
+inline const NotRunReason (&EnumValuesNotRunReason())[9] {
   static const NotRunReason values[] = {
     NotRunReason::None,
     NotRunReason::Full,
@@ -279,13 +297,15 @@
     NotRunReason::WrongTarget,
     NotRunReason::TargetDown,
     NotRunReason::Deadline,
-    NotRunReason::Quarantined
+    NotRunReason::Quarantined,
+    NotRunReason::Cold,
+    NotRunReason::Evacuated
   };
   return values;
 }
 
 inline const char * const *EnumNamesNotRunReason() {
-  static const char * const names[8] = {
+  static const char * const names[10] = {
     "None",
     "Full",
     "Leaving",
@@ -293,17 +313,52 @@
     "TargetDown",
     "Deadline",
     "Quarantined",
+    "Cold",
+    "Evacuated",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameNotRunReason(NotRunReason e) {
-  if (flatbuffers::IsOutRange(e, NotRunReason::None, NotRunReason::Quarantined)) return "";
+  if (flatbuffers::IsOutRange(e, NotRunReason::None, NotRunReason::Evacuated)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesNotRunReason()[index];
 }
 
+enum class BodyEnd : uint8_t {
+  Open = 0,
+  Whole = 1,
+  Broken = 2,
+  MIN = Open,
+  MAX = Broken
+};
+
+inline const BodyEnd (&EnumValuesBodyEnd())[3] {
+  static const BodyEnd values[] = {
+    BodyEnd::Open,
+    BodyEnd::Whole,
+    BodyEnd::Broken
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesBodyEnd() {
+  static const char * const names[4] = {
+    "Open",
+    "Whole",
+    "Broken",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameBodyEnd(BodyEnd e) {
+  if (flatbuffers::IsOutRange(e, BodyEnd::Open, BodyEnd::Broken)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesBodyEnd()[index];
+}
+
 struct TrafficShareT : public flatbuffers::NativeTable {
   typedef TrafficShare TableType;
   std::string service{};
@@ -396,6 +451,7 @@
   uint32_t priority = 0;
   uint32_t max_attempts = 0;
   std::vector<std::shared_ptr<cometstand::wire::TrafficShareT>> shares{};
+  std::vector<std::string> regions{};
   MeshRouteT() = default;
   MeshRouteT(const MeshRouteT &o);
   MeshRouteT(MeshRouteT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -415,7 +471,8 @@
     VT_OBJECTIVE_MS = 14,
     VT_PRIORITY = 16,
     VT_MAX_ATTEMPTS = 18,
-    VT_SHARES = 20
+    VT_SHARES = 20,
+    VT_REGIONS = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -444,6 +501,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>> *shares() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>> *>(VT_SHARES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *regions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REGIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -460,6 +520,9 @@
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
+           VerifyOffset(verifier, VT_REGIONS) &&
+           verifier.VerifyVector(regions()) &&
+           verifier.VerifyVectorOfStrings(regions()) &&
            verifier.EndTable();
   }
   MeshRouteT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -498,6 +561,9 @@
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>>> shares) {
     fbb_.AddOffset(MeshRoute::VT_SHARES, shares);
   }
+  void add_regions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> regions) {
+    fbb_.AddOffset(MeshRoute::VT_REGIONS, regions);
+  }
   explicit MeshRouteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -519,8 +585,10 @@
     uint32_t objective_ms = 0,
     uint32_t priority = 0,
     uint32_t max_attempts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>>> shares = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>>> shares = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> regions = 0) {
   MeshRouteBuilder builder_(_fbb);
+  builder_.add_regions(regions);
   builder_.add_shares(shares);
   builder_.add_max_attempts(max_attempts);
   builder_.add_priority(priority);
@@ -548,11 +616,13 @@
     uint32_t objective_ms = 0,
     uint32_t priority = 0,
     uint32_t max_attempts = 0,
-    const std::vector<flatbuffers::Offset<cometstand::wire::TrafficShare>> *shares = nullptr) {
+    const std::vector<flatbuffers::Offset<cometstand::wire::TrafficShare>> *shares = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *regions = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path_prefix__ = path_prefix ? _fbb.CreateString(path_prefix) : 0;
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TrafficShare>>(*shares) : 0;
+  auto regions__ = regions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*regions) : 0;
   return cometstand::wire::CreateMeshRoute(
       _fbb,
       name__,
@@ -563,7 +633,8 @@
       objective_ms,
       priority,
       max_attempts,
-      shares__);
+      shares__,
+      regions__);
 }
 
 flatbuffers::Offset<MeshRoute> CreateMeshRoute(flatbuffers::FlatBufferBuilder &_fbb, const MeshRouteT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -573,6 +644,8 @@
   std::string name{};
   std::string health_path{};
   uint32_t max_connections = 0;
+  double cold_requests_per_second = 0.0;
+  uint32_t cold_start_ms = 0;
 };
 
 struct MeshService FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -582,7 +655,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_HEALTH_PATH = 6,
-    VT_MAX_CONNECTIONS = 8
+    VT_MAX_CONNECTIONS = 8,
+    VT_COLD_REQUESTS_PER_SECOND = 10,
+    VT_COLD_START_MS = 12
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -593,6 +668,12 @@
   uint32_t max_connections() const {
     return GetField<uint32_t>(VT_MAX_CONNECTIONS, 0);
   }
+  double cold_requests_per_second() const {
+    return GetField<double>(VT_COLD_REQUESTS_PER_SECOND, 0.0);
+  }
+  uint32_t cold_start_ms() const {
+    return GetField<uint32_t>(VT_COLD_START_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -600,6 +681,8 @@
            VerifyOffset(verifier, VT_HEALTH_PATH) &&
            verifier.VerifyString(health_path()) &&
            VerifyField<uint32_t>(verifier, VT_MAX_CONNECTIONS, 4) &&
+           VerifyField<double>(verifier, VT_COLD_REQUESTS_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_START_MS, 4) &&
            verifier.EndTable();
   }
   MeshServiceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -620,6 +703,12 @@
   void add_max_connections(uint32_t max_connections) {
     fbb_.AddElement<uint32_t>(MeshService::VT_MAX_CONNECTIONS, max_connections, 0);
   }
+  void add_cold_requests_per_second(double cold_requests_per_second) {
+    fbb_.AddElement<double>(MeshService::VT_COLD_REQUESTS_PER_SECOND, cold_requests_per_second, 0.0);
+  }
+  void add_cold_start_ms(uint32_t cold_start_ms) {
+    fbb_.AddElement<uint32_t>(MeshService::VT_COLD_START_MS, cold_start_ms, 0);
+  }
   explicit MeshServiceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -635,8 +724,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     flatbuffers::Offset<flatbuffers::String> health_path = 0,
-    uint32_t max_connections = 0) {
+    uint32_t max_connections = 0,
+    double cold_requests_per_second = 0.0,
+    uint32_t cold_start_ms = 0) {
   MeshServiceBuilder builder_(_fbb);
+  builder_.add_cold_requests_per_second(cold_requests_per_second);
+  builder_.add_cold_start_ms(cold_start_ms);
   builder_.add_max_connections(max_connections);
   builder_.add_health_path(health_path);
   builder_.add_name(name);
@@ -652,14 +745,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
     const char *health_path = nullptr,
-    uint32_t max_connections = 0) {
+    uint32_t max_connections = 0,
+    double cold_requests_per_second = 0.0,
+    uint32_t cold_start_ms = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto health_path__ = health_path ? _fbb.CreateString(health_path) : 0;
   return cometstand::wire::CreateMeshService(
       _fbb,
       name__,
       health_path__,
-      max_connections);
+      max_connections,
+      cold_requests_per_second,
+      cold_start_ms);
 }
 
 flatbuffers::Offset<MeshService> CreateMeshService(flatbuffers::FlatBufferBuilder &_fbb, const MeshServiceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1724,6 +1821,353 @@
 
 flatbuffers::Offset<RolloutState> CreateRolloutState(flatbuffers::FlatBufferBuilder &_fbb, const RolloutStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationOrderT : public flatbuffers::NativeTable {
+  typedef EvacuationOrder TableType;
+  std::string zone{};
+  bool is_evacuated = false;
+};
+
+struct EvacuationOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationOrderT NativeTableType;
+  typedef EvacuationOrderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_IS_EVACUATED = 6
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool is_evacuated() const {
+    return GetField<uint8_t>(VT_IS_EVACUATED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_EVACUATED, 1) &&
+           verifier.EndTable();
+  }
+  EvacuationOrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationOrderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationOrder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationOrderBuilder {
+  typedef EvacuationOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(EvacuationOrder::VT_ZONE, zone);
+  }
+  void add_is_evacuated(bool is_evacuated) {
+    fbb_.AddElement<uint8_t>(EvacuationOrder::VT_IS_EVACUATED, static_cast<uint8_t>(is_evacuated), 0);
+  }
+  explicit EvacuationOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool is_evacuated = false) {
+  EvacuationOrderBuilder builder_(_fbb);
+  builder_.add_zone(zone);
+  builder_.add_is_evacuated(is_evacuated);
+  return builder_.Finish();
+}
+
+struct EvacuationOrder::Traits {
+  using type = EvacuationOrder;
+  static auto constexpr Create = CreateEvacuationOrder;
+};
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool is_evacuated = false) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return cometstand::wire::CreateEvacuationOrder(
+      _fbb,
+      zone__,
+      is_evacuated);
+}
+
+flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EvacuationRecordT : public flatbuffers::NativeTable {
+  typedef EvacuationRecord TableType;
+  std::string zone{};
+  bool is_evacuated = false;
+  uint64_t number = 0;
+};
+
+struct EvacuationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationRecordT NativeTableType;
+  typedef EvacuationRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_IS_EVACUATED = 6,
+    VT_NUMBER = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool is_evacuated() const {
+    return GetField<uint8_t>(VT_IS_EVACUATED, 0) != 0;
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_EVACUATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  EvacuationRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationRecordBuilder {
+  typedef EvacuationRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(EvacuationRecord::VT_ZONE, zone);
+  }
+  void add_is_evacuated(bool is_evacuated) {
+    fbb_.AddElement<uint8_t>(EvacuationRecord::VT_IS_EVACUATED, static_cast<uint8_t>(is_evacuated), 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(EvacuationRecord::VT_NUMBER, number, 0);
+  }
+  explicit EvacuationRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool is_evacuated = false,
+    uint64_t number = 0) {
+  EvacuationRecordBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_zone(zone);
+  builder_.add_is_evacuated(is_evacuated);
+  return builder_.Finish();
+}
+
+struct EvacuationRecord::Traits {
+  using type = EvacuationRecord;
+  static auto constexpr Create = CreateEvacuationRecord;
+};
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool is_evacuated = false,
+    uint64_t number = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return cometstand::wire::CreateEvacuationRecord(
+      _fbb,
+      zone__,
+      is_evacuated,
+      number);
+}
+
+flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EvacuationStateT : public flatbuffers::NativeTable {
+  typedef EvacuationState TableType;
+  uint64_t last_number = 0;
+  std::vector<std::shared_ptr<cometstand::wire::EvacuationRecordT>> records{};
+  EvacuationStateT() = default;
+  EvacuationStateT(const EvacuationStateT &o);
+  EvacuationStateT(EvacuationStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  EvacuationStateT &operator=(EvacuationStateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct EvacuationState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationStateT NativeTableType;
+  typedef EvacuationStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LAST_NUMBER = 4,
+    VT_RECORDS = 6
+  };
+  uint64_t last_number() const {
+    return GetField<uint64_t>(VT_LAST_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  EvacuationStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationStateBuilder {
+  typedef EvacuationState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_last_number(uint64_t last_number) {
+    fbb_.AddElement<uint64_t>(EvacuationState::VT_LAST_NUMBER, last_number, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>> records) {
+    fbb_.AddOffset(EvacuationState::VT_RECORDS, records);
+  }
+  explicit EvacuationStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationState> CreateEvacuationState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>> records = 0) {
+  EvacuationStateBuilder builder_(_fbb);
+  builder_.add_last_number(last_number);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct EvacuationState::Traits {
+  using type = EvacuationState;
+  static auto constexpr Create = CreateEvacuationState;
+};
+
+inline flatbuffers::Offset<EvacuationState> CreateEvacuationStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_number = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>(*records) : 0;
+  return cometstand::wire::CreateEvacuationState(
+      _fbb,
+      last_number,
+      records__);
+}
+
+flatbuffers::Offset<EvacuationState> CreateEvacuationState(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EvacuationUpdateT : public flatbuffers::NativeTable {
+  typedef EvacuationUpdate TableType;
+  uint64_t number = 0;
+  std::vector<std::shared_ptr<cometstand::wire::EvacuationRecordT>> records{};
+  EvacuationUpdateT() = default;
+  EvacuationUpdateT(const EvacuationUpdateT &o);
+  EvacuationUpdateT(EvacuationUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
+  EvacuationUpdateT &operator=(EvacuationUpdateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct EvacuationUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationUpdateT NativeTableType;
+  typedef EvacuationUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_RECORDS = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  EvacuationUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationUpdateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationUpdate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationUpdateBuilder {
+  typedef EvacuationUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(EvacuationUpdate::VT_NUMBER, number, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>> records) {
+    fbb_.AddOffset(EvacuationUpdate::VT_RECORDS, records);
+  }
+  explicit EvacuationUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationUpdate> CreateEvacuationUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>> records = 0) {
+  EvacuationUpdateBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct EvacuationUpdate::Traits {
+  using type = EvacuationUpdate;
+  static auto constexpr Create = CreateEvacuationUpdate;
+};
+
+inline flatbuffers::Offset<EvacuationUpdate> CreateEvacuationUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>>(*records) : 0;
+  return cometstand::wire::CreateEvacuationUpdate(
+      _fbb,
+      number,
+      records__);
+}
+
+flatbuffers::Offset<EvacuationUpdate> CreateEvacuationUpdate(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeHelloT : public flatbuffers::NativeTable {
   typedef NodeHello TableType;
   std::string node{};
@@ -3544,6 +3988,7 @@
   bool is_retry = false;
   uint32_t announced_bytes = 0;
   std::string route{};
+  uint32_t answer_credit = 0;
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3568,7 +4013,8 @@
     VT_PRIORITY = 24,
     VT_IS_RETRY = 26,
     VT_ANNOUNCED_BYTES = 28,
-    VT_ROUTE = 30
+    VT_ROUTE = 30,
+    VT_ANSWER_CREDIT = 32
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -3612,6 +4058,9 @@
   const flatbuffers::String *route() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
+  uint32_t answer_credit() const {
+    return GetField<uint32_t>(VT_ANSWER_CREDIT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -3637,6 +4086,7 @@
            VerifyField<uint32_t>(verifier, VT_ANNOUNCED_BYTES, 4) &&
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWER_CREDIT, 4) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3690,6 +4140,9 @@
   void add_route(flatbuffers::Offset<flatbuffers::String> route) {
     fbb_.AddOffset(ForwardRequest::VT_ROUTE, route);
   }
+  void add_answer_credit(uint32_t answer_credit) {
+    fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANSWER_CREDIT, answer_credit, 0);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3716,8 +4169,10 @@
     uint32_t priority = 0,
     bool is_retry = false,
     uint32_t announced_bytes = 0,
-    flatbuffers::Offset<flatbuffers::String> route = 0) {
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t answer_credit = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_answer_credit(answer_credit);
   builder_.add_route(route);
   builder_.add_announced_bytes(announced_bytes);
   builder_.add_priority(priority);
@@ -3755,7 +4210,8 @@
     uint32_t priority = 0,
     bool is_retry = false,
     uint32_t announced_bytes = 0,
-    const char *route = nullptr) {
+    const char *route = nullptr,
+    uint32_t answer_credit = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -3779,7 +4235,8 @@
       priority,
       is_retry,
       announced_bytes,
-      route__);
+      route__,
+      answer_credit);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3799,6 +4256,9 @@
   uint32_t failure_permille = 0;
   uint32_t run_time_permille = 0;
   uint32_t intake_wait_ms = 0;
+  uint32_t cold_ms = 0;
+  uint32_t cold_room = 0;
+  bool body_follows = false;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3822,7 +4282,10 @@
     VT_SLOTS = 22,
     VT_FAILURE_PERMILLE = 24,
     VT_RUN_TIME_PERMILLE = 26,
-    VT_INTAKE_WAIT_MS = 28
+    VT_INTAKE_WAIT_MS = 28,
+    VT_COLD_MS = 30,
+    VT_COLD_ROOM = 32,
+    VT_BODY_FOLLOWS = 34
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -3863,6 +4326,15 @@
   uint32_t intake_wait_ms() const {
     return GetField<uint32_t>(VT_INTAKE_WAIT_MS, 0);
   }
+  uint32_t cold_ms() const {
+    return GetField<uint32_t>(VT_COLD_MS, 0);
+  }
+  uint32_t cold_room() const {
+    return GetField<uint32_t>(VT_COLD_ROOM, 0);
+  }
+  bool body_follows() const {
+    return GetField<uint8_t>(VT_BODY_FOLLOWS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -3881,6 +4353,9 @@
            VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            VerifyField<uint32_t>(verifier, VT_RUN_TIME_PERMILLE, 4) &&
            VerifyField<uint32_t>(verifier, VT_INTAKE_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_ROOM, 4) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_FOLLOWS, 1) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3931,6 +4406,15 @@
   void add_intake_wait_ms(uint32_t intake_wait_ms) {
     fbb_.AddElement<uint32_t>(ForwardReply::VT_INTAKE_WAIT_MS, intake_wait_ms, 0);
   }
+  void add_cold_ms(uint32_t cold_ms) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_COLD_MS, cold_ms, 0);
+  }
+  void add_cold_room(uint32_t cold_room) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_COLD_ROOM, cold_room, 0);
+  }
+  void add_body_follows(bool body_follows) {
+    fbb_.AddElement<uint8_t>(ForwardReply::VT_BODY_FOLLOWS, static_cast<uint8_t>(body_follows), 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3956,8 +4440,13 @@
     uint32_t slots = 0,
     uint32_t failure_permille = 0,
     uint32_t run_time_permille = 0,
-    uint32_t intake_wait_ms = 0) {
+    uint32_t intake_wait_ms = 0,
+    uint32_t cold_ms = 0,
+    uint32_t cold_room = 0,
+    bool body_follows = false) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_cold_room(cold_room);
+  builder_.add_cold_ms(cold_ms);
   builder_.add_intake_wait_ms(intake_wait_ms);
   builder_.add_run_time_permille(run_time_permille);
   builder_.add_failure_permille(failure_permille);
@@ -3968,6 +4457,7 @@
   builder_.add_fields(fields);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_status(status);
+  builder_.add_body_follows(body_follows);
   builder_.add_reached_target(reached_target);
   builder_.add_reason(reason);
   builder_.add_outcome(outcome);
@@ -3993,7 +4483,10 @@
     uint32_t slots = 0,
     uint32_t failure_permille = 0,
     uint32_t run_time_permille = 0,
-    uint32_t intake_wait_ms = 0) {
+    uint32_t intake_wait_ms = 0,
+    uint32_t cold_ms = 0,
+    uint32_t cold_room = 0,
+    bool body_follows = false) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -4010,7 +4503,10 @@
       slots,
       failure_permille,
       run_time_permille,
-      intake_wait_ms);
+      intake_wait_ms,
+      cold_ms,
+      cold_room,
+      body_follows);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4121,6 +4617,7 @@
 struct BodyPartT : public flatbuffers::NativeTable {
   typedef BodyPart TableType;
   std::vector<uint8_t> bytes{};
+  cometstand::wire::BodyEnd end = cometstand::wire::BodyEnd::Open;
 };
 
 struct BodyPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4128,15 +4625,20 @@
   typedef BodyPartBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BYTES = 4
+    VT_BYTES = 4,
+    VT_END = 6
   };
   const flatbuffers::Vector<uint8_t> *bytes() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
   }
+  cometstand::wire::BodyEnd end() const {
+    return static_cast<cometstand::wire::BodyEnd>(GetField<uint8_t>(VT_END, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BYTES) &&
            verifier.VerifyVector(bytes()) &&
+           VerifyField<uint8_t>(verifier, VT_END, 1) &&
            verifier.EndTable();
   }
   BodyPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4151,6 +4653,9 @@
   void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
     fbb_.AddOffset(BodyPart::VT_BYTES, bytes);
   }
+  void add_end(cometstand::wire::BodyEnd end) {
+    fbb_.AddElement<uint8_t>(BodyPart::VT_END, static_cast<uint8_t>(end), 0);
+  }
   explicit BodyPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4164,9 +4669,11 @@
 
 inline flatbuffers::Offset<BodyPart> CreateBodyPart(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    cometstand::wire::BodyEnd end = cometstand::wire::BodyEnd::Open) {
   BodyPartBuilder builder_(_fbb);
   builder_.add_bytes(bytes);
+  builder_.add_end(end);
   return builder_.Finish();
 }
 
@@ -4177,11 +4684,13 @@
 
 inline flatbuffers::Offset<BodyPart> CreateBodyPartDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint8_t> *bytes = nullptr) {
+    const std::vector<uint8_t> *bytes = nullptr,
+    cometstand::wire::BodyEnd end = cometstand::wire::BodyEnd::Open) {
   auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
   return cometstand::wire::CreateBodyPart(
       _fbb,
-      bytes__);
+      bytes__,
+      end);
 }
 
 flatbuffers::Offset<BodyPart> CreateBodyPart(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4223,7 +4732,8 @@
         timeout_ms(o.timeout_ms),
         objective_ms(o.objective_ms),
         priority(o.priority),
-        max_attempts(o.max_attempts) {
+        max_attempts(o.max_attempts),
+        regions(o.regions) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new cometstand::wire::TrafficShareT(*shares_) : nullptr); }
 }
@@ -4238,6 +4748,7 @@
   std::swap(priority, o.priority);
   std::swap(max_attempts, o.max_attempts);
   std::swap(shares, o.shares);
+  std::swap(regions, o.regions);
   return *this;
 }
 
@@ -4259,6 +4770,7 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = max_attempts(); _o->max_attempts = _e; }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::shared_ptr<cometstand::wire::TrafficShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = regions(); if (_e) { _o->regions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->regions[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<MeshRoute> MeshRoute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshRouteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4278,6 +4790,7 @@
   auto _priority = _o->priority;
   auto _max_attempts = _o->max_attempts;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TrafficShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateTrafficShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _regions = _o->regions.size() ? _fbb.CreateVectorOfStrings(_o->regions) : 0;
   return cometstand::wire::CreateMeshRoute(
       _fbb,
       _name,
@@ -4288,7 +4801,8 @@
       _objective_ms,
       _priority,
       _max_attempts,
-      _shares);
+      _shares,
+      _regions);
 }
 
 inline MeshServiceT *MeshService::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4303,6 +4817,8 @@
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = health_path(); if (_e) _o->health_path = _e->str(); }
   { auto _e = max_connections(); _o->max_connections = _e; }
+  { auto _e = cold_requests_per_second(); _o->cold_requests_per_second = _e; }
+  { auto _e = cold_start_ms(); _o->cold_start_ms = _e; }
 }
 
 inline flatbuffers::Offset<MeshService> MeshService::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshServiceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4316,11 +4832,15 @@
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _health_path = _o->health_path.empty() ? 0 : _fbb.CreateString(_o->health_path);
   auto _max_connections = _o->max_connections;
+  auto _cold_requests_per_second = _o->cold_requests_per_second;
+  auto _cold_start_ms = _o->cold_start_ms;
   return cometstand::wire::CreateMeshService(
       _fbb,
       _name,
       _health_path,
-      _max_connections);
+      _max_connections,
+      _cold_requests_per_second,
+      _cold_start_ms);
 }
 
 inline CallerLimitsT *CallerLimits::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4729,6 +5249,149 @@
       _records);
 }
 
+inline EvacuationOrderT *EvacuationOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationOrderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationOrder::UnPackTo(EvacuationOrderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = is_evacuated(); _o->is_evacuated = _e; }
+}
+
+inline flatbuffers::Offset<EvacuationOrder> EvacuationOrder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationOrder(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationOrderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _is_evacuated = _o->is_evacuated;
+  return cometstand::wire::CreateEvacuationOrder(
+      _fbb,
+      _zone,
+      _is_evacuated);
+}
+
+inline EvacuationRecordT *EvacuationRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationRecord::UnPackTo(EvacuationRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = is_evacuated(); _o->is_evacuated = _e; }
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<EvacuationRecord> EvacuationRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _is_evacuated = _o->is_evacuated;
+  auto _number = _o->number;
+  return cometstand::wire::CreateEvacuationRecord(
+      _fbb,
+      _zone,
+      _is_evacuated,
+      _number);
+}
+
+inline EvacuationStateT::EvacuationStateT(const EvacuationStateT &o)
+      : last_number(o.last_number) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new cometstand::wire::EvacuationRecordT(*records_) : nullptr); }
+}
+
+inline EvacuationStateT &EvacuationStateT::operator=(EvacuationStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(last_number, o.last_number);
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline EvacuationStateT *EvacuationState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationState::UnPackTo(EvacuationStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = last_number(); _o->last_number = _e; }
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::shared_ptr<cometstand::wire::EvacuationRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<EvacuationState> EvacuationState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationState> CreateEvacuationState(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _last_number = _o->last_number;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuationRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateEvacuationState(
+      _fbb,
+      _last_number,
+      _records);
+}
+
+inline EvacuationUpdateT::EvacuationUpdateT(const EvacuationUpdateT &o)
+      : number(o.number) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new cometstand::wire::EvacuationRecordT(*records_) : nullptr); }
+}
+
+inline EvacuationUpdateT &EvacuationUpdateT::operator=(EvacuationUpdateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline EvacuationUpdateT *EvacuationUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationUpdateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationUpdate::UnPackTo(EvacuationUpdateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::shared_ptr<cometstand::wire::EvacuationRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<EvacuationUpdate> EvacuationUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationUpdate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationUpdate> CreateEvacuationUpdate(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::EvacuationRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuationRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateEvacuationUpdate(
+      _fbb,
+      _number,
+      _records);
+}
+
 inline NodeHelloT *NodeHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeHelloT>();
   UnPackTo(_o.get(), _resolver);
@@ -5504,7 +6167,8 @@
         priority(o.priority),
         is_retry(o.is_retry),
         announced_bytes(o.announced_bytes),
-        route(o.route) {
+        route(o.route),
+        answer_credit(o.answer_credit) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -5524,6 +6188,7 @@
   std::swap(is_retry, o.is_retry);
   std::swap(announced_bytes, o.announced_bytes);
   std::swap(route, o.route);
+  std::swap(answer_credit, o.answer_credit);
   return *this;
 }
 
@@ -5550,6 +6215,7 @@
   { auto _e = is_retry(); _o->is_retry = _e; }
   { auto _e = announced_bytes(); _o->announced_bytes = _e; }
   { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = answer_credit(); _o->answer_credit = _e; }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5574,6 +6240,7 @@
   auto _is_retry = _o->is_retry;
   auto _announced_bytes = _o->announced_bytes;
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _answer_credit = _o->answer_credit;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -5589,7 +6256,8 @@
       _priority,
       _is_retry,
       _announced_bytes,
-      _route);
+      _route,
+      _answer_credit);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
@@ -5604,7 +6272,10 @@
         slots(o.slots),
         failure_permille(o.failure_permille),
         run_time_permille(o.run_time_permille),
-        intake_wait_ms(o.intake_wait_ms) {
+        intake_wait_ms(o.intake_wait_ms),
+        cold_ms(o.cold_ms),
+        cold_room(o.cold_room),
+        body_follows(o.body_follows) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -5623,6 +6294,9 @@
   std::swap(failure_permille, o.failure_permille);
   std::swap(run_time_permille, o.run_time_permille);
   std::swap(intake_wait_ms, o.intake_wait_ms);
+  std::swap(cold_ms, o.cold_ms);
+  std::swap(cold_room, o.cold_room);
+  std::swap(body_follows, o.body_follows);
   return *this;
 }
 
@@ -5648,6 +6322,9 @@
   { auto _e = failure_permille(); _o->failure_permille = _e; }
   { auto _e = run_time_permille(); _o->run_time_permille = _e; }
   { auto _e = intake_wait_ms(); _o->intake_wait_ms = _e; }
+  { auto _e = cold_ms(); _o->cold_ms = _e; }
+  { auto _e = cold_room(); _o->cold_room = _e; }
+  { auto _e = body_follows(); _o->body_follows = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5671,6 +6348,9 @@
   auto _failure_permille = _o->failure_permille;
   auto _run_time_permille = _o->run_time_permille;
   auto _intake_wait_ms = _o->intake_wait_ms;
+  auto _cold_ms = _o->cold_ms;
+  auto _cold_room = _o->cold_room;
+  auto _body_follows = _o->body_follows;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -5685,7 +6365,10 @@
       _slots,
       _failure_permille,
       _run_time_permille,
-      _intake_wait_ms);
+      _intake_wait_ms,
+      _cold_ms,
+      _cold_room,
+      _body_follows);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5747,6 +6430,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = end(); _o->end = _e; }
 }
 
 inline flatbuffers::Offset<BodyPart> BodyPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5758,9 +6442,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  auto _end = _o->end;
   return cometstand::wire::CreateBodyPart(
       _fbb,
-      _bytes);
+      _bytes,
+      _end);
 }
 
 }  // namespace wire
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -65,11 +65,12 @@
   CrashReport = 7,
   ContentClearance = 8,
   ContentRelease = 9,
+  EvacuationOrder = 10,
   MIN = NONE,
-  MAX = ContentRelease
+  MAX = EvacuationOrder
 };
 
-inline const StoreCommandBody (&EnumValuesStoreCommandBody())[10] {
+inline const StoreCommandBody (&EnumValuesStoreCommandBody())[11] {
   static const StoreCommandBody values[] = {
     StoreCommandBody::NONE,
     StoreCommandBody::ChangeCommand,
@@ -80,13 +81,14 @@
     StoreCommandBody::RolloutStep,
     StoreCommandBody::CrashReport,
     StoreCommandBody::ContentClearance,
-    StoreCommandBody::ContentRelease
+    StoreCommandBody::ContentRelease,
+    StoreCommandBody::EvacuationOrder
   };
   return values;
 }
 
 inline const char * const *EnumNamesStoreCommandBody() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "ChangeCommand",
     "ClaimRequest",
@@ -97,13 +99,14 @@
     "CrashReport",
     "ContentClearance",
     "ContentRelease",
+    "EvacuationOrder",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameStoreCommandBody(StoreCommandBody e) {
-  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::ContentRelease)) return "";
+  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::EvacuationOrder)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesStoreCommandBody()[index];
 }
@@ -148,6 +151,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::ContentRelease;
 };
 
+template<> struct StoreCommandBodyTraits<cometstand::wire::EvacuationOrder> {
+  static const StoreCommandBody enum_value = StoreCommandBody::EvacuationOrder;
+};
+
 template<typename T> struct StoreCommandBodyUnionTraits {
   static const StoreCommandBody enum_value = StoreCommandBody::NONE;
 };
@@ -188,6 +195,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::ContentRelease;
 };
 
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::EvacuationOrderT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::EvacuationOrder;
+};
+
 struct StoreCommandBodyUnion {
   StoreCommandBody type;
   void *value;
@@ -290,6 +301,14 @@
     return type == StoreCommandBody::ContentRelease ?
       reinterpret_cast<const cometstand::wire::ContentReleaseT *>(value) : nullptr;
   }
+  cometstand::wire::EvacuationOrderT *AsEvacuationOrder() {
+    return type == StoreCommandBody::EvacuationOrder ?
+      reinterpret_cast<cometstand::wire::EvacuationOrderT *>(value) : nullptr;
+  }
+  const cometstand::wire::EvacuationOrderT *AsEvacuationOrder() const {
+    return type == StoreCommandBody::EvacuationOrder ?
+      reinterpret_cast<const cometstand::wire::EvacuationOrderT *>(value) : nullptr;
+  }
 };
 
 bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type);
@@ -484,6 +503,9 @@
   const cometstand::wire::ContentRelease *body_as_ContentRelease() const {
     return body_type() == cometstand::wire::StoreCommandBody::ContentRelease ? static_cast<const cometstand::wire::ContentRelease *>(body()) : nullptr;
   }
+  const cometstand::wire::EvacuationOrder *body_as_EvacuationOrder() const {
+    return body_type() == cometstand::wire::StoreCommandBody::EvacuationOrder ? static_cast<const cometstand::wire::EvacuationOrder *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -532,6 +554,10 @@
   return body_as_ContentRelease();
 }
 
+template<> inline const cometstand::wire::EvacuationOrder *StoreCommand::body_as<cometstand::wire::EvacuationOrder>() const {
+  return body_as_EvacuationOrder();
+}
+
 struct StoreCommandBuilder {
   typedef StoreCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1229,6 +1255,7 @@
   std::shared_ptr<cometstand::wire::MeshStateT> mesh{};
   std::shared_ptr<cometstand::wire::RolloutStateT> rollouts{};
   std::shared_ptr<cometstand::wire::QuarantineStateT> quarantine{};
+  std::shared_ptr<cometstand::wire::EvacuationStateT> evacuations{};
   StoreStateT() = default;
   StoreStateT(const StoreStateT &o);
   StoreStateT(StoreStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1248,7 +1275,8 @@
     VT_HISTORY = 14,
     VT_MESH = 16,
     VT_ROLLOUTS = 18,
-    VT_QUARANTINE = 20
+    VT_QUARANTINE = 20,
+    VT_EVACUATIONS = 22
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1277,6 +1305,9 @@
   const cometstand::wire::QuarantineState *quarantine() const {
     return GetPointer<const cometstand::wire::QuarantineState *>(VT_QUARANTINE);
   }
+  const cometstand::wire::EvacuationState *evacuations() const {
+    return GetPointer<const cometstand::wire::EvacuationState *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1299,6 +1330,8 @@
            verifier.VerifyTable(rollouts()) &&
            VerifyOffset(verifier, VT_QUARANTINE) &&
            verifier.VerifyTable(quarantine()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
   StoreStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1337,6 +1370,9 @@
   void add_quarantine(flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine) {
     fbb_.AddOffset(StoreState::VT_QUARANTINE, quarantine);
   }
+  void add_evacuations(flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations) {
+    fbb_.AddOffset(StoreState::VT_EVACUATIONS, evacuations);
+  }
   explicit StoreStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1358,10 +1394,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>>> history = 0,
     flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
-    flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
+    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0) {
   StoreStateBuilder builder_(_fbb);
   builder_.add_pruned_version(pruned_version);
   builder_.add_version(version);
+  builder_.add_evacuations(evacuations);
   builder_.add_quarantine(quarantine);
   builder_.add_rollouts(rollouts);
   builder_.add_mesh(mesh);
@@ -1387,7 +1425,8 @@
     const std::vector<flatbuffers::Offset<cometstand::wire::AcceptedChange>> *history = nullptr,
     flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
-    flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0) {
+    flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
+    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>>(*requests) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>>(*claims) : 0;
@@ -1402,7 +1441,8 @@
       history__,
       mesh,
       rollouts,
-      quarantine);
+      quarantine,
+      evacuations);
 }
 
 flatbuffers::Offset<StoreState> CreateStoreState(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1791,7 +1831,8 @@
         pruned_version(o.pruned_version),
         mesh((o.mesh) ? new cometstand::wire::MeshStateT(*o.mesh) : nullptr),
         rollouts((o.rollouts) ? new cometstand::wire::RolloutStateT(*o.rollouts) : nullptr),
-        quarantine((o.quarantine) ? new cometstand::wire::QuarantineStateT(*o.quarantine) : nullptr) {
+        quarantine((o.quarantine) ? new cometstand::wire::QuarantineStateT(*o.quarantine) : nullptr),
+        evacuations((o.evacuations) ? new cometstand::wire::EvacuationStateT(*o.evacuations) : nullptr) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
   requests.reserve(o.requests.size());
@@ -1812,6 +1853,7 @@
   std::swap(mesh, o.mesh);
   std::swap(rollouts, o.rollouts);
   std::swap(quarantine, o.quarantine);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -1833,6 +1875,7 @@
   { auto _e = mesh(); if (_e) _o->mesh = std::shared_ptr<cometstand::wire::MeshStateT>(_e->UnPack(_resolver)); }
   { auto _e = rollouts(); if (_e) _o->rollouts = std::shared_ptr<cometstand::wire::RolloutStateT>(_e->UnPack(_resolver)); }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::shared_ptr<cometstand::wire::QuarantineStateT>(_e->UnPack(_resolver)); }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::shared_ptr<cometstand::wire::EvacuationStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreState> StoreState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1852,6 +1895,7 @@
   auto _mesh = _o->mesh ? CreateMeshState(_fbb, _o->mesh.get(), _rehasher) : 0;
   auto _rollouts = _o->rollouts ? CreateRolloutState(_fbb, _o->rollouts.get(), _rehasher) : 0;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
+  auto _evacuations = _o->evacuations ? CreateEvacuationState(_fbb, _o->evacuations.get(), _rehasher) : 0;
   return cometstand::wire::CreateStoreState(
       _fbb,
       _version,
@@ -1862,7 +1906,8 @@
       _history,
       _mesh,
       _rollouts,
-      _quarantine);
+      _quarantine,
+      _evacuations);
 }
 
 inline bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type) {
@@ -1906,6 +1951,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ContentRelease *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case StoreCommandBody::EvacuationOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrder *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1961,6 +2010,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ContentRelease *>(obj);
       return ptr->UnPack(resolver);
     }
+    case StoreCommandBody::EvacuationOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrder *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2004,6 +2057,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::ContentReleaseT *>(value);
       return CreateContentRelease(_fbb, ptr, _rehasher).Union();
     }
+    case StoreCommandBody::EvacuationOrder: {
+      auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrderT *>(value);
+      return CreateEvacuationOrder(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2046,6 +2103,10 @@
       value = new cometstand::wire::ContentReleaseT(*reinterpret_cast<cometstand::wire::ContentReleaseT *>(u.value));
       break;
     }
+    case StoreCommandBody::EvacuationOrder: {
+      value = new cometstand::wire::EvacuationOrderT(*reinterpret_cast<cometstand::wire::EvacuationOrderT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2098,6 +2159,11 @@
       delete ptr;
       break;
     }
+    case StoreCommandBody::EvacuationOrder: {
+      auto ptr = reinterpret_cast<cometstand::wire::EvacuationOrderT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -103,6 +103,8 @@
     if (is_source) listener_.onRollouts(*rollouts, now);
   } else if (const auto* quarantine = message.body.AsQuarantineUpdate()) {
     if (is_source) listener_.onQuarantine(*quarantine);
+  } else if (const auto* evacuations = message.body.AsEvacuationUpdate()) {
+    if (is_source) listener_.onEvacuations(*evacuations, now);
   } else if (const auto* taken = message.body.AsCrashReport()) {
     listener_.onCrashReportTaken(taken->instance);
   }
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -21,6 +21,7 @@
   virtual void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) = 0;
   virtual void onRollouts(const wire::RolloutUpdateT& update, TimePoint now) = 0;
   virtual void onQuarantine(const wire::QuarantineUpdateT& update) = 0;
+  virtual void onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) = 0;
   /// A store has this sidecar's report on the end of that instance.
   virtual void onCrashReportTaken(const std::string& instance) = 0;
 };
--- /dev/null
+++ b/src/sidecar/endpoint.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "runtime/process_core.h"
+#include "sidecar/version_filter.h"
+
+namespace cometstand::sidecar {
+
+/// What is known of one endpoint: a target and the sidecar beside it.
+struct Endpoint {
+  /// Where the sidecar beside the target listens.
+  runtime::Address address;
+  std::string service;
+  std::string instance;
+  /// Of the target's software; empty if not known.
+  std::string version;
+  std::string zone;
+  unsigned slots = 1;
+  bool live = false;
+  /// Can be reached now.
+  bool linked = false;
+  /// Requests sent by this sidecar and not answered yet.
+  unsigned outstanding = 0;
+  /// Requests that the target had when it last answered this sidecar.
+  unsigned reported_load = 0;
+  /// Share of the target's runs that lately ended without a whole answer, as its sidecar said.
+  double failure_rate = 0;
+  /// Time that the target takes for a run, as a share of the run's objective, as its sidecar said; 0 if not
+  /// known.
+  double run_time = 0;
+  /// Time until the endpoint could receive another large body, as its sidecar said.
+  Duration intake_wait{};
+  TimePoint reported_at;
+  /// While requests are outstanding: since when nothing was heard of the endpoint.
+  TimePoint silent_since;
+  /// Not chosen before, unless there is no other.
+  TimePoint avoid_until;
+  /// The target is cold until then, as far as is known.
+  TimePoint cold_until;
+  /// Requests that the target takes while it is cold, as its sidecar last said, less those sent since.
+  unsigned cold_room = 0;
+  /// Taken out then, unless a store names it again.
+  std::optional<TimePoint> expires_at;
+};
+
+/// What an endpoint is wanted for.
+struct EndpointWant {
+  std::string service;
+  /// Size of the bodies of the request and, as far as known, of its answer.
+  std::size_t bytes = 0;
+  /// The request's body is announced and sent as the endpoint grants.
+  bool has_large_body = false;
+  /// How long the request may wait at an endpoint.
+  Duration patience{};
+  /// Versions that may get it.
+  VersionFilter versions{};
+  /// The only regions whose endpoints may get it; empty for all.
+  std::vector<std::string> regions{};
+};
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/endpoint_cost.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/random.h"
+#include "sidecar/endpoint.h"
+#include "sidecar/load_estimate.h"
+#include "sidecar/sidecar_options.h"
+
+namespace cometstand::sidecar {
+
+/// What sending a request to an endpoint costs, in units of a full target: the endpoint of the least cost is
+/// chosen. Load, speed, distance, failures, silence and refusals count; what may not be chosen at all is
+/// decided by EndpointFilter.
+class EndpointCost {
+ public:
+  /// @param options must outlive the object.
+  explicit EndpointCost(const SidecarOptions& options) : options_(options) {}
+
+  double of(const Endpoint& endpoint, const EndpointWant& want, const LoadEstimate& estimate,
+            RandomSource& random, TimePoint now) const;
+
+  /// A target of the service answered after that time.
+  void noteAnswered(const std::string& service, Duration time);
+
+ private:
+  double ofDistance(const Endpoint& endpoint, const EndpointWant& want) const;
+  /// @return what the silence of an endpoint with outstanding requests costs.
+  double ofSilence(const Endpoint& endpoint, TimePoint now) const;
+
+  const SidecarOptions& options_;
+  /// Smoothed time from a request to its answer, by service, in microseconds.
+  std::map<std::string, double> answer_time_;
+};
+
+}  // namespace cometstand::sidecar
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -8,36 +8,8 @@
 /// How long endpoints are kept that a store does not know when it begins to send records: it may have started
 /// a moment ago.
 constexpr Duration kUnconfirmedLease = std::chrono::seconds(3);
-/// Spreads senders that know the same over endpoints of about the same load.
-constexpr double kRandomCost = 0.25;
-/// What an endpoint costs that breaks off every answer, in units of a full target: the sound ones go first,
-/// and what they refuse goes there.
-constexpr double kFailureCost = 4;
-/// Its word on that counts half after this time, so that it is tried again.
-constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
-/// The same for how slow a target is.
-constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
-/// What a target costs that takes twice as long as the mean while all are idle, in units of a full target.
-/// The fewer slots are free, the less: when all are busy each must get its share.
-constexpr double kSlownessCost = 0.5;
-/// Bounds of how many times as slow as the mean a target counts.
-constexpr double kFastest = 0.3;
-constexpr double kSlowest = 5;
 constexpr double kPermille = 1000;
 constexpr std::size_t kThousand = 1'000;
-constexpr double kAvoidCost = 100;
-/// How long bodies wait at an endpoint counts half after this time: the queue there is some bodies long, each
-/// of which takes some 100 ms on a narrow link.
-constexpr Duration kIntakeHalfLife = std::chrono::milliseconds(500);
-
-/// Times the usual answer time for which an endpoint may be silent at no cost, and what each further one
-/// costs, in units of a full target.
-constexpr double kUsualSilence = 1.5;
-constexpr double kSilenceCost = 2;
-/// Weight of the newest answer.
-constexpr double kNewestAnswer = 0.05;
-
-constexpr std::uint64_t kRandomSteps = 1'000;
 
 }  // namespace
 
@@ -84,49 +56,11 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-double EndpointDirectory::scoreOf(const Endpoint& endpoint, const EndpointWant& want,
-                                  const LoadEstimate& estimate, RandomSource& random, TimePoint now) const {
-  const double spread = static_cast<double>(random.uniform(0, kRandomSteps)) / kRandomSteps;
-  double score = estimate.requestsAt(endpoint) / endpoint.slots + kRandomCost * spread;
-  const double mean_run_time = estimate.meanRunTime();
-  if (mean_run_time > 0 && endpoint.run_time > 0) {
-    const double slowness = std::clamp(endpoint.run_time / mean_run_time, kFastest, kSlowest);
-    score +=
-        kSlownessCost * estimate.freeShare() * (slowness - 1) * trustIn(endpoint, kSlownessHalfLife, now);
-  }
-  if (endpoint.zone != own_zone_) score += zone_cost_.of(want.bytes);
-  score += kFailureCost * endpoint.failure_rate * trustIn(endpoint, kFailureHalfLife, now);
-  if (want.has_large_body && want.patience > Duration::zero()) {
-    // An endpoint that would make the body wait for as long as it may counts like a full target.
-    const double share =
-        static_cast<double>(endpoint.intake_wait.count()) / static_cast<double>(want.patience.count());
-    score += share * trustIn(endpoint, kIntakeHalfLife, now);
-  }
-  score += silenceCost(endpoint, now);
-  if (endpoint.avoid_until > now) score += kAvoidCost;
-  return score;
-}
-
-/// An endpoint whose link or machine is choked refuses nothing and answers nothing, so it would look free
-/// beside others that say that they are full.
-double EndpointDirectory::silenceCost(const Endpoint& endpoint, TimePoint now) const {
-  const auto usual = answer_time_.find(endpoint.service);
-  if (endpoint.outstanding == 0 || usual == answer_time_.end()) return 0;
-  const auto silence = static_cast<double>((now - endpoint.silent_since).count());
-  return kSilenceCost * std::max(0.0, silence / usual->second - kUsualSilence);
-}
-
 void EndpointDirectory::noteSent(Endpoint& endpoint, TimePoint now) {
   if (endpoint.outstanding == 0) endpoint.silent_since = now;
   ++endpoint.outstanding;
 }
 
-void EndpointDirectory::noteAnswered(const std::string& service, Duration time) {
-  const auto value = static_cast<double>(time.count());
-  const auto [known, is_first] = answer_time_.try_emplace(service, value);
-  if (!is_first) known->second += kNewestAnswer * (value - known->second);
-}
-
 Endpoint* EndpointDirectory::choose(const EndpointWant& want, const std::set<runtime::Address>& tried,
                                     RandomSource& random, TimePoint now) {
   const auto listed = by_service_.find(want.service);
@@ -135,16 +69,16 @@
   candidates.reserve(listed->second.size());
   LoadEstimate estimate(now);
   for (auto* endpoint : listed->second) {
-    if (!endpoint->live || !endpoint->linked) continue;
+    if (!EndpointFilter::isReachable(*endpoint)) continue;
     estimate.add(*endpoint);
-    const bool is_candidate = !tried.contains(endpoint->address) && want.versions.admits(endpoint->version);
+    const bool is_candidate = !tried.contains(endpoint->address) && filter_.admits(*endpoint, want, now);
     if (is_candidate) candidates.push_back(endpoint);
   }
   if (want.versions.pool == VersionFilter::Pool::Canary) keepShare(candidates, want.versions.canary_permille);
   Endpoint* best = nullptr;
   double best_score = 0;
   for (auto* endpoint : candidates) {
-    const double score = scoreOf(*endpoint, want, estimate, random, now);
+    const double score = cost_.of(*endpoint, want, estimate, random, now);
     if (best != nullptr && score >= best_score) continue;
     best = endpoint;
     best_score = score;
--- /dev/null
+++ b/src/sidecar/endpoint_filter.cpp
@@ -0,0 +1,23 @@
+#include "sidecar/endpoint_filter.h"
+
+#include <algorithm>
+
+namespace cometstand::sidecar {
+
+bool EndpointFilter::admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const {
+  if (!isReachable(endpoint)) return false;
+  if (!want.versions.admits(endpoint.version)) return false;
+  if (!isAllowedRegion(endpoint, want)) return false;
+  if (evacuations_.isEvacuated(endpoint.zone)) return false;
+  return hasColdRoom(endpoint, now);
+}
+
+bool EndpointFilter::isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
+  if (want.regions.empty()) return true;
+  const auto& region = zones_.regionOf(endpoint.zone);
+  return std::find(want.regions.begin(), want.regions.end(), region) != want.regions.end();
+}
+
+bool EndpointFilter::hasColdRoom(const Endpoint& /*endpoint*/, TimePoint /*now*/) { return true; }
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/endpoint_filter.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "mesh/zone_map.h"
+#include "sidecar/endpoint.h"
+#include "sidecar/zone_evacuations.h"
+
+namespace cometstand::sidecar {
+
+/// Decides which endpoints may get a request at all, as far as their sender knows. Each rule stands for
+/// itself; EndpointCost chooses among those that are left.
+class EndpointFilter {
+ public:
+  /// @param zones, evacuations must outlive the filter.
+  EndpointFilter(const mesh::ZoneMap& zones, const ZoneEvacuations& evacuations)
+      : zones_(zones), evacuations_(evacuations) {}
+
+  /// @return true if the endpoint is up and linked.
+  static bool isReachable(const Endpoint& endpoint) { return endpoint.live && endpoint.linked; }
+  /// @return true if the endpoint may get the request.
+  bool admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const;
+
+ private:
+  /// @return true if the request may be served in the endpoint's region.
+  bool isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const;
+  /// @return true if the endpoint is warm, or bears another request all the same.
+  static bool hasColdRoom(const Endpoint& endpoint, TimePoint now);
+
+  const mesh::ZoneMap& zones_;
+  const ZoneEvacuations& evacuations_;
+};
+
+}  // namespace cometstand::sidecar
--- a/src/sidecar/metrics.h
+++ b/src/sidecar/metrics.h
@@ -12,7 +12,7 @@
 namespace cometstand::sidecar {
 
 inline constexpr std::size_t kCallOutcomes = 6;
-inline constexpr std::size_t kRefusalReasons = 7;
+inline constexpr std::size_t kRefusalReasons = 9;
 inline constexpr std::size_t kRunOutcomes = 3;
 
 /// What became of callers' requests since the process started.
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -68,6 +68,7 @@
   want.bytes = call.request->body.size() + sizes_.answerBytes(call.route->name);
   want.has_large_body = call.request->body.size() > kMostInlineBody;
   want.patience = patienceShare(call);
+  want.regions = call.route->regions;
   return want;
 }
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -28,7 +28,7 @@
       target_port_(target),
       control_(options_, actions_, random_, *this),
       quarantine_([this](const runtime::MessagePointer& message) { control_.broadcast(message); }),
-      endpoints_(options_.zone, options_.zone_cost),
+      endpoints_(options_, evacuations_),
       peers_(actions_, random_),
       incarnation_(random_.uniform(0, UINT64_MAX)),
       gate_(options_, target, quarantine_,
@@ -217,6 +217,10 @@
   reportRollout(now);
 }
 
+void SidecarCore::onEvacuations(const wire::EvacuationUpdateT& update, TimePoint /*now*/) {
+  evacuations_.apply(update);
+}
+
 void SidecarCore::applyRollouts(TimePoint now) {
   const auto& target = gate_.target();
   const auto* running = rollouts_.running(target.service());
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -64,6 +64,7 @@
   void onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) override;
   void onRollouts(const wire::RolloutUpdateT& update, TimePoint now) override;
   void onQuarantine(const wire::QuarantineUpdateT& update) override { quarantine_.apply(update); }
+  void onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) override;
   void onCrashReportTaken(const std::string& instance) override { quarantine_.onReportTaken(instance); }
 
   /// Brings the gate in line with what is known of the target's version.
@@ -90,6 +91,7 @@
   bool asked_target_ = false;
   ControlClient control_;
   Quarantine quarantine_;
+  ZoneEvacuations evacuations_;
   EndpointDirectory endpoints_;
   PeerLinks peers_;
   RolloutView rollouts_;
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/zone_map.h"
 #include "runtime/process_core.h"
 
 namespace cometstand::sidecar {
@@ -26,6 +27,8 @@
   /// Name of this machine, unique in the mesh.
   std::string node;
   std::string zone;
+  /// All zones and their regions; empty if zones are in one region.
+  mesh::ZoneMap zones;
   /// Service of the target beside it, as the settings say; what the target says of itself counts more.
   std::string service;
   /// Where other sidecars and stores reach this one.
@@ -59,6 +62,11 @@
   /// others. Default 4, range 1 to 1,000,000.
   unsigned long_objective_ratio = 4;
 
+  /// Operators' bound on what a cold target gets in any second: the service's rate for cold targets times the
+  /// first, and the second besides. Defaults 1.5 and 8, ranges 1 to 100 and 0 to 100,000.
+  double cold_overshoot = 1.5;
+  double cold_slack = 8;
+
   /// How long new requests are still passed to a target that begins to leave: senders hear of it meanwhile.
   /// Microseconds, default 300 ms, range 0 to 10 s.
   Duration leaving_grace = std::chrono::milliseconds(300);
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -26,6 +26,13 @@
   table.number(
       "sidecar.other_zone_bytes", options.zone_cost.bytes_per_target, {1, 1e9},
       "Bytes of bodies that cost as much as a full target when they go to or come from another zone.");
+  table.texts("sidecar.zones", sidecar.zones,
+              "All zones with their regions, each as zone=region; none if all zones are in one region.");
+  table.number("sidecar.cold_overshoot", options.cold_overshoot, {1, 100},
+               "Bound on the requests that a cold target gets in any second: times the rate that the "
+               "configuration names for its service.");
+  table.number("sidecar.cold_slack", options.cold_slack, {0, 100'000},
+               "Requests that a cold target may get in any second besides that.");
   table.number("sidecar.queue_share", options.queue_share, {0, 1},
                "Part of a request's objective that it may wait for a slot of its target.");
   table.duration("sidecar.least_patience", options.least_patience, {milliseconds(0), seconds(10)},
@@ -46,6 +53,8 @@
                  {SidecarOptions::kStopReserve, minutes(10)},
                  "A planned stop must be complete after this time, or the process is killed.");
   table.check([&sidecar] {
+    // Throws if an entry has another form.
+    const mesh::ZoneMap zones(sidecar.zones);
     if (!sidecar.common.listen.host.empty()) return;
     throw Error(ErrorKind::Invalid, "listen.address is not set",
                 "set listen.address to an IP address and port");
@@ -54,6 +63,7 @@
 
 void completeSidecarOptions(SidecarSettings& sidecar) {
   sidecar.options.zone = sidecar.common.zone;
+  sidecar.options.zones = mesh::ZoneMap(sidecar.zones);
   sidecar.options.advertise = sidecar.common.listen;
 }
 
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -9,6 +9,8 @@
 struct SidecarSettings {
   settings::CommonSettings common;
   SidecarOptions options;
+  /// Of `options.zones`: each "ZONE=REGION".
+  std::vector<std::string> zones;
 };
 
 /// Declares every setting of a sidecar proxy, together with its checks.
--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "schema/mesh_generated.h"
@@ -36,6 +37,8 @@
   bool ready = false;
   std::string instance;
   unsigned slots = 1;
+  /// Time from now on during which it is cold, if it said so.
+  std::optional<Duration> cold_remaining;
 };
 
 /// What came of a connection that was opened to see whether the target lives.
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "consensus/options.h"
+#include "mesh/zone_map.h"
 #include "runtime/process_core.h"
 #include "schema/consensus_generated.h"
 
@@ -33,6 +34,11 @@
   /// Voters that the cluster keeps, if `seeds` is given. Default 3, range 1 to 9.
   std::size_t voters = 3;
 
+  /// Zones whose voters may be lost at once, if `seeds` is given. Default 0, range 0 to 9.
+  std::size_t tolerated_zone_losses = 0;
+  /// All zones and their regions, if they are known.
+  mesh::ZoneMap zones;
+
   /// A voter without an answer for this long is replaced, if `seeds` is given and a learner has caught up.
   /// Microseconds, default 3 s, range 100 ms to 24 h.
   Duration replace_silent_after = std::chrono::seconds(3);
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -49,6 +49,12 @@
       "store.tolerated_losses", store.tolerated_losses, {0, 1'000},
       "Replicas that may be lost at once, with their disks. With store.seeds, the cluster "
       "keeps twice as many voters and one more, from 3 to 9, as far as there are replicas.");
+  table.integer<std::size_t>("store.tolerated_zone_losses", store.options.tolerated_zone_losses, {0, 9},
+                             "Zones that may be lost at once. With store.seeds, voters are spread so that a "
+                             "majority outlasts that.");
+  table.texts("store.zones", store.zones,
+              "All zones with their regions, each as zone=region. Orders for other zones are refused; none "
+              "if they are not known.");
   table.number("store.rollout_exposure_share", store.options.rollout_exposure_share, {0, 1},
                "Share of a service's requests that a version may get at most before a roll-out promotes it.");
   table.integer<std::uint64_t>("store.rollout_exposure_slack", store.options.rollout_exposure_slack,
@@ -199,6 +205,7 @@
   store.options.voters = std::clamp<std::size_t>(2 * store.tolerated_losses + 1, kLeastVoters, kMostVoters);
   store.options.self = toReplica({store.id, store.name, store.advertise, store.common.region});
   store.options.self.zone = store.common.zone;
+  store.options.zones = mesh::ZoneMap(store.zones);
   store.options.initial_voters.clear();
   for (const auto& replica : store.replicas) store.options.initial_voters.push_back(toReplica(replica));
   store.options.bootstrap_salt = readHex("store.bootstrap_salt", store.bootstrap_salt);
--- a/src/store/store_settings.h
+++ b/src/store/store_settings.h
@@ -26,6 +26,8 @@
   runtime::Address advertise;
   std::size_t tolerated_losses = 1;
   std::vector<ReplicaSettings> replicas;
+  /// Of `options.zones`: each "ZONE=REGION".
+  std::vector<std::string> zones;
   std::string bootstrap_salt;
   std::string bootstrap_token_hash;
 };
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -53,7 +53,15 @@
     return count;
   }
 
-  EndpointDirectory directory{"zone-a", OtherZoneCost()};
+  static SidecarOptions makeOptions() {
+    SidecarOptions options;
+    options.zone = "zone-a";
+    return options;
+  }
+
+  const SidecarOptions options = makeOptions();
+  ZoneEvacuations evacuations;
+  EndpointDirectory directory{options, evacuations};
   RandomSource random{1};
   TimePoint now{std::chrono::seconds(100)};
 };
--- /dev/null
+++ b/tests/sidecar/endpoint_filter_test.cpp
@@ -0,0 +1,64 @@
+#include "sidecar/endpoint_filter.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace cometstand;
+using sidecar::Endpoint;
+using sidecar::EndpointFilter;
+using sidecar::EndpointWant;
+
+namespace {
+
+struct FilterFixture {
+  FilterFixture() {
+    endpoint.zone = "west-a";
+    endpoint.live = true;
+    endpoint.linked = true;
+  }
+
+  bool admits() const { return EndpointFilter(zones, evacuations).admits(endpoint, want, now); }
+
+  const mesh::ZoneMap zones{{"east-a=east", "west-a=west"}};
+  sidecar::ZoneEvacuations evacuations;
+  Endpoint endpoint;
+  EndpointWant want;
+  TimePoint now{std::chrono::seconds(100)};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(FilterFixture, "an endpoint that is down or not linked gets nothing") {
+  CHECK(admits());
+  endpoint.linked = false;
+  CHECK_FALSE(admits());
+  endpoint.linked = true;
+  endpoint.live = false;
+  CHECK_FALSE(admits());
+}
+
+TEST_CASE_METHOD(FilterFixture, "a request kept to regions goes to no other one") {
+  want.regions = {"east"};
+  CHECK_FALSE(admits());
+  want.regions = {"east", "west"};
+  CHECK(admits());
+}
+
+TEST_CASE_METHOD(FilterFixture,
+                 "an endpoint whose zone is not known gets no request that is kept to regions") {
+  endpoint.zone = "nowhere";
+  CHECK(admits());
+  want.regions = {"west"};
+  CHECK_FALSE(admits());
+}
+
+TEST_CASE_METHOD(FilterFixture, "the endpoints of an evacuated zone get nothing") {
+  wire::EvacuationUpdateT update;
+  update.number = 1;
+  auto record = std::make_shared<wire::EvacuationRecordT>();
+  record->zone = "west-a";
+  record->is_evacuated = true;
+  update.records.push_back(std::move(record));
+  evacuations.apply(update);
+  CHECK_FALSE(admits());
+}
