--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -38,7 +38,7 @@
   std::string instance;
   unsigned slots = 1;
   /// Time from now on during which it is cold, if it said so.
-  std::optional<Duration> cold_remaining;
+  std::optional<Duration> cold_remaining{};
 };
 
 /// What came of a connection that was opened to see whether the target lives.
