Cold targets get no more than they bear, whoever sends

Cause: nothing bounded what a cold target gets. One that falls over comes back cold, and all its callers come back with it. Change: the gate keeps two bounds (token bucket at the service's rate, sliding window for the operators' bound), knows from heartbeats and health answers how long its target is cold, and doubts it where a restart may have gone unseen: no connection, an ended target, no heartbeats for 3.5 s, a suspended process. Senders prefer warm endpoints, leave cold ones without room out, and tell callers when the first target is warm.

--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -44,6 +44,8 @@
   TimePoint cold_until;
   /// Requests that the target takes while it is cold, as its sidecar last said, less those sent since.
   unsigned cold_room = 0;
+  /// While it is cold and has no room: not asked before.
+  TimePoint cold_closed_until;
   /// Taken out then, unless a store names it again.
   std::optional<TimePoint> expires_at;
 };
--- a/src/sidecar/endpoint_cost.cpp
+++ b/src/sidecar/endpoint_cost.cpp
@@ -21,6 +21,8 @@
 constexpr double kFastest = 0.3;
 constexpr double kSlowest = 5;
 constexpr double kAvoidCost = 100;
+/// What a cold target costs, in units of a full one: warm ones go first until they are full.
+constexpr double kColdCost = 1;
 /// How long bodies wait at an endpoint counts half after this time: the queue there is some bodies long, each
 /// of which takes some 100 ms on a narrow link.
 constexpr Duration kIntakeHalfLife = std::chrono::milliseconds(500);
@@ -55,6 +57,7 @@
     score += share * trustIn(endpoint, kIntakeHalfLife, now);
   }
   score += ofSilence(endpoint, now);
+  if (endpoint.cold_until > now) score += kColdCost;
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -8,6 +8,9 @@
 /// How long endpoints are kept that a store does not know when it begins to send records: it may have started
 /// a moment ago.
 constexpr Duration kUnconfirmedLease = std::chrono::seconds(3);
+/// A cold endpoint that has just said that it has no room is not asked for this long: about the time in which
+/// a target that bears ten requests a second gets room for one.
+constexpr Duration kColdPause = std::chrono::milliseconds(100);
 constexpr double kPermille = 1000;
 constexpr std::size_t kThousand = 1'000;
 
@@ -33,6 +36,7 @@
     endpoint.zone = record->zone;
     endpoint.slots = std::max(1U, record->slots);
     endpoint.live = record->state == wire::EndpointState::Live || record->state == wire::EndpointState::Cold;
+    endpoint.cold_until = now + std::chrono::milliseconds(record->cold_ms);
     endpoint.expires_at.reset();
   }
 }
@@ -59,6 +63,7 @@
 void EndpointDirectory::noteSent(Endpoint& endpoint, TimePoint now) {
   if (endpoint.outstanding == 0) endpoint.silent_since = now;
   ++endpoint.outstanding;
+  if (endpoint.cold_room > 0) --endpoint.cold_room;
 }
 
 Endpoint* EndpointDirectory::choose(const EndpointWant& want, const std::set<runtime::Address>& tried,
@@ -94,6 +99,17 @@
   candidates.resize(wanted);
 }
 
+Duration EndpointDirectory::coldTime(const std::string& service, TimePoint now) const {
+  const auto listed = by_service_.find(service);
+  if (listed == by_service_.end()) return Duration::zero();
+  Duration least = Duration::max();
+  for (const auto* endpoint : listed->second) {
+    if (!EndpointFilter::isReachable(*endpoint)) continue;
+    least = std::min(least, std::max(Duration::zero(), endpoint->cold_until - now));
+  }
+  return least == Duration::max() ? Duration::zero() : least;
+}
+
 bool EndpointDirectory::knows(const std::string& service) const {
   const auto listed = by_service_.find(service);
   return listed != by_service_.end() && std::any_of(listed->second.begin(), listed->second.end(),
@@ -105,6 +121,11 @@
   endpoint.failure_rate = reply.failure_permille / kPermille;
   endpoint.run_time = reply.run_time_permille / kPermille;
   endpoint.intake_wait = std::chrono::milliseconds(reply.intake_wait_ms);
+  endpoint.cold_until = now + std::chrono::milliseconds(reply.cold_ms);
+  endpoint.cold_room = reply.cold_room;
+  const bool was_refused = reply.outcome == wire::ForwardOutcome::NotRun;
+  const Duration pause = was_refused ? std::chrono::milliseconds(reply.retry_after_ms) : kColdPause;
+  endpoint.cold_closed_until = now + std::max(pause, kColdPause);
   endpoint.reported_at = now;
   endpoint.silent_since = now;
 }
--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -18,6 +18,8 @@
   return std::find(want.regions.begin(), want.regions.end(), region) != want.regions.end();
 }
 
-bool EndpointFilter::hasColdRoom(const Endpoint& /*endpoint*/, TimePoint /*now*/) { return true; }
+bool EndpointFilter::hasColdRoom(const Endpoint& endpoint, TimePoint now) {
+  return now >= endpoint.cold_until || endpoint.cold_room > 0 || now >= endpoint.cold_closed_until;
+}
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -75,9 +75,20 @@
     "for "
     "the content, or the path, in content_quarantined on the stores: see docs/OPERATIONS.md."};
 
+inline constexpr EventDefinition kTargetDoubted{
+    7018, LogLevel::Info, "target_doubted",
+    "The target beside this sidecar may have become cold unseen. It is asked for its health, and gets no "
+    "more "
+    "than a cold target bears until it has answered. No action is needed."};
+inline constexpr EventDefinition kTargetAsked{
+    7019, LogLevel::Info, "target_asked",
+    "The target beside this sidecar answered for its health; cold_ms is the time until it counts as warm. "
+    "If says_cold is false, it does not tell, and the whole time of a cold start is waited."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked, kStoreLost,   kSourceChosen, kSourceLost,       kConfigurationInForce, kTargetChanged,
-    kCallEnded,   kCallRetried, kGateRefused,  kSidecarStopBegan, kUpdateRefused,        kCallAnswered,
-    kRunEnded,    kRunGivenUp,  kBodyRefused,  kTargetEnded,      kCallQuarantined};
+    kStoreLinked,   kStoreLost,       kSourceChosen,  kSourceLost,  kConfigurationInForce,
+    kTargetChanged, kCallEnded,       kCallRetried,   kGateRefused, kSidecarStopBegan,
+    kUpdateRefused, kCallAnswered,    kRunEnded,      kRunGivenUp,  kBodyRefused,
+    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -103,8 +103,11 @@
 /// @return a time drawn from a span that grows with the share of requests that are refused: callers who are
 /// refused together do not come back together, and the more there are, the longer each is put off.
 Duration OutboundCalls::comeBackAfter(const CallState& call, TimePoint now) {
-  const Duration least = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
   const auto honoured = std::chrono::duration_cast<Duration>((call.caller_leaves - now) * kHonouredShare);
+  // While all targets are cold, who comes back takes the room of others.
+  const Duration cold = std::min(parts_.endpoints.coldTime(call.request->service, now), honoured);
+  const Duration wish = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
+  const Duration least = std::max(wish, cold);
   const auto spread = std::chrono::duration_cast<Duration>(honoured * refusals_.of(call.request->service));
   return parts_.random.uniform(least, least + std::max(least, spread));
 }
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kExpireInterval = std::chrono::milliseconds(500);
 /// Between two reports on a roll-out; the leader takes none into account that is older than 800 ms.
 constexpr Duration kRolloutReportInterval = std::chrono::milliseconds(250);
+/// Timers come at least each kExpireInterval, so a longer time without any event was one in which the process
+/// stood still, and its target may have started again.
+constexpr Duration kSuspension = std::chrono::seconds(2);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 /// In a planned stop the target gets requests for so many of its usual run times less than callers are
 /// served: most of what began last then ends before the process does.
@@ -43,8 +46,14 @@
   control_.begin(now);
 }
 
-void SidecarCore::onLinkOpened(LinkId link, const runtime::PeerIdentity& /*peer*/, TimePoint now) {
+void SidecarCore::advance(TimePoint now) {
+  const bool was_suspended = now >= now_ + kSuspension;
   now_ = now;
+  if (was_suspended) gate_.doubtWarmth("suspended", now);
+}
+
+void SidecarCore::onLinkOpened(LinkId link, const runtime::PeerIdentity& /*peer*/, TimePoint now) {
+  advance(now);
   if (control_.owns(link)) {
     control_.onLinkOpened(link, now);
   } else if (const auto address = peers_.onLinkOpened(link)) {
@@ -53,7 +62,7 @@
 }
 
 void SidecarCore::onLinkClosed(LinkId link, TimePoint now) {
-  now_ = now;
+  advance(now);
   if (control_.owns(link)) {
     control_.onLinkClosed(link, now);
   } else if (const auto address = peers_.onLinkClosed(link, now)) {
@@ -66,7 +75,7 @@
 }
 
 void SidecarCore::onMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
-  now_ = now;
+  advance(now);
   if (control_.owns(link)) {
     control_.onMessage(link, message, now);
   } else if (const auto address = peers_.addressOf(link)) {
@@ -117,7 +126,7 @@
                             {"patience_ms", request.patience_ms},
                             {"intake_wait_ms", ceilMilliseconds(intake_.expectedWait())},
                             {"bodies", intake_.size()}});
-    gate_.refuse(asker, request, reason);
+    gate_.refuse(asker, request, reason, now_);
   };
   return listener;
 }
@@ -132,25 +141,32 @@
 }
 
 void SidecarCore::onRunResult(RunId id, RunResult result, TimePoint now) {
-  now_ = now;
+  advance(now);
   if (result.other_instance && gate_.target().onOtherInstance(gate_.target().instance()))
     onTargetChanged(now);
   gate_.onResult(id, std::move(result), now);
 }
 
 void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now) {
-  now_ = now;
-  if (gate_.target().onHeartbeat(beat, now)) onTargetChanged(now);
+  advance(now);
+  const bool was_warm = gate_.coldTime(now) == Duration::zero();
+  const bool has_changed = gate_.target().onHeartbeat(beat, now);
+  gate_.onHeartbeat(beat, now);
+  const bool turned_cold = was_warm && gate_.coldTime(now) > Duration::zero();
+  if (has_changed || turned_cold) onTargetChanged(now);
 }
 
 void SidecarCore::onHealth(const TargetHealth& health, TimePoint now) {
-  now_ = now;
-  if (!health.ready || health.instance.empty()) return;
-  if (gate_.target().onReadyWhenAsked(health.instance, options_.service, health.slots)) onTargetChanged(now);
+  advance(now);
+  if (health.instance.empty()) return;
+  const bool is_news =
+      health.ready && gate_.target().onReadyWhenAsked(health.instance, options_.service, health.slots);
+  gate_.onHealth(health, now);
+  if (is_news) onTargetChanged(now);
 }
 
 void SidecarCore::onProbed(ProbeOutcome outcome, TimePoint now) {
-  now_ = now;
+  advance(now);
   gate_.onProbed(outcome, now);
 }
 
@@ -164,7 +180,7 @@
 }
 
 void SidecarCore::onDeregistered(const std::string& instance, TimePoint now) {
-  now_ = now;
+  advance(now);
   if (gate_.target().onDeregistered(instance, now)) onTargetChanged(now);
 }
 
@@ -181,6 +197,7 @@
   update.records.push_back(std::make_shared<wire::EndpointRecordT>(record));
   onEndpoints(update, false, now);
   applyRollouts(now);
+  setColdStart(now);
   gate_.onTargetChanged(now);
 }
 
@@ -194,16 +211,31 @@
   record.zone = options_.zone;
   record.slots = target.slots();
   record.version = target.version();
+  record.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(gate_.coldTime(now_)));
   const bool is_live = target.condition() == TargetCondition::Ready && !withdrawn_;
   record.state = is_live ? wire::EndpointState::Live : wire::EndpointState::Leaving;
   return record;
 }
 
-void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint /*now*/) {
+void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) {
   calls_.setRoutes(table);
+  setColdStart(now);
   askTarget();
 }
 
+void SidecarCore::setColdStart(TimePoint now) {
+  if (calls_.routes() == nullptr) return;
+  const auto& told = gate_.target().service();
+  gate_.setColdStart(calls_.routes()->coldStart(told.empty() ? options_.service : told), now);
+}
+
+void SidecarCore::askIfDoubted(TimePoint now) {
+  if (calls_.routes() == nullptr) return;
+  const auto path = calls_.routes()->healthPath(gate_.target().service());
+  if (path.empty() || !gate_.takeHealthQuestion(now)) return;
+  target_port_.askHealth(path);
+}
+
 void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
   endpoints_.apply(update, is_whole, now);
   for (const auto& record : update.records) rollouts_.noteVersion(record->service, record->version, now);
@@ -264,7 +296,7 @@
 }
 
 void SidecarCore::onTimer(TimePoint now) {
-  now_ = now;
+  advance(now);
   control_.onTimer(now);
   peers_.onTimer(now);
   intake_.onTimer(now);
@@ -273,6 +305,7 @@
   if (now >= rollout_report_at_) reportRollout(now);
   if (gate_.isClosed(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
   gate_.onTimer(now);
+  askIfDoubted(now);
   calls_.onTimer(now);
   checkStop(now);
   if (now < expire_at_) return;
@@ -293,7 +326,7 @@
 }
 
 void SidecarCore::beginStop(TimePoint now) {
-  now_ = now;
+  advance(now);
   if (stop_began_) return;
   stop_began_ = now;
   logEvent(kSidecarStopBegan, {{"calls", calls_.inFlight()}, {"running", gate_.running()}});
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -70,6 +70,11 @@
   /// Brings the gate in line with what is known of the target's version.
   void applyRollouts(TimePoint now);
   void reportRollout(TimePoint now);
+  /// To be called with each event: finds out whether the process was suspended.
+  void advance(TimePoint now);
+  void askIfDoubted(TimePoint now);
+  /// Takes the cold start of the target's service from the configuration in force.
+  void setColdStart(TimePoint now);
 
   void onAskerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -84,7 +84,7 @@
 /// What yields is bounded by its own number, not by all that runs: a slot that the others use now is not kept
 /// for them a second time.
 bool TargetGate::hasSlotFor(const wire::ForwardRequestT& request, TimePoint now) const {
-  if (running_.size() >= slots()) return false;
+  if (running_.size() >= slots() || isColdLimited(now)) return false;
   if (!yields(request)) return true;
   const auto yielding =
       std::count_if(running_.begin(), running_.end(), [](const auto& item) { return item.second.yields; });
@@ -127,25 +127,27 @@
 bool TargetGate::isFullFor(const wire::ForwardRequestT& request, TimePoint now) const {
   if (hasSlotFor(request, now)) return false;
   const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(placeOf(request, now)));
-  return expectedWait(static_cast<std::size_t>(ahead)) > patienceFor(request, now);
+  return waitFor(static_cast<std::size_t>(ahead), now) > patienceFor(request, now);
 }
 
-void TargetGate::reply(const GateAsker& asker, wire::ForwardReplyT reply) {
+void TargetGate::reply(const GateAsker& asker, wire::ForwardReplyT reply, TimePoint now) {
   reply.running = running();
   reply.waiting = waiting();
   reply.slots = slots();
   reply.failure_permille = static_cast<std::uint32_t>(failure_rate_ * kPermille);
   reply.run_time_permille = static_cast<std::uint32_t>(relative_run_time_ * kPermille);
+  reply.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(coldTime(now)));
+  reply.cold_room = reply.cold_ms == 0 ? 0 : cold_limit_.room(now);
   answer_(asker, std::move(reply));
 }
 
 void TargetGate::refuse(const GateAsker& asker, const wire::ForwardRequestT& request,
-                        wire::NotRunReason reason) {
+                        wire::NotRunReason reason, TimePoint now) {
   wire::ForwardReplyT answer;
   answer.outcome = wire::ForwardOutcome::NotRun;
   answer.reason = reason;
   metrics_.noteRefusal(reason);
-  const Duration wait = std::max(expectedWait(waiting_.size()), kLeastRetryAfter);
+  const Duration wait = std::max(waitFor(waiting_.size(), now), kLeastRetryAfter);
   logEvent(kGateRefused, {{"request", request.request_id},
                           {"reason", wire::EnumNameNotRunReason(reason)},
                           {"service", request.service},
@@ -154,23 +156,25 @@
                           {"running", running()},
                           {"waiting", waiting()},
                           {"slots", slots()},
+                          {"cold_ms", ceilMilliseconds(coldTime(now))},
                           {"patience_ms", request.patience_ms},
                           {"expected_wait_ms", ceilMilliseconds(wait)}});
   answer.retry_after_ms = static_cast<std::uint32_t>(ceilMilliseconds(wait));
-  reply(asker, std::move(answer));
+  reply(asker, std::move(answer), now);
 }
 
 bool TargetGate::refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now) {
   auto reason = refusalOf(request, now);
-  if (!reason && isFullFor(request, now)) reason = wire::NotRunReason::Full;
+  if (!reason && isFullFor(request, now)) reason = reasonForFull(now);
   if (!reason) return false;
-  refuse(asker, request, *reason);
+  refuse(asker, request, *reason, now);
   return true;
 }
 
 void TargetGate::admit(const GateAsker& asker, ForwardRequestPointer request, TimePoint now) {
+  now_ = now;
   if (const auto reason = refusalOf(*request, now)) {
-    refuse(asker, *request, *reason);
+    refuse(asker, *request, *reason, now);
     return;
   }
   const TimePoint deadline = now + std::chrono::milliseconds(request->deadline_ms);
@@ -186,7 +190,7 @@
     return;
   }
   if (isFullFor(*request, now)) {
-    refuse(asker, *request, wire::NotRunReason::Full);
+    refuse(asker, *request, reasonForFull(now), now);
     return;
   }
   const Place place = placeOf(*request, now);
@@ -197,9 +201,10 @@
 void TargetGate::start(const GateAsker& asker, const ForwardRequestPointer& request, TimePoint deadline,
                        TimePoint now) {
   const RunId id{next_run_++};
-  const bool is_cold = now < target_.coldUntil();
+  const bool is_cold = now < target_.coldUntil() || warmth_.isCold(now);
   running_.emplace(id, Running{asker, request, now, deadline, is_cold, yields(*request), target_.instance()});
   samples_.noteBegun();
+  cold_limit_.noteSent(now);
   port_.run({id, request, target_.instance(), deadline - now});
 }
 
@@ -212,9 +217,9 @@
     const Waiting next = std::move(first->second);
     waiting_.erase(first);
     if (const auto reason = refusalOf(*next.request, now)) {
-      refuse(next.asker, *next.request, *reason);
+      refuse(next.asker, *next.request, *reason, now);
     } else if (next.deadline - now < kLeastTimeLeft) {
-      refuse(next.asker, *next.request, wire::NotRunReason::Deadline);
+      refuse(next.asker, *next.request, wire::NotRunReason::Deadline, now);
     } else {
       metrics_.waiting_time.note(now - next.came);
       start(next.asker, next.request, next.deadline, now);
@@ -266,6 +271,7 @@
 }
 
 void TargetGate::onResult(RunId id, RunResult result, TimePoint now) {
+  now_ = now;
   const auto run = running_.find(id);
   if (run == running_.end()) return;
   const Running finished = run->second;
@@ -274,10 +280,13 @@
   noteOutcome(finished, result.reply, now);
   noteEnd(finished, result.reply, now);
   startWaiting(now);
-  reply(finished.asker, std::move(result.reply));
+  reply(finished.asker, std::move(result.reply), now);
 }
 
 void TargetGate::watchResult(const Running& run, const RunResult& result, TimePoint now) {
+  const bool found_nobody =
+      result.reply.outcome == wire::ForwardOutcome::NotRun && !result.reply.reached_target;
+  if (found_nobody) doubtWarmth("no connection", now);
   if (result.reply.outcome == wire::ForwardOutcome::Unknown) {
     // A target that leaves ends anyway.
     if (target_.condition() != TargetCondition::Leaving) watch_.onBroken(run.request, run.instance, now);
@@ -290,7 +299,10 @@
 void TargetGate::onTargetChanged(TimePoint now) {
   noteEndOfTarget(watch_.onInstance(target_.instance(), now), now);
   // What broke off runs of the one before, a crash for example, says nothing of this one.
-  if (std::exchange(rated_instance_, target_.instance()) != target_.instance()) failure_rate_ = 0;
+  if (std::exchange(rated_instance_, target_.instance()) != target_.instance()) {
+    failure_rate_ = 0;
+    cold_limit_.reset(now);
+  }
   startWaiting(now);
 }
 
@@ -301,7 +313,9 @@
 }
 
 void TargetGate::noteEndOfTarget(const std::optional<TargetEnd>& end, TimePoint now) {
-  if (end) quarantine_.onTargetEnded(*end, target_.service(), now);
+  if (!end) return;
+  doubtWarmth("target ended", now);
+  quarantine_.onTargetEnded(*end, target_.service(), now);
 }
 
 void TargetGate::noteOutcome(const Running& run, const wire::ForwardReplyT& reply, TimePoint now) {
@@ -334,13 +348,18 @@
 }
 
 void TargetGate::onTimer(TimePoint now) {
+  now_ = now;
+  if (beaten_at_ && now >= *beaten_at_ + kHeartbeatSilence) {
+    beaten_at_ = now;
+    doubtWarmth("no heartbeat", now);
+  }
   std::vector<Waiting> late;
   std::erase_if(waiting_, [&](const auto& item) {
     if (item.second.start_by > now) return false;
     late.push_back(item.second);
     return true;
   });
-  for (const auto& waiting : late) refuse(waiting.asker, *waiting.request, wire::NotRunReason::Full);
+  for (const auto& waiting : late) refuse(waiting.asker, *waiting.request, reasonForFull(now), now);
   std::vector<Running> overdue;
   std::erase_if(running_, [&](const auto& item) {
     if (item.second.deadline + kAnswerGrace > now) return false;
@@ -353,7 +372,7 @@
     wire::ForwardReplyT answer;
     answer.outcome = wire::ForwardOutcome::Unknown;
     noteEnd(run, answer, now);
-    reply(run.asker, std::move(answer));
+    reply(run.asker, std::move(answer), now);
   }
   startWaiting(now);
 }
@@ -362,7 +381,7 @@
   TimePoint next = TimePoint::max();
   for (const auto& [place, waiting] : waiting_) next = std::min(next, waiting.start_by);
   for (const auto& [id, run] : running_) next = std::min(next, run.deadline + kAnswerGrace);
-  return next;
+  return std::min(next, nextColdTimer());
 }
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "sidecar/cold_rate_limit.h"
 #include "sidecar/gate_asker.h"
 #include "sidecar/metrics.h"
 #include "sidecar/offered_load.h"
@@ -16,6 +17,7 @@
 #include "sidecar/sidecar_options.h"
 #include "sidecar/target_port.h"
 #include "sidecar/target_state.h"
+#include "sidecar/target_warmth.h"
 #include "sidecar/target_watch.h"
 
 namespace cometstand::sidecar {
@@ -28,6 +30,9 @@
 /// not get the request or said that it did not run it.
 class TargetGate {
  public:
+  /// A target that runs sends heartbeats more often than twice in this time; one of them may be lost.
+  static constexpr Duration kHeartbeatSilence = std::chrono::milliseconds(3'500);
+
   using Answer = std::function<void(const GateAsker&, wire::ForwardReplyT)>;
 
   /// @param port and quarantine must outlive the gate.
@@ -36,6 +41,7 @@
         port_(port),
         quarantine_(quarantine),
         answer_(std::move(answer)),
+        cold_limit_(options.cold_overshoot, options.cold_slack),
         watch_(port, [this] { return runsAtTarget(); }) {}
 
   TargetState& target() { return target_; }
@@ -45,14 +51,27 @@
   /// Refuses the request if admit() would refuse it at once. @return true if so.
   bool refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now);
   /// Answers that the request has not run and will not.
-  void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason);
+  void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason,
+              TimePoint now);
   /// @return true if new requests are refused since the target or this sidecar leaves.
   bool isLeaving(TimePoint now) const;
   void cancel(const GateAsker& asker, TimePoint now);
   /// All requests of one link are given up.
   void cancelLink(runtime::LinkId link, TimePoint now);
   void onResult(RunId id, RunResult result, TimePoint now);
-  void onProbed(ProbeOutcome outcome, TimePoint now) { noteEndOfTarget(watch_.onProbed(outcome, now), now); }
+  void onProbed(ProbeOutcome outcome, TimePoint now);
+  /// How the targets of the service start, from the configuration in force.
+  void setColdStart(const mesh::ColdStart& start, TimePoint now);
+  /// A heartbeat of the target has come.
+  void onHeartbeat(const Heartbeat& beat, TimePoint now);
+  /// The target was asked for its health.
+  void onHealth(const TargetHealth& health, TimePoint now);
+  /// The target may have become cold unseen: it is asked, and gets no more than a cold one bears until then.
+  void doubtWarmth(const char* cause, TimePoint now);
+  /// @return time until the target is warm, as far as is known; zero if it is, or if cold ones have no bound.
+  Duration coldTime(TimePoint now) const;
+  /// @return true if the target is to be asked for its health now; the question is noted.
+  bool takeHealthQuestion(TimePoint now);
   /// The target gets no new requests from now on, or gets them again, because of its version.
   void setVersionClosed(bool is_closed) { is_version_closed_ = is_closed; }
   /// @return true if new requests are refused because of the target's version or since it leaves.
@@ -110,6 +129,14 @@
   /// @return the expected wait of a request behind so many others that wait.
   Duration expectedWait(std::size_t ahead) const;
   bool isFullFor(const wire::ForwardRequestT& request, TimePoint now) const;
+  /// @return true if the target is cold and gets what it bears.
+  bool isColdLimited(TimePoint now) const;
+  /// @return the least time until a request behind so many others may go to the target.
+  Duration waitFor(std::size_t ahead, TimePoint now) const;
+  /// @return when cold requests that wait may go on, or the target is to be asked.
+  TimePoint nextColdTimer() const;
+  /// @return why a request is refused that cannot wait for its turn.
+  wire::NotRunReason reasonForFull(TimePoint now) const;
   unsigned slots() const;
   /// @return true if requests come that have a much shorter objective.
   bool isLong(const wire::ForwardRequestT& request) const;
@@ -126,7 +153,7 @@
   void noteGivenUp(const Running& run, TimePoint now);
   void noteRunTime(const Running& run, TimePoint now);
   void noteEnd(const Running& run, const wire::ForwardReplyT& reply, TimePoint now);
-  void reply(const GateAsker& asker, wire::ForwardReplyT reply);
+  void reply(const GateAsker& asker, wire::ForwardReplyT reply, TimePoint now);
   /// Tells the watch over the target what came of a run.
   void watchResult(const Running& run, const RunResult& result, TimePoint now);
   void noteEndOfTarget(const std::optional<TargetEnd>& end, TimePoint now);
@@ -161,6 +188,14 @@
   std::optional<TimePoint> yielding_seen_at_;
   /// Of the requests that do not yield to others.
   OfferedLoad short_load_;
+  TargetWarmth warmth_;
+  /// The target that warmth_ is of.
+  std::string warmth_instance_;
+  ColdRateLimit cold_limit_;
+  /// Of the newest heartbeat, or of the newest doubt for the lack of one.
+  std::optional<TimePoint> beaten_at_;
+  /// Of the newest event.
+  TimePoint now_;
   TargetWatch watch_;
   /// The target that failure_rate_ is of.
   std::string rated_instance_;
