--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -41,6 +41,8 @@
   const CallMetrics& callMetrics() const { return calls_.metrics(); }
   std::size_t callsInFlight() const { return calls_.inFlight(); }
   const TargetGate& gate() const { return gate_; }
+  /// @return time until the target counts as warm, as of the newest event.
+  Duration targetColdTime() const { return gate_.coldTime(now_); }
   const BodyIntake& intake() const { return intake_; }
   const EndpointDirectory& endpoints() const { return endpoints_; }
   const Quarantine& quarantine() const { return quarantine_; }
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -62,6 +62,9 @@
   metrics.gauge("cometstand_sidecar_intake_wait_seconds",
                 "Expected time until a large body that is announced now would begin to come.",
                 std::chrono::duration<double>(core_.intake().expectedWait()).count());
+  metrics.gauge("cometstand_sidecar_target_cold_seconds",
+                "Time until the target counts as warm, if what cold ones get is bounded.",
+                std::chrono::duration<double>(core_.targetColdTime()).count());
   addCallMetrics(metrics, core_.callMetrics());
   addGateMetrics(metrics, core_.gate().metrics());
 }
--- /dev/null
+++ b/tests/sidecar/cold_sidecar_test.cpp
@@ -0,0 +1,121 @@
+#include "tests/sidecar/sidecar_fixture.h"
+
+namespace cometstand::sidecar::test {
+
+using std::chrono::seconds;
+
+namespace {
+
+/// The service bounds what its cold targets get.
+wire::MeshConfigurationT makeBoundedConfiguration() {
+  auto configuration = SidecarFixture::makeConfiguration();
+  configuration.services.front()->cold_requests_per_second = 14;
+  configuration.services.front()->cold_start_ms = 3'000;
+  return configuration;
+}
+
+Heartbeat makeColdBeat(const std::string& instance, std::uint64_t sequence, Duration cold) {
+  auto beat = SidecarFixture::makeBeat(instance, sequence);
+  beat.cold_remaining = cold;
+  return beat;
+}
+
+/// @return the newest record of the own endpoint that was reported to the store; nullptr if none was.
+std::shared_ptr<wire::EndpointRecordT> newestReport(const SidecarFixture& sidecar) {
+  std::shared_ptr<wire::EndpointRecordT> newest;
+  for (const auto& message : sidecar.sent) {
+    const auto* update = message.message->body.AsEndpointUpdate();
+    if (update != nullptr && !update->records.empty()) newest = update->records.back();
+  }
+  return newest;
+}
+
+}  // namespace
+
+TEST_CASE("a target that turns cold without ending is told to the stores, and others learn for how long") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  sidecar.core.onHeartbeat(makeColdBeat("a", 1, Duration::zero()), sidecar.now);
+  sidecar.step();
+  CHECK(newestReport(sidecar)->cold_ms == 0);
+  sidecar.core.onHeartbeat(makeColdBeat("a", 2, seconds(2)), sidecar.now);
+  sidecar.step();
+  CHECK(newestReport(sidecar)->cold_ms == 2'000);
+}
+
+TEST_CASE("a sidecar that stood still asks its target, which may have started again") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  sidecar.core.onHeartbeat(makeColdBeat("a", 1, Duration::zero()), sidecar.now);
+  sidecar.pass(seconds(1));
+  sidecar.target.asked.clear();
+  sidecar.now += seconds(3);
+  sidecar.core.onTimer(sidecar.now);
+  CHECK(sidecar.core.targetColdTime() == seconds(3));
+  REQUIRE(sidecar.target.asked.size() == 1);
+  CHECK(sidecar.target.asked.front() == "/health");
+  sidecar.core.onHealth({true, "a", 2, Duration::zero()}, sidecar.now);
+  CHECK(sidecar.core.targetColdTime() == Duration::zero());
+}
+
+TEST_CASE("a sidecar that starts beside a running target asks it before it gets anything") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  REQUIRE(sidecar.target.asked.size() == 1);
+  sidecar.core.onHealth({true, "a", 2, milliseconds(1'200)}, sidecar.now);
+  sidecar.step();
+  CHECK(sidecar.core.targetColdTime() == milliseconds(1'200));
+  CHECK(newestReport(sidecar)->cold_ms == 1'200);
+}
+
+TEST_CASE(
+    "a cold endpoint without room is not asked again before it may have some, and callers hear when it is "
+    "warm") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  sidecar.addPeer(SidecarFixture::kPeer);
+  const auto first = sidecar.call("/read/1");
+  const auto sent = sidecar.forwardsTo(SidecarFixture::kPeer);
+  REQUIRE(sent.size() == 1);
+  wire::ForwardReplyT refusal;
+  refusal.outcome = wire::ForwardOutcome::NotRun;
+  refusal.reason = wire::NotRunReason::Cold;
+  refusal.retry_after_ms = 70;
+  refusal.cold_ms = 900;
+  sidecar.say(SidecarFixture::kPeer, refusal, sent.front());
+  REQUIRE(sidecar.callers.answers.contains(first));
+  CHECK(sidecar.callers.answers.at(first).outcome == CallOutcome::NotRun);
+  // The caller's own deadline is the route's second, of which callers wait for a third at most.
+  CHECK(sidecar.callers.answers.at(first).retry_after >= milliseconds(333));
+  const auto second = sidecar.call("/read/2");
+  CHECK(sidecar.callers.answers.contains(second));
+  CHECK(sidecar.forwardsTo(SidecarFixture::kPeer).empty());
+  sidecar.pass(milliseconds(150));
+  sidecar.call("/read/3");
+  CHECK(sidecar.forwardsTo(SidecarFixture::kPeer).size() == 1);
+}
+
+TEST_CASE("warm endpoints are chosen before cold ones") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  sidecar.addPeer(SidecarFixture::kPeer);
+  sidecar.addPeer(SidecarFixture::kOtherPeer);
+  wire::EndpointUpdateT update;
+  auto record = std::make_shared<wire::EndpointRecordT>();
+  record->service = "shop";
+  record->endpoint = "instance-" + SidecarFixture::kPeer.host;
+  record->address = SidecarFixture::kPeer.host;
+  record->port = SidecarFixture::kPeer.port;
+  record->zone = "zone-a";
+  record->state = wire::EndpointState::Live;
+  record->slots = 2;
+  record->cold_ms = 2'000;
+  update.records.push_back(record);
+  sidecar.say(SidecarFixture::kStore, update);
+  sidecar.call("/read/1");
+  sidecar.call("/read/2");
+  CHECK(sidecar.forwardsTo(SidecarFixture::kPeer).empty());
+  CHECK(sidecar.forwardsTo(SidecarFixture::kOtherPeer).size() == 2);
+}
+
+}  // namespace cometstand::sidecar::test
