--- a/src/sidecar/cold_gate.cpp
+++ b/src/sidecar/cold_gate.cpp
@@ -31,10 +31,13 @@
 
 void TargetGate::onHealth(const TargetHealth& health, TimePoint now) {
   now_ = now;
-  if (health.instance != target_.instance()) return;
+  if (health.instance.empty() || health.instance != target_.instance()) {
+    warmth_.onAnswered(std::nullopt, now);
+    return;
+  }
   const bool is_first = std::exchange(warmth_instance_, health.instance) != health.instance;
-  if (is_first && !health.cold_remaining) doubtWarmth("first answer", now);
   warmth_.onAnswered(health.cold_remaining, now);
+  if (is_first && !health.cold_remaining) doubtWarmth("first answer", now);
   logEvent(kTargetAsked, {{"instance", health.instance},
                           {"says_cold", health.cold_remaining.has_value()},
                           {"cold_ms", ceilMilliseconds(coldTime(now))}});
@@ -48,7 +51,8 @@
 
 void TargetGate::doubtWarmth(const char* cause, TimePoint now) {
   now_ = now;
-  if (!warmth_.doubt(now)) return;
+  // A target that leaves, or was not heard of, gets nothing anyway.
+  if (target_.condition() != TargetCondition::Ready || !warmth_.doubt(now)) return;
   logEvent(kTargetDoubted, {{"instance", target_.instance()},
                             {"cause", cause},
                             {"running", running()},
@@ -59,8 +63,12 @@
   return warmth_.isCold(now) ? warmth_.coldUntil() - now : Duration::zero();
 }
 
+Duration TargetGate::toldColdTime(TimePoint now) const {
+  return warmth_.isBounded() ? std::max(Duration::zero(), warmth_.toldUntil() - now) : Duration::zero();
+}
+
 bool TargetGate::takeHealthQuestion(TimePoint now) {
-  if (target_.condition() == TargetCondition::Unheard || !warmth_.takeQuestion(now)) return false;
+  if (target_.condition() != TargetCondition::Ready || !warmth_.takeQuestion(now)) return false;
   // The question takes a slot of the target, as a request does.
   cold_limit_.noteSent(now);
   return true;
@@ -84,7 +92,7 @@
 TimePoint TargetGate::nextColdTimer() const {
   TimePoint next = TimePoint::max();
   if (!warmth_.isBounded()) return next;
-  if (target_.condition() != TargetCondition::Unheard && warmth_.isDoubted(now_)) {
+  if (target_.condition() == TargetCondition::Ready && warmth_.isDoubted(now_)) {
     next = warmth_.nextQuestion();
   }
   if (beaten_at_) next = std::min(next, *beaten_at_ + kHeartbeatSilence);
--- a/src/sidecar/cold_rate_limit.cpp
+++ b/src/sidecar/cold_rate_limit.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// Longer than the second that operators count over: a request that waits for a new connection arrives up to
-/// this much later than it was passed on, and moves closer to those behind it.
+/// this much later than it was passed on, and moves closer to those behind it. Reckoned.
 constexpr Duration kWindow = std::chrono::milliseconds(1'250);
 /// Tokens that are saved up at most: a few requests that come together need not wait, and their work still
-/// fits into a handful of slots.
+/// fits into a handful of slots. Reckoned.
 constexpr double kMostTokens = 3;
 
 double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -104,7 +104,8 @@
   } else if (const auto* quarantine = message.body.AsQuarantineUpdate()) {
     if (is_source) listener_.onQuarantine(*quarantine);
   } else if (const auto* evacuations = message.body.AsEvacuationUpdate()) {
-    if (is_source) listener_.onEvacuations(*evacuations, now);
+    // From any store: the newest word counts, whoever brings it.
+    listener_.onEvacuations(*evacuations, now);
   } else if (const auto* taken = message.body.AsCrashReport()) {
     listener_.onCrashReportTaken(taken->instance);
   }
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -99,12 +99,12 @@
   candidates.resize(wanted);
 }
 
-Duration EndpointDirectory::coldTime(const std::string& service, TimePoint now) const {
-  const auto listed = by_service_.find(service);
+Duration EndpointDirectory::coldTime(const EndpointWant& want, TimePoint now) const {
+  const auto listed = by_service_.find(want.service);
   if (listed == by_service_.end()) return Duration::zero();
   Duration least = Duration::max();
   for (const auto* endpoint : listed->second) {
-    if (!EndpointFilter::isReachable(*endpoint)) continue;
+    if (!filter_.isEligible(*endpoint, want)) continue;
     least = std::min(least, std::max(Duration::zero(), endpoint->cold_until - now));
   }
   return least == Duration::max() ? Duration::zero() : least;
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -36,9 +36,9 @@
   Endpoint* choose(const EndpointWant& want, const std::set<runtime::Address>& tried, RandomSource& random,
                    TimePoint now);
 
-  /// @return time until the first reachable endpoint of the service is warm; zero if one is, or there is
+  /// @return time until the first endpoint that may get such a request is warm; zero if one is, or there is
   /// none.
-  Duration coldTime(const std::string& service, TimePoint now) const;
+  Duration coldTime(const EndpointWant& want, TimePoint now) const;
 
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -5,11 +5,14 @@
 namespace cometstand::sidecar {
 
 bool EndpointFilter::admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const {
+  return isEligible(endpoint, want) && hasColdRoom(endpoint, now);
+}
+
+bool EndpointFilter::isEligible(const Endpoint& endpoint, const EndpointWant& want) const {
   if (!isReachable(endpoint)) return false;
   if (!want.versions.admits(endpoint.version)) return false;
   if (!isAllowedRegion(endpoint, want)) return false;
-  if (evacuations_.isEvacuated(endpoint.zone)) return false;
-  return hasColdRoom(endpoint, now);
+  return !evacuations_.isEvacuated(endpoint.zone);
 }
 
 bool EndpointFilter::isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
--- a/src/sidecar/endpoint_filter.h
+++ b/src/sidecar/endpoint_filter.h
@@ -16,7 +16,9 @@
 
   /// @return true if the endpoint is up and linked.
   static bool isReachable(const Endpoint& endpoint) { return endpoint.live && endpoint.linked; }
-  /// @return true if the endpoint may get the request.
+  /// @return true if the endpoint may get such a request, as soon as it bears one more.
+  bool isEligible(const Endpoint& endpoint, const EndpointWant& want) const;
+  /// @return true if the endpoint may get the request now.
   bool admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const;
 
  private:
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -214,7 +214,7 @@
   for (const auto& address : call.tried) {
     auto* endpoint = parts_.endpoints.find(address);
     if (endpoint == nullptr || call.refusals > 1) continue;
-    const bool is_full = reply.reason == wire::NotRunReason::Full;
+    const bool is_full = reply.reason == wire::NotRunReason::Full || reply.reason == wire::NotRunReason::Cold;
     endpoint->avoid_until = now + (is_full ? kRefusedAvoidance : kDownAvoidance);
   }
   const bool reached_target = reply.reached_target;
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -105,7 +105,7 @@
 Duration OutboundCalls::comeBackAfter(const CallState& call, TimePoint now) {
   const auto honoured = std::chrono::duration_cast<Duration>((call.caller_leaves - now) * kHonouredShare);
   // While all targets are cold, who comes back takes the room of others.
-  const Duration cold = std::min(parts_.endpoints.coldTime(call.request->service, now), honoured);
+  const Duration cold = std::min(parts_.endpoints.coldTime(wantOf(call), now), honoured);
   const Duration wish = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
   const Duration least = std::max(wish, cold);
   const auto spread = std::chrono::duration_cast<Duration>(honoured * refusals_.of(call.request->service));
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -93,7 +93,9 @@
 void SidecarCore::onAskerMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   const GateAsker asker{link, message.request_id};
   if (const auto* request = message.body.AsForwardRequest()) {
-    if (request->announced_bytes == 0) {
+    if (calls_.routes() == nullptr) {
+      gate_.refuse(asker, *request, wire::NotRunReason::TargetDown, now);
+    } else if (request->announced_bytes == 0) {
       gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(*request), now);
     } else if (!gate_.refuseNow(asker, *request, now)) {
       intake_.announce(asker, std::make_shared<wire::ForwardRequestT>(*request), now);
@@ -149,20 +151,18 @@
 
 void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now) {
   advance(now);
-  const bool was_warm = gate_.coldTime(now) == Duration::zero();
   const bool has_changed = gate_.target().onHeartbeat(beat, now);
   gate_.onHeartbeat(beat, now);
-  const bool turned_cold = was_warm && gate_.coldTime(now) > Duration::zero();
-  if (has_changed || turned_cold) onTargetChanged(now);
+  if (has_changed || hasTurned(now)) onTargetChanged(now);
 }
 
 void SidecarCore::onHealth(const TargetHealth& health, TimePoint now) {
   advance(now);
-  if (health.instance.empty()) return;
+  const bool is_well = health.ready && !health.instance.empty();
   const bool is_news =
-      health.ready && gate_.target().onReadyWhenAsked(health.instance, options_.service, health.slots);
+      is_well && gate_.target().onReadyWhenAsked(health.instance, options_.service, health.slots);
   gate_.onHealth(health, now);
-  if (is_news) onTargetChanged(now);
+  if (is_news || hasTurned(now)) onTargetChanged(now);
 }
 
 void SidecarCore::onProbed(ProbeOutcome outcome, TimePoint now) {
@@ -191,14 +191,21 @@
                             {"condition", static_cast<int>(target.condition())},
                             {"slots", target.slots()}});
   const auto record = ownRecord();
+  is_reported_cold_ = record.cold_ms > 0;
   control_.report(record);
   // This sidecar's own requests need not wait until the record has come round.
   wire::EndpointUpdateT update;
   update.records.push_back(std::make_shared<wire::EndpointRecordT>(record));
   onEndpoints(update, false, now);
   applyRollouts(now);
-  setColdStart(now);
   gate_.onTargetChanged(now);
+  setColdStart(now);
+}
+
+/// @return true if the stores have another word on whether the target is cold than it says itself.
+bool SidecarCore::hasTurned(TimePoint now) const {
+  if (gate_.target().condition() == TargetCondition::Unheard) return false;
+  return is_reported_cold_ != (gate_.toldColdTime(now) > Duration::zero());
 }
 
 wire::EndpointRecordT SidecarCore::ownRecord() const {
@@ -211,16 +218,21 @@
   record.zone = options_.zone;
   record.slots = target.slots();
   record.version = target.version();
-  record.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(gate_.coldTime(now_)));
-  const bool is_live = target.condition() == TargetCondition::Ready && !withdrawn_;
+  record.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(gate_.toldColdTime(now_)));
+  // Without a configuration the gate does not know what its target bears, or whether its zone is in use.
+  const bool is_live =
+      target.condition() == TargetCondition::Ready && !withdrawn_ && calls_.routes() != nullptr;
   record.state = is_live ? wire::EndpointState::Live : wire::EndpointState::Leaving;
   return record;
 }
 
 void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) {
+  const bool is_first = calls_.routes() == nullptr;
   calls_.setRoutes(table);
   setColdStart(now);
   askTarget();
+  // Until now the endpoint was not live for others.
+  if (is_first && gate_.target().condition() != TargetCondition::Unheard) onTargetChanged(now);
 }
 
 void SidecarCore::setColdStart(TimePoint now) {
@@ -231,9 +243,10 @@
 
 void SidecarCore::askIfDoubted(TimePoint now) {
   if (calls_.routes() == nullptr) return;
+  // Also without a path the question is noted, or it would be due for ever.
+  if (!gate_.takeHealthQuestion(now)) return;
   const auto path = calls_.routes()->healthPath(gate_.target().service());
-  if (path.empty() || !gate_.takeHealthQuestion(now)) return;
-  target_port_.askHealth(path);
+  if (!path.empty()) target_port_.askHealth(path);
 }
 
 void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
@@ -306,6 +319,7 @@
   if (gate_.isClosed(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
   gate_.onTimer(now);
   askIfDoubted(now);
+  if (hasTurned(now)) onTargetChanged(now);
   calls_.onTimer(now);
   checkStop(now);
   if (now < expire_at_) return;
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -19,8 +19,14 @@
   SidecarCore(SidecarOptions options, std::uint64_t seed, TargetPort& target, CallerPort& callers);
 
   // What the surroundings say. Each is to be followed by the runner's flush().
-  void onCall(CallId id, Call call, TimePoint now) { calls_.begin(id, std::move(call), now); }
-  void onCallerGone(CallId id, TimePoint now) { calls_.cancel(id, now); }
+  void onCall(CallId id, Call call, TimePoint now) {
+    advance(now);
+    calls_.begin(id, std::move(call), now);
+  }
+  void onCallerGone(CallId id, TimePoint now) {
+    advance(now);
+    calls_.cancel(id, now);
+  }
   void onRunResult(RunId id, RunResult result, TimePoint now);
   void onHeartbeat(const Heartbeat& beat, TimePoint now);
   void onProbed(ProbeOutcome outcome, TimePoint now);
@@ -75,6 +81,7 @@
   /// To be called with each event: finds out whether the process was suspended.
   void advance(TimePoint now);
   void askIfDoubted(TimePoint now);
+  bool hasTurned(TimePoint now) const;
   /// Takes the cold start of the target's service from the configuration in force.
   void setColdStart(TimePoint now);
 
@@ -111,6 +118,8 @@
   std::optional<TimePoint> stop_began_;
   /// The endpoint's record says that it leaves, since this sidecar stops.
   bool withdrawn_ = false;
+  /// The endpoint's newest record says that the target is cold.
+  bool is_reported_cold_ = false;
   bool stopped_ = false;
 };
 
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -178,6 +178,8 @@
     return;
   }
   const TimePoint deadline = now + std::chrono::milliseconds(request->deadline_ms);
+  // Those that wait go first to room that has come since the last event.
+  if (warmth_.isCold(now)) startWaiting(now);
   noteObjective(*request, now);
   if (yields(*request)) {
     yielding_seen_at_ = now;
@@ -249,6 +251,7 @@
 }
 
 void TargetGate::cancel(const GateAsker& asker, TimePoint now) {
+  now_ = now;
   std::erase_if(waiting_, [&asker](const auto& item) { return item.second.asker == asker; });
   const auto run = std::find_if(running_.begin(), running_.end(),
                                 [&asker](const auto& item) { return item.second.asker == asker; });
@@ -260,6 +263,7 @@
 }
 
 void TargetGate::cancelLink(runtime::LinkId link, TimePoint now) {
+  now_ = now;
   std::erase_if(waiting_, [link](const auto& item) { return item.second.asker.link == link; });
   std::erase_if(running_, [this, link, now](const auto& item) {
     if (item.second.asker.link != link) return false;
@@ -297,6 +301,7 @@
 }
 
 void TargetGate::onTargetChanged(TimePoint now) {
+  now_ = now;
   noteEndOfTarget(watch_.onInstance(target_.instance(), now), now);
   // What broke off runs of the one before, a crash for example, says nothing of this one.
   if (std::exchange(rated_instance_, target_.instance()) != target_.instance()) {
@@ -350,7 +355,7 @@
 void TargetGate::onTimer(TimePoint now) {
   now_ = now;
   if (beaten_at_ && now >= *beaten_at_ + kHeartbeatSilence) {
-    beaten_at_ = now;
+    beaten_at_.reset();
     doubtWarmth("no heartbeat", now);
   }
   std::vector<Waiting> late;
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -30,7 +30,8 @@
 /// not get the request or said that it did not run it.
 class TargetGate {
  public:
-  /// A target that runs sends heartbeats more often than twice in this time; one of them may be lost.
+  /// A target that runs sends heartbeats more often than twice in this time, one of which may be lost: they
+  /// come each 1.5 s or so.
   static constexpr Duration kHeartbeatSilence = std::chrono::milliseconds(3'500);
 
   using Answer = std::function<void(const GateAsker&, wire::ForwardReplyT)>;
@@ -70,6 +71,8 @@
   void doubtWarmth(const char* cause, TimePoint now);
   /// @return time until the target is warm, as far as is known; zero if it is, or if cold ones have no bound.
   Duration coldTime(TimePoint now) const;
+  /// @return the same as the target says itself: no doubt counts.
+  Duration toldColdTime(TimePoint now) const;
   /// @return true if the target is to be asked for its health now; the question is noted.
   bool takeHealthQuestion(TimePoint now);
   /// The target gets no new requests from now on, or gets them again, because of its version.
@@ -192,7 +195,7 @@
   /// The target that warmth_ is of.
   std::string warmth_instance_;
   ColdRateLimit cold_limit_;
-  /// Of the newest heartbeat, or of the newest doubt for the lack of one.
+  /// Of the newest heartbeat; none from the doubt for the lack of one on.
   std::optional<TimePoint> beaten_at_;
   /// Of the newest event.
   TimePoint now_;
