Evacuation of zones: orders, replicated state, what sidecars do, the way back

Cause: the operators' orders answered 404, and nothing kept them. Change: EvacuationRegister in the replicated state, EvacuationService (acknowledged once applied; an order that reverses a change of the last 5 s is taken when it comes a second time, since orders carry no number and a late copy looks like a new one), NodeHub tells its nodes before their first configuration, senders leave the zone out, its gates refuse after the grace in which senders hear of it, cometctl orders and lists. The end doubts the zone's targets, which may be cold. Not tested: the two platform programs as processes.

--- a/src/operator/command.h
+++ b/src/operator/command.h
@@ -33,6 +33,8 @@
 struct ShowReplicas {};
 /// Requests, by content, that are refused or suspected since targets ended under them.
 struct ShowQuarantine {};
+/// Zones whose targets get no requests, and those that were so before.
+struct ShowEvacuations {};
 
 enum class ProxyField : std::uint8_t {
   Zone,
@@ -144,16 +146,23 @@
   std::string content;
 };
 
+/// A zone's targets get no requests any more, or get them again.
+struct EvacuateZone {
+  std::string zone;
+  bool is_evacuated = true;
+};
+
 /// Answers once the version is in force on every proxy, or the time limit passed.
 struct WaitInForce {
   std::uint64_t version = 0;
   Duration timeout = Duration::zero();
 };
 
-using Command = std::variant<ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints,
-                             ShowChanges, ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, ShowQuarantine,
-                             Change, DrainEndpoint, StopProxy, StopRelay, TransferLeader, AddReplica,
-                             ReplaceReplica, RemoveReplica, ReleaseContent, WaitInForce>;
+using Command =
+    std::variant<ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints, ShowChanges,
+                 ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, ShowQuarantine, ShowEvacuations, Change,
+                 DrainEndpoint, StopProxy, StopRelay, TransferLeader, AddReplica, ReplaceReplica,
+                 RemoveReplica, ReleaseContent, EvacuateZone, WaitInForce>;
 
 /// A command that is not of the language. The message names line and column.
 class ParseError : public Error {
--- a/src/operator/parser.cpp
+++ b/src/operator/parser.cpp
@@ -74,12 +74,13 @@
     plain<ShowVersion>("version") | kShowProxies[kEmit] | kShowRoute[kEmit] | plain<ShowRoutes>("routes") |
     plain<ShowServices>("services") | kShowEndpoints[kEmit] | kShowChanges[kEmit] |
     plain<ShowNodes>("nodes") | plain<ShowTenants>("tenants") | plain<ShowSecrets>("secrets") |
-    plain<ShowReplicas>("replicas") | plain<ShowQuarantine>("quarantine");
+    plain<ShowReplicas>("replicas") | plain<ShowQuarantine>("quarantine") |
+    plain<ShowEvacuations>("evacuations");
 
 const auto kShow = x3::rule<class ShowRule, Command>{} =
     keyword("show") > labeled(
                           "version, proxies, route, routes, services, endpoints, changes, nodes, tenants, "
-                          "secrets, replicas or quarantine",
+                          "secrets, replicas, quarantine or evacuations",
                           kQuery[kEmit]);
 
 // ---- drain, stop, transfer, replicas, wait ----------------------------------------------------------
@@ -138,6 +139,16 @@
     keyword("release") > keyword("content") >
     labeled("a content's digest", kName[into(&ReleaseContent::content)]);
 
+/// @param is_evacuated what the verb orders.
+auto zoneVerb(std::string_view verb, bool is_evacuated) {
+  return x3::omit[keyword(verb)]
+                 [([is_evacuated](auto& context) { x3::_val(context).is_evacuated = is_evacuated; })];
+}
+
+const auto kEvacuate = x3::rule<class EvacuateRule, EvacuateZone>{} =
+    (zoneVerb("evacuate", true) | zoneVerb("restore", false)) > keyword("zone") >
+    labeled("a zone's name", kName[into(&EvacuateZone::zone)]);
+
 const auto kWait = x3::rule<class WaitRule, WaitInForce>{} =
     x3::omit[keyword("wait")][([](auto& context) { x3::_val(context).timeout = kDefaultWait; })] >
     keyword("version") > labeled("a version", kInteger<std::uint64_t>[into(&WaitInForce::version)]) >
@@ -148,11 +159,12 @@
 
 const auto kCommand = x3::rule<class CommandRule, Command>{} =
     kShow[kEmit] | kChange[kEmit] | kDrain[kEmit] | kStop[kEmit] | kTransfer[kEmit] | kAddReplica[kEmit] |
-    kReplaceReplica[kEmit] | kRemoveReplica[kEmit] | kRelease[kEmit] | kWait[kEmit];
+    kReplaceReplica[kEmit] | kRemoveReplica[kEmit] | kRelease[kEmit] | kEvacuate[kEmit] | kWait[kEmit];
 
 const auto kWhole = x3::rule<class WholeRule, Command>{} =
-    x3::expect[labeled("show, change, drain, stop, transfer, add, replace, remove, release or wait",
-                       kCommand[kEmit])] > -x3::lit(';') > labeled("the end of the command", x3::eoi);
+    x3::expect[labeled(
+        "show, change, drain, stop, transfer, add, replace, remove, release, evacuate, restore or wait",
+        kCommand[kEmit])] > -x3::lit(';') > labeled("the end of the command", x3::eoi);
 
 }  // namespace
 }  // namespace grammar
--- a/src/operator/printer.cpp
+++ b/src/operator/printer.cpp
@@ -142,6 +142,7 @@
   std::string operator()(const ShowSecrets& /*command*/) const { return "show secrets"; }
   std::string operator()(const ShowReplicas& /*command*/) const { return "show replicas"; }
   std::string operator()(const ShowQuarantine& /*command*/) const { return "show quarantine"; }
+  std::string operator()(const ShowEvacuations& /*command*/) const { return "show evacuations"; }
 
   std::string operator()(const ShowProxies& command) const {
     std::string text = "show proxies";
@@ -193,6 +194,9 @@
     return fmt::format("remove replica {}", command.id);
   }
   std::string operator()(const ReleaseContent& command) const { return "release content " + command.content; }
+  std::string operator()(const EvacuateZone& command) const {
+    return fmt::format("{} zone {}", command.is_evacuated ? "evacuate" : "restore", command.zone);
+  }
   std::string operator()(const WaitInForce& command) const {
     return fmt::format("wait version {} in force timeout {}", command.version,
                        settings::formatDuration(command.timeout));
--- a/src/operator/semantics.cpp
+++ b/src/operator/semantics.cpp
@@ -98,7 +98,7 @@
         using Type = std::decay_t<decltype(one)>;
         return kIsOneOf<Type, ShowVersion, ShowProxies, ShowRoute, ShowRoutes, ShowServices, ShowEndpoints,
                         ShowChanges, ShowNodes, ShowTenants, ShowSecrets, ShowReplicas, ShowQuarantine,
-                        WaitInForce>;
+                        ShowEvacuations, WaitInForce>;
       },
       command);
 }
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -85,10 +85,16 @@
     "The target beside this sidecar answered for its health; cold_ms is the time until it counts as warm. "
     "If says_cold is false, it does not tell, and the whole time of a cold start is waited."};
 
+inline constexpr EventDefinition kEvacuationsChanged{
+    7020, LogLevel::Info, "evacuations_changed",
+    "The zones whose targets get no requests have changed; own_zone says whether the target beside this "
+    "sidecar "
+    "is among them. What runs there goes on. No action is needed."};
+
 inline constexpr std::array kSidecarEvents{
     kStoreLinked,   kStoreLost,       kSourceChosen,  kSourceLost,  kConfigurationInForce,
     kTargetChanged, kCallEnded,       kCallRetried,   kGateRefused, kSidecarStopBegan,
     kUpdateRefused, kCallAnswered,    kRunEnded,      kRunGivenUp,  kBodyRefused,
-    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked};
+    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked, kEvacuationsChanged};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -1,5 +1,8 @@
 #include "sidecar/sidecar_core.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -262,8 +265,17 @@
   reportRollout(now);
 }
 
-void SidecarCore::onEvacuations(const wire::EvacuationUpdateT& update, TimePoint /*now*/) {
-  evacuations_.apply(update);
+void SidecarCore::onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) {
+  if (!evacuations_.apply(update)) return;
+  const bool is_own = evacuations_.isEvacuated(options_.zone);
+  // The zone's targets may have started again while nothing was sent to them.
+  if (gate_.isEvacuated() && !is_own) gate_.doubtWarmth("evacuation ended", now);
+  gate_.setEvacuated(is_own, now);
+  logEvent(kEvacuationsChanged, {{"number", evacuations_.number()},
+                                 {"zones", fmt::format("{}", fmt::join(evacuations_.zones(), " "))},
+                                 {"own_zone", is_own},
+                                 {"running", gate_.running()},
+                                 {"waiting", gate_.waiting()}});
 }
 
 void SidecarCore::applyRollouts(TimePoint now) {
@@ -289,7 +301,9 @@
   report.is_closed = gate_.isClosed(now);
   report.cold_ms =
       static_cast<std::uint32_t>(ceilMilliseconds(std::max(Duration::zero(), target.coldUntil() - now)));
-  report.slots = target.condition() == TargetCondition::Ready ? target.slots() : 0;
+  // The capacity of an evacuated zone carries nothing.
+  const bool is_usable = target.condition() == TargetCondition::Ready && !gate_.isEvacuated();
+  report.slots = is_usable ? target.slots() : 0;
   gate_.samples().fill(report);
   control_.send(*rollouts_.leader(), std::move(report));
 }
@@ -316,7 +330,10 @@
   quarantine_.onTimer(now);
   applyRollouts(now);
   if (now >= rollout_report_at_) reportRollout(now);
-  if (gate_.isClosed(now)) intake_.refuseUnbegun(wire::NotRunReason::Leaving, now);
+  if (gate_.isClosed(now)) {
+    const auto reason = gate_.isEvacuated() ? wire::NotRunReason::Evacuated : wire::NotRunReason::Leaving;
+    intake_.refuseUnbegun(reason, now);
+  }
   gate_.onTimer(now);
   askIfDoubted(now);
   if (hasTurned(now)) onTargetChanged(now);
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -52,6 +52,7 @@
   const BodyIntake& intake() const { return intake_; }
   const EndpointDirectory& endpoints() const { return endpoints_; }
   const Quarantine& quarantine() const { return quarantine_; }
+  const ZoneEvacuations& evacuations() const { return evacuations_; }
 
   // runtime::ProcessCore
   void start(const runtime::FileReader& files, TimePoint now) override;
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -57,6 +57,8 @@
   metrics.gauge("cometstand_sidecar_contents_suspected",
                 "Requests by content that were at targets when they ended, more than once.",
                 static_cast<double>(core_.quarantine().suspected()));
+  metrics.gauge("cometstand_sidecar_zones_evacuated", "Zones whose targets get no requests.",
+                static_cast<double>(core_.evacuations().zones().size()));
   add("bodies_arriving", "Large bodies that are announced or on their way to this sidecar.",
       core_.intake().size());
   metrics.gauge("cometstand_sidecar_intake_wait_seconds",
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -58,12 +58,22 @@
                                                         TimePoint now) const {
   if (target_.condition() == TargetCondition::Unheard) return wire::NotRunReason::TargetDown;
   if (target_.service() != request.service) return wire::NotRunReason::WrongTarget;
+  if (refusesForZone(now)) return wire::NotRunReason::Evacuated;
   if (isClosed(now)) return wire::NotRunReason::Leaving;
   if (quarantine_.blocks(request)) return wire::NotRunReason::Quarantined;
   if (std::chrono::milliseconds(request.deadline_ms) < kLeastTimeLeft) return wire::NotRunReason::Deadline;
   return std::nullopt;
 }
 
+void TargetGate::setEvacuated(bool is_evacuated, TimePoint now) {
+  if (is_evacuated == evacuated_since_.has_value()) return;
+  if (is_evacuated) {
+    evacuated_since_ = now;
+  } else {
+    evacuated_since_.reset();
+  }
+}
+
 unsigned TargetGate::slots() const { return std::max(1U, target_.slots()); }
 
 bool TargetGate::isLong(const wire::ForwardRequestT& request) const {
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -77,8 +77,12 @@
   bool takeHealthQuestion(TimePoint now);
   /// The target gets no new requests from now on, or gets them again, because of its version.
   void setVersionClosed(bool is_closed) { is_version_closed_ = is_closed; }
-  /// @return true if new requests are refused because of the target's version or since it leaves.
-  bool isClosed(TimePoint now) const { return is_version_closed_ || isLeaving(now); }
+  /// The target's zone is evacuated from now on, or in use again: then new requests are passed on, or refused
+  /// after the time in which senders hear of it. What runs goes on.
+  void setEvacuated(bool is_evacuated, TimePoint now);
+  bool isEvacuated() const { return evacuated_since_.has_value(); }
+  /// @return true if new requests are refused because of the target's version or zone, or since it leaves.
+  bool isClosed(TimePoint now) const { return is_version_closed_ || refusesForZone(now) || isLeaving(now); }
   RunSamples& samples() { return samples_; }
   /// The target's state may have changed.
   void onTargetChanged(TimePoint now);
@@ -122,6 +126,9 @@
     std::string instance;
   };
 
+  bool refusesForZone(TimePoint now) const {
+    return evacuated_since_ && now >= *evacuated_since_ + options_.leaving_grace;
+  }
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return true if requests came lately that yield to such a one.
   bool isYieldedTo(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -182,6 +189,8 @@
   /// Of a planned stop of this sidecar.
   TimePoint close_at_ = TimePoint::max();
   bool is_version_closed_ = false;
+  /// Of the target's zone.
+  std::optional<TimePoint> evacuated_since_;
   RunSamples samples_;
   /// The shortest objective that came lately, in milliseconds; a large number for none.
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
--- a/src/store/command_execution.cpp
+++ b/src/store/command_execution.cpp
@@ -6,6 +6,7 @@
 #include "base/error.h"
 #include "config/object_key.h"
 #include "store/command_service.h"
+#include "store/evacuation_commands.h"
 
 namespace cometstand::store {
 
@@ -157,4 +158,17 @@
   parts_.quarantine.releaseByOperator(call.asker, order.content, call.now);
 }
 
+void CommandService::run(const Call& call, const command::ShowEvacuations& /*query*/) {
+  requireAdministrator(call);
+  sendReply(context_, call.asker, showEvacuations(context_.state));
+}
+
+void CommandService::run(const Call& call, const command::EvacuateZone& order) {
+  requireAdministrator(call);
+  wire::EvacuationOrderT evacuation;
+  evacuation.zone = order.zone;
+  evacuation.is_evacuated = order.is_evacuated;
+  runEvacuationCommand(context_, parts_.evacuations, call.asker, evacuation, call.now);
+}
+
 }  // namespace cometstand::store
--- a/src/store/command_service.h
+++ b/src/store/command_service.h
@@ -5,6 +5,7 @@
 
 #include "operator/command.h"
 #include "store/command_forwarder.h"
+#include "store/evacuation_service.h"
 #include "store/in_force_waits.h"
 #include "store/log_writer.h"
 #include "store/quarantine_keeper.h"
@@ -25,6 +26,7 @@
   ReplicaAdmin& replicas;
   CommandForwarder& forwarder;
   QuarantineKeeper& quarantine;
+  EvacuationService& evacuations;
 };
 
 /// Takes operators' commands: parses them, passes them on to the leader, and there checks the credential and
@@ -83,6 +85,8 @@
   void run(const Call& call, const command::ReplaceReplica& order);
   void run(const Call& call, const command::RemoveReplica& order);
   void run(const Call& call, const command::ReleaseContent& order);
+  void run(const Call& call, const command::ShowEvacuations& query);
+  void run(const Call& call, const command::EvacuateZone& order);
   /// @throw Error(Forbidden)
   static void requireAdministrator(const Call& call);
   /// @throw Error(Unavailable) if there is no reader.
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -77,10 +77,15 @@
     "What is held against a request ends, or after a quarantine is eased: then the next crash under it "
     "quarantines it again. Watch for content_quarantined."};
 
+inline constexpr EventDefinition kEvacuationOrdered{
+    3020, LogLevel::Info, "evacuation_ordered",
+    "An operator orders that a zone's targets get no requests, or get them again, or sends such an order "
+    "again. If is_held is true it may be a late copy, and is taken when it comes once more."};
+
 inline constexpr std::array kStoreEvents{
     kReaderAdmitted, kReaderLost,         kReaderRefused,   kReaderSilent,     kSnapshotTooLarge,
     kUnexpectedPeer, kStopBegan,          kReplacementDone, kBootstrapRefused, kFormationWaiting,
     kMembershipStep, kNodeLinked,         kNodeLost,        kRolloutOrdered,   kRolloutStep,
-    kCrashReported,  kContentQuarantined, kContentCleared,  kContentReleased};
+    kCrashReported,  kContentQuarantined, kContentCleared,  kContentReleased,  kEvacuationOrdered};
 
 }  // namespace cometstand::store
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -17,6 +17,7 @@
   std::uint64_t claims_in_progress = 0;
   std::uint64_t claims_finished = 0;
   std::uint64_t commands_waiting = 0;
+  std::uint64_t zones_evacuated = 0;
 
   // Counters.
   std::uint64_t commands_completed = 0;
--- a/src/store/node_hub.cpp
+++ b/src/store/node_hub.cpp
@@ -64,6 +64,7 @@
   // First: a node that knows a configuration begins to send requests.
   if (hasRollouts() && isCurrent()) context_.actions.send(link, makeRolloutUpdate());
   if (quarantine().lastNumber() != 0) context_.actions.send(link, quarantine().updateSince(0), 0);
+  if (evacuations().lastNumber() != 0) context_.actions.send(link, evacuations().makeUpdate(), 0);
   node.sent_revision = request.have_revision;
   sendConfiguration(link, node);
   wire::EndpointUpdateT update;
@@ -177,9 +178,21 @@
   }
 }
 
+/// All zones at once: they are few, and a node that missed a change has them right with the next one.
+void NodeHub::sendEvacuations() {
+  if (sent_evacuations_ == evacuations().lastNumber()) return;
+  sent_evacuations_ = evacuations().lastNumber();
+  const auto message =
+      std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(evacuations().makeUpdate()));
+  for (const auto& [link, node] : nodes_) {
+    if (node.subscribed) context_.actions.send(link, message);
+  }
+}
+
 void NodeHub::onApplied(TimePoint now) {
   sendRollouts(now);
   sendQuarantine();
+  sendEvacuations();
   for (auto& [link, node] : nodes_) {
     if (node.subscribed) sendConfiguration(link, node);
   }
--- a/src/store/node_hub.h
+++ b/src/store/node_hub.h
@@ -56,12 +56,15 @@
   void onSubscribe(runtime::LinkId link, const wire::NodeSubscribeT& request);
   void onReport(runtime::LinkId link, const wire::EndpointUpdateT& update, TimePoint now);
   const QuarantineRegister& quarantine() const { return context_.state.quarantine(); }
+  const EvacuationRegister& evacuations() const { return context_.state.evacuations(); }
   bool hasRollouts() const { return !context_.state.rollouts().all().empty(); }
   runtime::MessagePointer makeRolloutUpdate() const;
   /// To all subscribed nodes, if anything changed or the last word on a running roll-out is old.
   void sendRollouts(TimePoint now);
   /// What has changed of the quarantine, to all subscribed nodes.
   void sendQuarantine();
+  /// The evacuated zones to all subscribed nodes, if they have changed.
+  void sendEvacuations();
   void takeConfiguration();
   void sendConfiguration(runtime::LinkId link, Node& node);
   /// The record goes to all subscribed nodes with the next step.
@@ -102,6 +105,8 @@
   TimePoint rollouts_at_;
   /// QuarantineRegister::lastNumber() as the subscribed nodes were told.
   std::uint64_t sent_quarantine_ = 0;
+  /// EvacuationRegister::lastNumber() as the subscribed nodes were told.
+  std::uint64_t sent_evacuations_ = 0;
 };
 
 }  // namespace cometstand::store
--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -44,8 +44,11 @@
   flatbuffers::Offset<wire::QuarantineState> quarantine;
   if (state_.quarantine != nullptr)
     quarantine = wire::CreateQuarantineState(builder_, state_.quarantine.get());
+  flatbuffers::Offset<wire::EvacuationState> evacuations;
+  if (state_.evacuations != nullptr)
+    evacuations = wire::CreateEvacuationState(builder_, state_.evacuations.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history, mesh, rollouts, quarantine));
+                                         claims, history, mesh, rollouts, quarantine, evacuations));
   finished_ = true;
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -73,6 +73,7 @@
   if (const auto* report = command.body.AsCrashReport()) return quarantine_.apply(*report);
   if (const auto* clearance = command.body.AsContentClearance()) return quarantine_.apply(*clearance);
   if (const auto* release = command.body.AsContentRelease()) return quarantine_.apply(*release);
+  if (const auto* order = command.body.AsEvacuationOrder()) return evacuations_.apply(*order);
   return notRun<wire::CommandReplyT>(
       Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
 }
@@ -176,6 +177,7 @@
   if (mesh_.revision() != 0) state.mesh = mesh_.capture();
   state.rollouts = rollouts_.capture();
   state.quarantine = quarantine_.capture();
+  state.evacuations = evacuations_.capture();
   return state;
 }
 
@@ -197,6 +199,7 @@
   mesh_.restore(state.mesh);
   rollouts_.restore(state.rollouts);
   quarantine_.restore(state.quarantine);
+  evacuations_.restore(state.evacuations);
 }
 
 }  // namespace cometstand::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -12,6 +12,7 @@
 #include "config/transaction_check.h"
 #include "schema/store_generated.h"
 #include "store/claim_table.h"
+#include "store/evacuation_register.h"
 #include "store/mesh_register.h"
 #include "store/quarantine_register.h"
 #include "store/request_table.h"
@@ -25,9 +26,10 @@
 
 /// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end, a
 /// MeshChangeResult for a change of the whole mesh configuration, a RolloutResult for an order or a step of a
-/// roll-out, a QuarantineResult for a crash report, a clearance or a release of a content.
-using CommandResult =
-    std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult, QuarantineResult>;
+/// roll-out, a QuarantineResult for a crash report, a clearance or a release of a content, an
+/// EvacuationResult for an order for a zone.
+using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult,
+                                   QuarantineResult, EvacuationResult>;
 
 /// The replicated state: catalog, answered requests, claims, history. Owns no input or output and never looks
 /// at a clock or a random number: equal sequences of apply() give equal states and results on every replica.
@@ -47,6 +49,7 @@
   const MeshRegister& mesh() const { return mesh_; }
   const RolloutRegister& rollouts() const { return rollouts_; }
   const QuarantineRegister& quarantine() const { return quarantine_; }
+  const EvacuationRegister& evacuations() const { return evacuations_; }
   /// @return the newest accepted changes, the oldest first.
   const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
 
@@ -77,6 +80,7 @@
   MeshRegister mesh_;
   RolloutRegister rollouts_;
   QuarantineRegister quarantine_;
+  EvacuationRegister evacuations_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
 };
 
--- a/src/store/store_core.cpp
+++ b/src/store/store_core.cpp
@@ -54,6 +54,11 @@
   parts_->readRollout(service, std::move(handler), now);
 }
 
+void StoreCore::orderEvacuation(const wire::EvacuationOrderT& order, const EvacuationAnswerHandler& handler,
+                                TimePoint now) {
+  parts_->orderEvacuation(order, handler, now);
+}
+
 void StoreCore::setSeeds(std::vector<runtime::Address> seeds) { parts_->setSeeds(std::move(seeds)); }
 
 consensus::Leadership StoreCore::leadership() const { return parts_->consensus().leadership(); }
--- a/src/store/store_core.h
+++ b/src/store/store_core.h
@@ -6,6 +6,7 @@
 
 #include "consensus/output.h"
 #include "runtime/process_core.h"
+#include "store/evacuation_service.h"
 #include "store/mesh_service.h"
 #include "store/metrics.h"
 #include "store/options.h"
@@ -49,6 +50,12 @@
   /// Reads the service's newest roll-out. To be followed by the runner's flush().
   void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
 
+  /// Orders that a zone's targets get no requests any more, or get them again. To be followed by the runner's
+  /// flush().
+  /// @param handler called exactly once, now or later, with the outcome.
+  void orderEvacuation(const wire::EvacuationOrderT& order, const EvacuationAnswerHandler& handler,
+                       TimePoint now);
+
   /// Other seeds from now on, for a replica that wants to join.
   void setSeeds(std::vector<runtime::Address> seeds);
 
--- a/src/store/store_pages.cpp
+++ b/src/store/store_pages.cpp
@@ -21,6 +21,7 @@
   add("claims_in_progress", "Claims that are held.", metrics.claims_in_progress);
   add("claims_finished", "Finished claims that are kept.", metrics.claims_finished);
   add("commands_waiting", "Changes and claims that wait for the log.", metrics.commands_waiting);
+  add("zones_evacuated", "Zones whose targets get no requests.", metrics.zones_evacuated);
 }
 
 void addCommandCounters(admin::MetricSet& set, const StoreMetrics& metrics) {
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -86,6 +86,7 @@
   rollouts_.onTimer(now);
   rollout_controller_.onTimer(now);
   quarantine_.onTimer(now);
+  evacuations_.onTimer(now);
   nodes_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
@@ -103,10 +104,10 @@
   const TimePoint consensus_timer = holdsElections() ? TimePoint::max() : consensus_.nextTimer();
   return std::min({consensus_timer, formation_.nextTimer(), seeds_.nextTimer(), members_.nextTimer(),
                    mesh_.nextTimer(), rollouts_.nextTimer(), rollout_controller_.nextTimer(),
-                   quarantine_.nextTimer(), nodes_.nextTimer(), replicas_.nextTimer(), readers_.nextTimer(),
-                   writer_.nextTimer(), claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(),
-                   admin_.nextTimer(), forwarder_.nextTimer(),
-                   stop_passed_ ? TimePoint::max() : stop_deadline_});
+                   quarantine_.nextTimer(), evacuations_.nextTimer(), nodes_.nextTimer(),
+                   replicas_.nextTimer(), readers_.nextTimer(), writer_.nextTimer(),
+                   claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
+                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
@@ -131,6 +132,7 @@
     applied_index_ = output.installed_snapshot->last_index;
     snapshot_.reset();
     rollout_clock_.refresh(state_.rollouts(), now);
+    evacuations_.onRestored(now);
     nodes_.onApplied(now);
   }
   applyCommitted(output.committed, now);
@@ -152,6 +154,7 @@
   mesh_.onLeadershipLost();
   rollouts_.onLeadershipLost();
   quarantine_.onLeadershipLost();
+  evacuations_.onLeadershipLost();
   claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
@@ -169,6 +172,7 @@
     mesh_.onApplied(*entry, results);
     rollouts_.onApplied(*entry, results);
     quarantine_.onApplied(*entry, results);
+    evacuations_.onApplied(*entry, results, now);
   }
   rollout_clock_.refresh(state_.rollouts(), now);
   quarantine_.logChanges();
@@ -216,8 +220,7 @@
 void StoreParts::stepStop(TimePoint now) {
   if (!stopping_) return;
   if (now >= stop_deadline_) stop_passed_ = true;
-  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !mesh_.idle() || !rollouts_.idle() ||
-      !admin_.idle())
+  if (now < next_transfer_ || !context_.isLeader() || !writer_.idle() || !servicesIdle() || !admin_.idle())
     return;
   // By then a transfer to a replica that does not answer has been given up.
   next_transfer_ = now + 2 * options_.consensus.election_timeout_max;
@@ -227,8 +230,7 @@
 TimePoint StoreParts::stopTimer() const {
   if (!stopping_ || stop_passed_) return TimePoint::max();
   // What is still to be answered ends by an event, and the handover follows that.
-  const bool may_hand_over =
-      context_.isLeader() && writer_.idle() && mesh_.idle() && rollouts_.idle() && admin_.idle();
+  const bool may_hand_over = context_.isLeader() && writer_.idle() && servicesIdle() && admin_.idle();
   return may_hand_over ? std::min(next_transfer_, stop_deadline_) : stop_deadline_;
 }
 
@@ -260,6 +262,12 @@
   drain(now);
 }
 
+void StoreParts::orderEvacuation(const wire::EvacuationOrderT& order, const EvacuationAnswerHandler& handler,
+                                 TimePoint now) {
+  evacuations_.order(order, handler, now);
+  drain(now);
+}
+
 StoreMetrics StoreParts::metrics() const {
   StoreMetrics metrics = metrics_;
   const auto leadership = consensus_.leadership();
@@ -273,6 +281,7 @@
   metrics.claims_in_progress = state_.claims().inProgressCount();
   metrics.claims_finished = state_.claims().finishedCount();
   metrics.commands_waiting = writer_.waiting();
+  metrics.zones_evacuated = state_.evacuations().count();
   return metrics;
 }
 
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -6,6 +6,7 @@
 #include "store/claim_expiry.h"
 #include "store/cluster_formation.h"
 #include "store/command_service.h"
+#include "store/evacuation_service.h"
 #include "store/membership_manager.h"
 #include "store/mesh_service.h"
 #include "store/node_hub.h"
@@ -46,6 +47,8 @@
   void readMesh(MeshAnswerHandler handler, TimePoint now);
   void orderRollout(const wire::RolloutOrderT& order, const RolloutAnswerHandler& handler, TimePoint now);
   void readRollout(const std::string& service, RolloutAnswerHandler handler, TimePoint now);
+  void orderEvacuation(const wire::EvacuationOrderT& order, const EvacuationAnswerHandler& handler,
+                       TimePoint now);
 
  private:
   bool holdsElections() const { return formation_.holdsElections() || seeds_.holdsElections(); }
@@ -58,6 +61,8 @@
   void beginSnapshotIfDue(TimePoint now);
   void continueSnapshot(TimePoint now);
   void stepStop(TimePoint now);
+  /// @return true if callers in the same process wait for nothing.
+  bool servicesIdle() const { return mesh_.idle() && rollouts_.idle() && evacuations_.idle(); }
   TimePoint stopTimer() const;
   /// @return true if the link's certificate allows this role; else the link is closed.
   bool requireRole(runtime::LinkId link, const char* role, const char* other_role = "");
@@ -89,6 +94,7 @@
   RolloutService rollouts_{context_, rollout_clock_};
   RolloutController rollout_controller_{context_, rollout_clock_, nodes_};
   QuarantineKeeper quarantine_{context_};
+  EvacuationService evacuations_{context_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   ClaimExpiry claim_expiry_{context_, writer_};
@@ -96,7 +102,8 @@
   InForceWaits waits_{context_, readers_};
   ReplicaAdmin admin_{context_};
   CommandForwarder forwarder_{context_, replicas_};
-  CommandService commands_{context_, {readers_, writer_, statuses_, waits_, admin_, forwarder_, quarantine_}};
+  CommandService commands_{
+      context_, {readers_, writer_, statuses_, waits_, admin_, forwarder_, quarantine_, evacuations_}};
 
   /// Certificates of the open incoming links.
   std::map<runtime::LinkId, runtime::PeerIdentity> incoming_;
--- a/tests/rollout/store_group.cpp
+++ b/tests/rollout/store_group.cpp
@@ -14,7 +14,9 @@
           7'000};
 }
 
-StoreGroup::StoreGroup(ProcessNetwork& network, RandomSource& random, std::size_t count) : network_(network) {
+StoreGroup::StoreGroup(ProcessNetwork& network, RandomSource& random, std::size_t count,
+                       const mesh::ZoneMap& zones)
+    : network_(network) {
   for (std::size_t number = 1; number <= count; ++number) {
     store::StoreOptions options;
     options.self.id = number;
@@ -23,6 +25,7 @@
     options.self.address = address.host;
     options.self.port = address.port;
     options.bootstrap = true;
+    options.zones = zones;
     for (std::size_t seed = 1; seed <= count; ++seed) options.seeds.push_back(addressOf(seed));
     ids_.push_back(network_.add(address, [&random, options] {
       return std::make_unique<store::StoreCore>(options, random.uniform(0, UINT64_MAX));
--- a/tests/rollout/store_group.h
+++ b/tests/rollout/store_group.h
@@ -17,7 +17,9 @@
 class StoreGroup {
  public:
   /// Starts the stores and waits until they have a leader.
-  StoreGroup(ProcessNetwork& network, RandomSource& random, std::size_t count);
+  /// @param zones see StoreOptions.
+  StoreGroup(ProcessNetwork& network, RandomSource& random, std::size_t count,
+             const mesh::ZoneMap& zones = {});
 
   const std::vector<ProcessId>& ids() const { return ids_; }
   /// @return where sidecars find them.
