Voters are spread over the zones, so that a tolerated loss of zones leaves a majority

Cause: voters were taken in the order in which replicas came, so that a zone could hold a majority of them, and a silent voter was replaced by a learner of any zone: with one zone without power and its voter replaced by a second one of another zone, that zone's disks could hold the only copies of what was acknowledged.

Change: with store.tolerated_zone_losses, learners of zones with the fewest voters come first; once all voters were heard for 1 s, one replacement after another makes the zones' numbers more equal (voter_spread.h: it lowers the sum of squares, so it ends and is never taken back; not taken if its first half would outlast fewer zones); a silent voter is for 60 s not replaced by a learner with which the tolerated losses are no longer outlasted. Voters are at least twice the tolerated zone losses and one. With 0 nothing changes.

Ruled out: choosing some of the seeds as first voters. All seeds must agree on the first log entry, so the spread comes by replacements right after the start instead.

A membership change of a cluster whose voters were not spread yet does not outlast the loss of the fuller zone before it is committed: seen while writing the tests.

--- a/src/store/membership_manager.cpp
+++ b/src/store/membership_manager.cpp
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/event_log.h"
 #include "store/events.h"
+#include "store/voter_spread.h"
 
 namespace cometstand::store {
 namespace {
@@ -13,6 +14,15 @@
 /// A replica that still wants to join asks several times in this time.
 constexpr Duration kCandidateLifetime = std::chrono::seconds(1);
 constexpr Duration kSilentLearnerLimit = std::chrono::seconds(20);
+/// After this time a silent voter gives its place to a learner of any zone. Until then only to one with which
+/// the voters outlast the tolerated zone losses as before: a zone without power comes back with its disks,
+/// and if its voters had been replaced by those of another zone, that one's disks could hold the only copies.
+/// Reckoned: longer than a zone is usually away, shorter than the wait for another machine in its place.
+constexpr Duration kSilentZonePatience = std::chrono::seconds(60);
+/// All voters are heard for this long before one is replaced for the spread's sake: a replacement while a
+/// voter is away would leave a smaller margin, and a new leader takes all for heard at first. Reckoned:
+/// several election timeouts.
+constexpr Duration kSteadyTime = std::chrono::seconds(1);
 
 using consensus::MembershipChange;
 using consensus::MembershipChangeKind;
@@ -37,6 +47,7 @@
 
 void MembershipManager::onLeadershipChanged(TimePoint now) {
   heard_at_.clear();
+  voter_missed_at_ = now;
   step_at_ = now;
 }
 
@@ -68,6 +79,7 @@
     // A replica that has just been added counts as heard once.
     const auto known = heard_at_.try_emplace(follower.id, now).first;
     if (follower.is_active) known->second = now;
+    if (!follower.is_active && !follower.is_learner) voter_missed_at_ = now;
   }
 }
 
@@ -87,7 +99,35 @@
   const auto membership = context_.consensus.membership();
   if (auto change = changeForLearner(membership, now)) return change;
   if (auto change = changeForCandidate(membership, now)) return change;
-  return removalOfSilentLearner(membership, now);
+  if (auto change = removalOfSilentLearner(membership, now)) return change;
+  return changeForSpread(membership, now);
+}
+
+std::vector<const wire::ReplicaT*> MembershipManager::activeLearners(const wire::MembershipT& membership,
+                                                                     TimePoint now) const {
+  std::vector<const wire::ReplicaT*> learners;
+  for (const auto& learner : membership.learners) {
+    if (isActive(learner->id)) learners.push_back(learner.get());
+  }
+  if (context_.options.tolerated_zone_losses == 0) return learners;
+  wire::MembershipT heard;
+  for (const auto& voter : membership.voters) {
+    if (!isSilent(voter->id, context_.options.replace_silent_after, now)) heard.voters.push_back(voter);
+  }
+  auto voters = votersByZone(heard);
+  std::stable_sort(learners.begin(), learners.end(), [&voters](const auto* left, const auto* right) {
+    return voters[left->zone] < voters[right->zone];
+  });
+  return learners;
+}
+
+std::optional<MembershipChange> MembershipManager::changeForSpread(const wire::MembershipT& membership,
+                                                                   TimePoint now) const {
+  const auto zones = context_.options.tolerated_zone_losses;
+  if (zones == 0 || now < voter_missed_at_ + kSteadyTime) return std::nullopt;
+  std::map<ReplicaId, const wire::ReplicaT*> candidates;
+  for (const auto* learner : activeLearners(membership, now)) candidates[learner->id] = learner;
+  return spreadStep(membership, candidates, zones, context_.options.self.id);
 }
 
 ReplicaId MembershipManager::placeFor(const wire::MembershipT& membership, const wire::ReplicaT& learner,
@@ -96,15 +136,25 @@
     if (sameAddress(*voter, learner)) return voter->id;
   }
   for (const auto& voter : membership.voters) {
-    if (isSilent(voter->id, context_.options.replace_silent_after, now)) return voter->id;
+    if (!isSilent(voter->id, context_.options.replace_silent_after, now)) continue;
+    if (mayTakePlace(membership, *voter, learner, now)) return voter->id;
   }
   return 0;
 }
 
+bool MembershipManager::mayTakePlace(const wire::MembershipT& membership, const wire::ReplicaT& voter,
+                                     const wire::ReplicaT& learner, TimePoint now) const {
+  const auto zones = context_.options.tolerated_zone_losses;
+  auto voters = votersByZone(membership);
+  if (!outlastsZones(voters, zones) || isSilent(voter.id, kSilentZonePatience, now)) return true;
+  --voters[voter.zone];
+  ++voters[learner.zone];
+  return outlastsZones(voters, zones);
+}
+
 std::optional<MembershipChange> MembershipManager::changeForLearner(const wire::MembershipT& membership,
                                                                     TimePoint now) const {
-  for (const auto& learner : membership.learners) {
-    if (!isActive(learner->id)) continue;
+  for (const auto* learner : activeLearners(membership, now)) {
     MembershipChange change;
     change.replica.id = learner->id;
     change.replaced = placeFor(membership, *learner, now);
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -51,7 +51,7 @@
       "keeps twice as many voters and one more, from 3 to 9, as far as there are replicas.");
   table.integer<std::size_t>("store.tolerated_zone_losses", store.options.tolerated_zone_losses, {0, 9},
                              "Zones that may be lost at once. With store.seeds, voters are spread so that a "
-                             "majority outlasts that.");
+                             "majority outlasts that, and there are at least twice as many and one more.");
   table.texts("store.zones", store.zones,
               "All zones with their regions, each as zone=region. Orders for other zones are refused; none "
               "if they are not known.");
@@ -202,7 +202,9 @@
 
 void completeStoreOptions(StoreSettings& store) {
   if (store.advertise.host.empty()) store.advertise = store.common.listen;
-  store.options.voters = std::clamp<std::size_t>(2 * store.tolerated_losses + 1, kLeastVoters, kMostVoters);
+  // A zone takes at least one voter with it, so fewer voters outlast no such loss, however they are spread.
+  const auto losses = std::max(store.tolerated_losses, store.options.tolerated_zone_losses);
+  store.options.voters = std::clamp<std::size_t>(2 * losses + 1, kLeastVoters, kMostVoters);
   store.options.self = toReplica({store.id, store.name, store.advertise, store.common.region});
   store.options.self.zone = store.common.zone;
   store.options.zones = mesh::ZoneMap(store.zones);
