A roll-out succeeds only once no lost or unknown target can run anything any more

Cause: a leader that had just started knew no target, so none was unconfirmed and no slots sufficed for no slots; and a target whose sidecar was cut off counted as gone 2 s after its link had ended.

Ruled out: to wait only for warm targets of the new version. Also ruled out: to close an old target whose sidecar hears no store, since a cut-off zone is to serve its own callers.

Change: NodeHub remembers the endpoints whose node's link ended (10 min); they count as busy until they report again, their last report says closed and idle, or the longest timeout of the service's routes has passed. A replica that started less than that and 2 s ago says no success, and none does without warm new targets. What takes longer than the roll-out may is taken back, as before.

--- a/src/store/node_hub.cpp
+++ b/src/store/node_hub.cpp
@@ -5,6 +5,7 @@
 
 #include "base/event_log.h"
 #include "mesh/compression.h"
+#include "mesh/configuration.h"
 #include "store/events.h"
 
 namespace cometstand::store {
@@ -31,6 +32,8 @@
 constexpr Duration kIdleNodeSilence = std::chrono::seconds(35);
 /// How long an endpoint is kept whose node's link has ended: a node links itself again after a short cut.
 constexpr Duration kLostEndpointLease = std::chrono::seconds(2);
+/// How long it is remembered that such an endpoint was lost: no request runs for longer than a route allows.
+constexpr Duration kLostEndpointMemory = std::chrono::milliseconds(mesh::kMaxTimeoutMs);
 
 using runtime::LinkId;
 
@@ -80,6 +83,7 @@
     endpoint.reported_by = link;
     endpoint.lost_at.reset();
     endpoint.record = record;
+    lost_endpoints_.erase(nodes_.at(link).name);
     announce(record);
   }
 }
@@ -258,8 +262,11 @@
     auto gone = std::make_shared<wire::EndpointRecordT>(*endpoint.record);
     gone->state = wire::EndpointState::Gone;
     announce(std::move(gone));
+    lost_endpoints_[item->first] = {endpoint.record, *endpoint.lost_at};
     item = endpoints_.erase(item);
   }
+  std::erase_if(lost_endpoints_,
+                [now](const auto& lost) { return lost.second.lost_at + kLostEndpointMemory <= now; });
 }
 
 void NodeHub::onTimer(TimePoint now) {
--- a/src/store/node_hub.h
+++ b/src/store/node_hub.h
@@ -35,6 +35,16 @@
   std::vector<std::pair<std::string, std::shared_ptr<const wire::EndpointRecordT>>> endpointsOf(
       const std::string& service) const;
 
+  /// An endpoint that was taken out since the link of its node ended.
+  struct LostEndpoint {
+    std::shared_ptr<const wire::EndpointRecordT> record;
+    /// When the link ended.
+    TimePoint lost_at;
+  };
+  /// @return by the names of their nodes, until they report again or for kLostEndpointMemory. That a link
+  /// ended says nothing of what the target still runs.
+  const std::map<std::string, LostEndpoint>& lostEndpoints() const { return lost_endpoints_; }
+
  private:
   struct Node {
     std::string name;
@@ -79,6 +89,7 @@
   std::map<runtime::LinkId, Node> nodes_;
   /// By the name of the node beside the endpoint.
   std::map<std::string, Endpoint> endpoints_;
+  std::map<std::string, LostEndpoint> lost_endpoints_;
   /// Records that the subscribed nodes do not have yet, in the order in which they came. Sent together: after
   /// a start of the whole fleet each of n nodes is told of n endpoints.
   std::vector<std::shared_ptr<wire::EndpointRecordT>> changed_;
--- a/src/store/rollout_controller.cpp
+++ b/src/store/rollout_controller.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/event_log.h"
+#include "mesh/configuration.h"
 #include "store/events.h"
 
 namespace cometstand::store {
@@ -45,6 +46,10 @@
 /// which a follower notices that it has no leader (0.6 s), and some for the way.
 constexpr Duration kCloseTime = std::chrono::milliseconds(2'500);
 
+/// Nodes in touch link themselves to a store that has started within this time: they try again after 0.8 s at
+/// most (sidecar::PeerLinks).
+constexpr Duration kLinkTime = std::chrono::seconds(2);
+
 Duration shareOf(Duration whole, double share) { return std::chrono::duration_cast<Duration>(whole * share); }
 
 Duration durationOf(const wire::RolloutRecordT& record) {
@@ -88,6 +93,7 @@
 }
 
 void RolloutController::onTimer(TimePoint now) {
+  if (!started_at_) started_at_ = now;
   if (now < check_at_) return;
   check_at_ = now + kCheckInterval;
   if (!context_.isLeader()) {
@@ -160,7 +166,7 @@
                                     TimePoint now) const {
   const auto canary = watch.reports.capacityOf(record.version, false, now);
   const auto stable = watch.reports.capacityOf(record.version, true, now);
-  return canary.warm_slots >= kLeastCapacity * stable.slots;
+  return canary.warm_slots > 0 && canary.warm_slots >= kLeastCapacity * stable.slots;
 }
 
 void RolloutController::decideCanary(const wire::RolloutRecordT& record, Watch& watch, TimePoint now) {
@@ -197,15 +203,45 @@
   return count;
 }
 
+std::size_t RolloutController::lostAndBusy(const wire::RolloutRecordT& record, const Watch& watch,
+                                           TimePoint now) const {
+  const auto& all = nodes_.lostEndpoints();
+  if (all.empty()) return 0;
+  const Duration longest = longestRun(record.service);
+  const auto count = std::count_if(all.begin(), all.end(), [&](const auto& item) {
+    const auto& [node, lost] = item;
+    const bool is_other = lost.record->service == record.service && lost.record->version != record.version;
+    return is_other && now < lost.lost_at + longest &&
+           !watch.reports.endedIdle(node, lost.record->endpoint, record.step);
+  });
+  return static_cast<std::size_t>(count);
+}
+
+Duration RolloutController::longestRun(const std::string& service) const {
+  const auto& bytes = context_.state.mesh().configuration();
+  std::uint32_t longest = 0;
+  if (bytes.empty()) return Duration::zero();
+  for (const auto& route : mesh::decodeConfiguration(bytes).routes) {
+    const bool leads_there = std::any_of(route->shares.begin(), route->shares.end(),
+                                         [&service](const auto& share) { return share->service == service; });
+    if (leads_there) longest = std::max(longest, route->timeout_ms);
+  }
+  return std::chrono::milliseconds(longest);
+}
+
+bool RolloutController::knowsAllTargets(const std::string& service, TimePoint now) const {
+  return now >= *started_at_ + kLinkTime + longestRun(service);
+}
+
 void RolloutController::decidePromoting(const wire::RolloutRecordT& record, Watch& watch, TimePoint now) {
   const auto judgement = judgementOf(record, watch);
   if (judgement.verdict == RolloutVerdict::Bad) {
     step(record, watch, Phase::RollingBack, 0, judgement.reason, now);
     return;
   }
-  const auto busy = unconfirmed(record, watch, true, now);
+  const auto busy = unconfirmed(record, watch, true, now) + lostAndBusy(record, watch, now);
   const Duration elapsed = clock_.elapsed(record.service, now);
-  if (busy == 0 && canCarryAll(record, watch, now)) {
+  if (busy == 0 && canCarryAll(record, watch, now) && knowsAllTargets(record.service, now)) {
     step(record, watch, Phase::Succeeded, 0, "no request is left at a target of another version", now);
   } else if (elapsed + kEndMargin >= durationOf(record)) {
     step(record, watch, Phase::RollingBack, 0, fmt::format("{} old targets were not idle in time", busy),
--- a/src/store/rollout_controller.h
+++ b/src/store/rollout_controller.h
@@ -20,7 +20,10 @@
 /// - A sidecar that hears of no roll-out for its lease (see sidecar::RolloutView) sends nothing to the new
 ///   version, so a rollback holds everywhere kCloseTime after its step.
 /// - Succeeded is said only when each target of an older version has reported, after that step, that it is
-///   closed and idle, or is gone.
+///   closed and idle. One whose node's link ended instead counts as busy for as long as a request of the
+///   service may run (longestRun()): its sidecar may be cut off and keeps what it has until its deadline. A
+///   replica that has just started knows no target, so it waits until nodes have linked themselves to it, and
+///   then as long. If that takes longer than the roll-out may, it is taken back.
 class RolloutController {
  public:
   /// @param clock, nodes must outlive the controller.
@@ -58,6 +61,14 @@
   /// @return the targets of the new version, or of all others, that have not confirmed the step.
   std::size_t unconfirmed(const wire::RolloutRecordT& record, const Watch& watch, bool of_others,
                           TimePoint now) const;
+  /// @return the lost targets of other versions that may still run requests.
+  std::size_t lostAndBusy(const wire::RolloutRecordT& record, const Watch& watch, TimePoint now) const;
+  /// @return the longest timeout of the routes that lead to the service, by the configuration that this
+  /// replica has.
+  Duration longestRun(const std::string& service) const;
+  /// @return true if every target that may run requests of the service is known here, or can run none any
+  /// more.
+  bool knowsAllTargets(const std::string& service, TimePoint now) const;
   RolloutJudgement judgementOf(const wire::RolloutRecordT& record, const Watch& watch) const;
   void step(const wire::RolloutRecordT& record, Watch& watch, wire::RolloutPhase phase, std::uint32_t share,
             const std::string& reason, TimePoint now);
@@ -68,6 +79,8 @@
   /// By service.
   std::map<std::string, Watch> watches_;
   TimePoint check_at_;
+  /// When this replica first ran a timer.
+  std::optional<TimePoint> started_at_;
 };
 
 }  // namespace cometstand::store
--- a/src/store/rollout_reports.cpp
+++ b/src/store/rollout_reports.cpp
@@ -65,4 +65,13 @@
   });
 }
 
+bool RolloutReports::endedIdle(const std::string& node, const std::string& endpoint,
+                               std::uint32_t step) const {
+  return std::any_of(heard_.begin(), heard_.end(), [&](const auto& item) {
+    const auto& report = item.second.report;
+    return item.first.node == node && item.first.endpoint == endpoint && report.step >= step &&
+           report.is_closed && report.in_flight == 0;
+  });
+}
+
 }  // namespace cometstand::store
--- a/src/store/rollout_reports.h
+++ b/src/store/rollout_reports.h
@@ -43,6 +43,9 @@
   /// new requests. @param idle it has none left either.
   bool isClosed(const std::string& node, const std::string& endpoint, std::uint32_t step, bool idle,
                 TimePoint now) const;
+  /// @return true if the node's last word on this target, however old, was that it is closed by the step or a
+  /// later one, and idle. Such a target stays idle for as long as that step holds.
+  bool endedIdle(const std::string& node, const std::string& endpoint, std::uint32_t step) const;
 
  private:
   struct Heard {
--- a/tests/rollout/rollout_mesh.cpp
+++ b/tests/rollout/rollout_mesh.cpp
@@ -1,5 +1,6 @@
 #include "rollout_mesh.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace cometstand::rollout::test {
@@ -18,7 +19,7 @@
 constexpr std::size_t kBadAnswers = 50;
 constexpr double kThousand = 1'000;
 
-wire::MeshConfigurationT makeConfiguration() {
+wire::MeshConfigurationT makeConfiguration(Duration route_timeout) {
   wire::MeshConfigurationT configuration;
   for (const char* name : {"read", "write"}) {
     auto route = std::make_shared<wire::MeshRouteT>();
@@ -26,7 +27,7 @@
     route->host = "desk.example";
     route->path_prefix = std::string("/") + name + "/";
     route->repeatable = route->name == "read";
-    route->timeout_ms = 2'000;
+    route->timeout_ms = static_cast<std::uint32_t>(ceilMilliseconds(route_timeout));
     route->objective_ms = 800;
     route->priority = 1;
     route->max_attempts = 2;
@@ -46,7 +47,7 @@
 
 RolloutMesh::RolloutMesh(std::uint64_t seed, Behaviour new_version)
     : random_(seed), new_version_(std::move(new_version)), store_group_(network, random_, kStores) {
-  store_group_.configure(makeConfiguration());
+  store_group_.configure(makeConfiguration(new_version_.route_timeout));
   for (std::size_t i = 0; i < kSidecars; ++i) old_sidecars.push_back(addSidecar("v1"));
   network.runFor(seconds(4));
   watchState();
@@ -104,6 +105,12 @@
   return record == nullptr ? std::nullopt : std::optional(record->phase);
 }
 
+const std::set<sidecar::RunId>& RolloutMesh::runsAt(ProcessId sidecar) const {
+  return std::find_if(machines_.begin(), machines_.end(),
+                      [sidecar](const auto& machine) { return machine.id == sidecar; })
+      ->running;
+}
+
 std::string RolloutMesh::reason() {
   const auto id = leader();
   const auto record = id ? storeAt(*id).stateMachine().rollouts().find(kService) : nullptr;
@@ -194,7 +201,11 @@
                         static_cast<double>(mesh->random_.uniform(500, 1'500)) / kThousand;
   const bool fails =
       is_poor && static_cast<double>(mesh->random_.uniform(0, 999)) / kThousand < mesh->new_version_.failing;
-  const auto time = std::chrono::duration_cast<Duration>(mesh->new_version_.run_time * factor);
+  const auto& behaviour = mesh->new_version_;
+  const bool may_be_long = behaviour.long_run_every != 0 && mesh->long_runs_at.value_or(id) == id;
+  const bool is_long = may_be_long && mesh->random_.uniform(1, behaviour.long_run_every) == 1;
+  const auto time =
+      is_long ? behaviour.long_run_time : std::chrono::duration_cast<Duration>(behaviour.run_time * factor);
   mesh->network.at(mesh->network.now() + time, [this, run = order.id, fails, is_poor] {
     if (!running.contains(run)) return;
     if (is_poor && (fails || mesh->new_version_.slowness > 1) &&
--- a/tests/rollout/rollout_mesh.h
+++ b/tests/rollout/rollout_mesh.h
@@ -25,6 +25,11 @@
   double failing = 0;
   /// The run time is so many times as long.
   double slowness = 1;
+  /// Of all versions, one run in so many takes `long_run_time`; 0 for none.
+  std::uint64_t long_run_every = 0;
+  Duration long_run_time{};
+  /// Of both routes.
+  Duration route_timeout = std::chrono::seconds(2);
   /// Failing and slow only from this time after the order on.
   Duration bad_after = Duration::zero();
   /// Failing and slow only with so many requests at the target.
@@ -66,6 +71,9 @@
   std::string reason();
   void runFor(Duration time) { network.runFor(time); }
 
+  /// @return the runs at the target beside the sidecar.
+  const std::set<sidecar::RunId>& runsAt(ProcessId sidecar) const;
+
   std::optional<ProcessId> leader() const { return store_group_.leader(); }
   store::StoreCore& storeAt(ProcessId id) const { return store_group_.at(id); }
 
@@ -73,6 +81,8 @@
   Observed observed;
   std::vector<ProcessId> old_sidecars;
   std::vector<ProcessId> new_sidecars;
+  /// If given, long runs are at the target beside this sidecar only.
+  std::optional<ProcessId> long_runs_at;
   /// Sidecars that were cut off: what begins at their own targets is not counted.
   std::set<ProcessId> cut_off;
   TimePoint ordered_at;
--- a/tests/rollout/rollout_test.cpp
+++ b/tests/rollout/rollout_test.cpp
@@ -169,6 +169,72 @@
   checkPromises(mesh, Behaviour());
 }
 
+// A leader that had just started knew no target, so none was unconfirmed, and no slots sufficed for no slots.
+TEST_CASE("no success is said too early though all stores die during a promotion") {
+  Behaviour behaviour;
+  behaviour.long_run_every = 100;
+  behaviour.long_run_time = seconds(6);
+  behaviour.route_timeout = seconds(7);
+  const Duration whole = seconds(20);
+  const Duration moment = milliseconds(GENERATE(15'300, 16'000));
+  const Duration unlinked = milliseconds(GENERATE(0, 1'000, 2'000));
+  RolloutMesh mesh(GENERATE(6, 7), behaviour);
+  mesh.order(whole);
+  mesh.runFor(mesh.ordered_at + moment - mesh.network.now());
+  REQUIRE(mesh.phase() == Phase::Promoting);
+  for (const auto id : mesh.stores()) mesh.network.crash(id);
+  // The old targets' sidecars link themselves later than the others.
+  for (const auto id : mesh.old_sidecars) mesh.network.cut(id);
+  mesh.runFor(milliseconds(200));
+  for (const auto id : mesh.stores()) mesh.network.start(id);
+  mesh.runFor(unlinked);
+  for (const auto id : mesh.old_sidecars) mesh.network.mend(id);
+  mesh.runFor(whole);
+  INFO(mesh.reason());
+  CHECK((mesh.phase() == Phase::Succeeded || mesh.phase() == Phase::RolledBack));
+  checkPromises(mesh, behaviour);
+}
+
+// Its link to the stores ends some seconds after the cut, and its record goes two seconds later; what its
+// target runs may last longer than both.
+TEST_CASE("a target whose sidecar is cut off is not taken for idle before its runs can have ended") {
+  Behaviour behaviour;
+  behaviour.long_run_every = 50;
+  behaviour.long_run_time = seconds(14);
+  behaviour.route_timeout = seconds(15);
+  const Duration whole = seconds(40);
+  const Duration before_promotion = milliseconds(GENERATE(6'500, 8'000, 10'000));
+  RolloutMesh mesh(GENERATE(8, 9), behaviour);
+  const auto id = mesh.old_sidecars.at(2);
+  mesh.long_runs_at = id;
+  mesh.order(whole);
+  mesh.runFor(seconds(35) - before_promotion);
+  mesh.cut_off.insert(id);
+  mesh.network.cut(id);
+  const auto begun_before = mesh.runsAt(id);
+  REQUIRE_FALSE(begun_before.empty());
+  const auto is_over = [&mesh] {
+    return mesh.phase() == Phase::Succeeded || mesh.phase() == Phase::RolledBack;
+  };
+  while (!is_over() && mesh.network.now() < mesh.ordered_at + whole + seconds(5))
+    mesh.runFor(milliseconds(5));
+  REQUIRE(is_over());
+  if (mesh.phase() == Phase::RolledBack) return;
+  std::size_t left = 0;
+  for (const auto run : mesh.runsAt(id)) left += begun_before.count(run);
+  CHECK(left == 0);
+}
+
+TEST_CASE("a target that was lost long before the promotion holds it up no more") {
+  RolloutMesh mesh(GENERATE(10, 11), Behaviour());
+  mesh.order(kDuration);
+  mesh.runFor(seconds(1));
+  mesh.network.crash(mesh.old_sidecars.at(2));
+  mesh.runFor(kDuration - seconds(1));
+  INFO(mesh.reason());
+  CHECK(mesh.phase() == Phase::Succeeded);
+}
+
 TEST_CASE("a sidecar that is cut off does no harm") {
   const auto behaviour = GENERATE(Behaviour(), failing(0.4));
   const bool is_old = GENERATE(true, false);
