A zone that does not answer is known as one, and asked again by single requests

Cause: each endpoint of a zone that was cut off or without power was found out for itself, by a request that ran into its deadline or a link that ended; requests that must not be repeated went there too, though the zone may hear without being heard.

Change: ZoneHealth. Two machines of another zone missed within 1 s (link ended, or silent for four usual answer times and 0.5 s) and none of it heard since: its endpoints are passed over while another zone has one. Probes go after 1 s, 2 s, then each 4 s, and any answer or opened link ends it. What must not be repeated goes there only as a probe, if no other zone has an endpoint; else it is refused at once as not run. The own zone is never dark.

Ruled out: counting silence of endpoints as such. While the third endpoint of a zone went on answering, two silent ones made it dark again after each answer (seen in the tests); so a machine that was missed before the zone was last heard counts no more. Also links that never opened: dead machines would make a zone dark again and again. And 0.3 s of silence: targets that have just turned ten times slower would do so too.

--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -61,6 +61,8 @@
   VersionFilter versions{};
   /// The only regions whose endpoints may get it; empty for all.
   std::vector<std::string> regions{};
+  /// The request may be sent again once it may have run.
+  bool may_repeat = true;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/endpoint_cost.cpp
+++ b/src/sidecar/endpoint_cost.cpp
@@ -29,6 +29,10 @@
 /// costs, in units of a full target.
 constexpr double kUsualSilence = 1.5;
 constexpr double kSilenceCost = 2;
+/// Times the usual answer time, and at least, after which an endpoint counts as missed. Reckoned: a target
+/// that has just become ten times as slow as a usual one of some 40 ms is not missed yet.
+constexpr double kLongSilence = 4;
+constexpr Duration kLeastSilence = std::chrono::milliseconds(500);
 /// Weight of the newest answer.
 constexpr double kNewestAnswer = 0.05;
 
@@ -68,6 +72,14 @@
   return kSilenceCost * std::max(0.0, silence / usual->second - kUsualSilence);
 }
 
+std::optional<TimePoint> EndpointCost::missedSince(const Endpoint& endpoint, TimePoint now) const {
+  const auto usual = answer_time_.find(endpoint.service);
+  if (endpoint.outstanding == 0 || usual == answer_time_.end()) return std::nullopt;
+  const Duration limit{static_cast<Duration::rep>(kLongSilence * usual->second)};
+  const TimePoint missed_at = endpoint.silent_since + std::max(limit, kLeastSilence);
+  return now >= missed_at ? std::optional(missed_at) : std::nullopt;
+}
+
 double EndpointCost::ofDistance(const Endpoint& endpoint, const EndpointWant& want) const {
   return endpoint.zone == options_.zone ? 0 : options_.zone_cost.of(want.bytes);
 }
--- a/src/sidecar/endpoint_cost.h
+++ b/src/sidecar/endpoint_cost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/random.h"
@@ -21,6 +22,10 @@
   double of(const Endpoint& endpoint, const EndpointWant& want, const LoadEstimate& estimate,
             RandomSource& random, TimePoint now) const;
 
+  /// @return since when the endpoint has been silent on its requests for much longer than answers of its
+  /// service take; nothing if it has not.
+  std::optional<TimePoint> missedSince(const Endpoint& endpoint, TimePoint now) const;
+
   /// A target of the service answered after that time.
   void noteAnswered(const std::string& service, Duration time);
 
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -68,6 +68,7 @@
   std::vector<Endpoint*> candidates;
   candidates.reserve(listed->second.size());
   LoadEstimate estimate(now);
+  noteSilent(listed->second, now);
   for (auto* endpoint : listed->second) {
     if (!EndpointFilter::isReachable(*endpoint)) continue;
     estimate.add(*endpoint);
@@ -75,6 +76,45 @@
     if (is_candidate) candidates.push_back(endpoint);
   }
   if (want.versions.pool == VersionFilter::Pool::Canary) keepShare(candidates, want.versions.canary_permille);
+  auto* best = cheapest(candidates, want, estimate, random, now);
+  if (best == nullptr || !zone_health_.isDark(best->zone)) return best;
+  std::erase_if(candidates, [this](const auto* endpoint) { return zone_health_.isDark(endpoint->zone); });
+  if (isSentToDark(*best, want, candidates.empty(), now)) return best;
+  return cheapest(candidates, want, estimate, random, now);
+}
+
+bool EndpointDirectory::isSentToDark(const Endpoint& endpoint, const EndpointWant& want, bool is_only_choice,
+                                     TimePoint now) {
+  const bool is_probe = zone_health_.wantsProbe(endpoint.zone, now) && (want.may_repeat || is_only_choice);
+  if (is_probe) zone_health_.noteProbe(endpoint.zone, now);
+  return is_probe || (want.may_repeat && is_only_choice);
+}
+
+void EndpointDirectory::noteSilent(const std::vector<Endpoint*>& endpoints, TimePoint now) {
+  for (const auto* endpoint : endpoints) {
+    const auto missed_at = cost_.missedSince(*endpoint, now);
+    if (missed_at) zone_health_.noteMissed(endpoint->zone, endpoint->address.host, *missed_at);
+  }
+}
+
+void EndpointDirectory::noteLinked(const runtime::Address& address, TimePoint now) {
+  auto* endpoint = find(address);
+  if (endpoint == nullptr) return;
+  endpoint->linked = true;
+  zone_health_.noteHeard(endpoint->zone, now);
+}
+
+void EndpointDirectory::noteUnlinked(const runtime::Address& address, TimePoint now) {
+  auto* endpoint = find(address);
+  if (endpoint == nullptr) return;
+  const bool is_missed = endpoint->linked && endpoint->live;
+  endpoint->linked = false;
+  if (is_missed) zone_health_.noteMissed(endpoint->zone, address.host, now);
+}
+
+Endpoint* EndpointDirectory::cheapest(const std::vector<Endpoint*>& candidates, const EndpointWant& want,
+                                      const LoadEstimate& estimate, RandomSource& random,
+                                      TimePoint now) const {
   Endpoint* best = nullptr;
   double best_score = 0;
   for (auto* endpoint : candidates) {
@@ -100,13 +140,14 @@
                                                     [](const auto* endpoint) { return endpoint->live; });
 }
 
-void EndpointDirectory::onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) const {
+void EndpointDirectory::onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) {
   endpoint.reported_load = reply.running + reply.waiting;
   endpoint.failure_rate = reply.failure_permille / kPermille;
   endpoint.run_time = reply.run_time_permille / kPermille;
   endpoint.intake_wait = std::chrono::milliseconds(reply.intake_wait_ms);
   endpoint.reported_at = now;
   endpoint.silent_since = now;
+  zone_health_.noteHeard(endpoint.zone, now);
 }
 
 std::vector<runtime::Address> EndpointDirectory::expire(TimePoint now) {
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -13,6 +13,7 @@
 #include "sidecar/endpoint_cost.h"
 #include "sidecar/endpoint_filter.h"
 #include "sidecar/sidecar_options.h"
+#include "sidecar/zone_health.h"
 
 namespace cometstand::sidecar {
 
@@ -22,7 +23,7 @@
  public:
   /// @param options, evacuations must outlive the directory.
   EndpointDirectory(const SidecarOptions& options, const ZoneEvacuations& evacuations)
-      : filter_(options.zones, evacuations), cost_(options) {}
+      : filter_(options.zones, evacuations), cost_(options), zone_health_(options.zone) {}
 
   /// Takes the records of one store over, in the order in which it sent them.
   /// @param is_whole the records are all that the store knows; others expire soon.
@@ -31,11 +32,18 @@
   Endpoint* find(const runtime::Address& address);
   const std::map<runtime::Address, Endpoint>& all() const { return endpoints_; }
 
+  /// Endpoints of a dark zone (see ZoneHealth) get a probe now and then, else only what no other zone can
+  /// take, and that only if it may be repeated: such a zone may hear without being heard.
   /// @param tried are not chosen.
   /// @return the endpoint to send the next request to; nullptr if there is none.
   Endpoint* choose(const EndpointWant& want, const std::set<runtime::Address>& tried, RandomSource& random,
                    TimePoint now);
 
+  /// The link to the address was opened.
+  void noteLinked(const runtime::Address& address, TimePoint now);
+  /// The link to the address ended, or could not be opened.
+  void noteUnlinked(const runtime::Address& address, TimePoint now);
+
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
 
@@ -43,7 +51,7 @@
   static void noteSent(Endpoint& endpoint, TimePoint now);
   /// A target of the service answered after that time.
   void noteAnswered(const std::string& service, Duration time) { cost_.noteAnswered(service, time); }
-  void onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now) const;
+  void onReply(Endpoint& endpoint, const wire::ForwardReplyT& reply, TimePoint now);
 
   /// Takes out what has expired. @return the addresses that went.
   std::vector<runtime::Address> expire(TimePoint now);
@@ -51,10 +59,18 @@
  private:
   /// Leaves as many of the candidates as the share of a new version wants, the same at every sender.
   static void keepShare(std::vector<Endpoint*>& candidates, unsigned permille);
+  /// Tells zone_health_ of the endpoints that are silent.
+  void noteSilent(const std::vector<Endpoint*>& endpoints, TimePoint now);
+  /// @return the candidate of the least cost; nullptr without candidates.
+  Endpoint* cheapest(const std::vector<Endpoint*>& candidates, const EndpointWant& want,
+                     const LoadEstimate& estimate, RandomSource& random, TimePoint now) const;
+  /// @return true if the endpoint of a dark zone, the cheapest of all, gets the request all the same.
+  bool isSentToDark(const Endpoint& endpoint, const EndpointWant& want, bool is_only_choice, TimePoint now);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
   EndpointFilter filter_;
   EndpointCost cost_;
+  ZoneHealth zone_health_;
   std::map<runtime::Address, Endpoint> endpoints_;
   /// The same by service: a request looks at those of its own service only.
   std::map<std::string, std::vector<Endpoint*>> by_service_;
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -75,9 +75,22 @@
     "for "
     "the content, or the path, in content_quarantined on the stores: see docs/OPERATIONS.md."};
 
+inline constexpr EventDefinition kZoneDark{
+    7031, LogLevel::Warning, "zone_dark",
+    "Several machines of a zone do not answer this sidecar any more, and none of that zone was heard since: "
+    "its "
+    "endpoints are avoided, and one request now and then goes there until one answers. If many sidecars say "
+    "this of one zone, that zone is cut off or without power."};
+
+inline constexpr EventDefinition kZoneHeard{
+    7032, LogLevel::Info, "zone_heard",
+    "A zone that was dark for this sidecar answered again. No action is "
+    "needed."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked, kStoreLost,   kSourceChosen, kSourceLost,       kConfigurationInForce, kTargetChanged,
-    kCallEnded,   kCallRetried, kGateRefused,  kSidecarStopBegan, kUpdateRefused,        kCallAnswered,
-    kRunEnded,    kRunGivenUp,  kBodyRefused,  kTargetEnded,      kCallQuarantined};
+    kStoreLinked,   kStoreLost,       kSourceChosen, kSourceLost,  kConfigurationInForce,
+    kTargetChanged, kCallEnded,       kCallRetried,  kGateRefused, kSidecarStopBegan,
+    kUpdateRefused, kCallAnswered,    kRunEnded,     kRunGivenUp,  kBodyRefused,
+    kTargetEnded,   kCallQuarantined, kZoneDark,     kZoneHeard};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -69,6 +69,7 @@
   want.has_large_body = call.request->body.size() > kMostInlineBody;
   want.patience = patienceShare(call);
   want.regions = call.route->regions;
+  want.may_repeat = call.route->repeatable;
   return want;
 }
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -48,7 +48,7 @@
   if (control_.owns(link)) {
     control_.onLinkOpened(link, now);
   } else if (const auto address = peers_.onLinkOpened(link)) {
-    if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = true;
+    endpoints_.noteLinked(*address, now);
   }
 }
 
@@ -57,7 +57,7 @@
   if (control_.owns(link)) {
     control_.onLinkClosed(link, now);
   } else if (const auto address = peers_.onLinkClosed(link, now)) {
-    if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = false;
+    endpoints_.noteUnlinked(*address, now);
     calls_.onPeerLost(*address, now);
   } else {
     intake_.cancelLink(link, now);
