--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -91,10 +91,23 @@
     "sidecar "
     "is among them. What runs there goes on. No action is needed."};
 
+inline constexpr EventDefinition kZoneDark{
+    7031, LogLevel::Warning, "zone_dark",
+    "Several machines of a zone do not answer this sidecar any more, and none of that zone was heard since: "
+    "its "
+    "endpoints are avoided, and one request now and then goes there until one answers. If many sidecars say "
+    "this of one zone, that zone is cut off or without power."};
+
+inline constexpr EventDefinition kZoneHeard{
+    7032, LogLevel::Info, "zone_heard",
+    "A zone that was dark for this sidecar answered again. No action is "
+    "needed."};
+
 inline constexpr std::array kSidecarEvents{
     kStoreLinked,   kStoreLost,       kSourceChosen,  kSourceLost,  kConfigurationInForce,
     kTargetChanged, kCallEnded,       kCallRetried,   kGateRefused, kSidecarStopBegan,
     kUpdateRefused, kCallAnswered,    kRunEnded,      kRunGivenUp,  kBodyRefused,
-    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked, kEvacuationsChanged};
+    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked, kEvacuationsChanged,
+    kZoneDark,      kZoneHeard};
 
 }  // namespace cometstand::sidecar
