Distance in three tiers, and a bounded share of the link between regions

A zone was the own one or another: 0.5 ms and 30 ms cost alike, and nobody bounded what crosses between regions. The way to another region costs by its time (as replies measure it; ForwardReply.at_endpoint_ms is new, at the table's end) and by bytes. Each sender has a token bucket for each other region: an equal part of a known capacity, less while the way shows a queue. Requests are kept to regions by the configuration of their arrival and by the newest, at senders, for announced bodies and at gates.

--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -7,7 +7,10 @@
 RouteTable::RouteTable(std::uint64_t revision, const wire::MeshConfigurationT& configuration)
     : revision_(revision) {
   if (configuration.limits) limits_ = *configuration.limits;
-  for (const auto& route : configuration.routes) routes_[route->host].push_back(route);
+  for (const auto& route : configuration.routes) {
+    routes_[route->host].push_back(route);
+    by_name_[route->name] = route;
+  }
   for (const auto& service : configuration.services) {
     health_paths_[service->name] = service->health_path;
     cold_starts_[service->name] = {service->cold_requests_per_second,
@@ -40,6 +43,11 @@
   return found == routes->second.end() ? nullptr : *found;
 }
 
+RoutePointer RouteTable::findByName(const std::string& name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : found->second;
+}
+
 const std::string& drawService(const wire::MeshRouteT& route, RandomSource& random) {
   std::uint64_t total = 0;
   for (const auto& share : route.shares) total += share->weight;
--- a/src/mesh/route_table.h
+++ b/src/mesh/route_table.h
@@ -43,11 +43,15 @@
   /// none.
   RoutePointer find(std::string_view host, std::string_view path) const;
 
+  /// @return the route of that name; nullptr if there is none.
+  RoutePointer findByName(const std::string& name) const;
+
  private:
   std::uint64_t revision_;
   wire::CallerLimitsT limits_;
   /// By host, the longest prefix first.
   std::map<std::string, std::vector<RoutePointer>, std::less<>> routes_;
+  std::map<std::string, RoutePointer> by_name_;
   std::map<std::string, std::string> health_paths_;
   std::map<std::string, ColdStart> cold_starts_;
 };
--- a/src/mesh/zone_map.cpp
+++ b/src/mesh/zone_map.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 
 namespace cometstand::mesh {
@@ -35,4 +37,9 @@
   return is_same ? ZoneDistance::SameRegion : ZoneDistance::OtherRegion;
 }
 
+bool isAllowedRegion(const std::vector<std::string>& allowed, const std::string& region) {
+  if (allowed.empty()) return true;
+  return !region.empty() && std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 }  // namespace cometstand::mesh
--- a/src/mesh/zone_map.h
+++ b/src/mesh/zone_map.h
@@ -33,4 +33,9 @@
   std::map<std::string, std::string> regions_;
 };
 
+/// @param allowed the only regions that may serve a request; empty for all. Names of regions that no zone has
+/// are harmless.
+/// @param region empty if it is not known, which is allowed only where all are.
+bool isAllowedRegion(const std::vector<std::string>& allowed, const std::string& region);
+
 }  // namespace cometstand::mesh
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -4259,6 +4259,7 @@
   uint32_t cold_ms = 0;
   uint32_t cold_room = 0;
   bool body_follows = false;
+  uint32_t at_endpoint_ms = 0;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4285,7 +4286,8 @@
     VT_INTAKE_WAIT_MS = 28,
     VT_COLD_MS = 30,
     VT_COLD_ROOM = 32,
-    VT_BODY_FOLLOWS = 34
+    VT_BODY_FOLLOWS = 34,
+    VT_AT_ENDPOINT_MS = 36
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -4335,6 +4337,9 @@
   bool body_follows() const {
     return GetField<uint8_t>(VT_BODY_FOLLOWS, 0) != 0;
   }
+  uint32_t at_endpoint_ms() const {
+    return GetField<uint32_t>(VT_AT_ENDPOINT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -4356,6 +4361,7 @@
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_COLD_ROOM, 4) &&
            VerifyField<uint8_t>(verifier, VT_BODY_FOLLOWS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AT_ENDPOINT_MS, 4) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4415,6 +4421,9 @@
   void add_body_follows(bool body_follows) {
     fbb_.AddElement<uint8_t>(ForwardReply::VT_BODY_FOLLOWS, static_cast<uint8_t>(body_follows), 0);
   }
+  void add_at_endpoint_ms(uint32_t at_endpoint_ms) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_AT_ENDPOINT_MS, at_endpoint_ms, 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4443,8 +4452,10 @@
     uint32_t intake_wait_ms = 0,
     uint32_t cold_ms = 0,
     uint32_t cold_room = 0,
-    bool body_follows = false) {
+    bool body_follows = false,
+    uint32_t at_endpoint_ms = 0) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_at_endpoint_ms(at_endpoint_ms);
   builder_.add_cold_room(cold_room);
   builder_.add_cold_ms(cold_ms);
   builder_.add_intake_wait_ms(intake_wait_ms);
@@ -4486,7 +4497,8 @@
     uint32_t intake_wait_ms = 0,
     uint32_t cold_ms = 0,
     uint32_t cold_room = 0,
-    bool body_follows = false) {
+    bool body_follows = false,
+    uint32_t at_endpoint_ms = 0) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -4506,7 +4518,8 @@
       intake_wait_ms,
       cold_ms,
       cold_room,
-      body_follows);
+      body_follows,
+      at_endpoint_ms);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6275,7 +6288,8 @@
         intake_wait_ms(o.intake_wait_ms),
         cold_ms(o.cold_ms),
         cold_room(o.cold_room),
-        body_follows(o.body_follows) {
+        body_follows(o.body_follows),
+        at_endpoint_ms(o.at_endpoint_ms) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -6297,6 +6311,7 @@
   std::swap(cold_ms, o.cold_ms);
   std::swap(cold_room, o.cold_room);
   std::swap(body_follows, o.body_follows);
+  std::swap(at_endpoint_ms, o.at_endpoint_ms);
   return *this;
 }
 
@@ -6325,6 +6340,7 @@
   { auto _e = cold_ms(); _o->cold_ms = _e; }
   { auto _e = cold_room(); _o->cold_room = _e; }
   { auto _e = body_follows(); _o->body_follows = _e; }
+  { auto _e = at_endpoint_ms(); _o->at_endpoint_ms = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6351,6 +6367,7 @@
   auto _cold_ms = _o->cold_ms;
   auto _cold_room = _o->cold_room;
   auto _body_follows = _o->body_follows;
+  auto _at_endpoint_ms = _o->at_endpoint_ms;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -6368,7 +6385,8 @@
       _intake_wait_ms,
       _cold_ms,
       _cold_room,
-      _body_follows);
+      _body_follows,
+      _at_endpoint_ms);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -198,17 +198,21 @@
                      [this](const auto& item) { return item.second.zone == options_.zone; });
 }
 
-/// The store of the own zone if there is one, else the one in use, else any.
+/// The store of the own zone if there is one, else one of the own region, else the one in use, else any.
 std::optional<Address> ControlClient::bestSource(TimePoint now) const {
   const bool near_only = waitsForNear(now);
   std::optional<Address> best;
   int best_rank = 0;
   for (const auto& [address, store] : stores_) {
     if (!isUsable(address, store) || isBehind(store, now)) continue;
-    constexpr int kNear = 2;
-    const bool is_near = store.zone == options_.zone;
+    constexpr int kNear = 4;
+    constexpr int kSameRegion = 2;
+    const auto distance = distanceOf(store);
+    const bool is_near = distance == mesh::ZoneDistance::SameZone;
     if (near_only && !is_near) continue;
-    const int rank = 1 + (is_near ? kNear : 0) + (source_ == address ? 1 : 0);
+    const bool is_same_region = distance != mesh::ZoneDistance::OtherRegion;
+    const int rank =
+        1 + (is_near ? kNear : 0) + (is_same_region ? kSameRegion : 0) + (source_ == address ? 1 : 0);
     if (rank <= best_rank) continue;
     best = address;
     best_rank = rank;
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -80,6 +80,9 @@
   void closeSilent(TimePoint now);
   void chooseSource(TimePoint now);
   std::optional<runtime::Address> bestSource(TimePoint now) const;
+  mesh::ZoneDistance distanceOf(const Store& store) const {
+    return options_.zones.distance(options_.zone, store.zone);
+  }
   /// @return true while a store of the own zone may still come in place of a lost source.
   bool waitsForNear(TimePoint now) const;
   void subscribe(std::uint64_t have_revision);
--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -61,6 +61,10 @@
   VersionFilter versions{};
   /// The only regions whose endpoints may get it; empty for all.
   std::vector<std::string> regions{};
+  /// The same by a configuration that came after the request: both bind. Empty for all.
+  std::vector<std::string> newer_regions{};
+  /// No more urgent requests come for the service.
+  bool is_urgent = false;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/endpoint_cost.cpp
+++ b/src/sidecar/endpoint_cost.cpp
@@ -46,7 +46,7 @@
     score +=
         kSlownessCost * estimate.freeShare() * (slowness - 1) * trustIn(endpoint, kSlownessHalfLife, now);
   }
-  score += ofDistance(endpoint, want);
+  score += distance_.of(endpoint, want, now);
   score += kFailureCost * endpoint.failure_rate * trustIn(endpoint, kFailureHalfLife, now);
   if (want.has_large_body && want.patience > Duration::zero()) {
     // An endpoint that would make the body wait for as long as it may counts like a full target.
@@ -68,10 +68,6 @@
   return kSilenceCost * std::max(0.0, silence / usual->second - kUsualSilence);
 }
 
-double EndpointCost::ofDistance(const Endpoint& endpoint, const EndpointWant& want) const {
-  return endpoint.zone == options_.zone ? 0 : options_.zone_cost.of(want.bytes);
-}
-
 void EndpointCost::noteAnswered(const std::string& service, Duration time) {
   const auto value = static_cast<double>(time.count());
   const auto [known, is_first] = answer_time_.try_emplace(service, value);
--- a/src/sidecar/endpoint_cost.h
+++ b/src/sidecar/endpoint_cost.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/random.h"
+#include "sidecar/distance_cost.h"
 #include "sidecar/endpoint.h"
 #include "sidecar/load_estimate.h"
 #include "sidecar/sidecar_options.h"
@@ -15,8 +16,8 @@
 /// decided by EndpointFilter.
 class EndpointCost {
  public:
-  /// @param options must outlive the object.
-  explicit EndpointCost(const SidecarOptions& options) : options_(options) {}
+  /// @param options and links must outlive the object.
+  EndpointCost(const SidecarOptions& options, const RegionLinks& links) : distance_(options, links) {}
 
   double of(const Endpoint& endpoint, const EndpointWant& want, const LoadEstimate& estimate,
             RandomSource& random, TimePoint now) const;
@@ -25,11 +26,10 @@
   void noteAnswered(const std::string& service, Duration time);
 
  private:
-  double ofDistance(const Endpoint& endpoint, const EndpointWant& want) const;
   /// @return what the silence of an endpoint with outstanding requests costs.
   double ofSilence(const Endpoint& endpoint, TimePoint now) const;
 
-  const SidecarOptions& options_;
+  DistanceCost distance_;
   /// Smoothed time from a request to its answer, by service, in microseconds.
   std::map<std::string, double> answer_time_;
 };
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -35,6 +35,15 @@
     endpoint.live = record->state == wire::EndpointState::Live || record->state == wire::EndpointState::Cold;
     endpoint.expires_at.reset();
   }
+  countSenders();
+}
+
+void EndpointDirectory::countSenders() {
+  const auto& own = options_.zones.regionOf(options_.zone);
+  const auto senders = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+    return options_.zones.regionOf(item.second.zone) == own;
+  });
+  region_links_.setSenders(static_cast<std::size_t>(senders));
 }
 
 void EndpointDirectory::setService(Endpoint& endpoint, const std::string& service) {
@@ -68,12 +77,19 @@
   std::vector<Endpoint*> candidates;
   candidates.reserve(listed->second.size());
   LoadEstimate estimate(now);
+  bool is_held_back = false;
   for (auto* endpoint : listed->second) {
     if (!EndpointFilter::isReachable(*endpoint)) continue;
     estimate.add(*endpoint);
     const bool is_candidate = !tried.contains(endpoint->address) && filter_.admits(*endpoint, want, now);
-    if (is_candidate) candidates.push_back(endpoint);
+    if (!is_candidate) continue;
+    if (region_links_.admits(*endpoint, want, now)) {
+      candidates.push_back(endpoint);
+    } else {
+      is_held_back = true;
+    }
   }
+  if (is_held_back) region_links_.noteHeldBack();
   if (want.versions.pool == VersionFilter::Pool::Canary) keepShare(candidates, want.versions.canary_permille);
   Endpoint* best = nullptr;
   double best_score = 0;
@@ -122,6 +138,7 @@
     unlist(endpoint);
     item = endpoints_.erase(item);
   }
+  if (!gone.empty()) countSenders();
   return gone;
 }
 
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -12,6 +12,7 @@
 #include "sidecar/endpoint.h"
 #include "sidecar/endpoint_cost.h"
 #include "sidecar/endpoint_filter.h"
+#include "sidecar/region_links.h"
 #include "sidecar/sidecar_options.h"
 
 namespace cometstand::sidecar {
@@ -22,7 +23,10 @@
  public:
   /// @param options, evacuations must outlive the directory.
   EndpointDirectory(const SidecarOptions& options, const ZoneEvacuations& evacuations)
-      : filter_(options.zones, evacuations), cost_(options) {}
+      : options_(options),
+        filter_(options.zones, evacuations),
+        region_links_(options),
+        cost_(options, region_links_) {}
 
   /// Takes the records of one store over, in the order in which it sent them.
   /// @param is_whole the records are all that the store knows; others expire soon.
@@ -36,9 +40,17 @@
   Endpoint* choose(const EndpointWant& want, const std::set<runtime::Address>& tried, RandomSource& random,
                    TimePoint now);
 
+  /// @return true if the request may be served in the endpoint's region.
+  bool isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
+    return filter_.isAllowedRegion(endpoint, want);
+  }
+
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
 
+  RegionLinks& regionLinks() { return region_links_; }
+  const RegionLinks& regionLinks() const { return region_links_; }
+
   /// A request goes to the endpoint.
   static void noteSent(Endpoint& endpoint, TimePoint now);
   /// A target of the service answered after that time.
@@ -53,7 +65,12 @@
   static void keepShare(std::vector<Endpoint*>& candidates, unsigned permille);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
+  /// Whoever has an endpoint in the own region may send to others.
+  void countSenders();
+
+  const SidecarOptions& options_;
   EndpointFilter filter_;
+  RegionLinks region_links_;
   EndpointCost cost_;
   std::map<runtime::Address, Endpoint> endpoints_;
   /// The same by service: a request looks at those of its own service only.
--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -1,7 +1,5 @@
 #include "sidecar/endpoint_filter.h"
 
-#include <algorithm>
-
 namespace cometstand::sidecar {
 
 bool EndpointFilter::admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const {
@@ -13,9 +11,8 @@
 }
 
 bool EndpointFilter::isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
-  if (want.regions.empty()) return true;
   const auto& region = zones_.regionOf(endpoint.zone);
-  return std::find(want.regions.begin(), want.regions.end(), region) != want.regions.end();
+  return mesh::isAllowedRegion(want.regions, region) && mesh::isAllowedRegion(want.newer_regions, region);
 }
 
 bool EndpointFilter::hasColdRoom(const Endpoint& /*endpoint*/, TimePoint /*now*/) { return true; }
--- a/src/sidecar/endpoint_filter.h
+++ b/src/sidecar/endpoint_filter.h
@@ -18,10 +18,10 @@
   static bool isReachable(const Endpoint& endpoint) { return endpoint.live && endpoint.linked; }
   /// @return true if the endpoint may get the request.
   bool admits(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const;
-
- private:
   /// @return true if the request may be served in the endpoint's region.
   bool isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const;
+
+ private:
   /// @return true if the endpoint is warm, or bears another request all the same.
   static bool hasColdRoom(const Endpoint& endpoint, TimePoint now);
 
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -75,9 +75,15 @@
     "for "
     "the content, or the path, in content_quarantined on the stores: see docs/OPERATIONS.md."};
 
+inline constexpr EventDefinition kRegionLinkReduced{
+    7030, LogLevel::Info, "region_link_reduced",
+    "The way to another region shows a queue, so this sidecar sends less there until that is gone. If it "
+    "comes "
+    "again and again on many sidecars, the link between the regions is too narrow for what crosses it."};
+
 inline constexpr std::array kSidecarEvents{
     kStoreLinked, kStoreLost,   kSourceChosen, kSourceLost,       kConfigurationInForce, kTargetChanged,
     kCallEnded,   kCallRetried, kGateRefused,  kSidecarStopBegan, kUpdateRefused,        kCallAnswered,
-    kRunEnded,    kRunGivenUp,  kBodyRefused,  kTargetEnded,      kCallQuarantined};
+    kRunEnded,    kRunGivenUp,  kBodyRefused,  kTargetEnded,      kCallQuarantined,      kRegionLinkReduced};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -47,6 +47,7 @@
     return;
   }
   state.route = std::move(route);
+  state.revision = table_->revision();
   budget_.onRequest(state.request->service);
   auto& most_urgent = most_urgent_.try_emplace(state.request->service, state.request->priority).first->second;
   most_urgent = std::min(most_urgent, state.request->priority);
@@ -69,6 +70,8 @@
   want.has_large_body = call.request->body.size() > kMostInlineBody;
   want.patience = patienceShare(call);
   want.regions = call.route->regions;
+  want.newer_regions = newerRegionsOf(call);
+  want.is_urgent = isUrgent(call);
   return want;
 }
 
@@ -111,7 +114,9 @@
   call.sent_at = now;
   call.body_sent = 0;
   call.announced = announces(call, endpoint);
-  auto request = requestFor(call, now);
+  call.expected_bytes = call.request->body.size() + sizes_.answerBytes(call.route->name);
+  parts_.endpoints.regionLinks().onSent(endpoint, call.expected_bytes, now);
+  auto request = requestFor(call, endpoint, now);
   if (endpoint.address == parts_.options.advertise) {
     parts_.gate.admit({runtime::LinkId{}, number},
                       std::make_shared<const wire::ForwardRequestT>(std::move(request)), now);
@@ -125,7 +130,8 @@
 }
 
 /// @return a copy for one sending, as the last one may still be on its way; without a body that is announced.
-wire::ForwardRequestT OutboundCalls::requestFor(CallState& call, TimePoint now) const {
+wire::ForwardRequestT OutboundCalls::requestFor(CallState& call, const Endpoint& endpoint,
+                                                TimePoint now) const {
   auto body = std::move(call.request->body);
   wire::ForwardRequestT request = *call.request;
   if (call.announced) {
@@ -137,7 +143,7 @@
   request.deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
   request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request.is_retry = call.sendings > 0;
-  if (parts_.rollouts.running(request.service) != nullptr) request.route = call.route->name;
+  request.route = routeNameFor(call, endpoint);
   return request;
 }
 
@@ -145,7 +151,7 @@
   return !call.announced || call.body_sent == call.request->body.size();
 }
 
-void OutboundCalls::onGrant(const Address& from, std::uint64_t request_id, std::size_t bytes) {
+void OutboundCalls::onGrant(const Address& from, std::uint64_t request_id, std::size_t bytes, TimePoint now) {
   const auto sent = sent_.find(request_id);
   if (sent == sent_.end()) return;
   auto& call = calls_.at(sent->second);
@@ -154,6 +160,11 @@
   const auto& body = call.request->body;
   const std::size_t length = std::min(bytes, body.size() - call.body_sent);
   if (length == 0) return;
+  const auto* endpoint = parts_.endpoints.find(from);
+  if (endpoint != nullptr && !parts_.endpoints.isAllowedRegion(*endpoint, wantOf(call))) {
+    withdrawBody(sent->second, call, now);
+    return;
+  }
   wire::BodyPartT part;
   const auto begin = body.begin() + static_cast<std::ptrdiff_t>(call.body_sent);
   part.bytes.assign(begin, begin + static_cast<std::ptrdiff_t>(length));
@@ -183,6 +194,7 @@
   sent_.erase(sent);
   call.at.reset();
   if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
+  if (endpoint != nullptr) noteTransfer(call, *endpoint, reply, now);
   switch (reply.outcome) {
     case wire::ForwardOutcome::Answered:
       sizes_.note(call.route->name, reply.body.size());
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -55,7 +55,7 @@
   void onReply(const runtime::Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
                TimePoint now);
   /// The endpoint is ready to receive so many more bytes of an announced body.
-  void onGrant(const runtime::Address& from, std::uint64_t request_id, std::size_t bytes);
+  void onGrant(const runtime::Address& from, std::uint64_t request_id, std::size_t bytes, TimePoint now);
   /// The link to the endpoint ended: what was sent over it may have run.
   void onPeerLost(const runtime::Address& address, TimePoint now);
   void onTimer(TimePoint now);
@@ -67,6 +67,8 @@
   struct CallState {
     std::shared_ptr<wire::ForwardRequestT> request;
     mesh::RoutePointer route;
+    /// Of the configuration that the route is from.
+    std::uint64_t revision = 0;
     TimePoint began;
     TimePoint deadline;
     /// When the caller gives up; later than the deadline if the route allows less time.
@@ -81,6 +83,8 @@
     std::optional<runtime::Address> at;
     std::uint64_t sent_as = 0;
     TimePoint sent_at;
+    /// Bytes that the sending was expected to move.
+    std::size_t expected_bytes = 0;
     /// The body was announced to the endpoint, which got so much of it.
     bool announced = false;
     std::size_t body_sent = 0;
@@ -92,7 +96,7 @@
   void sendNext(CallId id, TimePoint now);
   void send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now);
   bool announces(const CallState& call, const Endpoint& endpoint) const;
-  wire::ForwardRequestT requestFor(CallState& call, TimePoint now) const;
+  wire::ForwardRequestT requestFor(CallState& call, const Endpoint& endpoint, TimePoint now) const;
   /// @return true if the endpoint got all of the request, so that it may run.
   static bool isWhollySent(const CallState& call);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
@@ -105,6 +109,16 @@
   /// The request ends targets, so that no other endpoint is asked.
   void finishQuarantined(CallId id, TimePoint now);
   EndpointWant wantOf(const CallState& call) const;
+  /// The only regions that may serve the request by the newest configuration, if that is newer than the
+  /// request; empty for all.
+  std::vector<std::string> newerRegionsOf(const CallState& call) const;
+  /// @return the name of the route if the endpoint's node has to know it, else an empty one.
+  std::string routeNameFor(const CallState& call, const Endpoint& endpoint) const;
+  /// Tells the links between regions what came of a sending.
+  void noteTransfer(const CallState& call, const Endpoint& endpoint, const wire::ForwardReplyT& reply,
+                    TimePoint now);
+  /// The endpoint must not get the rest of the body: the request goes elsewhere, or has not run.
+  void withdrawBody(CallId id, CallState& call, TimePoint now);
   /// @return the endpoint that gets the next sending; nullptr if there is none.
   Endpoint* chooseFor(const CallState& call, TimePoint now);
   Duration patienceOf(const CallState& call, TimePoint now) const;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -60,6 +60,7 @@
     if (auto* endpoint = endpoints_.find(*address)) endpoint->linked = false;
     calls_.onPeerLost(*address, now);
   } else {
+    arrivals_.forgetLink(link);
     intake_.cancelLink(link, now);
     gate_.cancelLink(link, now);
   }
@@ -73,7 +74,7 @@
     if (const auto* reply = message.body.AsForwardReply()) {
       calls_.onReply(*address, message.request_id, *reply, now);
     } else if (const auto* grant = message.body.AsBodyGrant()) {
-      calls_.onGrant(*address, message.request_id, grant->bytes);
+      calls_.onGrant(*address, message.request_id, grant->bytes, now);
     }
   } else {
     onAskerMessage(link, message, now);
@@ -84,6 +85,7 @@
 void SidecarCore::onAskerMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   const GateAsker asker{link, message.request_id};
   if (const auto* request = message.body.AsForwardRequest()) {
+    arrivals_.note(asker, now);
     if (request->announced_bytes == 0) {
       gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(*request), now);
     } else if (!gate_.refuseNow(asker, *request, now)) {
@@ -92,6 +94,7 @@
   } else if (const auto* part = message.body.AsBodyPart()) {
     intake_.onPart(asker, part->bytes, now);
   } else if (message.body.AsForwardCancel() != nullptr) {
+    arrivals_.forget(asker);
     intake_.cancel(asker, now);
     gate_.cancel(asker, now);
   }
@@ -124,6 +127,7 @@
 
 void SidecarCore::answerAsker(const GateAsker& asker, wire::ForwardReplyT reply) {
   reply.intake_wait_ms = static_cast<std::uint32_t>(ceilMilliseconds(intake_.expectedWait()));
+  reply.at_endpoint_ms = static_cast<std::uint32_t>(ceilMilliseconds(arrivals_.take(asker, now_)));
   if (asker.link == LinkId{}) {
     calls_.onReply(options_.advertise, asker.request_id, reply, now_);
   } else {
@@ -201,6 +205,7 @@
 
 void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint /*now*/) {
   calls_.setRoutes(table);
+  gate_.setRoutes(table);
   askTarget();
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "runtime/process_core.h"
+#include "sidecar/arrival_times.h"
 #include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
 #include "sidecar/outbound_calls.h"
@@ -99,6 +100,7 @@
   TimePoint rollout_report_at_;
   TargetGate gate_;
   BodyIntake intake_;
+  ArrivalTimes arrivals_;
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -50,6 +50,16 @@
 
   OtherZoneCost zone_cost;
 
+  /// Bytes that cost as much as a full target between regions, besides what they cost between zones. Default
+  /// 8,000, range 1 to 1,000,000,000.
+  double region_bytes_per_target = 8'000;
+  /// Time to another region and back while none was measured lately. Microseconds, default 60 ms, range 0 to
+  /// 10 s.
+  Duration region_round_trip = std::chrono::milliseconds(60);
+  /// What the link between two regions carries each way, in bytes a second, for all senders together; 0 if
+  /// that is not known or has no bound. Default 0, range 0 to 1e12.
+  double region_link_bandwidth = 0;
+
   /// Part of a request's objective that it may wait for a slot of its target. Default 0.15, range 0 to 1:
   /// with 0.4 answers under overload came late, with 0.08 too few were served (docs/FURTHER.md, round 5).
   double queue_share = 0.15;
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -26,6 +26,15 @@
   table.number(
       "sidecar.other_zone_bytes", options.zone_cost.bytes_per_target, {1, 1e9},
       "Bytes of bodies that cost as much as a full target when they go to or come from another zone.");
+  table.number("sidecar.other_region_bytes", options.region_bytes_per_target, {1, 1e9},
+               "Bytes of bodies that cost as much as a full target when they go to or come from another "
+               "region, besides what they cost between zones.");
+  table.duration("sidecar.region_round_trip", options.region_round_trip, {milliseconds(0), seconds(10)},
+                 "Time to another region and back while none was measured lately.");
+  table.number(
+      "sidecar.region_link_bandwidth", options.region_link_bandwidth, {0, 1e12},
+      "Bytes a second that the link between two regions carries each way, for everything together; 0 "
+      "if that is not known or has no bound.");
   table.texts("sidecar.zones", sidecar.zones,
               "All zones with their regions, each as zone=region; none if all zones are in one region.");
   table.number("sidecar.cold_overshoot", options.cold_overshoot, {1, 100},
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -58,12 +58,18 @@
                                                         TimePoint now) const {
   if (target_.condition() == TargetCondition::Unheard) return wire::NotRunReason::TargetDown;
   if (target_.service() != request.service) return wire::NotRunReason::WrongTarget;
+  if (!isServedHere(request)) return wire::NotRunReason::WrongTarget;
   if (isClosed(now)) return wire::NotRunReason::Leaving;
   if (quarantine_.blocks(request)) return wire::NotRunReason::Quarantined;
   if (std::chrono::milliseconds(request.deadline_ms) < kLeastTimeLeft) return wire::NotRunReason::Deadline;
   return std::nullopt;
 }
 
+bool TargetGate::isServedHere(const wire::ForwardRequestT& request) const {
+  const auto route = routes_ == nullptr ? nullptr : routes_->findByName(request.route);
+  return route == nullptr || mesh::isAllowedRegion(route->regions, options_.zones.regionOf(options_.zone));
+}
+
 unsigned TargetGate::slots() const { return std::max(1U, target_.slots()); }
 
 bool TargetGate::isLong(const wire::ForwardRequestT& request) const {
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "mesh/route_table.h"
 #include "sidecar/gate_asker.h"
 #include "sidecar/metrics.h"
 #include "sidecar/offered_load.h"
@@ -58,6 +59,8 @@
   /// @return true if new requests are refused because of the target's version or since it leaves.
   bool isClosed(TimePoint now) const { return is_version_closed_ || isLeaving(now); }
   RunSamples& samples() { return samples_; }
+  /// Requests are refused from now on whose route, by this configuration, is not served in this region.
+  void setRoutes(mesh::RouteTablePointer table) { routes_ = std::move(table); }
   /// The target's state may have changed.
   void onTargetChanged(TimePoint now);
   /// New requests are refused from then on, as this sidecar stops.
@@ -100,6 +103,9 @@
     std::string instance;
   };
 
+  /// @return true if the newest configuration lets the request's route be served in this region, as far as
+  /// the route is named.
+  bool isServedHere(const wire::ForwardRequestT& request) const;
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return true if requests came lately that yield to such a one.
   bool isYieldedTo(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -152,6 +158,7 @@
   /// Of a planned stop of this sidecar.
   TimePoint close_at_ = TimePoint::max();
   bool is_version_closed_ = false;
+  mesh::RouteTablePointer routes_;
   RunSamples samples_;
   /// The shortest objective that came lately, in milliseconds; a large number for none.
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
