Two regions of real stores and sidecars: shares of callers, the link at its bound, cuts, changed homes

So the way between regions counts less the more requests are refused, and least once an endpoint has refused one. Ruled out: the way without any cost (as many cross as stay). ProcessNetwork takes a way for its messages and resets links; StoreGroup takes further configurations.

--- a/src/sidecar/distance_cost.cpp
+++ b/src/sidecar/distance_cost.cpp
@@ -9,6 +9,11 @@
 /// to be avoided.
 constexpr double kMostTimeCost = 50;
 
+/// The share of refused requests from which on the way between regions counts least, and how much it counts
+/// then: without any cost as many requests would cross each way as stay.
+constexpr double kRefusedAtLeastWeight = 0.1;
+constexpr double kLeastWeight = 0.2;
+
 }  // namespace
 
 double DistanceCost::of(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const {
@@ -18,18 +23,24 @@
     case mesh::ZoneDistance::SameRegion:
       return options_.zone_cost.of(want.bytes);
     case mesh::ZoneDistance::OtherRegion:
-      return options_.zone_cost.of(want.bytes) + ofRegion(endpoint, want, now);
+      return ofRegion(endpoint, want, now);
   }
   return 0;
 }
 
 /// A way that takes as long as the request may wait for a slot costs as much as a full target, where it would
-/// wait that long.
+/// wait that long. The more requests are refused, the less the way counts: callers of a full region would be
+/// refused while those of another one are not.
 double DistanceCost::ofRegion(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const {
   const double bytes = static_cast<double>(want.bytes) / options_.region_bytes_per_target;
-  if (want.patience <= Duration::zero()) return bytes;
-  const auto way = static_cast<double>(links_.roundTrip(endpoint, now).count());
-  return bytes + std::min(kMostTimeCost, way / static_cast<double>(want.patience.count()));
+  double way = 0;
+  if (want.patience > Duration::zero()) {
+    const auto round_trip = static_cast<double>(links_.roundTrip(endpoint, now).count());
+    way = std::min(kMostTimeCost, round_trip / static_cast<double>(want.patience.count()));
+  }
+  const double weight = std::max(kLeastWeight, 1 - want.refused_share / kRefusedAtLeastWeight);
+  const double all_bytes = bytes + options_.zone_cost.of(want.bytes) - options_.zone_cost.base;
+  return all_bytes + weight * (options_.zone_cost.base + way);
 }
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/distance_cost.h
+++ b/src/sidecar/distance_cost.h
@@ -15,7 +15,7 @@
   double of(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const;
 
  private:
-  /// @return what the way to another region costs more than that to another zone.
+  /// @return what the way to another region costs.
   double ofRegion(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) const;
 
   const SidecarOptions& options_;
--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -65,6 +65,9 @@
   std::vector<std::string> newer_regions{};
   /// No more urgent requests come for the service.
   bool is_urgent = false;
+  /// How likely it is refused altogether, from 0 to 1: the share of the sender's requests for the service
+  /// that lately were, or 1 once an endpoint has refused this one.
+  double refused_share = 0;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -72,6 +72,7 @@
   want.regions = call.route->regions;
   want.newer_regions = newerRegionsOf(call);
   want.is_urgent = isUrgent(call);
+  want.refused_share = call.refusals > 0 ? 1 : refusals_.of(want.service);
   return want;
 }
 
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar_pages.h"
 
+#include <cmath>
+
 #include "admin/metric_set.h"
 
 namespace cometstand::sidecar {
@@ -33,6 +35,17 @@
   }
 }
 
+void addRegionMetrics(admin::MetricSet& set, const RegionLinks& links) {
+  for (const auto& [region, rate] : links.rates()) {
+    set.gauge("cometstand_sidecar_region_link_rate",
+              "Bytes a second that this sidecar lets requests use to and from the region; 0 for no bound.",
+              std::isinf(rate) ? 0 : rate, {{"region", region}});
+  }
+  set.counter("cometstand_sidecar_region_held_back_total",
+              "Choices of an endpoint that left out another region since its link's share was used up.",
+              static_cast<double>(links.heldBack()));
+}
+
 }  // namespace
 
 admin::Health SidecarPages::readiness() const {
@@ -62,6 +75,7 @@
   metrics.gauge("cometstand_sidecar_intake_wait_seconds",
                 "Expected time until a large body that is announced now would begin to come.",
                 std::chrono::duration<double>(core_.intake().expectedWait()).count());
+  addRegionMetrics(metrics, core_.endpoints().regionLinks());
   addCallMetrics(metrics, core_.callMetrics());
   addGateMetrics(metrics, core_.gate().metrics());
 }
--- /dev/null
+++ b/tests/regions/region_mesh.cpp
@@ -0,0 +1,219 @@
+#include "region_mesh.h"
+
+#include "mesh/configuration.h"
+
+namespace cometstand::regions::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kStores = 3;
+constexpr unsigned kSlots = 6;
+constexpr Duration kHeartbeat = milliseconds(1'500);
+constexpr Duration kRunTime = milliseconds(100);
+constexpr Duration kBetweenRegions = milliseconds(30);
+constexpr std::size_t kSmallAnswer = 400;
+constexpr std::size_t kFrameBytes = 300;
+
+Duration durationOf(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+std::size_t sizeOf(const wire::EnvelopeT& message) {
+  if (const auto* reply = message.body.AsForwardReply()) return kFrameBytes + reply->body.size();
+  if (const auto* request = message.body.AsForwardRequest()) return kFrameBytes + request->body.size();
+  return kFrameBytes;
+}
+
+}  // namespace
+
+RegionMesh::RegionMesh(MeshSetup setup) : setup_(std::move(setup)), stores_(network, random_, kStores) {
+  network.setWay([this](ProcessId from, ProcessId to, const wire::EnvelopeT& message) {
+    return wayOf(from, to, message);
+  });
+  keepTo(setup_.kept_to);
+  for (std::size_t i = 0; i < kSidecarsOfRegion; ++i) {
+    addMachine("east");
+    addMachine("west");
+  }
+  network.runFor(seconds(6));
+  beginCounting();
+}
+
+wire::MeshConfigurationT RegionMesh::makeConfiguration() const {
+  wire::MeshConfigurationT configuration;
+  for (const char* name : {"read", "large", "kept"}) {
+    auto route = std::make_shared<wire::MeshRouteT>();
+    route->name = name;
+    route->host = "desk.example";
+    route->path_prefix = std::string("/") + name + "/";
+    route->repeatable = true;
+    route->timeout_ms = 2'000;
+    route->objective_ms = 1'000;
+    route->priority = route->name == "large" ? 2 : 1;
+    route->max_attempts = 2;
+    auto share = std::make_shared<wire::TrafficShareT>();
+    share->service = "desk";
+    share->weight = 1;
+    route->shares.push_back(share);
+    if (route->name == "kept") route->regions = setup_.kept_to;
+    configuration.routes.push_back(route);
+  }
+  auto service = std::make_shared<wire::MeshServiceT>();
+  service->name = "desk";
+  configuration.services.push_back(service);
+  return configuration;
+}
+
+void RegionMesh::keepTo(std::vector<std::string> regions) {
+  setup_.kept_to = std::move(regions);
+  stores_.configure(makeConfiguration(), revision_);
+  ++revision_;
+}
+
+void RegionMesh::addMachine(const std::string& region) {
+  auto& machine = machines_.emplace_back();
+  machine.mesh = this;
+  machine.region = region;
+  machine.name = region + std::to_string(machines_.size());
+  sidecar::SidecarOptions options;
+  options.node = machine.name;
+  options.zone = region + "-a";
+  options.zones = mesh::ZoneMap({"east-a=east", "west-a=west"});
+  options.region_link_bandwidth = setup_.known_link;
+  options.service = "desk";
+  options.advertise = rollout::test::addressOf(100 + machines_.size());
+  options.seeds = stores_.seeds();
+  machine.id = network.add(options.advertise, [this, options, &machine] {
+    return std::make_unique<sidecar::SidecarCore>(options, random_.uniform(0, UINT64_MAX), machine, machine);
+  });
+  regions_[machine.id] = region;
+  network.start(machine.id);
+  keepBeating(machine);
+  keepCalling(machine);
+}
+
+void RegionMesh::keepBeating(Machine& machine) {
+  network.call(machine.id, [&] {
+    sidecar::Heartbeat heartbeat;
+    heartbeat.instance = machine.name;
+    heartbeat.service = "desk";
+    heartbeat.slots = kSlots;
+    heartbeat.ready = true;
+    heartbeat.sequence = ++machine.sequence;
+    sidecarOf(machine).onHeartbeat(heartbeat, network.now());
+  });
+  network.at(network.now() + kHeartbeat, [this, &machine] { keepBeating(machine); });
+}
+
+std::string RegionMesh::drawRoute() {
+  const auto drawn = random_.uniform(0, 9);
+  if (drawn < 2) return "large";
+  return drawn < 4 && !setup_.kept_to.empty() ? "kept" : "read";
+}
+
+void RegionMesh::keepCalling(Machine& machine) {
+  const Duration mean = durationOf(1 / setup_.calls_per_second.at(machine.region));
+  network.at(network.now() + random_.uniform(Duration::zero(), 2 * mean), [this, &machine] {
+    network.call(machine.id, [&] {
+      const auto route = drawRoute();
+      const sidecar::CallId id{next_call_++};
+      machine.calls[id] = route;
+      sidecar::Call call;
+      call.host = "desk.example";
+      call.request.target = "/" + route + "/x";
+      call.request.method = "GET";
+      call.request.request_id = std::to_string(next_call_);
+      sidecarOf(machine).onCall(id, std::move(call), network.now());
+    });
+    keepCalling(machine);
+  });
+}
+
+void RegionMesh::Machine::run(sidecar::RunOrder order) {
+  running.insert(order.id);
+  const bool is_large = order.request->target.starts_with("/large/");
+  if (order.request->target.starts_with("/kept/")) ++mesh->kept_runs[region];
+  const Duration time = mesh->random_.uniform(kRunTime / 2, kRunTime * 3 / 2);
+  mesh->network.at(mesh->network.now() + time, [this, run = order.id, is_large] {
+    if (running.erase(run) == 0) return;
+    mesh->network.call(id, [&] {
+      sidecar::RunResult result;
+      result.reply.outcome = wire::ForwardOutcome::Answered;
+      result.reply.status = 200;
+      result.reply.body.resize(is_large ? mesh->setup_.large_answer : kSmallAnswer);
+      mesh->sidecarOf(*this).onRunResult(run, std::move(result), mesh->network.now());
+    });
+  });
+}
+
+void RegionMesh::Machine::answer(sidecar::CallId call, sidecar::CallAnswer answer) {
+  auto& served = mesh->served_[{region, calls.at(call)}];
+  calls.erase(call);
+  if (answer.outcome == sidecar::CallOutcome::Answered) {
+    ++served.answered;
+  } else if (answer.outcome == sidecar::CallOutcome::NotRun) {
+    ++served.not_run;
+  } else {
+    ++served.other;
+  }
+}
+
+void RegionMesh::setCut(bool is_cut) {
+  is_cut_ = is_cut;
+  if (is_cut) return;
+  // Bytes were lost on all links between the regions.
+  std::vector<ProcessId> ids = stores_.ids();
+  for (const auto& machine : machines_) ids.push_back(machine.id);
+  for (const ProcessId left : ids) {
+    for (const ProcessId right : ids) {
+      if (regionOf(left) != regionOf(right)) network.resetLinks(left, right);
+    }
+  }
+}
+
+void RegionMesh::beginCounting() {
+  requests_between = 0;
+  served_.clear();
+  kept_runs.clear();
+  bytes_from.clear();
+  longest_queue = Duration::zero();
+}
+
+Served RegionMesh::served(const std::string& region, const std::string& route) const {
+  const auto found = served_.find({region, route});
+  return found == served_.end() ? Served() : found->second;
+}
+
+Served RegionMesh::served(const std::string& region) const {
+  Served sum;
+  for (const char* route : {"read", "large", "kept"}) {
+    const auto part = served(region, route);
+    sum.answered += part.answered;
+    sum.not_run += part.not_run;
+    sum.other += part.other;
+  }
+  return sum;
+}
+
+std::string RegionMesh::regionOf(ProcessId id) const {
+  const auto known = regions_.find(id);
+  return known == regions_.end() ? "east" : known->second;
+}
+
+std::optional<Duration> RegionMesh::wayOf(ProcessId from, ProcessId to, const wire::EnvelopeT& message) {
+  const auto region = regionOf(from);
+  if (region == regionOf(to)) return Duration::zero();
+  if (is_cut_) return std::nullopt;
+  if (message.body.AsForwardRequest() != nullptr) ++requests_between;
+  const auto bytes = static_cast<double>(sizeOf(message));
+  bytes_from[region] += bytes;
+  auto& free_at = link_free_at_[region];
+  const TimePoint begin = std::max(network.now(), free_at);
+  longest_queue = std::max(longest_queue, begin - network.now());
+  free_at = begin + durationOf(bytes / setup_.link);
+  return kBetweenRegions + (free_at - network.now());
+}
+
+}  // namespace cometstand::regions::test
--- a/tests/rollout/process_network.cpp
+++ b/tests/rollout/process_network.cpp
@@ -1,6 +1,7 @@
 #include "process_network.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace cometstand::rollout::test {
 
@@ -101,7 +102,7 @@
       return other.core != nullptr && other.address == order.address;
     });
     const auto to = static_cast<ProcessId>(target - nodes_.begin());
-    if (target == nodes_.end() || isCut(id, to)) {
+    if (target == nodes_.end() || isCut(id, to) || !way_(id, to, {})) {
       deliver(id, life, [this, link = order.link](ProcessCore& core) { core.onLinkClosed(link, now_); });
       return;
     }
@@ -118,7 +119,9 @@
   const auto found = links.find(outgoing.link);
   if (found == links.end()) return;
   const End end = found->second;
-  at(now_ + kDelay, [this, id, end, message = outgoing.message, life = nodes_.at(end.peer).life] {
+  const auto extra = way_(id, end.peer, *outgoing.message);
+  if (!extra) return;
+  at(now_ + kDelay + *extra, [this, id, end, message = outgoing.message, life = nodes_.at(end.peer).life] {
     if (isCut(id, end.peer)) return;
     deliver(end.peer, life,
             [this, end, message](ProcessCore& core) { core.onMessage(end.link, *message, now_); });
@@ -137,6 +140,14 @@
   deliver(end.peer, peer.life, [this, end](ProcessCore& core) { core.onLinkClosed(end.link, now_); });
 }
 
+void ProcessNetwork::resetLinks(ProcessId left, ProcessId right) {
+  std::vector<LinkId> lost;
+  for (const auto& [link, end] : nodes_.at(left).links) {
+    if (end.peer == right) lost.push_back(link);
+  }
+  for (const LinkId link : lost) close(left, link);
+}
+
 void ProcessNetwork::step(TimePoint end) {
   TimePoint next = events_.empty() ? end : std::min(end, events_.begin()->first.first);
   for (const auto& node : nodes_) {
--- a/tests/rollout/process_network.h
+++ b/tests/rollout/process_network.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,8 @@
  public:
   static constexpr Duration kDelay = std::chrono::milliseconds(1);
   using Make = std::function<std::unique_ptr<runtime::ProcessCore>()>;
+  /// @return what a message takes besides kDelay; nothing if it is lost. Called in the order of sending.
+  using Way = std::function<std::optional<Duration>(ProcessId from, ProcessId to, const wire::EnvelopeT&)>;
 
   /// @param make the process, anew for each start. It is not started yet.
   ProcessId add(runtime::Address address, Make make);
@@ -35,6 +38,12 @@
   void cut(ProcessId id) { cut_.insert(id); }
   void mend(ProcessId id) { cut_.erase(id); }
 
+  /// Ends the links between the two, as the kernel does where bytes were lost.
+  void resetLinks(ProcessId left, ProcessId right);
+
+  /// Messages take this way from now on; a link opens only where they are not lost.
+  void setWay(Way way) { way_ = std::move(way); }
+
   /// The machine of the process stands still for that time. What comes meanwhile waits, and is delivered
   /// before any timer: the clock that the process reads runs on, but its timers have as much left as before.
   void suspend(ProcessId id, Duration time);
@@ -79,6 +88,7 @@
   TimePoint now_{std::chrono::hours(1)};
   std::deque<Node> nodes_;
   std::set<ProcessId> cut_;
+  Way way_ = [](ProcessId, ProcessId, const wire::EnvelopeT&) { return Duration::zero(); };
   std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> events_;
   std::uint64_t next_event_ = 0;
 };
--- a/tests/rollout/store_group.cpp
+++ b/tests/rollout/store_group.cpp
@@ -57,13 +57,14 @@
   return *id;
 }
 
-void StoreGroup::configure(const wire::MeshConfigurationT& configuration) {
+void StoreGroup::configure(const wire::MeshConfigurationT& configuration, std::uint64_t base) {
   const auto id = requireLeader();
   wire::MeshChangeT change;
-  change.revision = 1;
+  change.revision = base + 1;
+  change.base_revision = base;
   change.document = {1};
   change.configuration = mesh::encodeConfiguration(configuration);
-  change.digest = std::make_shared<wire::Digest>(1, 1);
+  change.digest = std::make_shared<wire::Digest>(change.revision, 1);
   network_.call(id, [this, id, &change] {
     at(id).changeMesh(
         change, [](const store::MeshAnswer&) {}, network_.now());
--- a/tests/rollout/store_group.h
+++ b/tests/rollout/store_group.h
@@ -27,8 +27,9 @@
   std::optional<ProcessId> leader() const;
   /// @throw std::logic_error without a leader.
   ProcessId requireLeader() const;
-  /// Makes this the mesh's first configuration.
-  void configure(const wire::MeshConfigurationT& configuration);
+  /// Makes this the mesh's configuration.
+  /// @param base the revision in force; 0 for none.
+  void configure(const wire::MeshConfigurationT& configuration, std::uint64_t base = 0);
 
  private:
   ProcessNetwork& network_;
--- /dev/null
+++ b/tests/sidecar/distance_cost_test.cpp
@@ -0,0 +1,127 @@
+#include "sidecar/distance_cost.h"
+
+#include <catch2/catch.hpp>
+
+namespace cometstand::sidecar::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct DistanceFixture {
+  static SidecarOptions makeOptions() {
+    SidecarOptions options;
+    options.zone = "east-a";
+    options.zones = mesh::ZoneMap({"east-a=east", "east-b=east", "west-a=west"});
+    return options;
+  }
+
+  double costOf(const std::string& zone) const {
+    Endpoint endpoint;
+    endpoint.zone = zone;
+    return DistanceCost(options, links).of(endpoint, want, now);
+  }
+
+  SidecarOptions options = makeOptions();
+  RegionLinks links{options};
+  EndpointWant want;
+  TimePoint now{seconds(100)};
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(DistanceFixture, "the own zone costs nothing, the own region less than another one") {
+  want.patience = milliseconds(150);
+  want.bytes = GENERATE(0, 400, 90'000);
+  CHECK(costOf("east-a") == 0);
+  CHECK(costOf("east-b") > 0);
+  CHECK(costOf("west-a") > costOf("east-b"));
+}
+
+TEST_CASE_METHOD(DistanceFixture, "without regions another zone costs what it cost before there were any") {
+  options.zones = mesh::ZoneMap();
+  want.patience = milliseconds(150);
+  want.bytes = 400;
+  want.refused_share = GENERATE(0, 1);
+  CHECK(costOf("west-a") == options.zone_cost.of(400));
+}
+
+TEST_CASE_METHOD(DistanceFixture, "the shorter a request may wait, the more another region costs") {
+  want.patience = milliseconds(150);
+  const double patient = costOf("west-a");
+  want.patience = milliseconds(30);
+  CHECK(costOf("west-a") > patient + 1);
+}
+
+TEST_CASE_METHOD(DistanceFixture, "the way counts less once requests are refused, bytes do not") {
+  want.patience = milliseconds(150);
+  const double served = costOf("west-a");
+  want.refused_share = 0.05;
+  const double partly = costOf("west-a");
+  want.refused_share = 1;
+  CHECK(partly < served);
+  CHECK(costOf("west-a") < partly);
+  CHECK(costOf("west-a") > 0);
+  want.bytes = 90'000;
+  CHECK(costOf("west-a") > 90'000 / options.region_bytes_per_target);
+}
+
+TEST_CASE_METHOD(DistanceFixture, "a measured round trip counts in place of the settings'") {
+  want.patience = milliseconds(150);
+  const double by_setting = costOf("west-a");
+  Endpoint west;
+  west.zone = "west-a";
+  Transfer transfer;
+  transfer.round_trip = milliseconds(10);
+  links.onEnded(west, transfer, now);
+  CHECK(costOf("west-a") < by_setting - 0.3);
+  now += seconds(10);
+  CHECK(costOf("west-a") == by_setting);
+}
+
+TEST_CASE_METHOD(DistanceFixture, "senders of a region share the link's capacity evenly") {
+  options.region_link_bandwidth = 1'000'000;
+  links.setSenders(10);
+  Endpoint west;
+  west.zone = "west-a";
+  want.bytes = 400;
+  want.is_urgent = true;
+  std::size_t admitted = 0;
+  for (const TimePoint end = now + seconds(10); now < end; now += milliseconds(1)) {
+    if (!links.admits(west, want, now)) continue;
+    links.onSent(west, want.bytes, now);
+    ++admitted;
+  }
+  // Requests with what they take besides their bodies; half of the link belongs to the other region's
+  // senders.
+  CHECK(admitted * 1'400 < 500'000);
+  CHECK(admitted * 1'400 > 300'000);
+  Endpoint near;
+  near.zone = "east-b";
+  want.bytes = 1'000'000;
+  CHECK(links.admits(near, want, now));
+}
+
+TEST_CASE_METHOD(DistanceFixture, "a machine whose own link is slow sees no queue between the regions") {
+  const std::string slow_zone = GENERATE("", "east-b");
+  Endpoint west;
+  west.zone = "west-a";
+  Endpoint near;
+  near.zone = "east-b";
+  const auto pass = [&](Duration west_time, Duration near_time) {
+    Transfer transfer;
+    transfer.round_trip = near_time;
+    links.onEnded(near, transfer, now);
+    transfer.round_trip = west_time;
+    links.onSent(west, 400, now);
+    links.onEnded(west, transfer, now);
+    now += milliseconds(20);
+  };
+  for (int i = 0; i < 50; ++i) pass(milliseconds(60), milliseconds(1));
+  const bool is_own_link = !slow_zone.empty();
+  for (int i = 0; i < 100; ++i) pass(milliseconds(160), milliseconds(is_own_link ? 101 : 1));
+  CHECK((links.rates().at("west") == LinkShare::kUnbounded) == is_own_link);
+}
+
+}  // namespace cometstand::sidecar::test
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -152,14 +152,14 @@
   }
 
   void addPeer(const runtime::Address& address, wire::EndpointState state = wire::EndpointState::Live,
-               const std::string& service = "shop") {
+               const std::string& service = "shop", const std::string& zone = "zone-a") {
     wire::EndpointUpdateT update;
     auto record = std::make_shared<wire::EndpointRecordT>();
     record->service = service;
     record->endpoint = "instance-" + address.host;
     record->address = address.host;
     record->port = address.port;
-    record->zone = "zone-a";
+    record->zone = zone;
     record->state = state;
     record->slots = 2;
     update.records.push_back(record);
