--- a/src/mesh/zone_map.cpp
+++ b/src/mesh/zone_map.cpp
@@ -24,9 +24,9 @@
 }
 
 const std::string& ZoneMap::regionOf(const std::string& zone) const {
-  static const std::string kUnknown;
+  static const std::string unknown;
   const auto known = regions_.find(zone);
-  return known == regions_.end() ? kUnknown : known->second;
+  return known == regions_.end() ? unknown : known->second;
 }
 
 ZoneDistance ZoneMap::distance(const std::string& from, const std::string& to) const {
--- a/tests/regions/region_mesh.h
+++ b/tests/regions/region_mesh.h
@@ -62,6 +62,8 @@
   rollout::test::ProcessNetwork network;
   /// Runs of /kept/ that began at targets, by region.
   std::map<std::string, std::size_t> kept_runs;
+  /// Those of them whose sidecar knew then that its region is none of the route's.
+  std::size_t kept_wrong = 0;
   /// Requests that entered the link.
   std::size_t requests_between = 0;
   /// Bytes that entered the link, by the region they came from.
@@ -94,6 +96,8 @@
   void keepBeating(Machine& machine);
   void keepCalling(Machine& machine);
   std::string drawRoute();
+  /// Ends all links between the regions.
+  void resetBetween();
   std::string regionOf(ProcessId id) const;
   std::optional<Duration> wayOf(ProcessId from, ProcessId to, const wire::EnvelopeT& message);
   wire::MeshConfigurationT makeConfiguration() const;
