--- a/src/mesh/zone_map.cpp
+++ b/src/mesh/zone_map.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/error.h"
 
 namespace cometstand::mesh {
@@ -22,9 +24,9 @@
 }
 
 const std::string& ZoneMap::regionOf(const std::string& zone) const {
-  static const std::string kUnknown;
+  static const std::string unknown;
   const auto known = regions_.find(zone);
-  return known == regions_.end() ? kUnknown : known->second;
+  return known == regions_.end() ? unknown : known->second;
 }
 
 ZoneDistance ZoneMap::distance(const std::string& from, const std::string& to) const {
@@ -35,4 +37,9 @@
   return is_same ? ZoneDistance::SameRegion : ZoneDistance::OtherRegion;
 }
 
+bool isAllowedRegion(const std::vector<std::string>& allowed, const std::string& region) {
+  if (allowed.empty()) return true;
+  return !region.empty() && std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 }  // namespace cometstand::mesh
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -39,6 +39,15 @@
     endpoint.cold_until = now + std::chrono::milliseconds(record->cold_ms);
     endpoint.expires_at.reset();
   }
+  countSenders();
+}
+
+void EndpointDirectory::countSenders() {
+  const auto& own = options_.zones.regionOf(options_.zone);
+  const auto senders = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+    return options_.zones.regionOf(item.second.zone) == own;
+  });
+  region_links_.setSenders(static_cast<std::size_t>(senders));
 }
 
 void EndpointDirectory::setService(Endpoint& endpoint, const std::string& service) {
@@ -74,12 +83,19 @@
   candidates.reserve(listed->second.size());
   LoadEstimate estimate(now);
   noteSilent(listed->second, now);
+  bool is_held_back = false;
   for (auto* endpoint : listed->second) {
     if (!EndpointFilter::isReachable(*endpoint)) continue;
     estimate.add(*endpoint);
     const bool is_candidate = !tried.contains(endpoint->address) && filter_.admits(*endpoint, want, now);
-    if (is_candidate) candidates.push_back(endpoint);
+    if (!is_candidate) continue;
+    if (region_links_.admits(*endpoint, want, now)) {
+      candidates.push_back(endpoint);
+    } else {
+      is_held_back = true;
+    }
   }
+  if (is_held_back) region_links_.noteHeldBack();
   if (want.versions.pool == VersionFilter::Pool::Canary) keepShare(candidates, want.versions.canary_permille);
   auto* best = cheapest(candidates, want, estimate, random, now);
   if (best == nullptr || !zone_health_.isDark(best->zone)) return best;
@@ -184,6 +200,7 @@
     unlist(endpoint);
     item = endpoints_.erase(item);
   }
+  if (!gone.empty()) countSenders();
   return gone;
 }
 
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -12,6 +12,7 @@
 #include "sidecar/endpoint.h"
 #include "sidecar/endpoint_cost.h"
 #include "sidecar/endpoint_filter.h"
+#include "sidecar/region_links.h"
 #include "sidecar/sidecar_options.h"
 #include "sidecar/zone_health.h"
 
@@ -23,7 +24,11 @@
  public:
   /// @param options, evacuations must outlive the directory.
   EndpointDirectory(const SidecarOptions& options, const ZoneEvacuations& evacuations)
-      : filter_(options.zones, evacuations), cost_(options), zone_health_(options.zone) {}
+      : options_(options),
+        filter_(options.zones, evacuations),
+        region_links_(options),
+        cost_(options, region_links_),
+        zone_health_(options.zone) {}
 
   /// Takes the records of one store over, in the order in which it sent them.
   /// @param is_whole the records are all that the store knows; others expire soon.
@@ -46,10 +51,17 @@
   void noteLinked(const runtime::Address& address, TimePoint now);
   /// The link to the address ended, or could not be opened.
   void noteUnlinked(const runtime::Address& address, TimePoint now);
+  /// @return true if the request may be served in the endpoint's region.
+  bool isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
+    return filter_.isAllowedRegion(endpoint, want);
+  }
 
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
 
+  RegionLinks& regionLinks() { return region_links_; }
+  const RegionLinks& regionLinks() const { return region_links_; }
+
   /// A request goes to the endpoint.
   static void noteSent(Endpoint& endpoint, TimePoint now);
   /// A target of the service answered after that time.
@@ -71,7 +83,12 @@
   bool isSentToDark(const Endpoint& endpoint, const EndpointWant& want, bool is_only_choice, TimePoint now);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
+  /// Whoever has an endpoint in the own region may send to others.
+  void countSenders();
+
+  const SidecarOptions& options_;
   EndpointFilter filter_;
+  RegionLinks region_links_;
   EndpointCost cost_;
   ZoneHealth zone_health_;
   std::map<runtime::Address, Endpoint> endpoints_;
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -103,11 +103,17 @@
     "A zone that was dark for this sidecar answered again. No action is "
     "needed."};
 
+inline constexpr EventDefinition kRegionLinkReduced{
+    7030, LogLevel::Info, "region_link_reduced",
+    "The way to another region shows a queue, so this sidecar sends less there until that is gone. If it "
+    "comes "
+    "again and again on many sidecars, the link between the regions is too narrow for what crosses it."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked,   kStoreLost,       kSourceChosen,  kSourceLost,  kConfigurationInForce,
-    kTargetChanged, kCallEnded,       kCallRetried,   kGateRefused, kSidecarStopBegan,
-    kUpdateRefused, kCallAnswered,    kRunEnded,      kRunGivenUp,  kBodyRefused,
-    kTargetEnded,   kCallQuarantined, kTargetDoubted, kTargetAsked, kEvacuationsChanged,
-    kZoneDark,      kZoneHeard};
+    kStoreLinked,   kStoreLost,       kSourceChosen,     kSourceLost,  kConfigurationInForce,
+    kTargetChanged, kCallEnded,       kCallRetried,      kGateRefused, kSidecarStopBegan,
+    kUpdateRefused, kCallAnswered,    kRunEnded,         kRunGivenUp,  kBodyRefused,
+    kTargetEnded,   kCallQuarantined, kTargetDoubted,    kTargetAsked, kEvacuationsChanged,
+    kZoneDark,      kZoneHeard,       kRegionLinkReduced};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -72,6 +72,7 @@
     endpoints_.noteUnlinked(*address, now);
     calls_.onPeerLost(*address, now);
   } else {
+    arrivals_.forgetLink(link);
     intake_.cancelLink(link, now);
     gate_.cancelLink(link, now);
   }
@@ -85,7 +86,7 @@
     if (const auto* reply = message.body.AsForwardReply()) {
       calls_.onReply(*address, message.request_id, *reply, now);
     } else if (const auto* grant = message.body.AsBodyGrant()) {
-      calls_.onGrant(*address, message.request_id, grant->bytes);
+      calls_.onGrant(*address, message.request_id, grant->bytes, now);
     }
   } else {
     onAskerMessage(link, message, now);
@@ -96,6 +97,7 @@
 void SidecarCore::onAskerMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   const GateAsker asker{link, message.request_id};
   if (const auto* request = message.body.AsForwardRequest()) {
+    arrivals_.note(asker, now);
     if (calls_.routes() == nullptr) {
       gate_.refuse(asker, *request, wire::NotRunReason::TargetDown, now);
     } else if (request->announced_bytes == 0) {
@@ -106,6 +108,7 @@
   } else if (const auto* part = message.body.AsBodyPart()) {
     intake_.onPart(asker, part->bytes, now);
   } else if (message.body.AsForwardCancel() != nullptr) {
+    arrivals_.forget(asker);
     intake_.cancel(asker, now);
     gate_.cancel(asker, now);
   }
@@ -138,6 +141,7 @@
 
 void SidecarCore::answerAsker(const GateAsker& asker, wire::ForwardReplyT reply) {
   reply.intake_wait_ms = static_cast<std::uint32_t>(ceilMilliseconds(intake_.expectedWait()));
+  reply.at_endpoint_ms = static_cast<std::uint32_t>(ceilMilliseconds(arrivals_.take(asker, now_)));
   if (asker.link == LinkId{}) {
     calls_.onReply(options_.advertise, asker.request_id, reply, now_);
   } else {
@@ -233,6 +237,7 @@
   const bool is_first = calls_.routes() == nullptr;
   calls_.setRoutes(table);
   setColdStart(now);
+  gate_.setRoutes(table);
   askTarget();
   // Until now the endpoint was not live for others.
   if (is_first && gate_.target().condition() != TargetCondition::Unheard) onTargetChanged(now);
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "mesh/route_table.h"
 #include "sidecar/cold_rate_limit.h"
 #include "sidecar/gate_asker.h"
 #include "sidecar/metrics.h"
@@ -84,6 +85,8 @@
   /// @return true if new requests are refused because of the target's version or zone, or since it leaves.
   bool isClosed(TimePoint now) const { return is_version_closed_ || refusesForZone(now) || isLeaving(now); }
   RunSamples& samples() { return samples_; }
+  /// Requests are refused from now on whose route, by this configuration, is not served in this region.
+  void setRoutes(mesh::RouteTablePointer table) { routes_ = std::move(table); }
   /// The target's state may have changed.
   void onTargetChanged(TimePoint now);
   /// New requests are refused from then on, as this sidecar stops.
@@ -129,6 +132,9 @@
   bool refusesForZone(TimePoint now) const {
     return evacuated_since_ && now >= *evacuated_since_ + options_.leaving_grace;
   }
+  /// @return true if the newest configuration lets the request's route be served in this region, as far as
+  /// the route is named.
+  bool isServedHere(const wire::ForwardRequestT& request) const;
   std::optional<wire::NotRunReason> refusalOf(const wire::ForwardRequestT& request, TimePoint now) const;
   /// @return true if requests came lately that yield to such a one.
   bool isYieldedTo(const wire::ForwardRequestT& request, TimePoint now) const;
@@ -191,6 +197,7 @@
   bool is_version_closed_ = false;
   /// Of the target's zone.
   std::optional<TimePoint> evacuated_since_;
+  mesh::RouteTablePointer routes_;
   RunSamples samples_;
   /// The shortest objective that came lately, in milliseconds; a large number for none.
   std::uint32_t shortest_objective_ms_ = UINT32_MAX;
