Large answers pass between two sidecars in parts, under the asker's credit

Cause: an answer was one frame on the link, so that small and urgent messages waited behind all of it: 445 ms behind 540 KB at 9.7 Mbit/s (reckoned).

The credit of BodyIntake is a class of its own now, ReceiveCredit, which both directions share: one window over all large bodies that come to a machine, of requests and answers, the more urgent first. The asker's side (AnswerIntake) collects, and answers its caller only once the sender said that the body is whole. Off by default (sidecar.answer_credit = 0); the deployment's settings switch it on.

Ruled out: smaller frames without credit, since all of them would be queued on the link at once.

Test fixture of BodyIntake: it gets the credit that was a part of it; no check changed.

--- /dev/null
+++ b/src/sidecar/answer_intake.cpp
@@ -0,0 +1,47 @@
+#include "sidecar/answer_intake.h"
+
+#include <utility>
+
+namespace cometstand::sidecar {
+
+void AnswerIntake::begin(std::uint64_t sending, const wire::ForwardReplyT& reply, unsigned priority,
+                         TimePoint now) {
+  const auto grant = [this, sending](std::uint32_t bytes) { grant_(sending, bytes); };
+  const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grant, now);
+  answers_.emplace(sending, Answer{reply, flow});
+  credit_.grantMore(now);
+}
+
+AnswerIntake::Progress AnswerIntake::onPart(std::uint64_t sending, const wire::BodyPartT& part,
+                                            TimePoint now) {
+  const auto found = answers_.find(sending);
+  if (found == answers_.end()) return Progress::Unknown;
+  auto& [reply, flow] = found->second;
+  const bool is_granted = credit_.onReceived(flow, part.bytes.size(), now);
+  if (!is_granted || part.end == wire::BodyEnd::Broken) {
+    drop(sending, now);
+    return Progress::Broken;
+  }
+  reply.body.insert(reply.body.end(), part.bytes.begin(), part.bytes.end());
+  const bool is_whole = part.end == wire::BodyEnd::Whole;
+  if (is_whole) credit_.close(flow);
+  credit_.grantMore(now);
+  return is_whole ? Progress::Whole : Progress::Open;
+}
+
+wire::ForwardReplyT AnswerIntake::take(std::uint64_t sending) {
+  auto reply = std::move(answers_.at(sending).reply);
+  answers_.erase(sending);
+  reply.body_follows = false;
+  return reply;
+}
+
+void AnswerIntake::drop(std::uint64_t sending, TimePoint now) {
+  const auto found = answers_.find(sending);
+  if (found == answers_.end()) return;
+  credit_.close(found->second.flow);
+  answers_.erase(found);
+  credit_.grantMore(now);
+}
+
+}  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -137,6 +137,7 @@
   request.deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
   request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request.is_retry = call.sendings > 0;
+  request.answer_credit = parts_.options.answer_credit;
   if (parts_.rollouts.running(request.service) != nullptr) request.route = call.route->name;
   return request;
 }
@@ -180,7 +181,18 @@
   const CallId id = sent->second;
   auto& call = calls_.at(id);
   if (call.at != from) return;
-  sent_.erase(sent);
+  if (reply.outcome == wire::ForwardOutcome::Answered && reply.body_follows) {
+    if (!answers_.contains(request_id)) answers_.begin(request_id, reply, call.request->priority, now);
+    return;
+  }
+  answers_.drop(request_id, now);
+  conclude(id, reply, now);
+}
+
+void OutboundCalls::conclude(CallId id, const wire::ForwardReplyT& reply, TimePoint now) {
+  auto& call = calls_.at(id);
+  auto* endpoint = parts_.endpoints.find(*call.at);
+  sent_.erase(call.sent_as);
   call.at.reset();
   if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
   switch (reply.outcome) {
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -8,6 +8,7 @@
 
 #include "mesh/route_table.h"
 #include "runtime/action_queue.h"
+#include "sidecar/answer_intake.h"
 #include "sidecar/caller_port.h"
 #include "sidecar/endpoint_directory.h"
 #include "sidecar/metrics.h"
@@ -38,10 +39,14 @@
     CallerPort& callers;
     const RolloutView& rollouts;
     const Quarantine& quarantine;
+    ReceiveCredit& credit;
   };
 
   explicit OutboundCalls(const Parts& parts)
-      : parts_(parts), budget_(parts.options.retry_ratio, parts.options.retry_burst) {}
+      : parts_(parts),
+        budget_(parts.options.retry_ratio, parts.options.retry_burst),
+        answers_(parts.credit,
+                 [this](std::uint64_t sending, std::uint32_t bytes) { grantAnswer(sending, bytes); }) {}
 
   void setRoutes(mesh::RouteTablePointer table) { table_ = std::move(table); }
   const mesh::RouteTablePointer& routes() const { return table_; }
@@ -56,11 +61,16 @@
                TimePoint now);
   /// The endpoint is ready to receive so many more bytes of an announced body.
   void onGrant(const runtime::Address& from, std::uint64_t request_id, std::size_t bytes);
+  /// The next bytes of an answer whose body follows.
+  void onAnswerPart(const runtime::Address& from, std::uint64_t request_id, const wire::BodyPartT& part,
+                    TimePoint now);
   /// The link to the endpoint ended: what was sent over it may have run.
   void onPeerLost(const runtime::Address& address, TimePoint now);
   void onTimer(TimePoint now);
   TimePoint nextTimer() const { return deadlines_.empty() ? TimePoint::max() : deadlines_.begin()->first; }
   std::size_t inFlight() const { return calls_.size(); }
+  /// @return large answers that have begun to come.
+  std::size_t answersArriving() const { return answers_.size(); }
   const CallMetrics& metrics() const { return metrics_; }
 
  private:
@@ -95,6 +105,9 @@
   wire::ForwardRequestT requestFor(CallState& call, TimePoint now) const;
   /// @return true if the endpoint got all of the request, so that it may run.
   static bool isWhollySent(const CallState& call);
+  /// The endpoint has said its last word on the sending.
+  void conclude(CallId id, const wire::ForwardReplyT& reply, TimePoint now);
+  void grantAnswer(std::uint64_t sending, std::uint32_t bytes);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
   void onFailed(CallId id, CallState& call, TimePoint now);
   void recall(CallState& call, TimePoint now);
@@ -120,6 +133,7 @@
   std::map<std::string, unsigned> most_urgent_;
   RefusalShare refusals_;
   TransferSizes sizes_;
+  AnswerIntake answers_;
   CallMetrics metrics_;
   mesh::RouteTablePointer table_;
   std::map<CallId, CallState> calls_;
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -32,6 +32,7 @@
 
 void OutboundCalls::recall(CallState& call, TimePoint now) {
   if (!call.at) return;
+  answers_.drop(call.sent_as, now);
   sent_.erase(call.sent_as);
   auto* endpoint = parts_.endpoints.find(*call.at);
   if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
@@ -144,6 +145,7 @@
   for (const CallId id : lost) {
     const auto found = calls_.find(id);
     if (found == calls_.end()) continue;
+    answers_.drop(found->second.sent_as, now);
     sent_.erase(found->second.sent_as);
     found->second.at.reset();
     if (isWhollySent(found->second)) {
--- /dev/null
+++ b/src/sidecar/receive_credit.cpp
@@ -0,0 +1,111 @@
+#include "sidecar/receive_credit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cometstand::sidecar {
+namespace {
+
+/// Grants cover what the link brings in this time: a few round trips between zones of a region, so that the
+/// link never runs dry, and the most that an urgent request waits behind bodies.
+constexpr Duration kGrantTime = std::chrono::milliseconds(25);
+/// Bounds of the bytes that are granted and have not come: a few packets at least, and little memory.
+constexpr std::size_t kLeastWindow = 16 * 1024;
+constexpr std::size_t kMostWindow = 256 * 1024;
+/// Bytes of one grant: on a link of 6 Mbit/s one part takes about 10 ms.
+constexpr std::size_t kPartBytes = 8 * 1024;
+/// A sender that was granted bytes and sent none for so long no longer takes part of the window.
+constexpr Duration kStallTime = std::chrono::milliseconds(400);
+/// The rate is measured over spans of at least this time.
+constexpr Duration kMeasureTime = std::chrono::milliseconds(20);
+/// Weight of the newest measured span.
+constexpr double kNewest = 0.2;
+/// No link is taken for slower, so that one bad span cannot close the intake.
+constexpr double kLeastRate = 50e3;
+
+double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+}  // namespace
+
+ReceiveCredit::Flow ReceiveCredit::open(unsigned priority, std::size_t expected, Grant grant, TimePoint now) {
+  const Flow flow{priority, next_number_++};
+  State state;
+  state.expected = expected;
+  state.grant = std::move(grant);
+  state.active_at = now;
+  flows_.emplace(flow, std::move(state));
+  return flow;
+}
+
+std::size_t ReceiveCredit::window() const {
+  const auto bytes = static_cast<std::size_t>(rate_ * secondsOf(kGrantTime));
+  return std::clamp(bytes, kLeastWindow, kMostWindow);
+}
+
+std::size_t ReceiveCredit::outstandingBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [flow, state] : flows_) {
+    if (!state.stalled) bytes += state.outstanding();
+  }
+  return bytes;
+}
+
+void ReceiveCredit::noteStalled(TimePoint now) {
+  for (auto& [flow, state] : flows_) {
+    state.stalled = state.outstanding() > 0 && state.active_at + kStallTime <= now;
+  }
+}
+
+void ReceiveCredit::grantMore(TimePoint now) {
+  const std::size_t most = window();
+  std::size_t outstanding = outstandingBytes();
+  if (outstanding == 0) measured_until_ = now;
+  for (auto& [flow, state] : flows_) {
+    if (state.stalled) continue;
+    while (state.granted < state.expected && outstanding < most) {
+      const std::size_t bytes = std::min(kPartBytes, state.expected - state.granted);
+      if (state.granted == 0) state.active_at = now;
+      state.granted += bytes;
+      outstanding += bytes;
+      state.grant(static_cast<std::uint32_t>(bytes));
+    }
+    if (outstanding >= most) return;
+  }
+}
+
+void ReceiveCredit::noteReceived(std::size_t bytes, TimePoint now) {
+  measured_bytes_ += bytes;
+  measured_time_ += now - measured_until_;
+  measured_until_ = now;
+  if (measured_time_ < kMeasureTime) return;
+  const double rate = static_cast<double>(measured_bytes_) / secondsOf(measured_time_);
+  rate_ = std::max(kLeastRate, rate_ + kNewest * (rate - rate_));
+  measured_time_ = Duration::zero();
+  measured_bytes_ = 0;
+}
+
+bool ReceiveCredit::onReceived(const Flow& flow, std::size_t bytes, TimePoint now) {
+  auto& state = flows_.at(flow);
+  if (bytes > state.outstanding()) return false;
+  state.received += bytes;
+  state.active_at = now;
+  state.stalled = false;
+  noteReceived(bytes, now);
+  return true;
+}
+
+void ReceiveCredit::onTimer(TimePoint now) {
+  noteStalled(now);
+  grantMore(now);
+}
+
+TimePoint ReceiveCredit::nextTimer() const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [flow, state] : flows_) {
+    const bool may_stall = state.outstanding() > 0 && !state.stalled;
+    if (may_stall) next = std::min(next, state.active_at + kStallTime);
+  }
+  return next;
+}
+
+}  // namespace cometstand::sidecar
--- /dev/null
+++ b/src/sidecar/receive_credit.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "base/time.h"
+
+namespace cometstand::sidecar {
+
+/// Receiver-driven credit for all large bodies that come to this sidecar, of requests and of answers: a
+/// sender sends only as many bytes as it was granted. All grants together are bounded by about what the link
+/// brings in kGrantTime, so bodies of many senders never queue up on the link, where small and urgent
+/// messages would wait behind them.
+///
+/// It follows the published designs of pHost and Homa (SIGCOMM 2018), without their packet priorities.
+class ReceiveCredit {
+ public:
+  /// Tells a body's sender that it may send so many more bytes.
+  using Grant = std::function<void(std::uint32_t bytes)>;
+
+  /// Names one body that comes; in the order of the grants.
+  struct Flow {
+    /// The lower the more urgent.
+    unsigned priority = 0;
+    std::uint64_t number = 0;
+    friend auto operator<=>(const Flow&, const Flow&) = default;  // NOLINT(modernize-use-nullptr)
+  };
+
+  /// Of a body whose size is not known.
+  static constexpr std::size_t kUnknownSize = SIZE_MAX;
+
+  /// Adds a body; grantMore() then grants to it.
+  Flow open(unsigned priority, std::size_t expected, Grant grant, TimePoint now);
+  /// Counts bytes that came. @return false if they are more than was granted, which no sound sender sends;
+  /// nothing has changed then.
+  bool onReceived(const Flow& flow, std::size_t bytes, TimePoint now);
+  /// The body is whole or given up. What it was granted is free for others.
+  void close(const Flow& flow) { flows_.erase(flow); }
+  /// @return bytes that the sender was granted so far.
+  std::size_t granted(const Flow& flow) const { return flows_.at(flow).granted; }
+
+  void grantMore(TimePoint now);
+  void onTimer(TimePoint now);
+  TimePoint nextTimer() const;
+
+  /// @return smoothed bytes each second while bodies come.
+  double rate() const { return rate_; }
+
+ private:
+  struct State {
+    std::size_t expected = 0;
+    std::size_t granted = 0;
+    std::size_t received = 0;
+    Grant grant;
+    /// Of the last part, or of the first grant.
+    TimePoint active_at;
+    /// The sender was granted bytes and has sent none for long.
+    bool stalled = false;
+
+    std::size_t outstanding() const { return granted - received; }
+  };
+
+  std::size_t window() const;
+  std::size_t outstandingBytes() const;
+  void noteStalled(TimePoint now);
+  void noteReceived(std::size_t bytes, TimePoint now);
+
+  std::map<Flow, State> flows_;
+  std::uint64_t next_number_ = 1;
+  double rate_ = kFirstRate;
+  /// Up to when the time in which bodies came is counted.
+  TimePoint measured_until_;
+  Duration measured_time_{};
+  std::size_t measured_bytes_ = 0;
+
+  /// Taken for the link's rate until it was measured: a narrow link of some Mbit/s.
+  static constexpr double kFirstRate = 1e6;
+};
+
+}  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -35,8 +35,10 @@
             [this](const GateAsker& asker, wire::ForwardReplyT reply) {
               answerAsker(asker, std::move(reply));
             }),
-      intake_(intakeListener()),
-      calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers, rollouts_, quarantine_}) {}
+      intake_(credit_, intakeListener()),
+      answers_(actions_),
+      calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers, rollouts_, quarantine_,
+              credit_}) {}
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
@@ -61,6 +63,7 @@
     calls_.onPeerLost(*address, now);
   } else {
     intake_.cancelLink(link, now);
+    answers_.cancelLink(link);
     gate_.cancelLink(link, now);
   }
 }
@@ -74,6 +77,8 @@
       calls_.onReply(*address, message.request_id, *reply, now);
     } else if (const auto* grant = message.body.AsBodyGrant()) {
       calls_.onGrant(*address, message.request_id, grant->bytes);
+    } else if (const auto* part = message.body.AsBodyPart()) {
+      calls_.onAnswerPart(*address, message.request_id, *part, now);
     }
   } else {
     onAskerMessage(link, message, now);
@@ -84,16 +89,26 @@
 void SidecarCore::onAskerMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   const GateAsker asker{link, message.request_id};
   if (const auto* request = message.body.AsForwardRequest()) {
-    if (request->announced_bytes == 0) {
-      gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(*request), now);
-    } else if (!gate_.refuseNow(asker, *request, now)) {
-      intake_.announce(asker, std::make_shared<wire::ForwardRequestT>(*request), now);
-    }
+    onAskerRequest(asker, *request, now);
   } else if (const auto* part = message.body.AsBodyPart()) {
     intake_.onPart(asker, part->bytes, now);
+  } else if (const auto* grant = message.body.AsBodyGrant()) {
+    answers_.onGrant(asker, grant->bytes);
   } else if (message.body.AsForwardCancel() != nullptr) {
     intake_.cancel(asker, now);
     gate_.cancel(asker, now);
+    answers_.cancel(asker);
+  }
+}
+
+void SidecarCore::onAskerRequest(GateAsker asker, const wire::ForwardRequestT& request, TimePoint now) {
+  asker.answer = {request.answer_credit, now + std::chrono::milliseconds(request.deadline_ms)};
+  if (answers_.isFull()) {
+    gate_.refuse(asker, request, wire::NotRunReason::Full);
+  } else if (request.announced_bytes == 0) {
+    gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(request), now);
+  } else if (!gate_.refuseNow(asker, request, now)) {
+    intake_.announce(asker, std::make_shared<wire::ForwardRequestT>(request), now);
   }
 }
 
@@ -127,7 +142,7 @@
   if (asker.link == LinkId{}) {
     calls_.onReply(options_.advertise, asker.request_id, reply, now_);
   } else {
-    actions_.send(asker.link, std::move(reply), asker.request_id);
+    answers_.send(asker, std::move(reply));
   }
 }
 
@@ -240,7 +255,8 @@
   report.incarnation = incarnation_;
   report.endpoint = target.instance();
   report.version = target.version();
-  report.in_flight = gate_.running() + gate_.waiting() + static_cast<std::uint32_t>(intake_.size());
+  report.in_flight =
+      gate_.running() + gate_.waiting() + static_cast<std::uint32_t>(intake_.size() + answers_.size());
   report.is_closed = gate_.isClosed(now);
   report.cold_ms =
       static_cast<std::uint32_t>(ceilMilliseconds(std::max(Duration::zero(), target.coldUntil() - now)));
@@ -268,6 +284,7 @@
   control_.onTimer(now);
   peers_.onTimer(now);
   intake_.onTimer(now);
+  answers_.onTimer(now);
   quarantine_.onTimer(now);
   applyRollouts(now);
   if (now >= rollout_report_at_) reportRollout(now);
@@ -281,8 +298,9 @@
 }
 
 TimePoint SidecarCore::nextTimer() const {
-  TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), gate_.nextTimer(),
-                             calls_.nextTimer(), quarantine_.nextTimer(), expire_at_});
+  TimePoint next =
+      std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), answers_.nextTimer(),
+                gate_.nextTimer(), calls_.nextTimer(), quarantine_.nextTimer(), expire_at_});
   if (rollouts_.running(gate_.target().service()) != nullptr) {
     next = std::min(next, rollout_report_at_);
     // Afterwards the gate stays as it is until the next word of a store.
@@ -316,8 +334,8 @@
     if (gate_.target().condition() != TargetCondition::Unheard) onTargetChanged(now);
   }
   const Duration time = now - *stop_began_;
-  const bool is_idle =
-      calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0 && intake_.size() == 0;
+  const bool is_idle = calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0 &&
+                       intake_.size() == 0 && answers_.size() == 0;
   stopped_ = time >= options_.stopMaximum() || (time >= options_.stop_minimum && is_idle);
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "runtime/process_core.h"
+#include "sidecar/answer_transfers.h"
 #include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
 #include "sidecar/outbound_calls.h"
@@ -42,6 +43,8 @@
   std::size_t callsInFlight() const { return calls_.inFlight(); }
   const TargetGate& gate() const { return gate_; }
   const BodyIntake& intake() const { return intake_; }
+  const AnswerTransfers& answers() const { return answers_; }
+  std::size_t answersArriving() const { return calls_.answersArriving(); }
   const EndpointDirectory& endpoints() const { return endpoints_; }
   const Quarantine& quarantine() const { return quarantine_; }
 
@@ -72,6 +75,7 @@
   void reportRollout(TimePoint now);
 
   void onAskerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onAskerRequest(GateAsker asker, const wire::ForwardRequestT& request, TimePoint now);
   void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
   BodyIntake::Listener intakeListener();
   void onTargetChanged(TimePoint now);
@@ -98,7 +102,9 @@
   std::uint64_t incarnation_;
   TimePoint rollout_report_at_;
   TargetGate gate_;
+  ReceiveCredit credit_;
   BodyIntake intake_;
+  AnswerTransfers answers_;
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -50,6 +50,10 @@
 
   OtherZoneCost zone_cost;
 
+  /// Answers of other machines' targets with larger bodies come in parts, as this sidecar grants them, so
+  /// that other messages pass in between; 0: all come in one message. Bytes, default 0, range 0 to 1,000,000.
+  unsigned answer_credit = 0;
+
   /// Part of a request's objective that it may wait for a slot of its target. Default 0.15, range 0 to 1:
   /// with 0.4 answers under overload came late, with 0.08 too few were served (docs/FURTHER.md, round 5).
   double queue_share = 0.15;
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -33,6 +33,9 @@
                "configuration names for its service.");
   table.number("sidecar.cold_slack", options.cold_slack, {0, 100'000},
                "Requests that a cold target may get in any second besides that.");
+  table.integer<unsigned>("sidecar.answer_credit", options.answer_credit, {0, 1'000'000},
+                          "Answers from other machines with bodies of more bytes than these come in parts as "
+                          "they are granted, so that other messages pass in between; 0: in one message.");
   table.number("sidecar.queue_share", options.queue_share, {0, 1},
                "Part of a request's objective that it may wait for a slot of its target.");
   table.duration("sidecar.least_patience", options.least_patience, {milliseconds(0), seconds(10)},
--- a/tests/sidecar/body_intake_test.cpp
+++ b/tests/sidecar/body_intake_test.cpp
@@ -16,7 +16,7 @@
 /// The intake of one sidecar. Senders are played by the test: each has the link of its number.
 class IntakeFixture {
  public:
-  IntakeFixture() : intake(makeListener()) {}
+  IntakeFixture() : intake(credit, makeListener()) {}
 
   static GateAsker askerOf(std::uint64_t sender) { return {runtime::LinkId{sender}, sender}; }
 
@@ -65,6 +65,7 @@
   std::deque<Grant> grants;
   std::map<std::uint64_t, std::shared_ptr<wire::ForwardRequestT>> whole;
   std::map<std::uint64_t, wire::NotRunReason> refused;
+  ReceiveCredit credit;
   BodyIntake intake;
 };
 
