--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -59,11 +59,14 @@
                 static_cast<double>(core_.quarantine().suspected()));
   add("bodies_arriving", "Large bodies that are announced or on their way to this sidecar.",
       core_.intake().size());
-  add("answers_arriving", "Large answers to this sidecar's requests that have begun to come.",
-      core_.answersArriving());
-  add("answers_leaving", "Large answers of the target that other sidecars have not granted whole yet.",
-      core_.answers().size());
-  add("answer_bytes_held", "Bytes of the bodies of those answers.", core_.answers().heldBytes());
+  metrics.gauge("cometstand_sidecar_answers_arriving",
+                "Large answers to this sidecar's requests that have begun to come.",
+                static_cast<double>(core_.answersArriving()));
+  metrics.gauge("cometstand_sidecar_answers_leaving",
+                "Large answers of the target that other sidecars have not granted whole yet.",
+                static_cast<double>(core_.answers().size()));
+  metrics.gauge("cometstand_sidecar_answer_bytes_held", "Bytes of the bodies of those answers.",
+                static_cast<double>(core_.answers().heldBytes()));
   metrics.gauge("cometstand_sidecar_intake_wait_seconds",
                 "Expected time until a large body that is announced now would begin to come.",
                 std::chrono::duration<double>(core_.intake().expectedWait()).count());
