--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -40,6 +40,7 @@
   state.request->objective_ms = route->objective_ms;
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   state.began = now;
+  state.takes_parts = call.takes_parts;
   state.caller_leaves = now + call.deadline.value_or(timeout);
   state.deadline = std::min(state.caller_leaves, now + timeout);
   if (endsTooLate(state.deadline, now)) {
@@ -145,6 +146,7 @@
   request.deadline_ms = static_cast<std::uint32_t>(ceilMilliseconds(call.deadline - now));
   request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request.is_retry = call.sendings > 0;
+  request.answer_credit = parts_.options.answer_credit;
   request.route = routeNameFor(call, endpoint);
   return request;
 }
@@ -193,13 +195,28 @@
   const CallId id = sent->second;
   auto& call = calls_.at(id);
   if (call.at != from) return;
-  sent_.erase(sent);
+  if (reply.outcome == wire::ForwardOutcome::Answered && reply.body_follows) {
+    if (!answers_.contains(request_id)) answers_.begin(request_id, reply, call.request->priority, now);
+    return;
+  }
+  if (answers_.contains(request_id)) {
+    // No sound endpoint answers twice.
+    onAnswerBroken(id, call, now);
+    return;
+  }
+  conclude(id, reply, now);
+}
+
+void OutboundCalls::conclude(CallId id, const wire::ForwardReplyT& reply, TimePoint now) {
+  auto& call = calls_.at(id);
+  auto* endpoint = parts_.endpoints.find(*call.at);
+  sent_.erase(call.sent_as);
   call.at.reset();
   if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
   if (endpoint != nullptr) noteTransfer(call, *endpoint, reply, now);
   switch (reply.outcome) {
     case wire::ForwardOutcome::Answered:
-      sizes_.note(call.route->name, reply.body.size());
+      sizes_.note(call.route->name, call.passed_bytes + reply.body.size());
       parts_.endpoints.noteAnswered(call.request->service, now - call.sent_at);
       finish(id, {CallOutcome::Answered, reply, Duration::zero()}, now);
       return;
@@ -248,8 +265,8 @@
 void OutboundCalls::onFailed(CallId id, CallState& call, TimePoint now) {
   call.may_have_run = true;
   ++call.sendings;
-  const bool may_repeat = call.route->repeatable && call.sendings < call.route->max_attempts &&
-                          call.deadline - now >= kLeastTimeLeft &&
+  const bool may_repeat = !call.is_passed_on && call.route->repeatable &&
+                          call.sendings < call.route->max_attempts && call.deadline - now >= kLeastTimeLeft &&
                           !parts_.quarantine.isSuspect(*call.request) &&
                           budget_.take(call.request->service, isUrgent(call));
   if (!may_repeat) {
--- a/src/sidecar/outbound_regions.cpp
+++ b/src/sidecar/outbound_regions.cpp
@@ -35,8 +35,8 @@
   const std::size_t sent = call.announced ? call.body_sent : call.request->body.size();
   Transfer transfer;
   transfer.expected_bytes = call.expected_bytes;
-  transfer.actual_bytes = reply.body_follows ? call.expected_bytes : sent + reply.body.size();
-  if (sent + reply.body.size() <= kMostMeasuredBytes) {
+  transfer.actual_bytes = sent + call.passed_bytes + reply.body.size();
+  if (transfer.actual_bytes <= kMostMeasuredBytes) {
     transfer.round_trip = now - call.sent_at - std::chrono::milliseconds(reply.at_endpoint_ms);
   }
   parts_.endpoints.regionLinks().onEnded(endpoint, transfer, now);
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "runtime/process_core.h"
+#include "sidecar/answer_transfers.h"
 #include "sidecar/arrival_times.h"
 #include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
@@ -28,6 +29,11 @@
     advance(now);
     calls_.cancel(id, now);
   }
+  /// The caller took so many bytes of an answer that it gets in parts.
+  void onCallerRead(CallId id, std::size_t bytes, TimePoint now) {
+    advance(now);
+    calls_.onRead(id, bytes, now);
+  }
   void onRunResult(RunId id, RunResult result, TimePoint now);
   void onHeartbeat(const Heartbeat& beat, TimePoint now);
   void onProbed(ProbeOutcome outcome, TimePoint now);
@@ -51,6 +57,8 @@
   /// @return time until the target counts as warm, as of the newest event.
   Duration targetColdTime() const { return gate_.coldTime(now_); }
   const BodyIntake& intake() const { return intake_; }
+  const AnswerTransfers& answers() const { return answers_; }
+  std::size_t answersArriving() const { return calls_.answersArriving(); }
   const EndpointDirectory& endpoints() const { return endpoints_; }
   const Quarantine& quarantine() const { return quarantine_; }
   const ZoneEvacuations& evacuations() const { return evacuations_; }
@@ -88,6 +96,7 @@
   void setColdStart(TimePoint now);
 
   void onAskerMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
+  void onAskerRequest(GateAsker asker, const wire::ForwardRequestT& request, TimePoint now);
   void answerAsker(const GateAsker& asker, wire::ForwardReplyT reply);
   BodyIntake::Listener intakeListener();
   void onTargetChanged(TimePoint now);
@@ -114,8 +123,10 @@
   std::uint64_t incarnation_;
   TimePoint rollout_report_at_;
   TargetGate gate_;
+  ReceiveCredit credit_;
   BodyIntake intake_;
   ArrivalTimes arrivals_;
+  AnswerTransfers answers_;
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
