--- a/src/sidecar/distance_cost.cpp
+++ b/src/sidecar/distance_cost.cpp
@@ -11,7 +11,7 @@
 
 /// The share of refused requests from which on the way between regions counts least, and how much it counts
 /// then: without any cost as many requests would cross each way as stay.
-constexpr double kRefusedAtLeastWeight = 0.1;
+constexpr double kRefusedAtLeastWeight = 0.05;
 constexpr double kLeastWeight = 0.2;
 
 }  // namespace
--- a/tests/regions/region_mesh.cpp
+++ b/tests/regions/region_mesh.cpp
@@ -30,7 +30,8 @@
 
 }  // namespace
 
-RegionMesh::RegionMesh(MeshSetup setup) : setup_(std::move(setup)), stores_(network, random_, kStores) {
+RegionMesh::RegionMesh(MeshSetup setup)
+    : setup_(std::move(setup)), random_(setup_.seed), stores_(network, random_, kStores) {
   network.setWay([this](ProcessId from, ProcessId to, const wire::EnvelopeT& message) {
     return wayOf(from, to, message);
   });
@@ -138,8 +139,10 @@
   const bool is_large = order.request->target.starts_with("/large/");
   if (order.request->target.starts_with("/kept/")) {
     ++mesh->kept_runs[region];
-    const auto route = mesh->sidecarOf(*this).routes()->findByName("kept");
-    if (!mesh::isAllowedRegion(route->regions, region)) ++mesh->kept_wrong;
+    // A gate that starts has no configuration yet, and goes by what senders choose.
+    const auto& routes = mesh->sidecarOf(*this).routes();
+    const auto route = routes == nullptr ? nullptr : routes->findByName("kept");
+    if (route != nullptr && !mesh::isAllowedRegion(route->regions, region)) ++mesh->kept_wrong;
   }
   const Duration time = mesh->random_.uniform(kRunTime / 2, kRunTime * 3 / 2);
   mesh->network.at(mesh->network.now() + time, [this, run = order.id, is_large] {
--- a/tests/regions/region_mesh.h
+++ b/tests/regions/region_mesh.h
@@ -17,6 +17,7 @@
 
 /// What a test varies.
 struct MeshSetup {
+  std::uint64_t seed = 1;
   /// Requests a second of each sidecar's callers, by region.
   std::map<std::string, double> calls_per_second;
   /// Bytes a second of the link between the regions, each way.
@@ -103,7 +104,7 @@
   wire::MeshConfigurationT makeConfiguration() const;
 
   MeshSetup setup_;
-  RandomSource random_{1};
+  RandomSource random_;
   rollout::test::StoreGroup stores_;
   std::deque<Machine> machines_;
   std::map<ProcessId, std::string> regions_;
--- a/tests/regions/region_test.cpp
+++ b/tests/regions/region_test.cpp
@@ -30,10 +30,12 @@
 TEST_CASE("callers of a full region get the same share as those of the other one") {
   const double east = GENERATE(1.3, 1.6);
   const double west = GENERATE(0.5, 0.8);
-  RegionMesh mesh(setupOf(east, west));
+  auto setup = setupOf(east, west);
+  setup.seed = GENERATE(range(1, 6));
+  RegionMesh mesh(setup);
   mesh.runFor(seconds(10));
-  INFO("east " << east << " west " << west);
-  CAPTURE(mesh.served("east").share(), mesh.served("west").share());
+  INFO("seed " << setup.seed << " east " << east << " west " << west);
+  CAPTURE(mesh.served("east").share(), mesh.served("west").share(), mesh.requests_between);
   CHECK(mesh.served("east").all() > 2'000);
   CHECK(differenceOf(mesh) <= kMostDifference);
   const double bearable = std::min(1.0, 2 / (east + west));
