Process test of the platform's programs: a zone is evacuated and comes back cold

Cause: evacuation and cold targets were tested with whole stores and sidecars in one thread and simulated time, but not with the platform's programs, their settings files and their calls over HTTP.

Change: tests/platform_processes starts three cometstand-platform-store and two cometstand-platform-sidecar as child processes, each on a loopback address of its own (machines are known by address and share their ports), with a target in each of two zones inside the test. The fleet runner's HTTP client carries header fields and tells the Location.

Ruled out: one host with many ports, as seeds and 307 name control addresses and the link port is the same on all machines.

--- a/rehearsal/fleet/http_client.cpp
+++ b/rehearsal/fleet/http_client.cpp
@@ -23,6 +23,7 @@
     request_.method_string(question.method);
     request_.target(question.target);
     request_.set(http::field::host, question.host.empty() ? "localhost" : question.host);
+    for (const auto& [name, value] : question.fields) request_.set(name, value);
     request_.body() = question.body;
     request_.keep_alive(false);
     request_.prepare_payload();
@@ -35,9 +36,8 @@
     });
     io_.run();
     if (!complete_) return std::nullopt;
-    const auto found = response_.find("X-Outcome");
-    const std::string outcome = found == response_.end() ? "" : std::string(found->value());
-    return HttpAnswer{response_.result_int(), outcome, std::move(response_.body())};
+    return HttpAnswer{response_.result_int(), std::string(response_["X-Outcome"]),
+                      std::move(response_.body()), std::string(response_[http::field::location])};
   }
 
  private:
--- a/rehearsal/fleet/http_client.h
+++ b/rehearsal/fleet/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -11,6 +12,8 @@
   /// The proxy's X-Outcome header, or empty.
   std::string outcome;
   std::string body;
+  /// The Location header, or empty.
+  std::string location;
 };
 
 struct HttpQuestion {
@@ -18,6 +21,8 @@
   std::string host;
   std::string target = "/";
   std::string body;
+  /// Further header fields by name.
+  std::map<std::string, std::string> fields = {};
 };
 
 /// Makes one request on a connection of its own and waits for the answer.
--- /dev/null
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -0,0 +1,183 @@
+#include "platform_processes/platform_mesh.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+#include "base/error.h"
+#include "platform/names.h"
+#include "rehearsal/fleet/member.h"
+#include "rehearsal/fleet/wait_until.h"
+
+namespace cometstand::platform {
+
+using rehearsal::HttpAnswer;
+using rehearsal::HttpQuestion;
+using rehearsal::waitUntil;
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kRedirect = 307;
+constexpr unsigned kUnavailable = 503;
+constexpr const char* kHost = "shop.example";
+/// Callers at each sidecar. With the pause they ask for hundreds a second, where a cold target bears 14.
+constexpr std::size_t kCallersPerZone = 4;
+constexpr Duration kCallerPause = std::chrono::milliseconds(10);
+
+}  // namespace
+
+TemporaryFolder::TemporaryFolder() {
+  std::string name = (std::filesystem::temp_directory_path() / "platform_processes.XXXXXX").string();
+  if (::mkdtemp(name.data()) == nullptr)
+    throw Error(ErrorKind::InputOutput, "no temporary folder can be made", "make room in it");
+  path_ = name;
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+PlatformMesh::PlatformMesh()
+    : link_port_(io_), control_port_(io_), ready_port_(io_), caller_port_(io_), target_port_(io_) {
+  for (std::size_t zone = 0; zone < kZones; ++zone) {
+    targets_.emplace_back(io_, TargetPlan{"i-" + zoneName(zone),
+                                          zoneName(zone),
+                                          {sidecarHost(zone), target_port_.port()},
+                                          {sidecarHost(zone), control_port_.port()}});
+  }
+  for (std::size_t store = 0; store < kStores; ++store) startStore(store);
+  for (std::size_t zone = 0; zone < kZones; ++zone) startSidecar(zone);
+  for (auto& target : targets_) target.start();
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+PlatformMesh::~PlatformMesh() {
+  io_.stop();
+  thread_.join();
+}
+
+std::string PlatformMesh::zoneName(std::size_t zone) { return fmt::format("zone-{}", zone + 1); }
+
+/// The process's id makes the addresses those of this run alone.
+std::string PlatformMesh::host(std::size_t number) const {
+  constexpr unsigned kMachineBits = 4;
+  constexpr unsigned kByteBits = 8;
+  constexpr unsigned kByteMask = 0xFF;
+  const auto bits = (static_cast<unsigned>(::getpid()) << kMachineBits) | static_cast<unsigned>(number);
+  return fmt::format("127.{}.{}.{}", (bits >> (2 * kByteBits)) & kByteMask, (bits >> kByteBits) & kByteMask,
+                     bits & kByteMask);
+}
+
+HttpAnswer PlatformMesh::ask(const std::string& host, const rehearsal::ReservedPort& port,
+                             const HttpQuestion& question) const {
+  const boost::asio::ip::tcp::endpoint server(boost::asio::ip::make_address(host), port.port());
+  return rehearsal::askOverHttp(server, question).value_or(HttpAnswer());
+}
+
+HttpAnswer PlatformMesh::askStore(std::size_t store, const HttpQuestion& question) const {
+  return ask(storeHost(store), control_port_, question);
+}
+
+unsigned PlatformMesh::order(const HttpQuestion& question, std::size_t store) const {
+  unsigned status = 0;
+  waitUntil("a store takes the order", [&] {
+    auto answer = askStore(store++ % kStores, question);
+    if (answer.status == kRedirect) {
+      const std::string_view location = answer.location;
+      constexpr std::string_view kScheme = "http://";
+      const auto end = location.find(':', kScheme.size());
+      const auto leader = location.substr(kScheme.size(), end - kScheme.size());
+      answer = ask(std::string(leader), control_port_, question);
+    }
+    status = answer.status;
+    return status != 0 && status != kRedirect && status != kUnavailable;
+  });
+  return status;
+}
+
+std::size_t PlatformMesh::waitForLeader() const {
+  std::size_t store = 0;
+  waitUntil("a store leads", [&] {
+    store = (store + 1) % kStores;
+    return askStore(store, {"GET", "", kConfigGetPath, "", {}}).status == kOk;
+  });
+  return store;
+}
+
+void PlatformMesh::waitForReadiness(std::size_t zone) const {
+  waitUntil(zoneName(zone) + " is ready", [&] {
+    return ask(sidecarHost(zone), ready_port_, {"GET", "", kReadinessPath, "", {}}).status == kOk;
+  });
+}
+
+void PlatformMesh::restartSidecar(std::size_t zone) {
+  sidecar_processes_.at(zone).reset();
+  startSidecar(zone);
+}
+
+unsigned PlatformMesh::call(std::size_t zone) {
+  const auto id = fmt::format("request-{}", ++calls_);
+  const HttpQuestion question{"GET", kHost, "/", "", {{kRequestId, id}, {kDeadline, "8000"}}};
+  return ask(sidecarHost(zone), caller_port_, question).status;
+}
+
+std::string PlatformMesh::commonSettings(const std::string& host, std::size_t zone) const {
+  std::string seeds;
+  for (std::size_t store = 0; store < kStores; ++store)
+    seeds += fmt::format("{}\"{}:{}\"", store == 0 ? "" : ",", storeHost(store), control_port_.port());
+  return fmt::format(
+      "zone = \"{0}\"\nregion = \"region\"\nlisten.address = \"{1}:{2}\"\ntls.enabled = false\n"
+      "platform.control = \"{1}:{3}\"\nplatform.seeds = [{4}]\n",
+      zoneName(zone), host, link_port_.port(), control_port_.port(), seeds);
+}
+
+std::unique_ptr<rehearsal::ChildProcess> PlatformMesh::startProgram(const std::string& name,
+                                                                    const char* program,
+                                                                    const std::string& settings) const {
+  const auto file = folder_.path() / (name + ".toml");
+  const auto zones = fmt::format("zones = [\"{}=region\",\"{}=region\"]\n", zoneName(0), zoneName(1));
+  rehearsal::writeTextFile(file, settings + zones);
+  return std::make_unique<rehearsal::ChildProcess>(rehearsal::ProgramStart{
+      name, program, {"--settings", file.string()}, folder_.path() / (name + ".log"), {}});
+}
+
+void PlatformMesh::startStore(std::size_t store) {
+  const auto name = fmt::format("store-{}", store + 1);
+  const auto settings = commonSettings(storeHost(store), store % kZones) +
+                        fmt::format("data.folder = \"{}\"\n[store]\nname = \"{}\"\nbootstrap = true\n",
+                                    (folder_.path() / name).string(), name);
+  store_processes_.at(store) = startProgram(name, STORE_PROGRAM, settings);
+}
+
+void PlatformMesh::startSidecar(std::size_t zone) {
+  const auto name = fmt::format("sidecar-{}", zone + 1);
+  const auto host = sidecarHost(zone);
+  const auto settings =
+      commonSettings(host, zone) +
+      fmt::format(
+          "platform.ready = \"{0}:{1}\"\nplatform.callers = \"{0}:{2}\"\nplatform.target = \"{0}:{3}\"\n"
+          "platform.service = \"{4}\"\n[sidecar]\nnode = \"{5}\"\n",
+          host, ready_port_.port(), caller_port_.port(), target_port_.port(), kTestService, name);
+  sidecar_processes_.at(zone) = startProgram(name, SIDECAR_PROGRAM, settings);
+}
+
+Press::Press(PlatformMesh& mesh) {
+  for (std::size_t caller = 0; caller < kCallersPerZone * PlatformMesh::kZones; ++caller) {
+    threads_.emplace_back([this, &mesh, zone = caller % PlatformMesh::kZones] {
+      while (!stopping_) {
+        mesh.call(zone);
+        rehearsal::pauseFor(kCallerPause);
+      }
+    });
+  }
+}
+
+Press::~Press() {
+  stopping_ = true;
+  for (auto& thread : threads_) thread.join();
+}
+
+}  // namespace cometstand::platform
--- /dev/null
+++ b/tests/platform_processes/platform_mesh.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform_processes/stand_in_target.h"
+#include "rehearsal/fleet/child_process.h"
+#include "rehearsal/fleet/http_client.h"
+#include "rehearsal/fleet/reserved_port.h"
+
+namespace cometstand::platform {
+
+/// A folder of this test's own, which goes with all it holds.
+class TemporaryFolder {
+ public:
+  TemporaryFolder();
+  ~TemporaryFolder();
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  const std::filesystem::path& path() const { return path_; }
+
+ private:
+  std::filesystem::path path_;
+};
+
+/// The platform's programs as child processes: three stores, and a sidecar with a stand-in target in each of
+/// two zones. Each machine is a loopback address of its own, as machines are known by their addresses and
+/// share their ports. All of it ends with the object.
+class PlatformMesh {
+ public:
+  static constexpr std::size_t kStores = 3;
+  static constexpr std::size_t kZones = 2;
+
+  /// Starts all programs. They have no configuration yet.
+  PlatformMesh();
+  ~PlatformMesh();
+  PlatformMesh(const PlatformMesh&) = delete;
+  PlatformMesh& operator=(const PlatformMesh&) = delete;
+
+  static std::string zoneName(std::size_t zone);
+  StandInTarget& target(std::size_t zone) { return targets_.at(zone); }
+
+  /// Asks one store, without following a redirection.
+  /// @return status 0 if there is no answer.
+  rehearsal::HttpAnswer askStore(std::size_t store, const rehearsal::HttpQuestion& question) const;
+  /// Asks the stores in turn, and those that they name, until one answers neither 307, 503 nor not at all.
+  /// @param store asked first.
+  /// @return the status of that answer.
+  unsigned order(const rehearsal::HttpQuestion& question, std::size_t store = 0) const;
+  /// @return the store that leads, once one does.
+  std::size_t waitForLeader() const;
+  void killStore(std::size_t store) { store_processes_.at(store).reset(); }
+
+  void waitForReadiness(std::size_t zone) const;
+  /// SIGKILL and a new start; returns before the new process is ready.
+  void restartSidecar(std::size_t zone);
+  /// Sends a request of a new id to the zone's sidecar.
+  /// @return the status of the answer, or 0 if there is none.
+  unsigned call(std::size_t zone);
+
+ private:
+  std::string host(std::size_t number) const;
+  std::string storeHost(std::size_t store) const { return host(1 + store); }
+  std::string sidecarHost(std::size_t zone) const { return host(1 + kStores + zone); }
+  rehearsal::HttpAnswer ask(const std::string& host, const rehearsal::ReservedPort& port,
+                            const rehearsal::HttpQuestion& question) const;
+  std::string commonSettings(const std::string& host, std::size_t zone) const;
+  std::unique_ptr<rehearsal::ChildProcess> startProgram(const std::string& name, const char* program,
+                                                        const std::string& settings) const;
+  void startStore(std::size_t store);
+  void startSidecar(std::size_t zone);
+
+  TemporaryFolder folder_;
+  boost::asio::io_context io_;
+  const rehearsal::ReservedPort link_port_;
+  const rehearsal::ReservedPort control_port_;
+  const rehearsal::ReservedPort ready_port_;
+  const rehearsal::ReservedPort caller_port_;
+  const rehearsal::ReservedPort target_port_;
+  std::atomic<std::uint64_t> calls_ = 0;
+  std::deque<StandInTarget> targets_;
+  std::vector<std::unique_ptr<rehearsal::ChildProcess>> store_processes_{kStores};
+  std::vector<std::unique_ptr<rehearsal::ChildProcess>> sidecar_processes_{kZones};
+  std::thread thread_;
+};
+
+/// Callers that send to all sidecars as fast as they are answered, each pausing between its requests,
+/// until the object goes.
+class Press {
+ public:
+  explicit Press(PlatformMesh& mesh);
+  ~Press();
+  Press(const Press&) = delete;
+  Press& operator=(const Press&) = delete;
+
+ private:
+  std::atomic<bool> stopping_ = false;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace cometstand::platform
--- /dev/null
+++ b/tests/platform_processes/stand_in_target.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "web/client.h"
+#include "web/server.h"
+
+namespace cometstand::platform {
+
+/// Service of all stand-in targets, and where they answer health questions.
+inline constexpr const char* kTestService = "shop";
+inline constexpr const char* kHealthPath = "/health";
+/// Time for which a target is cold after a start.
+inline constexpr Duration kColdTime = std::chrono::seconds(3);
+
+/// Where a stand-in target is and what it speaks to.
+struct TargetPlan {
+  std::string instance;
+  std::string zone;
+  runtime::Address listen;
+  /// Control address of the sidecar beside it.
+  runtime::Address sidecar;
+};
+
+/// A target inside the test process: answers every request at once, notes when each came, and sends
+/// heartbeats to the sidecar beside it. Serves on the io_context's thread; all else may be called on any.
+class StandInTarget : public web::RequestHandler {
+ public:
+  /// @throw Error(InputOutput) if the address cannot be used.
+  StandInTarget(boost::asio::io_context& io, TargetPlan plan);
+
+  void start();
+  /// From now on it says that it is cold, and will be for kColdTime; without an end until warmUp().
+  void turnCold();
+  /// It is still cold for kColdTime, and warm then.
+  void warmUp();
+  /// Waits until the sidecar has taken a heartbeat that was sent after this call began.
+  void waitForHeartbeat() const;
+
+  /// @return when requests came, health questions left out; oldest first.
+  std::vector<TimePoint> arrivals() const;
+  /// @return those that came while it said that it was cold.
+  std::vector<TimePoint> coldArrivals() const;
+  std::vector<TimePoint> arrivalsSince(TimePoint begin) const;
+
+  void onRequest(web::ExchangeId id, web::Request request) override;
+  void onCallerGone(web::ExchangeId) override {}
+
+ private:
+  void beat();
+  Duration coldRemaining() const;
+
+  const TargetPlan plan_;
+  web::Server server_;
+  web::Client client_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t beats_ = 0;
+  std::atomic<std::uint64_t> acknowledged_beats_ = 0;
+
+  /// Guards what follows.
+  mutable std::mutex mutex_;
+  TimePoint cold_until_;
+  std::vector<TimePoint> arrivals_;
+  std::vector<TimePoint> cold_arrivals_;
+};
+
+/// @param times in rising order.
+/// @return the most of them in any sliding second.
+std::size_t mostInOneSecond(const std::vector<TimePoint>& times);
+
+}  // namespace cometstand::platform
