Answers above 128 KiB pass on to their callers before they are whole

Cause: the asker's sidecar held each answer whole, and a caller that reads slowly held nothing back.

Up to 128 KiB an answer is collected, so that one that breaks off can be asked for again; beyond that it is passed on in chunks, and granted as the caller takes it. From then on no other endpoint is asked, and an answer that breaks off ends the caller's connection.

Ruled out: passing on from the first byte, since most answers would lose their retry for little time.

--- a/src/sidecar/answer_intake.cpp
+++ b/src/sidecar/answer_intake.cpp
@@ -36,6 +36,25 @@
   return reply;
 }
 
+wire::ForwardReplyT AnswerIntake::pass(std::uint64_t sending) {
+  auto& [reply, flow] = answers_.at(sending);
+  credit_.setReader(flow, reply.body.size(), kMostUnread);
+  auto head = reply;
+  reply.body.clear();
+  return head;
+}
+
+std::vector<std::uint8_t> AnswerIntake::takePart(std::uint64_t sending) {
+  return std::exchange(answers_.at(sending).reply.body, {});
+}
+
+void AnswerIntake::onRead(std::uint64_t sending, std::size_t bytes, TimePoint now) {
+  const auto found = answers_.find(sending);
+  if (found == answers_.end()) return;
+  credit_.onRead(found->second.flow, bytes);
+  credit_.grantMore(now);
+}
+
 void AnswerIntake::drop(std::uint64_t sending, TimePoint now) {
   const auto found = answers_.find(sending);
   if (found == answers_.end()) return;
--- a/src/sidecar/answer_intake.h
+++ b/src/sidecar/answer_intake.h
@@ -38,12 +38,28 @@
   Progress onPart(std::uint64_t sending, const wire::BodyPartT& part, TimePoint now);
   /// @return the whole answer, which is forgotten here.
   wire::ForwardReplyT take(std::uint64_t sending);
+  /// @return true if so much was collected that the answer is to be passed on before it is whole.
+  bool isDue(std::uint64_t sending) const { return answers_.at(sending).reply.body.size() >= kMostCollected; }
+  /// From now on the answer is passed on by takePart() as it comes, and granted as its reader takes it.
+  /// @return what came so far.
+  wire::ForwardReplyT pass(std::uint64_t sending);
+  /// @return the bytes that came since the last call.
+  std::vector<std::uint8_t> takePart(std::uint64_t sending);
+  /// The reader of an answer that is passed on took bytes.
+  void onRead(std::uint64_t sending, std::size_t bytes, TimePoint now);
   /// Forgets the answer, if there is one.
   void drop(std::uint64_t sending, TimePoint now);
 
   bool contains(std::uint64_t sending) const { return answers_.contains(sending); }
   std::size_t size() const { return answers_.size(); }
 
+  /// While so little came, an answer that breaks off may still be asked for again, as its caller has seen
+  /// nothing of it: most answers are whole by then.
+  static constexpr std::size_t kMostCollected = 128 * 1024;
+  /// Bytes of an answer that is passed on which its reader has not taken: what a reader takes from a local
+  /// connection at once, and little memory for one that takes nothing.
+  static constexpr std::size_t kMostUnread = 64 * 1024;
+
  private:
   struct Answer {
     wire::ForwardReplyT reply;
--- a/src/sidecar/caller_port.h
+++ b/src/sidecar/caller_port.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "schema/mesh_generated.h"
@@ -19,6 +20,8 @@
   std::string host;
   /// How long the caller will wait, if it said so.
   std::optional<Duration> deadline;
+  /// A large answer may be handed over in parts, before it is whole.
+  bool takes_parts = false;
 };
 
 enum class CallOutcome : std::uint8_t {
@@ -44,11 +47,19 @@
   Duration retry_after = Duration::zero();
 };
 
-/// Hears what became of callers' requests: exactly one answer for each that was not cancelled.
+/// Hears what became of callers' requests: exactly one answer for each that was not cancelled, by answer(),
+/// or by beginAnswer() and continueAnswer() up to an end.
 class CallerPort {
  public:
   virtual ~CallerPort() = default;
   virtual void answer(CallId id, CallAnswer answer) = 0;
+
+  // Of calls that take parts only. SidecarCore::onCallerRead() is to be told of bytes that the caller took.
+  /// @param head the target's answer with the first bytes of its body.
+  virtual void beginAnswer(CallId /*id*/, const wire::ForwardReplyT& /*head*/) {}
+  /// @param end Broken: the answer must not look whole to the caller.
+  virtual void continueAnswer(CallId /*id*/, const std::vector<std::uint8_t>& /*bytes*/,
+                              wire::BodyEnd /*end*/) {}
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_answers.cpp
+++ b/src/sidecar/outbound_answers.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "sidecar/outbound_calls.h"
 
 /// How large answers to callers' requests come: in parts, as they are granted.
@@ -24,12 +26,42 @@
   auto& call = calls_.at(id);
   if (call.at != from) return;
   const auto progress = answers_.onPart(request_id, part, now);
-  if (progress == AnswerIntake::Progress::Whole) {
-    conclude(id, answers_.take(request_id), now);
-  } else if (progress == AnswerIntake::Progress::Broken) {
-    recall(call, now);
-    onFailed(id, call, now);
+  switch (progress) {
+    case AnswerIntake::Progress::Unknown:
+      return;
+    case AnswerIntake::Progress::Open:
+      passOn(id, call);
+      return;
+    case AnswerIntake::Progress::Whole:
+      conclude(id, answers_.take(request_id), now);
+      return;
+    case AnswerIntake::Progress::Broken:
+      onAnswerBroken(id, call, now);
+      return;
+  }
+}
+
+void OutboundCalls::onAnswerBroken(CallId id, CallState& call, TimePoint now) {
+  recall(call, now);
+  onFailed(id, call, now);
+}
+
+void OutboundCalls::passOn(CallId id, CallState& call) {
+  if (call.is_passed_on) {
+    const auto bytes = answers_.takePart(call.sent_as);
+    call.passed_bytes += bytes.size();
+    parts_.callers.continueAnswer(id, bytes, wire::BodyEnd::Open);
+  } else if (call.takes_parts && answers_.isDue(call.sent_as)) {
+    const auto head = answers_.pass(call.sent_as);
+    call.is_passed_on = true;
+    call.passed_bytes = head.body.size();
+    parts_.callers.beginAnswer(id, head);
   }
 }
 
+void OutboundCalls::onRead(CallId id, std::size_t bytes, TimePoint now) {
+  const auto call = calls_.find(id);
+  if (call != calls_.end()) answers_.onRead(call->second.sent_as, bytes, now);
+}
+
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -40,6 +40,7 @@
   state.request->objective_ms = route->objective_ms;
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   state.began = now;
+  state.takes_parts = call.takes_parts;
   state.caller_leaves = now + call.deadline.value_or(timeout);
   state.deadline = std::min(state.caller_leaves, now + timeout);
   if (endsTooLate(state.deadline, now)) {
@@ -185,7 +186,11 @@
     if (!answers_.contains(request_id)) answers_.begin(request_id, reply, call.request->priority, now);
     return;
   }
-  answers_.drop(request_id, now);
+  if (answers_.contains(request_id)) {
+    // No sound endpoint answers twice.
+    onAnswerBroken(id, call, now);
+    return;
+  }
   conclude(id, reply, now);
 }
 
@@ -197,7 +202,7 @@
   if (endpoint != nullptr && endpoint->outstanding > 0) --endpoint->outstanding;
   switch (reply.outcome) {
     case wire::ForwardOutcome::Answered:
-      sizes_.note(call.route->name, reply.body.size());
+      sizes_.note(call.route->name, call.passed_bytes + reply.body.size());
       parts_.endpoints.noteAnswered(call.request->service, now - call.sent_at);
       finish(id, {CallOutcome::Answered, reply, Duration::zero()}, now);
       return;
@@ -246,8 +251,8 @@
 void OutboundCalls::onFailed(CallId id, CallState& call, TimePoint now) {
   call.may_have_run = true;
   ++call.sendings;
-  const bool may_repeat = call.route->repeatable && call.sendings < call.route->max_attempts &&
-                          call.deadline - now >= kLeastTimeLeft &&
+  const bool may_repeat = !call.is_passed_on && call.route->repeatable &&
+                          call.sendings < call.route->max_attempts && call.deadline - now >= kLeastTimeLeft &&
                           !parts_.quarantine.isSuspect(*call.request) &&
                           budget_.take(call.request->service, isUrgent(call));
   if (!may_repeat) {
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -54,6 +54,8 @@
   void begin(CallId id, Call call, TimePoint now);
   /// A planned stop began: what could not be answered before its end is refused.
   void beginStop(TimePoint now);
+  /// The caller took so many bytes of an answer that is passed on to it in parts.
+  void onRead(CallId id, std::size_t bytes, TimePoint now);
   /// The caller is gone.
   void cancel(CallId id, TimePoint now);
   /// @param request_id as it was sent; `from` the endpoint's address.
@@ -95,6 +97,10 @@
     bool announced = false;
     std::size_t body_sent = 0;
     Duration retry_after = Duration::zero();
+    bool takes_parts = false;
+    /// Some of the answer has gone to the caller: no other endpoint may be asked.
+    bool is_passed_on = false;
+    std::size_t passed_bytes = 0;
   };
 
   bool endsTooLate(TimePoint deadline, TimePoint now) const;
@@ -107,6 +113,8 @@
   static bool isWhollySent(const CallState& call);
   /// The endpoint has said its last word on the sending.
   void conclude(CallId id, const wire::ForwardReplyT& reply, TimePoint now);
+  void passOn(CallId id, CallState& call);
+  void onAnswerBroken(CallId id, CallState& call, TimePoint now);
   void grantAnswer(std::uint64_t sending, std::uint32_t bytes);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
   void onFailed(CallId id, CallState& call, TimePoint now);
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -97,8 +97,15 @@
   metrics_.noteEnd(answer.outcome, now - call.began);
   refusals_.note(call.request->service, answer.outcome == CallOutcome::NotRun);
   deadlines_.erase({call.deadline, id});
+  const bool is_passed_on = call.is_passed_on;
   calls_.erase(found);
-  parts_.callers.answer(id, std::move(answer));
+  if (!is_passed_on) {
+    parts_.callers.answer(id, std::move(answer));
+  } else if (answer.outcome == CallOutcome::Answered) {
+    parts_.callers.continueAnswer(id, answer.reply.body, wire::BodyEnd::Whole);
+  } else {
+    parts_.callers.continueAnswer(id, {}, wire::BodyEnd::Broken);
+  }
 }
 
 /// @return a time drawn from a span that grows with the share of requests that are refused: callers who are
@@ -148,7 +155,7 @@
     answers_.drop(found->second.sent_as, now);
     sent_.erase(found->second.sent_as);
     found->second.at.reset();
-    if (isWhollySent(found->second)) {
+    if (isWhollySent(found->second) || found->second.is_passed_on) {
       onFailed(id, found->second, now);
     } else {
       onRefused(id, found->second, lostBeforeWhole(), now);
--- a/src/sidecar/receive_credit.cpp
+++ b/src/sidecar/receive_credit.cpp
@@ -37,6 +37,17 @@
   return flow;
 }
 
+void ReceiveCredit::setReader(const Flow& flow, std::size_t unread, std::size_t most_unread) {
+  auto& state = flows_.at(flow);
+  state.unread = unread;
+  state.most_unread = most_unread;
+}
+
+void ReceiveCredit::onRead(const Flow& flow, std::size_t bytes) {
+  auto& state = flows_.at(flow);
+  state.unread -= std::min(bytes, state.unread);
+}
+
 std::size_t ReceiveCredit::window() const {
   const auto bytes = static_cast<std::size_t>(rate_ * secondsOf(kGrantTime));
   return std::clamp(bytes, kLeastWindow, kMostWindow);
@@ -62,7 +73,7 @@
   if (outstanding == 0) measured_until_ = now;
   for (auto& [flow, state] : flows_) {
     if (state.stalled) continue;
-    while (state.granted < state.expected && outstanding < most) {
+    while (state.mayGrant() && outstanding < most) {
       const std::size_t bytes = std::min(kPartBytes, state.expected - state.granted);
       if (state.granted == 0) state.active_at = now;
       state.granted += bytes;
@@ -88,6 +99,7 @@
   auto& state = flows_.at(flow);
   if (bytes > state.outstanding()) return false;
   state.received += bytes;
+  state.unread += bytes;
   state.active_at = now;
   state.stalled = false;
   noteReceived(bytes, now);
--- a/src/sidecar/receive_credit.h
+++ b/src/sidecar/receive_credit.h
@@ -39,6 +39,11 @@
   bool onReceived(const Flow& flow, std::size_t bytes, TimePoint now);
   /// The body is whole or given up. What it was granted is free for others.
   void close(const Flow& flow) { flows_.erase(flow); }
+  /// From now on at most so many bytes are granted beyond what the body's reader took.
+  /// @param unread bytes that it has not taken by now.
+  void setReader(const Flow& flow, std::size_t unread, std::size_t most_unread);
+  /// The reader took bytes.
+  void onRead(const Flow& flow, std::size_t bytes);
   /// @return bytes that the sender was granted so far.
   std::size_t granted(const Flow& flow) const { return flows_.at(flow).granted; }
 
@@ -59,8 +64,12 @@
     TimePoint active_at;
     /// The sender was granted bytes and has sent none for long.
     bool stalled = false;
+    /// Bytes that came and that the reader has not taken; not bounded without a reader.
+    std::size_t unread = 0;
+    std::size_t most_unread = SIZE_MAX;
 
     std::size_t outstanding() const { return granted - received; }
+    bool mayGrant() const { return granted < expected && outstanding() + unread < most_unread; }
   };
 
   std::size_t window() const;
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -21,6 +21,8 @@
 
   // What the surroundings say. Each is to be followed by the runner's flush().
   void onCall(CallId id, Call call, TimePoint now) { calls_.begin(id, std::move(call), now); }
+  /// The caller took so many bytes of an answer that it gets in parts.
+  void onCallerRead(CallId id, std::size_t bytes, TimePoint now) { calls_.onRead(id, bytes, now); }
   void onCallerGone(CallId id, TimePoint now) { calls_.cancel(id, now); }
   void onRunResult(RunId id, RunResult result, TimePoint now);
   void onHeartbeat(const Heartbeat& beat, TimePoint now);
--- a/src/web/server.cpp
+++ b/src/web/server.cpp
@@ -71,4 +71,16 @@
   exchange->second->respond(id, std::move(response));
 }
 
+void Server::beginResponse(ExchangeId id, Response response) {
+  const auto exchange = exchanges_.find(id);
+  if (exchange == exchanges_.end()) return;
+  exchange->second->begin(id, std::move(response));
+}
+
+void Server::continueResponse(ExchangeId id, const std::string& bytes, PartEnd end) {
+  const auto exchange = exchanges_.find(id);
+  if (exchange == exchanges_.end()) return;
+  exchange->second->proceed(id, bytes, end);
+}
+
 }  // namespace cometstand::web
--- a/src/web/server.h
+++ b/src/web/server.h
@@ -19,6 +19,15 @@
 /// Names one request and its answer. Rising, never used twice by one server.
 enum class ExchangeId : std::uint64_t {};
 
+/// What follows a part of an answer's body.
+enum class PartEnd : std::uint8_t {
+  More,
+  /// The body is whole with this part.
+  Last,
+  /// The rest will not come: the connection ends, so that the answer cannot look whole.
+  Broken,
+};
+
 /// What callers may send and how long they may take.
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
@@ -38,14 +47,16 @@
   virtual void onRequest(ExchangeId id, Request request) = 0;
   /// The caller closed its connection before it had its answer.
   virtual void onCallerGone(ExchangeId id) = 0;
+  /// The caller's connection took so many bytes of a body that is sent in parts.
+  virtual void onBodyWritten(ExchangeId /*id*/, std::size_t /*bytes*/) {}
   /// Limits for connections and requests that begin now.
   virtual ServerLimits limits() const { return {}; }
 };
 
 class ServerConnection;
 
-/// An HTTP/1.1 server on one address. Requests and answers are held whole; answers go back in the order of
-/// the requests of a connection. Must live until the io_context has stopped running.
+/// An HTTP/1.1 server on one address. Requests are held whole, answers may be handed in in parts; answers go
+/// back in the order of the requests of a connection. Must live until the io_context has stopped running.
 class Server {
  public:
   /// @param handler must outlive the server.
@@ -62,6 +73,11 @@
 
   /// Sends the answer. Does nothing if the caller is gone.
   void respond(ExchangeId id, Response response);
+  /// Sends an answer whose body follows in parts, in chunks (RFC 9112, section 7.1).
+  /// @param response with the first bytes of its body. Of a caller of HTTP/1.1.
+  void beginResponse(ExchangeId id, Response response);
+  /// Sends the next bytes. Does nothing if the caller is gone.
+  void continueResponse(ExchangeId id, const std::string& bytes, PartEnd end);
   /// From now on each answer closes its connection.
   void beginStop() { stopping_ = true; }
 
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -172,21 +172,34 @@
   server_.handler_.onRequest(id, std::move(request));
 }
 
-void ServerConnection::respond(ExchangeId id, Response response) {
+ServerConnection::Pending* ServerConnection::find(ExchangeId id) {
   const auto item = std::find_if(pending_.begin(), pending_.end(),
                                  [id](const Pending& pending) { return pending.id == id; });
-  if (item == pending_.end() || item->response) return;
+  return item == pending_.end() ? nullptr : &*item;
+}
+
+void ServerConnection::respond(ExchangeId id, Response response) {
+  auto* item = find(id);
+  if (item == nullptr || item->response) return;
   server_.exchanges_.erase(id);
   item->response = std::move(response);
   writeNext();
 }
 
+/// In a planned stop the answer to the last request that was read closes the connection.
+void ServerConnection::prepareLast(Pending& item) {
+  item.is_last = item.is_last || (server_.stopping_ && pending_.size() == 1);
+  reading_ended_ = reading_ended_ || item.is_last;
+}
+
 void ServerConnection::writeNext() {
   if (writing_ || state_ != State::Open || pending_.empty() || !pending_.front().response) return;
+  if (pending_.front().in_parts) {
+    writePart();
+    return;
+  }
   auto& item = pending_.front();
-  // In a planned stop the answer to the last request that was read closes the connection.
-  item.is_last = item.is_last || (server_.stopping_ && pending_.size() == 1);
-  reading_ended_ = reading_ended_ || item.is_last;
+  prepareLast(item);
   // The writing holds it: the connection may be closed, and forget the request, before the writing ends.
   const auto response = std::make_shared<Response>(std::move(*item.response));
   response->version(kHttp11);
@@ -235,7 +248,8 @@
   const auto self = shared_from_this();
   server_.connections_.erase(this);
   for (const auto& item : std::exchange(pending_, {})) {
-    const bool is_waiting = item.id && !item.response;
+    const bool has_begun = item.in_parts && item.end == PartEnd::More;
+    const bool is_waiting = item.id && (!item.response || has_begun);
     if (!is_waiting) continue;
     server_.exchanges_.erase(*item.id);
     server_.handler_.onCallerGone(*item.id);
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -22,6 +22,9 @@
   void start();
   /// Takes the answer to one request; it is written when those before it are.
   void respond(ExchangeId id, Response response);
+  /// Takes the beginning of an answer that comes in parts, and its next part.
+  void begin(ExchangeId id, Response response);
+  void proceed(ExchangeId id, const std::string& bytes, PartEnd end);
   void close();
   /// @return true if the connection has rested, or a request has been on its way, for too long.
   bool isOverdue(const ServerLimits& limits, TimePoint now) const;
@@ -45,6 +48,13 @@
     /// The caller, or an error, asks to close the connection after this answer.
     bool is_last = false;
     std::optional<Response> response;
+
+    // Of an answer in parts.
+    bool in_parts = false;
+    bool head_written = false;
+    /// Bytes of the body that are not written.
+    std::string part;
+    PartEnd end = PartEnd::More;
   };
 
   void awaitBytes();
@@ -57,6 +67,11 @@
   void refuse(boost::system::error_code error);
   void sendContinue();
   void writeNext();
+  void prepareLast(Pending& item);
+  Pending* find(ExchangeId id);
+  static std::string headOf(const Pending& item);
+  void writePart();
+  void onPartWritten(boost::system::error_code error, ExchangeId id, std::size_t body_bytes, PartEnd end);
   void onWritten(boost::system::error_code error);
   void linger();
 
--- /dev/null
+++ b/tests/sidecar/answer_transfers_test.cpp
@@ -0,0 +1,106 @@
+// Large answers at the gate's side: sent as they are granted, given up, held back.
+#include "tests/sidecar/large_answer_fixture.h"
+
+namespace cometstand::sidecar::test {
+
+TEST_CASE_METHOD(LargeAnswerFixture, "the gate sends a large answer only as it is granted", "[sidecar]") {
+  startTarget();
+  ask(7);
+  finishRun();
+  CHECK(seen(7).body == makeBody(kCredit));
+  CHECK(seen(7).body_follows);
+  CHECK(core.answers().heldBytes() == kLargeAnswer);
+  grant(7, 10'000);
+  CHECK(seen(7).body.size() == kCredit + 10'000);
+  CHECK(seen(7).end == wire::BodyEnd::Open);
+  grant(7, kLargeAnswer);
+  CHECK(seen(7).body == makeBody(kLargeAnswer));
+  CHECK(seen(7).end == wire::BodyEnd::Whole);
+  CHECK(core.answers().size() == 0);
+  CHECK(core.answers().heldBytes() == 0);
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture,
+                 "a small answer, and one to an asker without credit, goes in one message", "[sidecar]") {
+  startTarget();
+  const bool has_credit = GENERATE(false, true);
+  const std::size_t bytes = has_credit ? kCredit : kLargeAnswer;
+  ask(7, has_credit ? kCredit : 0);
+  finishRun(bytes);
+  CHECK(seen(7).body.size() == bytes);
+  CHECK_FALSE(seen(7).body_follows);
+  CHECK(core.answers().size() == 0);
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture, "the gate frees an answer whose asker leaves", "[sidecar]") {
+  startTarget();
+  ask(7);
+  finishRun();
+  const bool link_ends = GENERATE(false, true);
+  if (link_ends) {
+    core.onLinkClosed(kIncoming, now);
+  } else {
+    sayIncoming(wire::ForwardCancelT(), 7);
+  }
+  CHECK(core.answers().heldBytes() == 0);
+  grant(7, 10'000);
+  CHECK(seen(7).body.size() == kCredit);
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture, "the gate breaks an answer off that nobody grants in time",
+                 "[sidecar]") {
+  startTarget();
+  ask(7);
+  finishRun();
+  pass(milliseconds(2'100));
+  CHECK(seen(7).end == wire::BodyEnd::Open);
+  pass(milliseconds(200));
+  CHECK(seen(7).end == wire::BodyEnd::Broken);
+  CHECK(core.answers().heldBytes() == 0);
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture, "the gate runs no more for others while slow readers hold its memory",
+                 "[sidecar]") {
+  startTarget();
+  constexpr std::uint64_t kAnswers = AnswerTransfers::kMostHeldBytes / kLargeAnswer + 1;
+  for (std::uint64_t number = 1; number <= kAnswers; ++number) {
+    ask(number);
+    finishRun();
+  }
+  CHECK(target.orders.size() == kAnswers);
+  ask(1'000);
+  CHECK(target.orders.size() == kAnswers);
+  CHECK(seen(1'000).reason == wire::NotRunReason::Full);
+  sayIncoming(wire::ForwardCancelT(), 1);
+  ask(1'001);
+  CHECK(target.orders.size() == kAnswers + 1);
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture, "a planned stop of the gate waits for the answers that leave",
+                 "[sidecar]") {
+  startTarget();
+  ask(7, kCredit, 5'000);
+  finishRun();
+  core.beginStop(now);
+  pass(milliseconds(2'500));
+  CHECK_FALSE(core.stopped());
+  grant(7, kLargeAnswer);
+  CHECK(seen(7).body == makeBody(kLargeAnswer));
+  pass(milliseconds(100));
+  CHECK(core.stopped());
+}
+
+TEST_CASE_METHOD(LargeAnswerFixture, "the answer of a target that leaves still passes", "[sidecar]") {
+  startTarget();
+  ask(7);
+  finishRun();
+  core.onHeartbeat(makeBeat("a", ++beats, false), now);
+  pass(milliseconds(500));
+  ask(8);
+  CHECK(seen(8).reason == wire::NotRunReason::Leaving);
+  grant(7, kLargeAnswer);
+  CHECK(seen(7).body == makeBody(kLargeAnswer));
+  CHECK(seen(7).end == wire::BodyEnd::Whole);
+}
+
+}  // namespace cometstand::sidecar::test
--- /dev/null
+++ b/tests/sidecar/passed_on_answer_test.cpp
@@ -0,0 +1,196 @@
+// Answers that go to their callers in parts, before they are whole.
+#include <numeric>
+
+#include "tests/sidecar/sidecar_fixture.h"
+
+namespace cometstand::sidecar::test {
+namespace {
+
+constexpr std::size_t kAnswer = 500'000;
+constexpr std::size_t kFirst = 8'192;
+
+std::vector<std::uint8_t> makeBody() {
+  std::vector<std::uint8_t> body(kAnswer);
+  std::iota(body.begin(), body.end(), std::uint8_t{0});
+  return body;
+}
+
+/// A caller that notes what it gets in parts.
+class PartCallers : public RecordingCallers {
+ public:
+  void beginAnswer(CallId /*id*/, const wire::ForwardReplyT& head) override {
+    REQUIRE_FALSE(has_begun);
+    has_begun = true;
+    body = head.body;
+  }
+  void continueAnswer(CallId /*id*/, const std::vector<std::uint8_t>& bytes,
+                      wire::BodyEnd with_end) override {
+    REQUIRE(has_begun);
+    REQUIRE(end == wire::BodyEnd::Open);
+    body.insert(body.end(), bytes.begin(), bytes.end());
+    end = with_end;
+  }
+
+  bool has_begun = false;
+  std::vector<std::uint8_t> body;
+  wire::BodyEnd end = wire::BodyEnd::Open;
+};
+
+struct PassedOnFixture {
+  static inline const runtime::Address kStore = SidecarFixture::kStore;
+  static inline const runtime::Address kPeer = SidecarFixture::kPeer;
+
+  PassedOnFixture() : sidecar(makeOptions(), part_callers) {
+    sidecar.configure();
+    sidecar.addPeer(kPeer);
+    sidecar.addPeer(SidecarFixture::kOtherPeer);
+  }
+
+  static SidecarOptions makeOptions() {
+    auto options = SidecarFixture::makeOptions();
+    options.answer_credit = kFirst;
+    return options;
+  }
+
+  /// A caller asks, and its answer begins to come.
+  CallId ask(bool takes_parts = true) {
+    Call request;
+    request.host = "shop.example";
+    request.request.target = "/read/1";
+    request.request.method = "GET";
+    request.request.request_id = "r1";
+    request.takes_parts = takes_parts;
+    const CallId id{1};
+    sidecar.core.onCall(id, std::move(request), sidecar.now);
+    sidecar.step();
+    for (const auto& address : {kPeer, SidecarFixture::kOtherPeer}) {
+      const auto numbers = sidecar.forwardsTo(address);
+      if (!numbers.empty()) {
+        peer = address;
+        number = numbers.front();
+      }
+    }
+    wire::ForwardReplyT head;
+    head.outcome = wire::ForwardOutcome::Answered;
+    head.body_follows = true;
+    sent_bytes = kFirst;
+    const auto body = makeBody();
+    head.body.assign(body.begin(), body.begin() + static_cast<std::ptrdiff_t>(kFirst));
+    sidecar.say(peer, head, number);
+    return id;
+  }
+
+  /// The endpoint sends what it was granted. @return the bytes.
+  std::size_t sendGranted() {
+    std::size_t bytes = 0;
+    std::erase_if(sidecar.sent, [&bytes](const auto& item) {
+      const auto* grant = item.message->body.AsBodyGrant();
+      if (grant != nullptr) bytes += grant->bytes;
+      return grant != nullptr;
+    });
+    bytes = std::min(bytes, kAnswer - sent_bytes);
+    if (bytes == 0) return 0;
+    const auto body = makeBody();
+    const auto begin = body.begin() + static_cast<std::ptrdiff_t>(sent_bytes);
+    wire::BodyPartT part;
+    part.bytes.assign(begin, begin + static_cast<std::ptrdiff_t>(bytes));
+    sent_bytes += bytes;
+    if (sent_bytes == kAnswer) part.end = wire::BodyEnd::Whole;
+    sidecar.now += milliseconds(1);
+    sidecar.say(peer, std::move(part), number);
+    return bytes;
+  }
+
+  /// The endpoint sends for as long as it is granted bytes, and the caller takes nothing.
+  void sendAll() {
+    while (sendGranted() > 0) {
+    }
+  }
+
+  void read(CallId id, std::size_t bytes) {
+    sidecar.core.onCallerRead(id, bytes, sidecar.now);
+    sidecar.step();
+  }
+
+  bool hasCancelled() const {
+    return std::any_of(sidecar.sent.begin(), sidecar.sent.end(),
+                       [](const auto& item) { return item.message->body.AsForwardCancel() != nullptr; });
+  }
+
+  PartCallers part_callers;
+  SidecarFixture sidecar;
+  runtime::Address peer;
+  std::uint64_t number = 0;
+  std::size_t sent_bytes = 0;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(PassedOnFixture, "a very large answer goes to its caller as the caller takes it",
+                 "[sidecar]") {
+  const auto id = ask();
+  sendAll();
+  CHECK(part_callers.has_begun);
+  // The caller takes nothing: no more is granted.
+  constexpr std::size_t kMostHeld = AnswerIntake::kMostCollected + 64 * 1024;
+  CHECK(sent_bytes < kMostHeld);
+  std::size_t taken = 0;
+  while (part_callers.end == wire::BodyEnd::Open) {
+    const std::size_t bytes = part_callers.body.size() - taken;
+    REQUIRE(bytes > 0);
+    CHECK(bytes < kMostHeld);
+    read(id, bytes);
+    taken += bytes;
+    sendAll();
+  }
+  CHECK(part_callers.end == wire::BodyEnd::Whole);
+  CHECK(part_callers.body == makeBody());
+  CHECK(part_callers.answers.empty());
+  CHECK(sidecar.core.callsInFlight() == 0);
+}
+
+TEST_CASE_METHOD(PassedOnFixture, "a caller that takes no parts gets a very large answer whole",
+                 "[sidecar]") {
+  const auto id = ask(false);
+  sendAll();
+  CHECK_FALSE(part_callers.has_begun);
+  CHECK(part_callers.answers.at(id).reply.body == makeBody());
+}
+
+TEST_CASE_METHOD(PassedOnFixture, "an answer of which the caller has seen some is not asked for again",
+                 "[sidecar]") {
+  ask();
+  sendAll();
+  REQUIRE(part_callers.has_begun);
+  const int way = GENERATE(0, 1, 2, 3);
+  if (way == 0) {
+    sidecar.core.onLinkClosed(sidecar.links.at(peer), sidecar.now);
+  } else if (way == 1) {
+    wire::BodyPartT part;
+    part.end = wire::BodyEnd::Broken;
+    sidecar.say(peer, std::move(part), number);
+  } else if (way == 2) {
+    sidecar.reply(peer, number, wire::ForwardOutcome::NotRun);
+  } else {
+    sidecar.pass(std::chrono::seconds(2));
+    CHECK(hasCancelled());
+  }
+  sidecar.step();
+  CHECK(part_callers.end == wire::BodyEnd::Broken);
+  CHECK(part_callers.answers.empty());
+  CHECK(sidecar.forwardsTo(kPeer).empty());
+  CHECK(sidecar.forwardsTo(SidecarFixture::kOtherPeer).empty());
+  CHECK(sidecar.core.callsInFlight() == 0);
+}
+
+TEST_CASE_METHOD(PassedOnFixture, "a caller who leaves in the middle of an answer gives it up", "[sidecar]") {
+  const auto id = ask();
+  sendAll();
+  sidecar.core.onCallerGone(id, sidecar.now);
+  sidecar.step();
+  CHECK(hasCancelled());
+  CHECK(sidecar.core.answersArriving() == 0);
+  CHECK(part_callers.end == wire::BodyEnd::Open);
+}
+
+}  // namespace cometstand::sidecar::test
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -49,7 +49,11 @@
   static inline const runtime::Address kOtherPeer{"10.0.0.3", 7000};
 
   explicit SidecarFixture(SidecarOptions options = makeOptions())
-      : core(std::move(options), 1, target, callers) {
+      : SidecarFixture(std::move(options), callers) {}
+
+  /// @param other_callers are answered in the place of `callers`.
+  SidecarFixture(SidecarOptions options, CallerPort& other_callers)
+      : core(std::move(options), 1, target, other_callers) {
     core.start(runtime::EmptyFileReader(), now);
     step();
     REQUIRE(links.contains(kStore));
--- a/tests/web/server_fixture.h
+++ b/tests/web/server_fixture.h
@@ -21,6 +21,7 @@
     if (answers) echo(ids.size() - 1);
   }
   void onCallerGone(ExchangeId id) override { gone.push_back(id); }
+  void onBodyWritten(ExchangeId /*id*/, std::size_t bytes) override { body_written += bytes; }
   ServerLimits limits() const override { return server_limits; }
 
   /// Answers the request of this place with its target.
@@ -38,6 +39,7 @@
   std::vector<Request> requests;
   std::vector<ExchangeId> ids;
   std::vector<ExchangeId> gone;
+  std::size_t body_written = 0;
 };
 
 struct ServerFixture {
