A long way to the sender does not shrink the window of a large answer

The window is what the link brings in 25 ms, but the sender was 60 ms away there and back; so the link stood idle, the measured rate fell, and the window with it. Change: bytes that are on a long way do not count to the window, and the time of the way does not count as time in which the link brings something.

--- a/src/sidecar/answer_intake.cpp
+++ b/src/sidecar/answer_intake.cpp
@@ -5,9 +5,9 @@
 namespace cometstand::sidecar {
 
 void AnswerIntake::begin(std::uint64_t sending, const wire::ForwardReplyT& reply, unsigned priority,
-                         TimePoint now) {
+                         Duration way, TimePoint now) {
   const auto grant = [this, sending](std::uint32_t bytes) { grant_(sending, bytes); };
-  const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grant, now);
+  const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grant, now, way);
   answers_.emplace(sending, Answer{reply, flow});
   credit_.grantMore(now);
 }
--- a/src/sidecar/answer_intake.h
+++ b/src/sidecar/answer_intake.h
@@ -34,7 +34,9 @@
 
   /// @param reply the answer with the first bytes of its body.
   /// @param priority of the request: the lower, the sooner its answer is granted.
-  void begin(std::uint64_t sending, const wire::ForwardReplyT& reply, unsigned priority, TimePoint now);
+  /// @param way see ReceiveCredit::open().
+  void begin(std::uint64_t sending, const wire::ForwardReplyT& reply, unsigned priority, Duration way,
+             TimePoint now);
   Progress onPart(std::uint64_t sending, const wire::BodyPartT& part, TimePoint now);
   /// @return the whole answer, which is forgotten here.
   wire::ForwardReplyT take(std::uint64_t sending);
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -196,7 +196,8 @@
   auto& call = calls_.at(id);
   if (call.at != from) return;
   if (reply.outcome == wire::ForwardOutcome::Answered && reply.body_follows) {
-    if (!answers_.contains(request_id)) answers_.begin(request_id, reply, call.request->priority, now);
+    if (!answers_.contains(request_id))
+      answers_.begin(request_id, reply, call.request->priority, wayTo(endpoint, now), now);
     return;
   }
   if (answers_.contains(request_id)) {
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -135,6 +135,8 @@
   std::vector<std::string> newerRegionsOf(const CallState& call) const;
   /// @return the name of the route if the endpoint's node has to know it, else an empty one.
   std::string routeNameFor(const CallState& call, const Endpoint& endpoint) const;
+  /// @return time to the endpoint and back if it is in another region, else zero.
+  Duration wayTo(const Endpoint* endpoint, TimePoint now) const;
   /// Tells the links between regions what came of a sending.
   void noteTransfer(const CallState& call, const Endpoint& endpoint, const wire::ForwardReplyT& reply,
                     TimePoint now);
--- a/src/sidecar/outbound_regions.cpp
+++ b/src/sidecar/outbound_regions.cpp
@@ -29,6 +29,12 @@
   return is_needed ? call.route->name : std::string();
 }
 
+Duration OutboundCalls::wayTo(const Endpoint* endpoint, TimePoint now) const {
+  const auto& links = parts_.endpoints.regionLinks();
+  const bool is_far = endpoint != nullptr && links.distanceOf(*endpoint) == mesh::ZoneDistance::OtherRegion;
+  return is_far ? links.roundTrip(*endpoint, now) : Duration::zero();
+}
+
 void OutboundCalls::noteTransfer(const CallState& call, const Endpoint& endpoint,
                                  const wire::ForwardReplyT& reply, TimePoint now) {
   if (endpoint.address == parts_.options.advertise) return;
--- a/src/sidecar/receive_credit.cpp
+++ b/src/sidecar/receive_credit.cpp
@@ -27,11 +27,13 @@
 
 }  // namespace
 
-ReceiveCredit::Flow ReceiveCredit::open(unsigned priority, std::size_t expected, Grant grant, TimePoint now) {
+ReceiveCredit::Flow ReceiveCredit::open(unsigned priority, std::size_t expected, Grant grant, TimePoint now,
+                                        Duration way) {
   const Flow flow{priority, next_number_++};
   State state;
   state.expected = expected;
   state.grant = std::move(grant);
+  state.way = way;
   state.active_at = now;
   flows_.emplace(flow, std::move(state));
   return flow;
@@ -56,11 +58,16 @@
 std::size_t ReceiveCredit::outstandingBytes() const {
   std::size_t bytes = 0;
   for (const auto& [flow, state] : flows_) {
-    if (!state.stalled) bytes += state.outstanding();
+    if (!state.stalled) bytes += countedBytes(state);
   }
   return bytes;
 }
 
+std::size_t ReceiveCredit::countedBytes(const State& state) const {
+  const auto on_way = static_cast<std::size_t>(rate_ * secondsOf(state.way));
+  return state.outstanding() - std::min(on_way, state.outstanding());
+}
+
 void ReceiveCredit::noteStalled(TimePoint now) {
   for (auto& [flow, state] : flows_) {
     state.stalled = state.outstanding() > 0 && state.active_at + kStallTime <= now;
@@ -70,14 +77,22 @@
 void ReceiveCredit::grantMore(TimePoint now) {
   const std::size_t most = window();
   std::size_t outstanding = outstandingBytes();
-  if (outstanding == 0) measured_until_ = now;
+  bool was_idle = std::all_of(flows_.begin(), flows_.end(),
+                              [](const auto& item) { return item.second.outstanding() == 0; });
+  if (was_idle) measured_until_ = now;
   for (auto& [flow, state] : flows_) {
     if (state.stalled) continue;
+    // While the first bytes are on their way, the link brings nothing.
+    if (was_idle && state.mayGrant()) {
+      measured_until_ = now + state.way;
+      was_idle = false;
+    }
     while (state.mayGrant() && outstanding < most) {
       const std::size_t bytes = std::min(kPartBytes, state.expected - state.granted);
       if (state.granted == 0) state.active_at = now;
+      const std::size_t counted = countedBytes(state);
       state.granted += bytes;
-      outstanding += bytes;
+      outstanding += countedBytes(state) - counted;
       state.grant(static_cast<std::uint32_t>(bytes));
     }
     if (outstanding >= most) return;
@@ -86,8 +101,8 @@
 
 void ReceiveCredit::noteReceived(std::size_t bytes, TimePoint now) {
   measured_bytes_ += bytes;
-  measured_time_ += now - measured_until_;
-  measured_until_ = now;
+  measured_time_ += std::max(Duration::zero(), now - measured_until_);
+  measured_until_ = std::max(measured_until_, now);
   if (measured_time_ < kMeasureTime) return;
   const double rate = static_cast<double>(measured_bytes_) / secondsOf(measured_time_);
   rate_ = std::max(kLeastRate, rate_ + kNewest * (rate - rate_));
--- a/src/sidecar/receive_credit.h
+++ b/src/sidecar/receive_credit.h
@@ -33,7 +33,9 @@
   static constexpr std::size_t kUnknownSize = SIZE_MAX;
 
   /// Adds a body; grantMore() then grants to it.
-  Flow open(unsigned priority, std::size_t expected, Grant grant, TimePoint now);
+  /// @param way time from a grant to the first of its bytes, as far as it is longer than between zones.
+  Flow open(unsigned priority, std::size_t expected, Grant grant, TimePoint now,
+            Duration way = Duration::zero());
   /// Counts bytes that came. @return false if they are more than was granted, which no sound sender sends;
   /// nothing has changed then.
   bool onReceived(const Flow& flow, std::size_t bytes, TimePoint now);
@@ -60,6 +62,7 @@
     std::size_t granted = 0;
     std::size_t received = 0;
     Grant grant;
+    Duration way{};
     /// Of the last part, or of the first grant.
     TimePoint active_at;
     /// The sender was granted bytes and has sent none for long.
@@ -73,7 +76,10 @@
   };
 
   std::size_t window() const;
+  /// @return granted bytes that are not on a long way: with those on it, and only them, the window would be
+  /// full while the link is idle.
   std::size_t outstandingBytes() const;
+  std::size_t countedBytes(const State& state) const;
   void noteStalled(TimePoint now);
   void noteReceived(std::size_t bytes, TimePoint now);
 
