--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -31,6 +31,8 @@
 /// not get the request or said that it did not run it.
 class TargetGate {
  public:
+  /// How long after a request's deadline the target's own word on it is waited for.
+  static constexpr Duration kAnswerGrace = std::chrono::milliseconds(30);
   /// A target that runs sends heartbeats more often than twice in this time, one of which may be lost: they
   /// come each 1.5 s or so.
   static constexpr Duration kHeartbeatSilence = std::chrono::milliseconds(3'500);
