--- a/src/sidecar/zone_health.h
+++ b/src/sidecar/zone_health.h
@@ -11,13 +11,11 @@
 /// Which zones do not answer this sidecar any more. A zone that loses power or is cut off takes many
 /// endpoints with it at once; asking each until its own time is up would cost one request each.
 ///
-/// - A zone is dark once two of its machines were missed within a second, each by an ended link or by
-/// silence, and
-///   none of the zone was heard since the first of them.
-/// - It is dark until any of its endpoints is heard. Meanwhile one request at a time may be sent there to
-/// find
-///   out (a probe), ever more rarely while that brings no answer.
-/// - The zone of this sidecar is never dark: if it does not answer, this machine is what is cut off.
+/// A zone is dark once two of its machines were missed within a second, each by an ended link or by silence,
+/// and none of the zone was heard since the first of them. It is dark until any of its endpoints is heard.
+/// Meanwhile one request at a time may be sent there to find out (a probe), ever more rarely while that
+/// brings no answer. The zone of this sidecar is never dark: if it does not answer, this machine is what is
+/// cut off.
 ///
 /// All of it is this sidecar's own view: nothing is told to others.
 class ZoneHealth {
