--- a/tests/sidecar/cold_sidecar_test.cpp
+++ b/tests/sidecar/cold_sidecar_test.cpp
@@ -20,6 +20,18 @@
   return beat;
 }
 
+/// @return a store's word on the own zone.
+wire::EvacuationUpdateT makeEvacuation(std::uint64_t number, bool is_evacuated) {
+  wire::EvacuationUpdateT update;
+  update.number = number;
+  auto record = std::make_shared<wire::EvacuationRecordT>();
+  record->zone = "zone-a";
+  record->is_evacuated = is_evacuated;
+  record->number = number;
+  update.records.push_back(std::move(record));
+  return update;
+}
+
 /// @return the newest record of the own endpoint that was reported to the store; nullptr if none was.
 std::shared_ptr<wire::EndpointRecordT> newestReport(const SidecarFixture& sidecar) {
   std::shared_ptr<wire::EndpointRecordT> newest;
@@ -61,6 +73,20 @@
   CHECK(sidecar.core.targetColdTime() == Duration::zero());
 }
 
+TEST_CASE("a target whose evacuation ends is doubted and asked, though its last heartbeat said warm") {
+  SidecarFixture sidecar;
+  sidecar.configure(1, makeBoundedConfiguration());
+  sidecar.core.onHeartbeat(makeColdBeat("a", 1, Duration::zero()), sidecar.now);
+  sidecar.say(SidecarFixture::kStore, makeEvacuation(1, true));
+  sidecar.pass(seconds(2));
+  CHECK(sidecar.core.targetColdTime() == Duration::zero());
+  sidecar.target.asked.clear();
+  sidecar.say(SidecarFixture::kStore, makeEvacuation(2, false));
+  CHECK(sidecar.core.targetColdTime() == seconds(3));
+  sidecar.core.onTimer(sidecar.now);
+  CHECK(sidecar.target.asked.size() == 1);
+}
+
 TEST_CASE("a sidecar that starts beside a running target asks it before it gets anything") {
   SidecarFixture sidecar;
   sidecar.configure(1, makeBoundedConfiguration());
