Log what is under way when a planned stop ends, and why an answer broke off

Now sidecar_stop_ended says what is left and why it ended, and call_ended has the failure of the newest sending and the bytes that went to the caller.

--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -109,11 +109,16 @@
     "comes "
     "again and again on many sidecars, the link between the regions is too narrow for what crosses it."};
 
+inline constexpr EventDefinition kSidecarStopEnded{
+    7033, LogLevel::Info, "sidecar_stop_ended",
+    "A planned stop is over; the fields tell what was still under way. If the reason is time_limit, that is "
+    "given up: see docs/OPERATIONS.md."};
+
 inline constexpr std::array kSidecarEvents{
-    kStoreLinked,   kStoreLost,       kSourceChosen,     kSourceLost,  kConfigurationInForce,
-    kTargetChanged, kCallEnded,       kCallRetried,      kGateRefused, kSidecarStopBegan,
-    kUpdateRefused, kCallAnswered,    kRunEnded,         kRunGivenUp,  kBodyRefused,
-    kTargetEnded,   kCallQuarantined, kTargetDoubted,    kTargetAsked, kEvacuationsChanged,
-    kZoneDark,      kZoneHeard,       kRegionLinkReduced};
+    kStoreLinked,   kStoreLost,       kSourceChosen,      kSourceLost,      kConfigurationInForce,
+    kTargetChanged, kCallEnded,       kCallRetried,       kGateRefused,     kSidecarStopBegan,
+    kUpdateRefused, kCallAnswered,    kRunEnded,          kRunGivenUp,      kBodyRefused,
+    kTargetEnded,   kCallQuarantined, kTargetDoubted,     kTargetAsked,     kEvacuationsChanged,
+    kZoneDark,      kZoneHeard,       kRegionLinkReduced, kSidecarStopEnded};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/outbound_answers.cpp
+++ b/src/sidecar/outbound_answers.cpp
@@ -36,12 +36,15 @@
       conclude(id, answers_.take(request_id), now);
       return;
     case AnswerIntake::Progress::Broken:
-      onAnswerBroken(id, call, now);
+      onAnswerBroken(
+          id, call,
+          part.end == wire::BodyEnd::Broken ? SendingFailure::EndpointSaidSo : SendingFailure::Unsound, now);
       return;
   }
 }
 
-void OutboundCalls::onAnswerBroken(CallId id, CallState& call, TimePoint now) {
+void OutboundCalls::onAnswerBroken(CallId id, CallState& call, SendingFailure failure, TimePoint now) {
+  call.failure = failure;
   recall(call, now);
   onFailed(id, call, now);
 }
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -202,7 +202,7 @@
   }
   if (answers_.contains(request_id)) {
     // No sound endpoint answers twice.
-    onAnswerBroken(id, call, now);
+    onAnswerBroken(id, call, SendingFailure::Unsound, now);
     return;
   }
   conclude(id, reply, now);
@@ -225,6 +225,7 @@
       onRefused(id, call, reply, now);
       return;
     case wire::ForwardOutcome::Unknown:
+      call.failure = SendingFailure::EndpointSaidSo;
       onFailed(id, call, now);
       return;
   }
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -76,6 +76,19 @@
   const CallMetrics& metrics() const { return metrics_; }
 
  private:
+  /// Why the newest sending of a request brought no whole answer.
+  enum class SendingFailure : std::uint8_t {
+    None,
+    /// The endpoint said so, or that the rest of its answer will not come.
+    EndpointSaidSo,
+    /// The link to the endpoint ended.
+    LinkLost,
+    /// The endpoint answered twice, or sent more than it was granted.
+    Unsound,
+    OutOfTime,
+  };
+  static const char* nameOf(SendingFailure failure);
+
   struct CallState {
     std::shared_ptr<wire::ForwardRequestT> request;
     mesh::RoutePointer route;
@@ -105,6 +118,7 @@
     /// Some of the answer has gone to the caller: no other endpoint may be asked.
     bool is_passed_on = false;
     std::size_t passed_bytes = 0;
+    SendingFailure failure = SendingFailure::None;
   };
 
   bool endsTooLate(TimePoint deadline, TimePoint now) const;
@@ -118,7 +132,7 @@
   /// The endpoint has said its last word on the sending.
   void conclude(CallId id, const wire::ForwardReplyT& reply, TimePoint now);
   void passOn(CallId id, CallState& call);
-  void onAnswerBroken(CallId id, CallState& call, TimePoint now);
+  void onAnswerBroken(CallId id, CallState& call, SendingFailure failure, TimePoint now);
   void grantAnswer(std::uint64_t sending, std::uint32_t bytes);
   void onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now);
   void onFailed(CallId id, CallState& call, TimePoint now);
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -22,6 +22,22 @@
 
 using runtime::Address;
 
+const char* OutboundCalls::nameOf(SendingFailure failure) {
+  switch (failure) {
+    case SendingFailure::None:
+      return "none";
+    case SendingFailure::EndpointSaidSo:
+      return "endpoint_said_so";
+    case SendingFailure::LinkLost:
+      return "link_lost";
+    case SendingFailure::Unsound:
+      return "unsound";
+    case SendingFailure::OutOfTime:
+      return "out_of_time";
+  }
+  return "unknown";
+}
+
 void OutboundCalls::refuse(CallId id, CallOutcome outcome) {
   CallAnswer answer;
   answer.outcome = outcome;
@@ -69,7 +85,7 @@
   const bool is_answered = answer.outcome == CallOutcome::Answered;
   logEvent(is_answered ? kCallAnswered : kCallEnded,
            {{"request", call.request->request_id},
-            {"outcome", nameOf(answer.outcome)},
+            {"outcome", sidecar::nameOf(answer.outcome)},
             {"status", answer.reply.status},
             {"route", call.route->name},
             {"service", call.request->service},
@@ -78,6 +94,8 @@
             {"priority", call.request->priority},
             {"objective_ms", call.request->objective_ms},
             {"sendings", call.sendings},
+            {"failure", nameOf(call.failure)},
+            {"passed_bytes", call.passed_bytes},
             {"refusals", call.refusals},
             {"took_ms", ceilMilliseconds(now - call.began)},
             {"left_ms", ceilMilliseconds(call.deadline - now)},
@@ -158,6 +176,7 @@
     answers_.drop(found->second.sent_as, now);
     sent_.erase(found->second.sent_as);
     found->second.at.reset();
+    found->second.failure = SendingFailure::LinkLost;
     if (isWhollySent(found->second) || found->second.is_passed_on) {
       onFailed(id, found->second, now);
     } else {
@@ -170,6 +189,7 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const CallId id = deadlines_.begin()->second;
     auto& call = calls_.at(id);
+    call.failure = SendingFailure::OutOfTime;
     const bool may_have_run = call.may_have_run || (call.at.has_value() && isWhollySent(call));
     recall(call, now);
     if (may_have_run) {
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -308,6 +308,16 @@
   const bool is_idle = calls_.inFlight() == 0 && gate_.running() == 0 && gate_.waiting() == 0 &&
                        intake_.size() == 0 && answers_.size() == 0;
   stopped_ = time >= options_.stopMaximum() || (time >= options_.stop_minimum && is_idle);
+  if (!stopped_) return;
+  logEvent(kSidecarStopEnded, {{"reason", is_idle ? "idle" : "time_limit"},
+                               {"took_ms", ceilMilliseconds(time)},
+                               {"calls", calls_.inFlight()},
+                               {"answers_arriving", calls_.answersArriving()},
+                               {"running", gate_.running()},
+                               {"waiting", gate_.waiting()},
+                               {"bodies", intake_.size()},
+                               {"answers_leaving", answers_.size()},
+                               {"answer_bytes_leaving", answers_.heldBytes()}});
 }
 
 }  // namespace cometstand::sidecar
