Large answers are placed and taken by what the gate's link still has to send

One gate's link was full (364 large reads, 138 of them over 3 s) while another of the same region had sent 57. The load that senders know is that of slots, which were free.

Change: a gate measures how fast its answers leave and tells the time that what it holds will take. Senders count that time for requests whose answers are large, as they do for large bodies. A gate that holds answers for 2 s takes no further large ones, and one that stops closes earlier by what it holds.

--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -3989,6 +3989,7 @@
   uint32_t announced_bytes = 0;
   std::string route{};
   uint32_t answer_credit = 0;
+  uint32_t answer_bytes = 0;
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4014,7 +4015,8 @@
     VT_IS_RETRY = 26,
     VT_ANNOUNCED_BYTES = 28,
     VT_ROUTE = 30,
-    VT_ANSWER_CREDIT = 32
+    VT_ANSWER_CREDIT = 32,
+    VT_ANSWER_BYTES = 34
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4061,6 +4063,9 @@
   uint32_t answer_credit() const {
     return GetField<uint32_t>(VT_ANSWER_CREDIT, 0);
   }
+  uint32_t answer_bytes() const {
+    return GetField<uint32_t>(VT_ANSWER_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4087,6 +4092,7 @@
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
            VerifyField<uint32_t>(verifier, VT_ANSWER_CREDIT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWER_BYTES, 4) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4143,6 +4149,9 @@
   void add_answer_credit(uint32_t answer_credit) {
     fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANSWER_CREDIT, answer_credit, 0);
   }
+  void add_answer_bytes(uint32_t answer_bytes) {
+    fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANSWER_BYTES, answer_bytes, 0);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4170,8 +4179,10 @@
     bool is_retry = false,
     uint32_t announced_bytes = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
-    uint32_t answer_credit = 0) {
+    uint32_t answer_credit = 0,
+    uint32_t answer_bytes = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_answer_bytes(answer_bytes);
   builder_.add_answer_credit(answer_credit);
   builder_.add_route(route);
   builder_.add_announced_bytes(announced_bytes);
@@ -4211,7 +4222,8 @@
     bool is_retry = false,
     uint32_t announced_bytes = 0,
     const char *route = nullptr,
-    uint32_t answer_credit = 0) {
+    uint32_t answer_credit = 0,
+    uint32_t answer_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -4236,7 +4248,8 @@
       is_retry,
       announced_bytes,
       route__,
-      answer_credit);
+      answer_credit,
+      answer_bytes);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4260,6 +4273,7 @@
   uint32_t cold_room = 0;
   bool body_follows = false;
   uint32_t at_endpoint_ms = 0;
+  uint32_t answer_wait_ms = 0;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4287,7 +4301,8 @@
     VT_COLD_MS = 30,
     VT_COLD_ROOM = 32,
     VT_BODY_FOLLOWS = 34,
-    VT_AT_ENDPOINT_MS = 36
+    VT_AT_ENDPOINT_MS = 36,
+    VT_ANSWER_WAIT_MS = 38
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -4340,6 +4355,9 @@
   uint32_t at_endpoint_ms() const {
     return GetField<uint32_t>(VT_AT_ENDPOINT_MS, 0);
   }
+  uint32_t answer_wait_ms() const {
+    return GetField<uint32_t>(VT_ANSWER_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -4362,6 +4380,7 @@
            VerifyField<uint32_t>(verifier, VT_COLD_ROOM, 4) &&
            VerifyField<uint8_t>(verifier, VT_BODY_FOLLOWS, 1) &&
            VerifyField<uint32_t>(verifier, VT_AT_ENDPOINT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWER_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4424,6 +4443,9 @@
   void add_at_endpoint_ms(uint32_t at_endpoint_ms) {
     fbb_.AddElement<uint32_t>(ForwardReply::VT_AT_ENDPOINT_MS, at_endpoint_ms, 0);
   }
+  void add_answer_wait_ms(uint32_t answer_wait_ms) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_ANSWER_WAIT_MS, answer_wait_ms, 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4453,8 +4475,10 @@
     uint32_t cold_ms = 0,
     uint32_t cold_room = 0,
     bool body_follows = false,
-    uint32_t at_endpoint_ms = 0) {
+    uint32_t at_endpoint_ms = 0,
+    uint32_t answer_wait_ms = 0) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_answer_wait_ms(answer_wait_ms);
   builder_.add_at_endpoint_ms(at_endpoint_ms);
   builder_.add_cold_room(cold_room);
   builder_.add_cold_ms(cold_ms);
@@ -4498,7 +4522,8 @@
     uint32_t cold_ms = 0,
     uint32_t cold_room = 0,
     bool body_follows = false,
-    uint32_t at_endpoint_ms = 0) {
+    uint32_t at_endpoint_ms = 0,
+    uint32_t answer_wait_ms = 0) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -4519,7 +4544,8 @@
       cold_ms,
       cold_room,
       body_follows,
-      at_endpoint_ms);
+      at_endpoint_ms,
+      answer_wait_ms);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6181,7 +6207,8 @@
         is_retry(o.is_retry),
         announced_bytes(o.announced_bytes),
         route(o.route),
-        answer_credit(o.answer_credit) {
+        answer_credit(o.answer_credit),
+        answer_bytes(o.answer_bytes) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -6202,6 +6229,7 @@
   std::swap(announced_bytes, o.announced_bytes);
   std::swap(route, o.route);
   std::swap(answer_credit, o.answer_credit);
+  std::swap(answer_bytes, o.answer_bytes);
   return *this;
 }
 
@@ -6229,6 +6257,7 @@
   { auto _e = announced_bytes(); _o->announced_bytes = _e; }
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = answer_credit(); _o->answer_credit = _e; }
+  { auto _e = answer_bytes(); _o->answer_bytes = _e; }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6254,6 +6283,7 @@
   auto _announced_bytes = _o->announced_bytes;
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _answer_credit = _o->answer_credit;
+  auto _answer_bytes = _o->answer_bytes;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -6270,7 +6300,8 @@
       _is_retry,
       _announced_bytes,
       _route,
-      _answer_credit);
+      _answer_credit,
+      _answer_bytes);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
@@ -6289,7 +6320,8 @@
         cold_ms(o.cold_ms),
         cold_room(o.cold_room),
         body_follows(o.body_follows),
-        at_endpoint_ms(o.at_endpoint_ms) {
+        at_endpoint_ms(o.at_endpoint_ms),
+        answer_wait_ms(o.answer_wait_ms) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -6312,6 +6344,7 @@
   std::swap(cold_room, o.cold_room);
   std::swap(body_follows, o.body_follows);
   std::swap(at_endpoint_ms, o.at_endpoint_ms);
+  std::swap(answer_wait_ms, o.answer_wait_ms);
   return *this;
 }
 
@@ -6341,6 +6374,7 @@
   { auto _e = cold_room(); _o->cold_room = _e; }
   { auto _e = body_follows(); _o->body_follows = _e; }
   { auto _e = at_endpoint_ms(); _o->at_endpoint_ms = _e; }
+  { auto _e = answer_wait_ms(); _o->answer_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6368,6 +6402,7 @@
   auto _cold_room = _o->cold_room;
   auto _body_follows = _o->body_follows;
   auto _at_endpoint_ms = _o->at_endpoint_ms;
+  auto _answer_wait_ms = _o->answer_wait_ms;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -6386,7 +6421,8 @@
       _cold_ms,
       _cold_room,
       _body_follows,
-      _at_endpoint_ms);
+      _at_endpoint_ms,
+      _answer_wait_ms);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/sidecar/answer_transfers.cpp
+++ b/src/sidecar/answer_transfers.cpp
@@ -8,6 +8,9 @@
 
 /// An asker says itself that its time is up; only one that fails to is given up here, so much later.
 constexpr Duration kCancelGrace = std::chrono::milliseconds(200);
+/// An asker that has granted nothing for so long has its own reasons: behind a full link of 10 Mbit/s a grant
+/// comes after 0.4 to 0.7 s, with 30 askers of 16 KiB each (reckoned).
+constexpr Duration kStallTime = std::chrono::milliseconds(1'500);
 
 }  // namespace
 
@@ -23,7 +26,24 @@
   return transfers_.erase(transfer);
 }
 
-void AnswerTransfers::send(const GateAsker& asker, wire::ForwardReplyT reply) {
+bool AnswerTransfers::isFull(std::size_t answer_bytes, unsigned credit, TimePoint now) const {
+  if (held_bytes_ >= kMostHeldBytes) return true;
+  const bool is_large = credit > 0 && answer_bytes > credit;
+  return is_large && expectedWait(now) >= kMostWait;
+}
+
+Duration AnswerTransfers::expectedWait(TimePoint now) const {
+  const double rate = rate_.bytesPerSecond();
+  if (rate <= 0) return Duration::zero();
+  std::size_t bytes = 0;
+  for (const auto& [asker, transfer] : transfers_) {
+    if (transfer.active_at + kStallTime > now) bytes += transfer.left();
+  }
+  const std::chrono::duration<double> time(static_cast<double>(bytes) / rate);
+  return std::chrono::duration_cast<Duration>(time);
+}
+
+void AnswerTransfers::send(const GateAsker& asker, wire::ForwardReplyT reply, TimePoint now) {
   const std::size_t credit = asker.answer.credit;
   const bool is_large = credit > 0 && reply.body.size() > credit;
   if (is_large && reply.outcome == wire::ForwardOutcome::Answered) {
@@ -32,18 +52,22 @@
     transfer.give_up_at = asker.answer.wanted_until + kCancelGrace;
     reply.body = nextBytes(transfer, credit);
     reply.body_follows = true;
+    transfer.active_at = now;
     cancel(asker);
+    if (transfers_.empty()) rate_.begin(now);
     held_bytes_ += transfer.body.size();
     transfers_.emplace(asker, std::move(transfer));
   }
   actions_.send(asker.link, std::move(reply), asker.request_id);
 }
 
-void AnswerTransfers::onGrant(const GateAsker& asker, std::size_t bytes) {
+void AnswerTransfers::onGrant(const GateAsker& asker, std::size_t bytes, TimePoint now) {
   const auto found = transfers_.find(asker);
   if (found == transfers_.end() || bytes == 0) return;
   wire::BodyPartT part;
   part.bytes = nextBytes(found->second, bytes);
+  found->second.active_at = now;
+  rate_.note(part.bytes.size(), now);
   const bool is_whole = found->second.left() == 0;
   if (is_whole) part.end = wire::BodyEnd::Whole;
   actions_.send(asker.link, std::move(part), asker.request_id);
--- a/src/sidecar/answer_transfers.h
+++ b/src/sidecar/answer_transfers.h
@@ -7,6 +7,7 @@
 #include "runtime/action_queue.h"
 #include "schema/mesh_generated.h"
 #include "sidecar/gate_asker.h"
+#include "sidecar/send_rate.h"
 
 namespace cometstand::sidecar {
 
@@ -20,8 +21,8 @@
   explicit AnswerTransfers(runtime::ActionQueue& actions) : actions_(actions) {}
 
   /// Sends the answer, or its first part if it is larger than what the asker takes in one message.
-  void send(const GateAsker& asker, wire::ForwardReplyT reply);
-  void onGrant(const GateAsker& asker, std::size_t bytes);
+  void send(const GateAsker& asker, wire::ForwardReplyT reply, TimePoint now);
+  void onGrant(const GateAsker& asker, std::size_t bytes, TimePoint now);
   /// The asker does not want the answer any more.
   void cancel(const GateAsker& asker);
   void cancelLink(runtime::LinkId link);
@@ -34,18 +35,28 @@
   std::size_t size() const { return transfers_.size(); }
   /// @return the bytes of their bodies.
   std::size_t heldBytes() const { return held_bytes_; }
+  /// @return the expected time until what is held has been sent. Answers whose askers have granted nothing
+  /// for long do not count, as they do not hold others up; zero until a rate was measured.
+  Duration expectedWait(TimePoint now) const;
   /// @return true if so much is held that no further request should be run for other sidecars.
-  bool isFull() const { return held_bytes_ >= kMostHeldBytes; }
+  /// @param answer_bytes what its answer is expected to have.
+  bool isFull(std::size_t answer_bytes, unsigned credit, TimePoint now) const;
 
   /// Of the answers that are held: about seven of the largest that are usual (540 KB, as our deployments
   /// say). Requests that run already may add theirs, one for each slot of the target.
   static constexpr std::size_t kMostHeldBytes = 4 * 1024 * 1024;
+  /// While what is held takes so long, no large answer is added. Then a planned stop of 6 s, which closes the
+  /// gate by as much earlier, still sends them all, and another endpoint, whose link may be idle, gets the
+  /// request.
+  static constexpr Duration kMostWait = std::chrono::seconds(2);
 
  private:
   struct Transfer {
     std::vector<std::uint8_t> body;
     std::size_t sent = 0;
     TimePoint give_up_at;
+    /// Of the newest grant.
+    TimePoint active_at;
 
     std::size_t left() const { return body.size() - sent; }
   };
@@ -57,6 +68,7 @@
   runtime::ActionQueue& actions_;
   Transfers transfers_;
   std::size_t held_bytes_ = 0;
+  SendRate rate_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -35,6 +35,8 @@
   double run_time = 0;
   /// Time until the endpoint could receive another large body, as its sidecar said.
   Duration intake_wait{};
+  /// Time until the large answers that the endpoint holds have been sent, as its sidecar said.
+  Duration answer_wait{};
   TimePoint reported_at;
   /// While requests are outstanding: since when nothing was heard of the endpoint.
   TimePoint silent_since;
@@ -57,6 +59,8 @@
   std::size_t bytes = 0;
   /// The request's body is announced and sent as the endpoint grants.
   bool has_large_body = false;
+  /// Its answer is expected to be sent in parts.
+  bool has_large_answer = false;
   /// How long the request may wait at an endpoint.
   Duration patience{};
   /// Versions that may get it.
--- a/src/sidecar/endpoint_cost.cpp
+++ b/src/sidecar/endpoint_cost.cpp
@@ -25,7 +25,7 @@
 constexpr double kColdCost = 1;
 /// How long bodies wait at an endpoint counts half after this time: the queue there is some bodies long, each
 /// of which takes some 100 ms on a narrow link.
-constexpr Duration kIntakeHalfLife = std::chrono::milliseconds(500);
+constexpr Duration kWaitHalfLife = std::chrono::milliseconds(500);
 
 /// Times the usual answer time for which an endpoint may be silent at no cost, and what each further one
 /// costs, in units of a full target.
@@ -54,18 +54,23 @@
   }
   score += distance_.of(endpoint, want, now);
   score += kFailureCost * endpoint.failure_rate * trustIn(endpoint, kFailureHalfLife, now);
-  if (want.has_large_body && want.patience > Duration::zero()) {
-    // An endpoint that would make the body wait for as long as it may counts like a full target.
-    const double share =
-        static_cast<double>(endpoint.intake_wait.count()) / static_cast<double>(want.patience.count());
-    score += share * trustIn(endpoint, kIntakeHalfLife, now);
-  }
+  score += ofWaiting(endpoint, want, now);
   score += ofSilence(endpoint, now);
   if (endpoint.cold_until > now) score += kColdCost;
   if (endpoint.avoid_until > now) score += kAvoidCost;
   return score;
 }
 
+/// An endpoint that would make a body wait for as long as the request may counts like a full target.
+double EndpointCost::ofWaiting(const Endpoint& endpoint, const EndpointWant& want, TimePoint now) {
+  Duration wait{};
+  if (want.has_large_body) wait += endpoint.intake_wait;
+  if (want.has_large_answer) wait += endpoint.answer_wait;
+  if (wait == Duration::zero() || want.patience <= Duration::zero()) return 0;
+  const double share = static_cast<double>(wait.count()) / static_cast<double>(want.patience.count());
+  return share * trustIn(endpoint, kWaitHalfLife, now);
+}
+
 /// An endpoint whose link or machine is choked refuses nothing and answers nothing, so it would look free
 /// beside others that say that they are full.
 double EndpointCost::ofSilence(const Endpoint& endpoint, TimePoint now) const {
--- a/src/sidecar/endpoint_cost.h
+++ b/src/sidecar/endpoint_cost.h
@@ -31,6 +31,8 @@
   void noteAnswered(const std::string& service, Duration time);
 
  private:
+  /// @return what the time costs that bodies wait for the endpoint's link.
+  static double ofWaiting(const Endpoint& endpoint, const EndpointWant& want, TimePoint now);
   /// @return what the silence of an endpoint with outstanding requests costs.
   double ofSilence(const Endpoint& endpoint, TimePoint now) const;
 
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -176,6 +176,7 @@
   endpoint.reported_load = reply.running + reply.waiting;
   endpoint.failure_rate = reply.failure_permille / kPermille;
   endpoint.run_time = reply.run_time_permille / kPermille;
+  endpoint.answer_wait = std::chrono::milliseconds(reply.answer_wait_ms);
   endpoint.intake_wait = std::chrono::milliseconds(reply.intake_wait_ms);
   endpoint.cold_until = now + std::chrono::milliseconds(reply.cold_ms);
   endpoint.cold_room = reply.cold_room;
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -77,6 +77,8 @@
   want.service = call.request->service;
   want.bytes = call.request->body.size() + forecast_.answerBytes(call.route->name);
   want.has_large_body = call.request->body.size() > kMostInlineBody;
+  want.has_large_answer = parts_.options.answer_credit > 0 &&
+                          forecast_.answerBytes(call.route->name) > parts_.options.answer_credit;
   want.patience = patienceShare(call);
   want.regions = call.route->regions;
   want.may_repeat = call.route->repeatable;
@@ -155,6 +157,7 @@
   request.patience_ms = static_cast<std::uint32_t>(ceilMilliseconds(patienceOf(call, now)));
   request.is_retry = call.sendings > 0;
   request.answer_credit = parts_.options.answer_credit;
+  request.answer_bytes = static_cast<std::uint32_t>(forecast_.answerBytes(call.route->name));
   request.route = routeNameFor(call, endpoint);
   return request;
 }
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -106,7 +106,7 @@
   } else if (const auto* part = message.body.AsBodyPart()) {
     intake_.onPart(asker, part->bytes, now);
   } else if (const auto* grant = message.body.AsBodyGrant()) {
-    answers_.onGrant(asker, grant->bytes);
+    answers_.onGrant(asker, grant->bytes, now);
   } else if (message.body.AsForwardCancel() != nullptr) {
     arrivals_.forget(asker);
     intake_.cancel(asker, now);
@@ -120,7 +120,7 @@
   arrivals_.note(asker, now);
   if (calls_.routes() == nullptr) {
     gate_.refuse(asker, request, wire::NotRunReason::TargetDown, now);
-  } else if (answers_.isFull()) {
+  } else if (answers_.isFull(request.answer_bytes, request.answer_credit, now)) {
     gate_.refuse(asker, request, wire::NotRunReason::Full, now);
   } else if (request.announced_bytes == 0) {
     gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(request), now);
@@ -156,11 +156,12 @@
 
 void SidecarCore::answerAsker(const GateAsker& asker, wire::ForwardReplyT reply) {
   reply.intake_wait_ms = static_cast<std::uint32_t>(ceilMilliseconds(intake_.expectedWait()));
+  reply.answer_wait_ms = static_cast<std::uint32_t>(ceilMilliseconds(answers_.expectedWait(now_)));
   reply.at_endpoint_ms = static_cast<std::uint32_t>(ceilMilliseconds(arrivals_.take(asker, now_)));
   if (asker.link == LinkId{}) {
     calls_.onReply(options_.advertise, asker.request_id, reply, now_);
   } else {
-    answers_.send(asker, std::move(reply));
+    answers_.send(asker, std::move(reply), now_);
   }
 }
 
@@ -290,10 +291,10 @@
   checkStop(now);
 }
 
-/// Callers on this machine are served for a while anyway, so the target beside it goes on until what it gets
-/// would outlast that.
+/// Callers on this machine are served for a while anyway, so the target beside it goes on until what it gets,
+/// and the answers that are still to be sent, would outlast that.
 TimePoint SidecarCore::gateCloses() const {
-  const Duration last_runs = kRunsBeforeStop * gate_.usualRunTime();
+  const Duration last_runs = kRunsBeforeStop * gate_.usualRunTime() + answers_.expectedWait(now_);
   return std::max(*stop_began_ + options_.leaving_grace, *stop_began_ + options_.stop_minimum - last_runs);
 }
 
--- a/tests/sidecar/answer_transfers_test.cpp
+++ b/tests/sidecar/answer_transfers_test.cpp
@@ -103,4 +103,54 @@
   CHECK(seen(7).end == wire::BodyEnd::Whole);
 }
 
+TEST_CASE_METHOD(LargeAnswerFixture, "a gate whose answers wait for seconds takes no further large ones",
+                 "[sidecar]") {
+  constexpr unsigned kSlots = 50;
+  constexpr std::uint64_t kAnswers = 30;
+  startTarget(kSlots);
+  const auto askFor = [this](std::uint64_t number, std::uint32_t answer_bytes) {
+    wire::ForwardRequestT request;
+    request.service = "shop";
+    request.request_id = "in" + std::to_string(number);
+    request.deadline_ms = 9'000;
+    request.patience_ms = 200;
+    request.objective_ms = 500;
+    request.answer_credit = kCredit;
+    request.answer_bytes = answer_bytes;
+    sayIncoming(std::move(request), number);
+  };
+  for (std::uint64_t number = 1; number <= kAnswers; ++number) {
+    askFor(number, kLargeAnswer);
+    finishRun();
+  }
+  // The link sends one part of an answer after the other, 8,192 bytes in 7 ms: 1.17 MB/s.
+  CHECK(core.answers().expectedWait(now) == Duration::zero());
+  constexpr std::uint64_t kParts = 150;
+  for (std::uint64_t part = 0; part < kParts; ++part) {
+    now += milliseconds(7);
+    grant(1 + part % kAnswers, 8'192);
+  }
+  const auto wait = core.answers().expectedWait(now);
+  const auto held = core.answers().heldBytes() - (kAnswers + kParts) * 8'192;
+  CHECK(wait > milliseconds(held / 1'300));
+  CHECK(wait < milliseconds(held / 1'000));
+
+  ask(100);
+  CHECK(seen(100).reason == wire::NotRunReason::None);
+  for (std::uint64_t number = 101; core.answers().expectedWait(now) < AnswerTransfers::kMostWait; ++number) {
+    askFor(number, kLargeAnswer);
+    finishRun();
+  }
+  askFor(200, kLargeAnswer);
+  CHECK(seen(200).reason == wire::NotRunReason::Full);
+  askFor(201, 400);
+  CHECK(seen(201).reason == wire::NotRunReason::None);
+
+  // Askers that have granted nothing for long hold nobody up.
+  now += milliseconds(1'600);
+  CHECK(core.answers().expectedWait(now) == Duration::zero());
+  askFor(202, kLargeAnswer);
+  CHECK(seen(202).reason == wire::NotRunReason::None);
+}
+
 }  // namespace cometstand::sidecar::test
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -109,6 +109,36 @@
   CHECK(fixture.drawsOf(kFast, 0) < fixture.drawsOf(kFast, 3'000));
 }
 
+// Large reads went to endpoints whose machines' links were full, as their slots were free, and took seconds
+// there, while the links of others of the same region were half idle.
+TEST_CASE("a request for a large answer goes where the answers that are held will be sent sooner") {
+  DirectoryFixture fixture;
+  const auto chosenFor = [&fixture](bool has_large_answer) {
+    EndpointWant want;
+    want.service = "shop";
+    want.has_large_answer = has_large_answer;
+    want.patience = milliseconds(200);
+    return fixture.directory.choose(want, {}, fixture.random, fixture.now)->address;
+  };
+  // The one with the full link has two slots' work less.
+  fixture.report(kSlow, 250, 2);
+  wire::ForwardReplyT reply;
+  reply.run_time_permille = 250;
+  reply.answer_wait_ms = 600;
+  fixture.directory.onReply(*fixture.directory.find(kFast), reply, fixture.now);
+  for (int i = 0; i < kDraws; ++i) {
+    CHECK(chosenFor(true) == kSlow);
+    CHECK(chosenFor(false) == kFast);
+  }
+  // What was said long ago counts little.
+  fixture.now += std::chrono::minutes(2);
+  int draws = 0;
+  for (int i = 0; i < kDraws; ++i) {
+    if (chosenFor(true) == kFast) ++draws;
+  }
+  CHECK(draws > kDraws / 5);
+}
+
 TEST_CASE("the size of answers is learned for each route") {
   AnswerForecast sizes;
   CHECK(sizes.answerBytes("read") == 0);
