--- /dev/null
+++ b/src/mesh/incarnation.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace cometstand::mesh {
+
+/// Which start of a target something is said of. A target that starts again may keep its id; it then knows
+/// nothing of before, and what was said of it, or by it, before holds no more. So state is kept under the
+/// incarnation, never under the id.
+struct Incarnation {
+  std::string id;
+  /// Time of its start by its own clock, in Unix milliseconds; 0 if it does not say.
+  std::uint64_t born_ms = 0;
+
+  friend auto operator<=>(const Incarnation&, const Incarnation&) = default;
+  friend bool operator==(const Incarnation&, const Incarnation&) = default;
+
+  bool empty() const { return id.empty(); }
+  /// @return a text that no other incarnation has, for records and logs: the id, with the time of the start
+  /// behind it if it is known.
+  std::string name() const { return born_ms == 0 ? id : id + "@" + std::to_string(born_ms); }
+};
+
+}  // namespace cometstand::mesh
--- a/src/mesh/route_table.h
+++ b/src/mesh/route_table.h
@@ -33,6 +33,8 @@
 
   /// @return where the service's endpoints answer for their health; empty if the service is not known.
   std::string healthPath(const std::string& service) const;
+  /// @return true if the configuration names the service.
+  bool knows(const std::string& service) const { return health_paths_.contains(service); }
 
   /// @return how the service's targets start; nothing of it is bounded if the service is not known.
   ColdStart coldStart(const std::string& service) const;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/error.h"
+#include "net/unsent_bytes.h"
 
 namespace cometstand::net {
 
@@ -211,7 +212,11 @@
 void Link::writeNext() {
   if (state_ != State::Open || writing_) return;
   if (queue_.empty()) {
-    if (close_after_writes_) halfClose();
+    if (close_after_writes_) {
+      close("closed by this side");
+    } else if (half_close_after_writes_) {
+      halfClose();
+    }
     return;
   }
   writing_ = true;
@@ -241,13 +246,31 @@
   if (!writing_) writeNext();
 }
 
+void Link::closeOnceDelivered() {
+  half_close_after_writes_ = true;
+  const bool has_nothing_to_write = state_ == State::Opening && queue_.empty();
+  if (has_nothing_to_write) return close("closed by this side");
+  if (!writing_) writeNext();
+}
+
+std::size_t Link::unsentBytes() { return queued_bytes_ + net::unsentBytes(socket()); }
+
 void Link::halfClose() {
   state_ = State::HalfClosed;
   error_code ignored;
   socket().shutdown(tcp::socket::shutdown_send, ignored);
+  awaitPeerClose();
+}
+
+void Link::awaitPeerClose() {
   open_timer_.expires_after(kHalfClosedTime);
   open_timer_.async_wait([self = shared_from_this()](error_code error) {
-    if (!error) self->close("closed by this side, not by the peer");
+    if (error || self->state_ != State::HalfClosed) return;
+    if (self->unsentBytes() > 0) {
+      self->awaitPeerClose();
+    } else {
+      self->close("closed by this side, not by the peer");
+    }
   });
 }
 
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -56,15 +56,18 @@
   /// Closes at once; queued messages are dropped. on_closed follows on the executor.
   void close(const std::string& reason);
 
-  /// Closes once the peer has all queued messages: after the last one this side is shut down for sending, and
-  /// the link is closed when the peer has closed it, too, or has not for kHalfClosedTime. What still comes is
-  /// dropped.
+  /// Closes once all queued messages are written.
   void closeAfterWrites();
 
-  /// How long the peer may take. The last messages may stand behind others on a full link of 10 Mbit/s, which
-  /// holds half a second of them.
-  static constexpr Duration kHalfClosedTime = std::chrono::seconds(1);
+  /// Closes once the peer has all queued messages: after the last one this side is shut down for sending, and
+  /// the link is closed when the peer has closed it, too, or has not for kHalfClosedTime although the kernel
+  /// holds nothing for it any more. What still comes is dropped, and send() does nothing.
+  void closeOnceDelivered();
+
+  static constexpr Duration kHalfClosedTime = std::chrono::milliseconds(500);
 
+  /// @return bytes that are queued, or that the kernel holds for the peer.
+  std::size_t unsentBytes();
   std::uint64_t bytesSent() const { return bytes_sent_; }
   std::uint64_t bytesReceived() const { return bytes_received_; }
 
@@ -92,6 +95,7 @@
   void deliverFrames();
   void writeNext();
   void halfClose();
+  void awaitPeerClose();
 
   /// Exactly one of the two is set.
   std::optional<Socket> plain_;
@@ -99,6 +103,7 @@
   LinkHandlers handlers_;
   State state_ = State::Opening;
   bool close_after_writes_ = false;
+  bool half_close_after_writes_ = false;
   bool writing_ = false;
   boost::asio::steady_timer open_timer_;
   FrameDecoder decoder_;
--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -56,7 +56,10 @@
 }
 
 void ProcessRunner::beginStop() {
-  if (!stop_ends_by_) stop_ends_by_ = SteadyClock::now() + stop_time_limit_;
+  if (!stop_ends_by_ && stop_time_limit_) {
+    stop_ends_by_ = SteadyClock::now() + *stop_time_limit_;
+    armStopCheck();
+  }
   core_.beginStop(SteadyClock::now());
   flush();
 }
@@ -88,6 +91,7 @@
       pause->async_wait([this, pause](error_code) { acceptNext(); });
       return;
     }
+    if (finishing_) return;
     const LinkId id{next_incoming_++};
     auto link = std::make_shared<net::Link>(std::move(socket), options_.tls, handlersFor(id));
     addLink(id, link);
@@ -136,7 +140,9 @@
 void ProcessRunner::flush() {
   Actions actions = core_.takeActions();
   if (!actions.writes.empty()) runWrites(std::move(actions.writes));
-  for (const auto& order : actions.connects) openLink(order);
+  for (const auto& order : actions.connects) {
+    if (!finishing_) openLink(order);
+  }
   FrameEncoder encoder;
   for (const auto& outgoing : actions.messages) {
     const auto found = links_.find(outgoing.link);
@@ -147,22 +153,30 @@
     if (found != links_.end()) found->second->closeAfterWrites();
   }
   armTimer();
-  if (core_.stopped()) continueStop();
+  if (core_.stopped() || finishing_) continueStop();
 }
 
 void ProcessRunner::continueStop() {
   const TimePoint now = SteadyClock::now();
-  if (!stop_ends_by_) stop_ends_by_ = now + stop_time_limit_;
-  const bool is_out_of_time = now >= *stop_ends_by_;
-  const std::size_t undelivered_count = undelivered();
-  if (!finishing_ && (undelivered_count == 0 || is_out_of_time)) closeLinks(now);
-  const bool is_complete = finishing_ && links_.empty() && undelivered_count == 0;
-  if (!is_complete && !is_out_of_time) {
+  if (!stop_ends_by_ && core_.stopped()) stop_ends_by_ = now + kDeliveryTimeLimit;
+  const bool is_complete = (finishing_ || core_.stopped()) && undelivered() == 0;
+  const bool is_last_moment = stop_ends_by_ && now >= *stop_ends_by_ - kLastWritesTime;
+  if (!finishing_ && (is_complete || is_last_moment)) closeLinks(now);
+  if (finishing_ && is_complete && links_.empty()) {
+    io_.stop();
+  } else if (stop_ends_by_ && now >= *stop_ends_by_) {
+    logWhatIsLeft();
+    io_.stop();
+  } else {
     armStopCheck();
-    return;
   }
-  if (!is_complete) logEvent(kStopCutShort, {{"undelivered", undelivered_count}, {"links", links_.size()}});
-  io_.stop();
+}
+
+void ProcessRunner::logWhatIsLeft() const {
+  std::size_t unsent_bytes = 0;
+  for (const auto& [id, link] : links_) unsent_bytes += link->unsentBytes();
+  logEvent(kStopCutShort,
+           {{"undelivered", undelivered()}, {"links", links_.size()}, {"link_bytes", unsent_bytes}});
 }
 
 void ProcessRunner::closeLinks(TimePoint now) {
@@ -170,7 +184,7 @@
   timer_.cancel();
   acceptor_.close();
   core_.onStopEnding(now);
-  for (const auto& [id, link] : links_) link->closeAfterWrites();
+  for (const auto& [id, link] : links_) link->closeOnceDelivered();
 }
 
 std::size_t ProcessRunner::undelivered() const {
@@ -185,7 +199,7 @@
   stop_timer_.async_wait([this](error_code error) {
     if (error) return;
     stop_check_armed_ = false;
-    if (core_.stopped()) continueStop();
+    continueStop();
   });
 }
 
--- a/src/runtime/process_runner.h
+++ b/src/runtime/process_runner.h
@@ -19,9 +19,11 @@
 
 namespace cometstand::runtime {
 
-/// A planned stop ends after this time at the latest, unless the program says otherwise: well before the
-/// usual 6 s and more after which a process that was told to stop is killed.
-inline constexpr Duration kDefaultStopTimeLimit = std::chrono::seconds(5);
+/// Once a core has stopped, what it handed out and its links get so much time, unless the program sets a
+/// limit for the whole stop.
+inline constexpr Duration kDeliveryTimeLimit = std::chrono::seconds(2);
+/// Of the time limit of a stop, what is left for the links' last messages.
+inline constexpr Duration kLastWritesTime = std::chrono::milliseconds(100);
 
 struct RunnerOptions {
   /// Where the process accepts links; port 0 lets the system pick one. No listener if the host is empty.
@@ -47,15 +49,17 @@
   /// @throw Error(Corrupt) from the core.
   void start();
 
-  /// Begins the core's planned stop, also begun by the core itself on an operator's order. It ends in this
-  /// order, as each step may still need the ones after it:
+  /// Begins the core's planned stop, which the core may also begin itself on an operator's order. It ends in
+  /// this order, as each step may still need the ones after it:
   /// 1. the core says that it has stopped; it goes on meanwhile, and may take back its word;
   /// 2. what was handed to the added Deliveries has come;
   /// 3. the core hears that its stop ends, and the links close once their peers have all messages;
   /// 4. the io_context is stopped.
-  /// The time limit ends all of them.
+  /// At the time limit the io_context is stopped whatever is left, and step 3 begins kLastWritesTime before
+  /// that.
   void beginStop();
-  /// @param time from the beginning of a planned stop to its end at the latest.
+  /// @param time from beginStop() to the end at the latest. Without it a stop lasts until the core says that
+  /// it has stopped, and kDeliveryTimeLimit besides.
   void setStopTimeLimit(Duration time) { stop_time_limit_ = time; }
   /// A planned stop waits for them.
   /// @param deliveries must live as long as the runner's io_context runs.
@@ -84,6 +88,7 @@
   void closeLinks(TimePoint now);
   std::size_t undelivered() const;
   void armStopCheck();
+  void logWhatIsLeft() const;
 
   boost::asio::io_context& io_;
   ProcessCore& core_;
@@ -98,7 +103,7 @@
   std::uint64_t next_incoming_ = kFirstIncomingLink;
   std::uint64_t closed_bytes_sent_ = 0;
   std::uint64_t closed_bytes_received_ = 0;
-  Duration stop_time_limit_ = kDefaultStopTimeLimit;
+  std::optional<Duration> stop_time_limit_;
   std::vector<const Deliveries*> deliveries_;
   boost::asio::steady_timer stop_timer_;
   bool stop_check_armed_ = false;
--- a/src/sidecar/answer_intake.cpp
+++ b/src/sidecar/answer_intake.cpp
@@ -62,6 +62,13 @@
   credit_.grantMore(now);
 }
 
+void AnswerIntake::expedite(std::uint64_t sending, TimePoint now) {
+  const auto found = answers_.find(sending);
+  if (found == answers_.end()) return;
+  credit_.expedite(found->second.flow);
+  credit_.grantMore(now);
+}
+
 void AnswerIntake::drop(std::uint64_t sending, TimePoint now) {
   const auto found = answers_.find(sending);
   if (found == answers_.end()) return;
--- a/src/sidecar/answer_intake.h
+++ b/src/sidecar/answer_intake.h
@@ -52,6 +52,8 @@
   /// From now on all answers, those that come later too, are granted as fast as they can come: this sidecar
   /// must have them before its planned stop ends.
   void expediteAll(TimePoint now);
+  /// The same for one answer, if there is one under the number: its sender stops.
+  void expedite(std::uint64_t sending, TimePoint now);
   /// Forgets the answer, if there is one.
   void drop(std::uint64_t sending, TimePoint now);
 
--- a/src/sidecar/answer_transfers.cpp
+++ b/src/sidecar/answer_transfers.cpp
@@ -12,6 +12,9 @@
 /// comes after 0.4 to 0.7 s, with 30 askers of 16 KiB each (reckoned).
 constexpr Duration kStallTime = std::chrono::milliseconds(1'500);
 
+/// The rate at which fewer answers leave may be that of their askers, not that of the link.
+constexpr std::size_t kLeastActive = 4;
+
 }  // namespace
 
 std::vector<std::uint8_t> AnswerTransfers::nextBytes(Transfer& transfer, std::size_t bytes) {
@@ -36,9 +39,13 @@
   const double rate = rate_.bytesPerSecond();
   if (rate <= 0) return Duration::zero();
   std::size_t bytes = 0;
+  std::size_t active = 0;
   for (const auto& [asker, transfer] : transfers_) {
-    if (transfer.active_at + kStallTime > now) bytes += transfer.left();
+    if (transfer.active_at + kStallTime <= now) continue;
+    bytes += transfer.left();
+    ++active;
   }
+  if (active < kLeastActive) return Duration::zero();
   const std::chrono::duration<double> time(static_cast<double>(bytes) / rate);
   return std::chrono::duration_cast<Duration>(time);
 }
--- a/src/sidecar/cold_gate.cpp
+++ b/src/sidecar/cold_gate.cpp
@@ -18,10 +18,10 @@
 void TargetGate::onHeartbeat(const Heartbeat& beat, TimePoint now) {
   now_ = now;
   // Others came late, or are of an instance that is gone.
-  const bool is_newest = beat.instance == target_.instance() && beat.sequence == target_.sequence();
+  const bool is_newest = beat.incarnation == target_.incarnation() && beat.sequence == target_.sequence();
   if (!is_newest) return;
   beaten_at_ = now;
-  const bool is_first = std::exchange(warmth_instance_, beat.instance) != beat.instance;
+  const bool is_first = std::exchange(warmth_of_, beat.incarnation) != beat.incarnation;
   if (is_first) {
     warmth_.onNewInstance(beat.cold_remaining, now);
   } else {
@@ -31,11 +31,11 @@
 
 void TargetGate::onHealth(const TargetHealth& health, TimePoint now) {
   now_ = now;
-  if (health.instance.empty() || health.instance != target_.instance()) {
+  if (health.instance.empty() || health.instance != target_.incarnation().id) {
     warmth_.onAnswered(std::nullopt, now);
     return;
   }
-  const bool is_first = std::exchange(warmth_instance_, health.instance) != health.instance;
+  const bool is_first = std::exchange(warmth_of_, target_.incarnation()) != target_.incarnation();
   warmth_.onAnswered(health.cold_remaining, now);
   if (is_first && !health.cold_remaining) doubtWarmth("first answer", now);
   logEvent(kTargetAsked, {{"instance", health.instance},
@@ -53,7 +53,7 @@
   now_ = now;
   // A target that leaves, or was not heard of, gets nothing anyway.
   if (target_.condition() != TargetCondition::Ready || !warmth_.doubt(now)) return;
-  logEvent(kTargetDoubted, {{"instance", target_.instance()},
+  logEvent(kTargetDoubted, {{"instance", target_.incarnation().name()},
                             {"cause", cause},
                             {"running", running()},
                             {"cold_ms", ceilMilliseconds(coldTime(now))}});
@@ -95,7 +95,7 @@
   if (target_.condition() == TargetCondition::Ready && warmth_.isDoubted(now_)) {
     next = warmth_.nextQuestion();
   }
-  if (beaten_at_) next = std::min(next, *beaten_at_ + kHeartbeatSilence);
+  if (beaten_at_) next = std::min(next, *beaten_at_ + TargetState::kSilence);
   if (waiting_.empty() || !isColdLimited(now_)) return next;
   return std::min({next, cold_limit_.nextRoom(now_), warmth_.coldUntil()});
 }
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -31,6 +31,7 @@
     auto& endpoint = endpoints_[address];
     endpoint.address = address;
     setService(endpoint, record->service);
+    if (endpoint.instance != record->endpoint) forgetTarget(endpoint);
     endpoint.instance = record->endpoint;
     endpoint.version = record->version;
     endpoint.zone = record->zone;
@@ -42,6 +43,16 @@
   countSenders();
 }
 
+/// Load, failures, speed, refusals and room are those of the target before.
+void EndpointDirectory::forgetTarget(Endpoint& endpoint) {
+  endpoint.reported_load = 0;
+  endpoint.failure_rate = 0;
+  endpoint.run_time = 0;
+  endpoint.avoid_until = TimePoint();
+  endpoint.cold_room = 0;
+  endpoint.cold_closed_until = TimePoint();
+}
+
 void EndpointDirectory::countSenders() {
   const auto& own = options_.zones.regionOf(options_.zone);
   const auto senders = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -81,6 +81,7 @@
                      const LoadEstimate& estimate, RandomSource& random, TimePoint now) const;
   /// @return true if the endpoint of a dark zone, the cheapest of all, gets the request all the same.
   bool isSentToDark(const Endpoint& endpoint, const EndpointWant& want, bool is_only_choice, TimePoint now);
+  static void forgetTarget(Endpoint& endpoint);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
   /// Whoever has an endpoint in the own region may send to others.
--- a/src/sidecar/outbound_answers.cpp
+++ b/src/sidecar/outbound_answers.cpp
@@ -43,6 +43,14 @@
   }
 }
 
+/// Without it 5 of 75 stops of gates behind full links ran into their limit with 1 to 4 answers that their
+/// askers granted slowly, as measured by stopping all of them in turn.
+void OutboundCalls::onEndpointLeaves(const Address& address, TimePoint now) {
+  for (const auto& [id, call] : calls_) {
+    if (call.at == address) answers_.expedite(call.sent_as, now);
+  }
+}
+
 void OutboundCalls::onAnswerBroken(CallId id, CallState& call, SendingFailure failure, TimePoint now) {
   call.failure = failure;
   recall(call, now);
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -210,6 +210,7 @@
     if (answers_.contains(request_id)) return;
     forecast_.noteBeginning(call.route->name, now - call.sent_at);
     answers_.begin(request_id, reply, call.request->priority, wayTo(endpoint, now), now);
+    if (endpoint != nullptr && !endpoint->live) answers_.expedite(request_id, now);
     return;
   }
   if (answers_.contains(request_id)) {
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -68,6 +68,9 @@
   /// The next bytes of an answer whose body follows.
   void onAnswerPart(const runtime::Address& from, std::uint64_t request_id, const wire::BodyPartT& part,
                     TimePoint now);
+  /// The endpoint leaves: what it still has to send is granted as fast as it can come, as its sidecar may
+  /// stop.
+  void onEndpointLeaves(const runtime::Address& address, TimePoint now);
   /// The link to the endpoint ended: what was sent over it may have run.
   void onPeerLost(const runtime::Address& address, TimePoint now);
   void onTimer(TimePoint now);
--- a/src/sidecar/quarantine.cpp
+++ b/src/sidecar/quarantine.cpp
@@ -86,7 +86,7 @@
 
 void Quarantine::onTargetEnded(const TargetEnd& end, const std::string& service, TimePoint now) {
   wire::CrashReportT report;
-  report.instance = end.instance;
+  report.instance = end.incarnation.name();
   report.service = service;
   std::set<ContentDigest> known;
   std::size_t innocents = 0;
@@ -106,28 +106,28 @@
     if (contents.size() >= kMostLoggedContents) break;
     contents += (contents.empty() ? "" : " ") + mesh::formatDigest(digest);
   }
-  logEvent(kTargetEnded, {{"instance", end.instance},
+  logEvent(kTargetEnded, {{"instance", end.incarnation.name()},
                           {"service", service},
                           {"requests", end.requests.size()},
                           {"innocent", innocents},
                           {"contents", contents}});
   if (report.suspects.empty()) return;
   const auto message = std::make_shared<const wire::EnvelopeT>(runtime::makeEnvelope(std::move(report)));
-  reports_.push_back({message, end.instance, now + kReportTime});
+  reports_.push_back({message, end.incarnation.name(), now + kReportTime});
   if (reports_.size() > kMostReports) reports_.pop_front();
   resend_at_ = now + kResendInterval;
   broadcast_(message);
 }
 
-void Quarantine::onRunToEnd(const wire::ForwardRequestT& request, const std::string& instance,
+void Quarantine::onRunToEnd(const wire::ForwardRequestT& request, const mesh::Incarnation& target,
                             TimePoint now) {
   const bool is_remembered = request.body.size() <= kMostRememberedBody;
   if (!is_remembered && suspected() == 0) return;
   const auto digests = mesh::digestsOf(request);
   if (is_remembered) memory_.note(digests.exact, now);
   if (is_remembered && digests.path) memory_.note(*digests.path, now);
-  clear(digests.exact, instance, now);
-  if (digests.path) clear(*digests.path, instance, now);
+  clear(digests.exact, target.name(), now);
+  if (digests.path) clear(*digests.path, target.name(), now);
 }
 
 void Quarantine::clear(const ContentDigest& digest, const std::string& instance, TimePoint now) {
--- a/src/sidecar/quarantine.h
+++ b/src/sidecar/quarantine.h
@@ -39,7 +39,7 @@
   /// The target ended. What it has run to its end before is no suspect.
   void onTargetEnded(const TargetEnd& end, const std::string& service, TimePoint now);
   /// The target has run the request to its end.
-  void onRunToEnd(const wire::ForwardRequestT& request, const std::string& instance, TimePoint now);
+  void onRunToEnd(const wire::ForwardRequestT& request, const mesh::Incarnation& target, TimePoint now);
 
   void onTimer(TimePoint now);
   TimePoint nextTimer() const { return reports_.empty() ? TimePoint::max() : resend_at_; }
--- a/src/sidecar/receive_credit.cpp
+++ b/src/sidecar/receive_credit.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t kMostWindow = 256 * 1024;
 /// Bytes of one grant: on a link of 6 Mbit/s one part takes about 10 ms.
 constexpr std::size_t kPartBytes = 8 * 1024;
-/// Bytes that are granted ahead of an expedited body: all that is left of the largest answers that are usual
-/// (540 KB, as our deployments say), and a bound of what one sender may have under way.
+/// Bytes that are granted ahead of all expedited bodies together: two of the largest answers that are usual
+/// (540 KB, as our deployments say), which a link of 9.7 Mbit/s brings in 0.9 s.
 constexpr std::size_t kMostExpedited = 1024 * 1024;
 /// Bytes of one such grant, and of the message that follows it: 55 ms on a link of 9.7 Mbit/s, which other
 /// messages of the same link wait behind.
@@ -80,24 +80,31 @@
   }
 }
 
-void ReceiveCredit::grantExpedited(State& state, TimePoint now) {
-  while (state.granted < state.expected && state.outstanding() < kMostExpedited) {
-    const std::size_t bytes = std::min(kExpeditedPartBytes, state.expected - state.granted);
-    if (state.granted == 0) state.active_at = now;
-    state.granted += bytes;
-    state.grant(static_cast<std::uint32_t>(bytes));
+/// The more urgent first, as in the window.
+void ReceiveCredit::grantExpedited(TimePoint now) {
+  std::size_t outstanding = 0;
+  for (const auto& [flow, state] : flows_) {
+    if (state.is_expedited) outstanding += state.outstanding();
+  }
+  for (auto& [flow, state] : flows_) {
+    if (!state.is_expedited) continue;
+    while (state.granted < state.expected && outstanding < kMostExpedited) {
+      const std::size_t bytes = std::min(kExpeditedPartBytes, state.expected - state.granted);
+      if (state.granted == 0) state.active_at = now;
+      state.granted += bytes;
+      outstanding += bytes;
+      state.grant(static_cast<std::uint32_t>(bytes));
+    }
   }
 }
 
 void ReceiveCredit::grantMore(TimePoint now) {
-  for (auto& [flow, state] : flows_) {
-    if (state.is_expedited) grantExpedited(state, now);
-  }
   const std::size_t most = window();
   std::size_t outstanding = outstandingBytes();
   bool was_idle = std::all_of(flows_.begin(), flows_.end(),
                               [](const auto& item) { return item.second.outstanding() == 0; });
   if (was_idle) measured_until_ = now;
+  grantExpedited(now);
   for (auto& [flow, state] : flows_) {
     if (state.stalled || state.is_expedited) continue;
     // While the first bytes are on their way, the link brings nothing.
--- a/src/sidecar/receive_credit.h
+++ b/src/sidecar/receive_credit.h
@@ -44,9 +44,9 @@
   /// From now on at most so many bytes are granted beyond what the body's reader took.
   /// @param unread bytes that it has not taken by now.
   void setReader(const Flow& flow, std::size_t unread, std::size_t most_unread);
-  /// From now on the body is granted beside the window and whatever its reader has taken, kMostExpedited
-  /// ahead: it must be whole soon. On a link out of its sender that others fill, a body's share is what is
-  /// granted of it.
+  /// From now on the body is granted beside the window and whatever its reader has taken, up to a bound over
+  /// all such bodies: it must be whole soon. On a link out of its sender that others fill, a body's share is
+  /// what is granted of it.
   void expedite(const Flow& flow) { flows_.at(flow).is_expedited = true; }
   /// The reader took bytes.
   void onRead(const Flow& flow, std::size_t bytes);
@@ -85,7 +85,7 @@
   /// full while the link is idle.
   std::size_t outstandingBytes() const;
   std::size_t countedBytes(const State& state) const;
-  static void grantExpedited(State& state, TimePoint now);
+  void grantExpedited(TimePoint now);
   void noteStalled(TimePoint now);
   void noteReceived(std::size_t bytes, TimePoint now);
 
--- a/src/sidecar/send_rate.h
+++ b/src/sidecar/send_rate.h
@@ -15,6 +15,7 @@
  public:
   /// Answers are under way from now on, and were not before.
   void begin(TimePoint now) {
+    if (now >= window_ends_ + kWindow) highest_ = before_ = 0;
     span_began_ = now;
     span_bytes_ = 0;
   }
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -177,7 +177,11 @@
 
 void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
   endpoints_.apply(update, is_whole, now);
-  for (const auto& record : update.records) rollouts_.noteVersion(record->service, record->version, now);
+  for (const auto& record : update.records) {
+    rollouts_.noteVersion(record->service, record->version, now);
+    if (record->state == wire::EndpointState::Leaving)
+      calls_.onEndpointLeaves({record->address, record->port}, now);
+  }
   linkTo(update, now);
 }
 
@@ -218,7 +222,7 @@
   report.number = running->number;
   report.step = running->step;
   report.incarnation = incarnation_;
-  report.endpoint = target.instance();
+  report.endpoint = target.incarnation().name();
   report.version = target.version();
   report.in_flight =
       gate_.running() + gate_.waiting() + static_cast<std::uint32_t>(intake_.size() + answers_.size());
@@ -278,7 +282,7 @@
     // Afterwards the gate stays as it is until the next word of a store.
     if (rollouts_.leaseEnd() > now_) next = std::min(next, rollouts_.leaseEnd());
   }
-  if (stop_began_) next = std::min(next, now_ + kStopCheckInterval);
+  if (stop_began_) next = std::min(next, stop_check_at_);
   return next;
 }
 
@@ -300,6 +304,7 @@
 
 void SidecarCore::checkStop(TimePoint now) {
   if (!stop_began_) return;
+  stop_check_at_ = now + kStopCheckInterval;
   if (!withdrawn_ && now >= gateCloses() - options_.leaving_grace) {
     withdrawn_ = true;
     gate_.closeAt(now + options_.leaving_grace);
@@ -315,7 +320,8 @@
 bool SidecarCore::stopped() const {
   if (!stop_began_) return false;
   const Duration time = now_ - *stop_began_;
-  return time >= options_.stopMaximum() || (time >= options_.stop_minimum && isIdle());
+  return time >= options_.stopMaximum() ||
+         (time >= options_.stop_minimum && isIdle() && gate_.isClosed(now_));
 }
 
 void SidecarCore::onStopEnding(TimePoint now) {
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
+#include "base/error.h"
 #include "runtime/process_core.h"
 #include "sidecar/answer_transfers.h"
 #include "sidecar/arrival_times.h"
@@ -35,10 +37,16 @@
     calls_.onRead(id, bytes, now);
   }
   void onRunResult(RunId id, RunResult result, TimePoint now);
+  /// @throw Error(Invalid) if neither the settings nor the configuration names the service; nothing has
+  /// changed then.
   void onHeartbeat(const Heartbeat& beat, TimePoint now);
   void onProbed(ProbeOutcome outcome, TimePoint now);
   void onHealth(const TargetHealth& health, TimePoint now);
-  void onDeregistered(const std::string& instance, TimePoint now);
+  void onDeregistered(const mesh::Incarnation& incarnation, TimePoint now);
+  /// Somebody sent what should be a target's word on itself and cannot be read. It changes nothing.
+  void onUnreadableWord(const std::string& id, const Error& error);
+  /// @return words that could not be read, by the kind of the error.
+  const std::map<ErrorKind, std::uint64_t>& unreadableWords() const { return unreadable_words_; }
 
   /// Other seeds from now on; stores that are known already stay so.
   void setSeeds(std::vector<runtime::Address> seeds, TimePoint now) {
@@ -102,6 +110,7 @@
   BodyIntake::Listener intakeListener();
   void onTargetChanged(TimePoint now);
   void askTarget();
+  bool isNamed(const std::string& service) const;
   wire::EndpointRecordT ownRecord() const;
   /// Opens links to the endpoints of the update.
   void linkTo(const wire::EndpointUpdateT& update, TimePoint now);
@@ -133,8 +142,10 @@
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
+  TimePoint stop_check_at_;
   /// The endpoint's record says that it leaves, since this sidecar stops.
   bool withdrawn_ = false;
+  std::map<ErrorKind, std::uint64_t> unreadable_words_;
   /// The endpoint's newest record says that the target is cold.
   bool is_reported_cold_ = false;
 };
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -100,7 +100,7 @@
   /// @return when the process ends in a planned stop, whatever is still on its way to callers.
   Duration stopLimit() const { return stop_time_limit - kEndReserve; }
 
-  static constexpr Duration kStopReserve = std::chrono::milliseconds(300);
+  static constexpr Duration kStopReserve = std::chrono::milliseconds(200);
   /// For the end of the process itself.
   static constexpr Duration kEndReserve = std::chrono::milliseconds(100);
 };
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -88,6 +88,11 @@
   metrics.gauge("cometstand_sidecar_target_cold_seconds",
                 "Time until the target counts as warm, if what cold ones get is bounded.",
                 std::chrono::duration<double>(core_.targetColdTime()).count());
+  for (const auto& [kind, count] : core_.unreadableWords()) {
+    metrics.counter("cometstand_sidecar_unreadable_words_total",
+                    "Heartbeats and deregistrations that could not be read, by the kind of the error.",
+                    static_cast<double>(count), {{"kind", std::string(errorKindName(kind))}});
+  }
   addRegionMetrics(metrics, core_.endpoints().regionLinks());
   addCallMetrics(metrics, core_.callMetrics());
   addGateMetrics(metrics, core_.gate().metrics());
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -60,7 +60,7 @@
       "A planned stop: callers are served at least this long after the sidecar is not ready any more.");
   table.duration("sidecar.stop_accept_all", options.stop_accept_all, {milliseconds(0), minutes(1)},
                  "A planned stop: after this time, only requests are taken whose own time is up before "
-                 "the last 300 ms of sidecar.stop_time_limit.");
+                 "the last 200 ms of sidecar.stop_time_limit.");
   table.duration("sidecar.stop_time_limit", options.stop_time_limit,
                  {SidecarOptions::kStopReserve, minutes(10)},
                  "A planned stop must be complete after this time, or the process is killed.");
--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -4,16 +4,31 @@
 
 /// What a sidecar learns of the target beside it, and what it tells others of it.
 namespace cometstand::sidecar {
+namespace {
+
+/// Bytes of an id that a stranger chose.
+constexpr std::size_t kMostLoggedId = 64;
+
+}  // namespace
 
 void SidecarCore::onRunResult(RunId id, RunResult result, TimePoint now) {
   advance(now);
-  if (result.other_instance && gate_.target().onOtherInstance(gate_.target().instance()))
+  if (result.other_instance && gate_.target().onOtherId(gate_.target().incarnation().id))
     onTargetChanged(now);
   gate_.onResult(id, std::move(result), now);
 }
 
+/// The own service's target may come before the configuration that names it.
+bool SidecarCore::isNamed(const std::string& service) const {
+  return service == options_.service || calls_.routes() == nullptr || calls_.routes()->knows(service);
+}
+
 void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now) {
   advance(now);
+  if (!isNamed(beat.service)) {
+    throw Error(ErrorKind::Invalid, "no configuration names the service",
+                "send the service of this machine, or put it into the configuration");
+  }
   const bool has_changed = gate_.target().onHeartbeat(beat, now);
   gate_.onHeartbeat(beat, now);
   if (has_changed || hasTurned(now)) onTargetChanged(now);
@@ -42,14 +57,21 @@
   target_port_.askHealth(path);
 }
 
-void SidecarCore::onDeregistered(const std::string& instance, TimePoint now) {
+void SidecarCore::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now) {
   advance(now);
-  if (gate_.target().onDeregistered(instance, now)) onTargetChanged(now);
+  if (gate_.target().onDeregistered(incarnation, now)) onTargetChanged(now);
+}
+
+void SidecarCore::onUnreadableWord(const std::string& id, const Error& error) {
+  ++unreadable_words_[error.kind()];
+  logEvent(kUnreadableWord, {{"id", id.substr(0, kMostLoggedId)},
+                             {"kind", std::string(errorKindName(error.kind()))},
+                             {"reason", error.what()}});
 }
 
 void SidecarCore::onTargetChanged(TimePoint now) {
   const auto& target = gate_.target();
-  logEvent(kTargetChanged, {{"instance", target.instance()},
+  logEvent(kTargetChanged, {{"instance", target.incarnation().name()},
                             {"service", target.service()},
                             {"condition", static_cast<int>(target.condition())},
                             {"slots", target.slots()}});
@@ -75,7 +97,7 @@
   const auto& target = gate_.target();
   wire::EndpointRecordT record;
   record.service = target.service();
-  record.endpoint = target.instance();
+  record.endpoint = target.incarnation().name();
   record.address = options_.advertise.host;
   record.port = options_.advertise.port;
   record.zone = options_.zone;
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -145,7 +145,7 @@
   logEvent(kGateRefused, {{"request", request.request_id},
                           {"reason", wire::EnumNameNotRunReason(reason)},
                           {"service", request.service},
-                          {"instance", target_.instance()},
+                          {"instance", target_.incarnation().name()},
                           {"sequence", target_.sequence()},
                           {"running", running()},
                           {"waiting", waiting()},
@@ -198,10 +198,11 @@
                        TimePoint now) {
   const RunId id{next_run_++};
   const bool is_cold = now < target_.coldUntil() || warmth_.isCold(now);
-  running_.emplace(id, Running{asker, request, now, deadline, is_cold, yields(*request), target_.instance()});
+  running_.emplace(id,
+                   Running{asker, request, now, deadline, is_cold, yields(*request), target_.incarnation()});
   samples_.noteBegun();
   cold_limit_.noteSent(now);
-  port_.run({id, request, target_.instance(), deadline - now});
+  port_.run({id, request, target_.incarnation().id, deadline - now});
 }
 
 void TargetGate::startWaiting(TimePoint now) {
@@ -262,9 +263,9 @@
 
 void TargetGate::onTargetChanged(TimePoint now) {
   now_ = now;
-  noteEndOfTarget(watch_.onInstance(target_.instance(), now), now);
+  noteEndOfTarget(watch_.onIncarnation(target_.incarnation(), now), now);
   // What broke off runs of the one before, a crash for example, says nothing of this one.
-  if (std::exchange(rated_instance_, target_.instance()) != target_.instance()) {
+  if (std::exchange(rated_, target_.incarnation()) != target_.incarnation()) {
     failure_rate_ = 0;
     cold_limit_.reset(now);
   }
@@ -273,7 +274,7 @@
 
 void TargetGate::onTimer(TimePoint now) {
   now_ = now;
-  if (beaten_at_ && now >= *beaten_at_ + kHeartbeatSilence) {
+  if (beaten_at_ && now >= *beaten_at_ + TargetState::kSilence) {
     beaten_at_.reset();
     doubtWarmth("no heartbeat", now);
   }
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -33,9 +33,6 @@
  public:
   /// How long after a request's deadline the target's own word on it is waited for.
   static constexpr Duration kAnswerGrace = std::chrono::milliseconds(30);
-  /// A target that runs sends heartbeats more often than twice in this time, one of which may be lost: they
-  /// come each 1.5 s or so.
-  static constexpr Duration kHeartbeatSilence = std::chrono::milliseconds(3'500);
 
   using Answer = std::function<void(const GateAsker&, wire::ForwardReplyT)>;
 
@@ -128,7 +125,7 @@
     /// It yielded when it began, and counts among those that do until it ends.
     bool yields = false;
     /// Of the target that got it.
-    std::string instance;
+    mesh::Incarnation incarnation;
   };
 
   bool refusesForZone(TimePoint now) const {
@@ -211,7 +208,7 @@
   OfferedLoad short_load_;
   TargetWarmth warmth_;
   /// The target that warmth_ is of.
-  std::string warmth_instance_;
+  mesh::Incarnation warmth_of_;
   ColdRateLimit cold_limit_;
   /// Of the newest heartbeat; none from the doubt for the lack of one on.
   std::optional<TimePoint> beaten_at_;
@@ -219,7 +216,7 @@
   TimePoint now_;
   TargetWatch watch_;
   /// The target that failure_rate_ is of.
-  std::string rated_instance_;
+  mesh::Incarnation rated_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_gate_runs.cpp
+++ b/src/sidecar/target_gate_runs.cpp
@@ -43,7 +43,7 @@
   logEvent(kRunEnded, {{"request", run.request->request_id},
                        {"outcome", wire::EnumNameForwardOutcome(reply.outcome)},
                        {"status", reply.status},
-                       {"instance", target_.instance()},
+                       {"instance", target_.incarnation().name()},
                        {"service", run.request->service},
                        {"took_ms", ceilMilliseconds(now - run.started)},
                        {"left_ms", ceilMilliseconds(run.deadline - now)},
@@ -58,10 +58,10 @@
   if (found_nobody) doubtWarmth("no connection", now);
   if (result.reply.outcome == wire::ForwardOutcome::Unknown) {
     // A target that leaves ends anyway.
-    if (target_.condition() != TargetCondition::Leaving) watch_.onBroken(run.request, run.instance, now);
+    if (target_.condition() != TargetCondition::Leaving) watch_.onBroken(run.request, run.incarnation, now);
   } else if (result.reply.outcome == wire::ForwardOutcome::Answered) {
-    watch_.onAnswered(run.instance, run.started);
-    quarantine_.onRunToEnd(*run.request, run.instance, now);
+    watch_.onAnswered(run.incarnation, run.started);
+    quarantine_.onRunToEnd(*run.request, run.incarnation, now);
   }
 }
 
@@ -99,7 +99,7 @@
   if (now + kAnswerGrace >= run.deadline)
     samples_.noteEnded(run.request->route, true, now - run.started, run.was_cold);
   logEvent(kRunGivenUp, {{"request", run.request->request_id},
-                         {"instance", target_.instance()},
+                         {"instance", target_.incarnation().name()},
                          {"service", run.request->service},
                          {"took_ms", ceilMilliseconds(now - run.started)},
                          {"left_ms", ceilMilliseconds(run.deadline - now)},
--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -18,7 +18,7 @@
 struct RunOrder {
   RunId id{};
   ForwardRequestPointer request;
-  /// The target must be this one, else it must not run the request.
+  /// The target must have this id, else it must not run the request.
   std::string instance;
   /// The target is to stop work then.
   Duration time_left{};
@@ -27,7 +27,7 @@
 /// What came of a request at the target.
 struct RunResult {
   wire::ForwardReplyT reply;
-  /// The target said that it is another instance.
+  /// The target said that it has another id.
   bool other_instance = false;
 };
 
@@ -35,6 +35,7 @@
 struct TargetHealth {
   /// It is well and not leaving.
   bool ready = false;
+  /// Its id; a health answer does not tell the incarnation.
   std::string instance;
   unsigned slots = 1;
   /// Time from now on during which it is cold, if it said so.
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "mesh/incarnation.h"
 
 namespace cometstand::sidecar {
 
@@ -18,24 +19,29 @@
 
 /// What a target says of itself, again and again.
 struct Heartbeat {
-  /// Differs for each start of the target.
-  std::string instance;
+  mesh::Incarnation incarnation;
   std::string service;
   std::string zone;
   /// Of the target's software; empty if it does not say.
   std::string version;
   unsigned slots = 1;
   bool ready = true;
-  /// Rises with each heartbeat of one instance.
+  /// Rises with each heartbeat of one incarnation.
   std::uint64_t sequence = 0;
   /// Time from now on during which the target is slow from its start.
   Duration cold_remaining = Duration::zero();
 };
 
 /// The target beside this sidecar, by its own heartbeats. Heartbeats may come late: an older one of the same
-/// instance, or one of an instance that another followed, changes nothing.
+/// incarnation, or one of an incarnation that another followed, changes nothing. This is the one place that
+/// says which incarnation is the newer one.
 ///
-/// Invariant: an instance that said that it leaves is never taken for ready again.
+/// Of two incarnations under one id the one that was born later is newer. A clock that was set back makes a
+/// newer one look older, so an unknown incarnation with an earlier birth is taken, too, once two rising
+/// heartbeats of it have come while the known one was silent for kSilence: words that a cut held back come
+/// while the newer incarnation sends its own.
+///
+/// Invariant: an incarnation that said that it leaves is never taken for ready again.
 class TargetState {
  public:
   /// @return true if anything changed.
@@ -43,14 +49,15 @@
   /// The target was asked and is ready. Counts only while nothing was heard of it; every heartbeat counts
   /// more.
   /// @return true if anything changed.
-  bool onReadyWhenAsked(const std::string& instance, const std::string& service, unsigned slots);
-  /// The instance says that it is gone, or about to be. @return true if anything changed.
-  bool onDeregistered(const std::string& instance, TimePoint now);
-  /// The target itself answered that it is another instance. @return true if anything changed.
-  bool onOtherInstance(const std::string& expected);
+  bool onReadyWhenAsked(const std::string& id, const std::string& service, unsigned slots);
+  /// The incarnation says that it is gone, or about to be. Without the time of its birth it means the known
+  /// one, if that has the id. @return true if anything changed.
+  bool onDeregistered(const mesh::Incarnation& incarnation, TimePoint now);
+  /// The target itself answered that it has another id. @return true if anything changed.
+  bool onOtherId(const std::string& expected);
 
   TargetCondition condition() const { return condition_; }
-  const std::string& instance() const { return beat_.instance; }
+  const mesh::Incarnation& incarnation() const { return beat_.incarnation; }
   const std::string& service() const { return beat_.service; }
   /// @return empty until a heartbeat told it.
   const std::string& version() const { return beat_.version; }
@@ -62,15 +69,32 @@
   /// When the target began to leave.
   TimePoint leavingSince() const { return leaving_since_; }
 
+  /// A target that runs sends heartbeats more often than twice in this time, one of which may be lost: they
+  /// come each 1.5 s or so.
+  static constexpr Duration kSilence = std::chrono::milliseconds(3'500);
+
  private:
+  /// An incarnation that looks older than the known one.
+  struct Doubtful {
+    mesh::Incarnation incarnation;
+    std::uint64_t sequence = 0;
+  };
+
   void leave(TimePoint now);
+  bool isKnown(const mesh::Incarnation& incarnation) const;
+  bool isPast(const std::string& id) const;
+  /// @return true if the heartbeat is of an incarnation that may follow the known one.
+  bool mayFollow(const Heartbeat& beat, TimePoint now);
 
   Heartbeat beat_;
   TargetCondition condition_ = TargetCondition::Unheard;
   TimePoint cold_until_;
   TimePoint leaving_since_;
-  /// Instances that another one followed or that are gone.
-  std::set<std::string> past_instances_;
+  /// When the newest heartbeat that counted came.
+  TimePoint heard_at_;
+  Doubtful doubtful_;
+  /// Incarnations that another one followed or that are gone.
+  std::set<mesh::Incarnation> past_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -9,18 +9,19 @@
 constexpr Duration kGivenUpMemory = std::chrono::milliseconds(500);
 /// Of runs that were given up; more are not remembered.
 constexpr std::size_t kMostGivenUp = 64;
-/// A broken connection is explained by another instance that is heard within this time; targets are back
+/// A broken connection is explained by another incarnation that is heard within this time; targets are back
 /// after some seconds.
 constexpr Duration kSuspicionTime = std::chrono::seconds(10);
 
 }  // namespace
 
-void TargetWatch::onBroken(const ForwardRequestPointer& request, const std::string& instance, TimePoint now) {
-  if (instance == ended_instance_) return;
+void TargetWatch::onBroken(const ForwardRequestPointer& request, const mesh::Incarnation& incarnation,
+                           TimePoint now) {
+  if (incarnation == ended_) return;
   const bool is_known =
-      suspicion_ && suspicion_->instance == instance && now < suspicion_->since + kSuspicionTime;
+      suspicion_ && suspicion_->incarnation == incarnation && now < suspicion_->since + kSuspicionTime;
   if (!is_known) {
-    suspicion_ = Suspicion{instance, now, {}};
+    suspicion_ = Suspicion{incarnation, now, {}};
     port_.probe();
   }
   suspicion_->broken.push_back(request);
@@ -34,8 +35,8 @@
   given_up_.push_back({request, now});
 }
 
-void TargetWatch::onAnswered(const std::string& instance, TimePoint started) {
-  const bool is_alive = suspicion_ && suspicion_->instance == instance && started > suspicion_->since;
+void TargetWatch::onAnswered(const mesh::Incarnation& incarnation, TimePoint started) {
+  const bool is_alive = suspicion_ && suspicion_->incarnation == incarnation && started > suspicion_->since;
   if (is_alive) suspicion_.reset();
 }
 
@@ -45,16 +46,16 @@
   return conclude();
 }
 
-std::optional<TargetEnd> TargetWatch::onInstance(const std::string& instance, TimePoint now) {
+std::optional<TargetEnd> TargetWatch::onIncarnation(const mesh::Incarnation& incarnation, TimePoint now) {
   const bool is_replaced =
-      suspicion_ && suspicion_->instance != instance && now < suspicion_->since + kSuspicionTime;
+      suspicion_ && suspicion_->incarnation != incarnation && now < suspicion_->since + kSuspicionTime;
   if (!is_replaced) return std::nullopt;
   return conclude();
 }
 
 /// What began after the first broken connection never reached the target.
 TargetEnd TargetWatch::conclude() {
-  TargetEnd end{suspicion_->instance, std::move(suspicion_->broken)};
+  TargetEnd end{suspicion_->incarnation, std::move(suspicion_->broken)};
   for (const auto& run : running_()) {
     if (run.started < suspicion_->since) end.requests.push_back(run.request);
   }
@@ -62,7 +63,7 @@
     if (past.ended + kGivenUpMemory >= suspicion_->since) end.requests.push_back(past.request);
   }
   given_up_.clear();
-  ended_instance_ = end.instance;
+  ended_ = end.incarnation;
   suspicion_.reset();
   return end;
 }
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -8,23 +8,24 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/incarnation.h"
 #include "sidecar/target_port.h"
 
 namespace cometstand::sidecar {
 
 /// A target that ended while it had requests.
 struct TargetEnd {
-  std::string instance;
+  mesh::Incarnation incarnation;
   /// The requests that it had, or may have had: any of them may be the cause.
   std::vector<ForwardRequestPointer> requests;
 };
 
 /// Tells a target that ended from one that broke a connection. A run without an answer alone is no end: full
 /// targets reset connections, faulty ones break answers off. So the watch asks whether the target's address
-/// still accepts a connection; if it is refused, or another instance is heard there soon, the target has
+/// still accepts a connection; if it is refused, or another incarnation is heard there soon, the target has
 /// ended.
 ///
-/// Invariant: no instance is reported twice.
+/// Invariant: no incarnation is reported twice.
 class TargetWatch {
  public:
   /// A request at the target.
@@ -37,26 +38,26 @@
 
   TargetWatch(TargetPort& port, RunningRuns running) : port_(port), running_(std::move(running)) {}
 
-  /// A run of the instance ended without an answer.
-  void onBroken(const ForwardRequestPointer& request, const std::string& instance, TimePoint now);
+  /// A run of the incarnation ended without an answer.
+  void onBroken(const ForwardRequestPointer& request, const mesh::Incarnation& incarnation, TimePoint now);
   /// A run was given up. The target may work on it all the same.
   void onGivenUp(const ForwardRequestPointer& request, TimePoint now);
-  /// The instance answered a run that began at that time.
-  void onAnswered(const std::string& instance, TimePoint started);
+  /// The incarnation answered a run that began at that time.
+  void onAnswered(const mesh::Incarnation& incarnation, TimePoint started);
   /// @return the end of the target, if it is certain now.
   std::optional<TargetEnd> onProbed(ProbeOutcome outcome, TimePoint now);
-  /// The target beside this sidecar is this instance. @return the end of the one before, if it is certain
+  /// The target beside this sidecar is this incarnation. @return the end of the one before, if it is certain
   /// now.
-  std::optional<TargetEnd> onInstance(const std::string& instance, TimePoint now);
+  std::optional<TargetEnd> onIncarnation(const mesh::Incarnation& incarnation, TimePoint now);
 
  private:
   struct Past {
     ForwardRequestPointer request;
     TimePoint ended;
   };
-  /// An instance that broke a connection.
+  /// An incarnation that broke a connection.
   struct Suspicion {
-    std::string instance;
+    mesh::Incarnation incarnation;
     TimePoint since;
     std::vector<ForwardRequestPointer> broken;
   };
@@ -67,7 +68,7 @@
   RunningRuns running_;
   std::optional<Suspicion> suspicion_;
   std::deque<Past> given_up_;
-  std::string ended_instance_;
+  mesh::Incarnation ended_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -28,8 +28,8 @@
 constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
 /// How long a caller may take to close its side once the kernel holds nothing of the last answer any more.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
-/// The same while the kernel still holds some of it: an answer of 500 KB behind the others of a full link of
-/// 10 Mbit/s takes some seconds.
+/// The whole time, also while the kernel still holds some of it: an answer of 500 KB behind the others of a
+/// full link of 10 Mbit/s takes some seconds.
 constexpr Duration kLongLingerTime = std::chrono::seconds(10);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned kHttp11 = 11;
@@ -54,17 +54,18 @@
 
 void ServerConnection::start() { awaitBytes(); }
 
-bool ServerConnection::isOverdue(const ServerLimits& limits, TimePoint now) const {
+bool ServerConnection::isOverdue(const ServerLimits& limits, TimePoint now) {
   if (state_ == State::Lingering) return lingersTooLong(now);
   if (!pending_.empty()) return false;
   return since_ + (parser_ ? limits.read_time : limits.idle_time) < now;
 }
 
-bool ServerConnection::lingersTooLong(TimePoint now) const {
-  return since_ + (net::unsentBytes(socket_) > 0 ? kLongLingerTime : kLingerTime) < now;
+bool ServerConnection::lingersTooLong(TimePoint now) {
+  if (net::unsentBytes(socket_) > 0) since_ = now;
+  return since_ + kLingerTime < now || lingers_until_ < now;
 }
 
-bool ServerConnection::isDelivering(TimePoint now) const {
+bool ServerConnection::isDelivering(TimePoint now) {
   if (state_ == State::Closed) return false;
   if (state_ == State::Lingering) return !lingersTooLong(now);
   const bool has_answer = std::any_of(pending_.begin(), pending_.end(),
@@ -250,6 +251,7 @@
 void ServerConnection::linger() {
   state_ = State::Lingering;
   since_ = SteadyClock::now();
+  lingers_until_ = since_ + kLongLingerTime;
   buffer_.clear();
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -27,10 +27,10 @@
   void proceed(ExchangeId id, const std::string& bytes, PartEnd end);
   void close();
   /// @return true if the connection has rested, or a request has been on its way, for too long.
-  bool isOverdue(const ServerLimits& limits, TimePoint now) const;
+  bool isOverdue(const ServerLimits& limits, TimePoint now);
   /// @return true if an answer that was handed over may not have come: it is not written, or the kernel holds
   /// some of it, or it was the last one and the caller has not closed its side yet.
-  bool isDelivering(TimePoint now) const;
+  bool isDelivering(TimePoint now);
 
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -77,11 +77,10 @@
   void onPartWritten(boost::system::error_code error, ExchangeId id, std::size_t body_bytes, PartEnd end);
   void onWritten(boost::system::error_code error);
   void linger();
-  bool lingersTooLong(TimePoint now) const;
+  bool lingersTooLong(TimePoint now);
 
   Server& server_;
-  /// Mutable since asking the kernel about it is not a const call there.
-  mutable boost::asio::ip::tcp::socket socket_;
+  boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   /// Set while a request is being read.
   std::optional<Parser> parser_;
@@ -93,8 +92,10 @@
   bool continue_sent_ = false;
   /// No request is read any more.
   bool reading_ended_ = false;
-  /// When the connection began to rest, the request that is read began, or lingering began.
+  /// When the connection began to rest, the request that is read began, or while it lingers the kernel last
+  /// held some of the last answer.
   TimePoint since_;
+  TimePoint lingers_until_;
 };
 
 }  // namespace cometstand::web
--- a/tests/evacuation/zone_mesh.cpp
+++ b/tests/evacuation/zone_mesh.cpp
@@ -80,7 +80,7 @@
 void ZoneMesh::keepBeating(Machine& machine) {
   network.call(machine.id, [this, &machine] {
     sidecar::Heartbeat beat;
-    beat.instance = "i-" + machine.name;
+    beat.incarnation.id = "i-" + machine.name;
     beat.service = kService;
     beat.slots = 6;
     beat.sequence = ++machine.sequence;
--- a/tests/planned_stop/full_link.cpp
+++ b/tests/planned_stop/full_link.cpp
@@ -114,7 +114,10 @@
 
 void FullLink::stopAsker(std::size_t asker) { askers_.at(asker)->sidecar->core.beginStop(now_); }
 
-void FullLink::stopGate() { gate_.core.beginStop(now_); }
+void FullLink::stopGate() {
+  gate_stop_began_ = now_;
+  gate_.core.beginStop(now_);
+}
 
 void FullLink::tick() {
   now_ += kTick;
@@ -233,7 +236,10 @@
   }
   // What was sent before is still on its way.
   gate_gone_ = gate_gone_ || gate_.core.stopped();
-  if (gate_gone_ && answers_.empty() && !std::exchange(gate_links_ended_, true)) endGateLinks();
+  if (gate_gone_ && answers_.empty() && !std::exchange(gate_links_ended_, true)) {
+    gate_ended_at_ = now_;
+    endGateLinks();
+  }
 }
 
 void FullLink::endGateLinks() {
--- a/tests/planned_stop/full_link.h
+++ b/tests/planned_stop/full_link.h
@@ -61,6 +61,8 @@
   /// @return true once the sidecar's stop is over; it does nothing any more.
   bool askerHasStopped(std::size_t asker) const { return askers_.at(asker)->gone; }
   bool gateHasStopped() const { return gate_gone_; }
+  /// @return from the beginning of the gate's stop to the arrival of the last that it sent.
+  Duration gateStopTime() const { return gate_ended_at_ - gate_stop_began_; }
   /// Requests of the asker's callers that have no answer; of a sidecar that is gone, they never get one.
   std::size_t open(std::size_t asker) const { return askers_.at(asker)->sidecar->core.callsInFlight(); }
   const CallerAccount& account(std::size_t asker) const { return askers_.at(asker)->callers.account; }
@@ -104,6 +106,8 @@
   SidecarFixture gate_;
   bool gate_gone_ = false;
   bool gate_links_ended_ = false;
+  TimePoint gate_stop_began_;
+  TimePoint gate_ended_at_;
   TimePoint now_;
   TimePoint next_beat_;
   std::uint64_t beats_ = 0;
--- a/tests/planned_stop/stop_on_full_link_test.cpp
+++ b/tests/planned_stop/stop_on_full_link_test.cpp
@@ -99,9 +99,12 @@
   if (asker_stops_too) mesh.stopAsker(0);
   mesh.runFor(kStopTime);
   REQUIRE(mesh.gateHasStopped());
+  // The process ends then, whatever its link has not sent.
+  CHECK(mesh.gateStopTime() <= SidecarOptions().stopLimit());
   for (std::size_t asker = 0; asker < mesh.askers(); ++asker) {
     CHECK(mesh.account(asker).cut == 0);
     CHECK(mesh.account(asker).failed == 0);
+    CHECK(mesh.open(asker) == 0);
   }
 }
 
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -127,7 +127,7 @@
       readHeartbeat("i-1", R"({"address":"10.0.0.1:80","x":1,"info":{"service":"shop","version":"v1",)"
                            R"("zone":"z","slots":6},"status":{"state":"draining","sequence":4,)"
                            R"("cold_remaining_s":0.5}})");
-  CHECK(beat.instance == "i-1");
+  CHECK(beat.incarnation.id == "i-1");
   CHECK(beat.service == "shop");
   CHECK(beat.slots == 6);
   CHECK(beat.sequence == 4);
@@ -137,6 +137,41 @@
   CHECK_THROWS_AS(readHeartbeat("i-1", R"({"info":{"service":"shop"}})"), Error);
 }
 
+TEST_CASE("a heartbeat and a deregistration tell the time of the target's start", "[platform]") {
+  const std::string beat =
+      R"({"born":1791000000123,"info":{"service":"shop"},"status":{"state":"ready","sequence":1}})";
+  CHECK(readHeartbeat("i-1", beat).incarnation == mesh::Incarnation{"i-1", 1'791'000'000'123});
+  CHECK(readDeregistration("i-1", R"({"born":1791000000123})") ==
+        mesh::Incarnation{"i-1", 1'791'000'000'123});
+  CHECK(readDeregistration("i-1", "") == mesh::Incarnation{"i-1", 0});
+  CHECK_THROWS_AS(readDeregistration("i-1", "{"), Error);
+  CHECK_THROWS_AS(readDeregistration("", ""), Error);
+}
+
+TEST_CASE("what another writer sent as a heartbeat is refused with a kind and a remedy", "[platform]") {
+  const std::string good =
+      R"({"born":5,"info":{"service":"shop","slots":6},"status":{"state":"ready","sequence":4,"cold_remaining_s":0}})";
+  REQUIRE_NOTHROW(readHeartbeat("i-1", good));
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string body = GENERATE_COPY(
+      as<std::string>(), "", "[]", "null", std::string(1'000'000, ' '), std::string("\xff\x00\x01", 3), deep,
+      "{\"info\":" + deep + "}", replaced(good, "\"born\":5", "\"born\":5.5"),
+      replaced(good, "\"born\":5", "\"born\":-1"), replaced(good, "\"born\":5", "\"born\":\"5\""),
+      replaced(good, "\"born\":5", "\"born\":1e300"), replaced(good, "\"slots\":6", "\"slots\":1e19"),
+      replaced(good, "\"slots\":6", "\"slots\":[6]"), replaced(good, "\"slots\":6", "\"slots\":NaN"),
+      replaced(good, "\"sequence\":4", "\"sequence\":-4"),
+      replaced(good, "\"sequence\":4", "\"sequence\":1e30"), replaced(good, "\"sequence\":4,", ""),
+      replaced(good, "\"ready\"", "\"resting\""), replaced(good, "\"ready\"", "true"),
+      replaced(good, "\"shop\"", "7"), replaced(good, "\"shop\"", "\"\""),
+      replaced(good, "\"cold_remaining_s\":0", "\"cold_remaining_s\":1e12"));
+  try {
+    readHeartbeat("i-1", body);
+    FAIL("it was taken: " << body.substr(0, 200));
+  } catch (const Error& error) {
+    CHECK_FALSE(error.remedy().empty());
+  }
+}
+
 TEST_CASE("a request reaches the target with the system's own fields, whatever the caller sent",
           "[platform]") {
   web::Request request;
--- a/tests/quarantine/crash_mesh.cpp
+++ b/tests/quarantine/crash_mesh.cpp
@@ -97,7 +97,7 @@
   if (!machine.is_up) return;
   network.call(machine.id, [this, &machine] {
     sidecar::Heartbeat heartbeat;
-    heartbeat.instance = machine.instance;
+    heartbeat.incarnation.id = machine.instance;
     heartbeat.service = kService;
     heartbeat.version = "v1";
     heartbeat.slots = kSlots;
--- a/tests/regions/region_mesh.cpp
+++ b/tests/regions/region_mesh.cpp
@@ -100,7 +100,7 @@
 void RegionMesh::keepBeating(Machine& machine) {
   network.call(machine.id, [&] {
     sidecar::Heartbeat heartbeat;
-    heartbeat.instance = machine.name;
+    heartbeat.incarnation.id = machine.name;
     heartbeat.service = "desk";
     heartbeat.slots = kSlots;
     heartbeat.ready = true;
--- a/tests/rollout/rollout_mesh.cpp
+++ b/tests/rollout/rollout_mesh.cpp
@@ -120,7 +120,7 @@
 void RolloutMesh::beat(Machine& machine, Duration cold) {
   network.call(machine.id, [&] {
     sidecar::Heartbeat heartbeat;
-    heartbeat.instance = machine.instance;
+    heartbeat.incarnation.id = machine.instance;
     heartbeat.service = kService;
     heartbeat.version = machine.version;
     heartbeat.slots = kSlots;
--- a/tests/sidecar/cold_gate_test.cpp
+++ b/tests/sidecar/cold_gate_test.cpp
@@ -188,7 +188,7 @@
   gate.doubtWarmth("test", now);
   CHECK(gate.coldTime(now) == Duration::zero());
   beat("a", 1, Duration::zero());
-  gate.target().onDeregistered("a", now);
+  gate.target().onDeregistered({"a"}, now);
   pass(seconds(8));
   CHECK(questions == 0);
 }
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -109,6 +109,31 @@
   CHECK(fixture.drawsOf(kFast, 0) < fixture.drawsOf(kFast, 3'000));
 }
 
+TEST_CASE("what is known of an endpoint's target ends with the target", "[incarnation]") {
+  DirectoryFixture fixture;
+  fixture.report(kFast, 250, 20);
+  auto* endpoint = fixture.directory.find(kFast);
+  endpoint->failure_rate = 1;
+  endpoint->avoid_until = fixture.now + std::chrono::seconds(5);
+  wire::EndpointUpdateT update;
+  auto record = std::make_shared<wire::EndpointRecordT>();
+  record->service = "shop";
+  record->endpoint = endpoint->instance;
+  record->address = kFast.host;
+  record->port = kFast.port;
+  record->zone = "zone-a";
+  record->state = wire::EndpointState::Live;
+  record->slots = kSlots;
+  update.records.push_back(record);
+  fixture.directory.apply(update, false, fixture.now);
+  CHECK(endpoint->reported_load == 20);
+  record->endpoint += "@2000";
+  fixture.directory.apply(update, false, fixture.now);
+  CHECK(endpoint->reported_load == 0);
+  CHECK(endpoint->failure_rate == 0);
+  CHECK(endpoint->avoid_until <= fixture.now);
+}
+
 // Large reads went to endpoints whose machines' links were full, as their slots were free, and took seconds
 // there, while the links of others of the same region were half idle.
 TEST_CASE("a request for a large answer goes where the answers that are held will be sent sooner") {
--- a/tests/sidecar/large_answer_test.cpp
+++ b/tests/sidecar/large_answer_test.cpp
@@ -140,4 +140,20 @@
   CHECK(core.stopped());
 }
 
+// Gates behind full links reached the limit of their planned stops with answers that their askers granted in
+// turn.
+TEST_CASE_METHOD(LargeAnswerFixture, "an answer of an endpoint that leaves is granted at once", "[sidecar]") {
+  addPeer(kPeer);
+  call("/read/1");
+  const auto sending = takeSending();
+  const bool left_before = GENERATE(false, true);
+  if (left_before) addPeer(kPeer, wire::EndpointState::Leaving);
+  beginAnswer(sending);
+  if (!left_before) {
+    CHECK(takeGranted() < 64 * 1024);
+    addPeer(kPeer, wire::EndpointState::Leaving);
+  }
+  CHECK(takeGranted() > 500 * 1024);
+}
+
 }  // namespace cometstand::sidecar::test
--- a/tests/sidecar/quarantine_test.cpp
+++ b/tests/sidecar/quarantine_test.cpp
@@ -129,11 +129,11 @@
   Quarantine noting([&reported](const runtime::MessagePointer& message) {
     reported += message->body.AsCrashReport()->suspects.size();
   });
-  noting.onRunToEnd(*makeRequest("/read/popular"), "a", now);
-  noting.onTargetEnded({"a", {makeRequest("/read/popular"), makeRequest("/read/x")}}, "shop", now);
+  noting.onRunToEnd(*makeRequest("/read/popular"), {"a"}, now);
+  noting.onTargetEnded({{"a"}, {makeRequest("/read/popular"), makeRequest("/read/x")}}, "shop", now);
   CHECK(reported == 1);
   // The next target has shown nothing yet.
-  noting.onTargetEnded({"b", {makeRequest("/read/popular")}}, "shop", now + std::chrono::seconds(1));
+  noting.onTargetEnded({{"b"}, {makeRequest("/read/popular")}}, "shop", now + std::chrono::seconds(1));
   CHECK(reported == 2);
 }
 
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -174,7 +174,7 @@
 
   static Heartbeat makeBeat(const std::string& instance, std::uint64_t sequence, bool ready = true) {
     Heartbeat beat;
-    beat.instance = instance;
+    beat.incarnation.id = instance;
     beat.service = "shop";
     beat.slots = 2;
     beat.ready = ready;
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -93,7 +93,7 @@
 TEST_CASE("a target that only says that it is gone gets nothing after the grace") {
   GateFixture fixture;
   fixture.gate.target().onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
-  fixture.gate.target().onDeregistered("a", fixture.now);
+  fixture.gate.target().onDeregistered({"a"}, fixture.now);
   fixture.now += fixture.options.leaving_grace;
   fixture.admit(1);
   CHECK(fixture.target.orders.empty());
@@ -105,7 +105,7 @@
   state.onHeartbeat(SidecarFixture::makeBeat("a", 9), fixture.now);
   state.onHeartbeat(SidecarFixture::makeBeat("b", 1), fixture.now);
   CHECK_FALSE(state.onHeartbeat(SidecarFixture::makeBeat("a", 10, false), fixture.now));
-  CHECK(state.instance() == "b");
+  CHECK(state.incarnation().id == "b");
   CHECK(state.condition() == TargetCondition::Ready);
 }
 
@@ -113,7 +113,7 @@
   GateFixture fixture;
   auto& state = fixture.gate.target();
   state.onHeartbeat(SidecarFixture::makeBeat("a", 1), fixture.now);
-  CHECK(state.onOtherInstance("a"));
+  CHECK(state.onOtherId("a"));
   fixture.admit(1);
   CHECK(fixture.target.orders.empty());
   CHECK_FALSE(state.onHeartbeat(SidecarFixture::makeBeat("a", 2), fixture.now));
@@ -300,4 +300,129 @@
   CHECK(fixture.replies.contains(3));
 }
 
+namespace {
+
+Heartbeat beatOf(std::uint64_t born_ms, std::uint64_t sequence, bool is_ready = true) {
+  auto beat = SidecarFixture::makeBeat("a", sequence, is_ready);
+  beat.incarnation.born_ms = born_ms;
+  return beat;
+}
+
+}  // namespace
+
+TEST_CASE("a target that starts again under its id is another one, whose count begins anew",
+          "[incarnation]") {
+  TargetState state;
+  const TimePoint now{std::chrono::seconds(100)};
+  REQUIRE(state.onHeartbeat(beatOf(1'000, 50), now));
+  const bool was_leaving = GENERATE(false, true);
+  if (was_leaving) state.onDeregistered({"a", 1'000}, now);
+  CHECK(state.onHeartbeat(beatOf(2'000, 1), now));
+  CHECK(state.condition() == TargetCondition::Ready);
+  CHECK(state.incarnation() == mesh::Incarnation{"a", 2'000});
+  CHECK(state.sequence() == 1);
+}
+
+TEST_CASE("late words of an earlier incarnation change nothing, in whatever order they come",
+          "[incarnation]") {
+  TargetState state;
+  TimePoint now{std::chrono::seconds(100)};
+  // A sidecar that has just started may hear the later one first.
+  const bool earlier_was_heard = GENERATE(false, true);
+  if (earlier_was_heard) state.onHeartbeat(beatOf(1'000, 50), now);
+  state.onHeartbeat(beatOf(2'000, 1), now);
+  const int word = GENERATE(0, 1, 2);
+  if (word == 0) CHECK_FALSE(state.onHeartbeat(beatOf(1'000, 51), now));
+  if (word == 1) CHECK_FALSE(state.onHeartbeat(beatOf(1'000, 52, false), now));
+  if (word == 2) CHECK_FALSE(state.onDeregistered({"a", 1'000}, now));
+  CHECK(state.condition() == TargetCondition::Ready);
+  CHECK(state.incarnation().born_ms == 2'000);
+  CHECK(state.onHeartbeat(beatOf(2'000, 2, false), now));
+}
+
+TEST_CASE("what the later incarnation says does not bring the earlier one back", "[incarnation]") {
+  TargetState state;
+  const TimePoint now{std::chrono::seconds(100)};
+  state.onHeartbeat(beatOf(1'000, 50), now);
+  state.onHeartbeat(beatOf(2'000, 1), now);
+  state.onDeregistered({"a", 2'000}, now);
+  CHECK(state.condition() == TargetCondition::Leaving);
+  state.onHeartbeat(beatOf(1'000, 60), now + std::chrono::seconds(10));
+  CHECK(state.condition() == TargetCondition::Leaving);
+  state.onHeartbeat(beatOf(2'000, 2), now);
+  CHECK(state.condition() == TargetCondition::Leaving);
+}
+
+// The clock of the target's machine was set back between two starts, so the newer one looks older.
+TEST_CASE("an incarnation that looks older is taken once the known one is silent and its own words go on",
+          "[incarnation]") {
+  TargetState state;
+  TimePoint now{std::chrono::seconds(100)};
+  state.onHeartbeat(beatOf(2'000, 7), now);
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    now += std::chrono::seconds(1);
+    CHECK_FALSE(state.onHeartbeat(beatOf(1'500, sequence), now));
+  }
+  // One word that was held back is not enough, nor is the same one again.
+  now += TargetState::kSilence;
+  CHECK_FALSE(state.onHeartbeat(beatOf(1'500, 3), now));
+  CHECK_FALSE(state.onHeartbeat(beatOf(1'400, 9), now));
+  CHECK_FALSE(state.onHeartbeat(beatOf(1'500, 4), now));
+  CHECK(state.onHeartbeat(beatOf(1'500, 5), now));
+  CHECK(state.incarnation().born_ms == 1'500);
+  CHECK_FALSE(state.onHeartbeat(beatOf(2'000, 8), now));
+}
+
+TEST_CASE("what was learned by asking is the incarnation that says its birth next", "[incarnation]") {
+  TargetState state;
+  const TimePoint now{std::chrono::seconds(100)};
+  REQUIRE(state.onReadyWhenAsked("a", "shop", 2));
+  state.onHeartbeat(beatOf(1'000, 3), now);
+  CHECK(state.incarnation().born_ms == 1'000);
+  CHECK(state.condition() == TargetCondition::Ready);
+  CHECK(state.onHeartbeat(beatOf(2'000, 1), now));
+}
+
+TEST_CASE("what is known of a target ends with its incarnation", "[incarnation]") {
+  SidecarFixture sidecar;
+  sidecar.configure();
+  const auto beat = [&sidecar](std::uint64_t born_ms, std::uint64_t sequence) {
+    sidecar.core.onHeartbeat(beatOf(born_ms, sequence), sidecar.now);
+    sidecar.step();
+  };
+  beat(1'000, 50);
+  // A run under way is broken off by the end of its target, and may have run there: it is not sent to the
+  // next one.
+  const auto id = sidecar.call("/write/1");
+  REQUIRE(sidecar.target.orders.size() == 1);
+  CHECK(sidecar.target.orders[0].instance == "a");
+  RunResult broken;
+  broken.reply.outcome = wire::ForwardOutcome::Unknown;
+  beat(2'000, 1);
+  sidecar.core.onRunResult(sidecar.target.orders[0].id, broken, sidecar.now);
+  sidecar.step();
+  CHECK(sidecar.callers.answers.at(id).outcome == CallOutcome::Failed);
+  CHECK(sidecar.target.orders.size() == 1);
+  // The record that other sidecars get names another endpoint.
+  const auto records = [&sidecar](const std::string& name) {
+    return std::count_if(sidecar.sent.begin(), sidecar.sent.end(), [&name](const auto& item) {
+      const auto* update = item.message->body.AsEndpointUpdate();
+      return update != nullptr && !update->records.empty() && update->records[0]->endpoint == name;
+    });
+  };
+  CHECK(records("a@1000") > 0);
+  CHECK(records("a@2000") > 0);
+}
+
+TEST_CASE("a heartbeat of a service that nobody names changes nothing", "[incarnation]") {
+  SidecarFixture sidecar;
+  sidecar.configure();
+  sidecar.core.onHeartbeat(beatOf(1'000, 1), sidecar.now);
+  auto stranger = beatOf(2'000, 1);
+  stranger.service = "elsewhere";
+  CHECK_THROWS_AS(sidecar.core.onHeartbeat(stranger, sidecar.now), Error);
+  CHECK(sidecar.core.gate().target().incarnation().born_ms == 1'000);
+  CHECK(sidecar.core.gate().target().service() == "shop");
+}
+
 }  // namespace cometstand::sidecar::test
--- a/tests/sidecar/target_watch_test.cpp
+++ b/tests/sidecar/target_watch_test.cpp
@@ -29,60 +29,60 @@
 
 TEST_CASE_METHOD(WatchFixture, "a target whose address refuses connections after a broken run has ended") {
   running.push_back({makeRequest("beside"), now - milliseconds(50)});
-  watch.onBroken(makeRequest("broken"), "a", now);
+  watch.onBroken(makeRequest("broken"), {"a"}, now);
   CHECK(target.probes == 1);
   // Never reached the target: it was passed on after the target ended.
   running.push_back({makeRequest("late"), now + milliseconds(1)});
   const auto end = watch.onProbed(ProbeOutcome::Refused, now + milliseconds(2));
   REQUIRE(end);
-  CHECK(end->instance == "a");
+  CHECK(end->incarnation.id == "a");
   CHECK(idsOf(*end) == std::vector<std::string>{"broken", "beside"});
 }
 
 TEST_CASE_METHOD(WatchFixture, "an end is told once, however many runs break") {
-  watch.onBroken(makeRequest("1"), "a", now);
-  watch.onBroken(makeRequest("2"), "a", now);
+  watch.onBroken(makeRequest("1"), {"a"}, now);
+  watch.onBroken(makeRequest("2"), {"a"}, now);
   CHECK(target.probes == 1);
   CHECK(watch.onProbed(ProbeOutcome::Refused, now));
-  watch.onBroken(makeRequest("3"), "a", now);
+  watch.onBroken(makeRequest("3"), {"a"}, now);
   CHECK(target.probes == 1);
   CHECK_FALSE(watch.onProbed(ProbeOutcome::Refused, now));
-  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(4)));
+  CHECK_FALSE(watch.onIncarnation({"b"}, now + std::chrono::seconds(4)));
 }
 
 TEST_CASE_METHOD(WatchFixture, "a target that accepts connections and answers has not ended") {
-  watch.onBroken(makeRequest("1"), "a", now);
+  watch.onBroken(makeRequest("1"), {"a"}, now);
   CHECK_FALSE(watch.onProbed(ProbeOutcome::Accepted, now));
-  watch.onAnswered("a", now + milliseconds(10));
-  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(4)));
+  watch.onAnswered({"a"}, now + milliseconds(10));
+  CHECK_FALSE(watch.onIncarnation({"b"}, now + std::chrono::seconds(4)));
 }
 
 TEST_CASE_METHOD(WatchFixture,
                  "an answer to a run from before the broken one does not show that a target lives") {
-  watch.onBroken(makeRequest("1"), "a", now);
-  watch.onAnswered("a", now - milliseconds(10));
+  watch.onBroken(makeRequest("1"), {"a"}, now);
+  watch.onAnswered({"a"}, now - milliseconds(10));
   CHECK(watch.onProbed(ProbeOutcome::Refused, now));
 }
 
 TEST_CASE_METHOD(WatchFixture,
                  "another instance soon after a broken run shows that the one before has ended") {
-  watch.onBroken(makeRequest("1"), "a", now);
+  watch.onBroken(makeRequest("1"), {"a"}, now);
   CHECK_FALSE(watch.onProbed(ProbeOutcome::Unknown, now));
-  CHECK_FALSE(watch.onInstance("a", now + std::chrono::seconds(1)));
-  const auto end = watch.onInstance("b", now + std::chrono::seconds(4));
+  CHECK_FALSE(watch.onIncarnation({"a"}, now + std::chrono::seconds(1)));
+  const auto end = watch.onIncarnation({"b"}, now + std::chrono::seconds(4));
   REQUIRE(end);
-  CHECK(end->instance == "a");
+  CHECK(end->incarnation.id == "a");
 }
 
 TEST_CASE_METHOD(WatchFixture, "another instance long after a broken run explains nothing") {
-  watch.onBroken(makeRequest("1"), "a", now);
-  CHECK_FALSE(watch.onInstance("b", now + std::chrono::seconds(11)));
+  watch.onBroken(makeRequest("1"), {"a"}, now);
+  CHECK_FALSE(watch.onIncarnation({"b"}, now + std::chrono::seconds(11)));
 }
 
 TEST_CASE_METHOD(WatchFixture, "a run that was given up shortly before may have ended the target") {
   watch.onGivenUp(makeRequest("old"), now - std::chrono::seconds(2));
   watch.onGivenUp(makeRequest("left"), now - milliseconds(100));
-  watch.onBroken(makeRequest("broken"), "a", now);
+  watch.onBroken(makeRequest("broken"), {"a"}, now);
   const auto end = watch.onProbed(ProbeOutcome::Refused, now);
   REQUIRE(end);
   CHECK(idsOf(*end) == std::vector<std::string>{"broken", "left"});
