--- a/src/runtime/events.h
+++ b/src/runtime/events.h
@@ -25,9 +25,9 @@
 
 inline constexpr EventDefinition kStopCutShort{
     1006, LogLevel::Warning, "stop_cut_short",
-    "A planned stop ran out of time: answers on so many connections were not delivered, and so many links "
-    "were still "
-    "open, with so many bytes unsent. Look for slow callers and for a link of this machine that is full."};
+    "A planned stop ran out of time: answers on so many connections were not delivered, and so many "
+    "links were still open, with so many bytes unsent. Look for slow callers and for a link of this "
+    "machine that is full."};
 
 inline constexpr std::array kRuntimeEvents{kAcceptFailed, kLinkClosed,  kFileWriteFailed,
                                            kDiskFull,     kDiskHasRoom, kStopCutShort};
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -111,14 +111,13 @@
 
 inline constexpr EventDefinition kUnreadableWord{
     7034, LogLevel::Warning, "unreadable_word",
-    "A heartbeat or a deregistration could not be read. It changes nothing. If it repeats, look for who else "
-    "sends to "
-    "this sidecar's control address, or for a target of another release."};
-
-inline constexpr EventDefinition kSidecarStopEnded{7033, LogLevel::Info, "sidecar_stop_ended",
-                                                   "The links of a sidecar that stops begin to close; the "
-                                                   "fields tell what is still under way. If the reason is "
-                                                   "time_limit, that is given up: see docs/OPERATIONS.md."};
+    "A heartbeat or a deregistration could not be read. It changes nothing. If it repeats, look for "
+    "who else sends to this sidecar's control address, or for a target of another release."};
+
+inline constexpr EventDefinition kSidecarStopEnded{
+    7033, LogLevel::Info, "sidecar_stop_ended",
+    "The links of a sidecar that stops begin to close; the fields tell what is still under way. If "
+    "the reason is time_limit, that is given up: see docs/OPERATIONS.md."};
 
 inline constexpr std::array kSidecarEvents{
     kStoreLinked,   kStoreLost,       kSourceChosen,      kSourceLost,       kConfigurationInForce,
