--- a/src/mesh/incarnation.h
+++ b/src/mesh/incarnation.h
@@ -14,7 +14,7 @@
   /// Time of its start by its own clock, in Unix milliseconds; 0 if it does not say.
   std::uint64_t born_ms = 0;
 
-  friend auto operator<=>(const Incarnation&, const Incarnation&) = default;
+  friend auto operator<=>(const Incarnation&, const Incarnation&) = default;  // NOLINT(modernize-use-nullptr)
   friend bool operator==(const Incarnation&, const Incarnation&) = default;
 
   bool empty() const { return id.empty(); }
--- a/tests/sidecar/answer_transfers_test.cpp
+++ b/tests/sidecar/answer_transfers_test.cpp
@@ -108,7 +108,7 @@
   constexpr unsigned kSlots = 50;
   constexpr std::uint64_t kAnswers = 30;
   startTarget(kSlots);
-  const auto askFor = [this](std::uint64_t number, std::uint32_t answer_bytes) {
+  const auto ask_for = [this](std::uint64_t number, std::uint32_t answer_bytes) {
     wire::ForwardRequestT request;
     request.service = "shop";
     request.request_id = "in" + std::to_string(number);
@@ -120,7 +120,7 @@
     sayIncoming(std::move(request), number);
   };
   for (std::uint64_t number = 1; number <= kAnswers; ++number) {
-    askFor(number, kLargeAnswer);
+    ask_for(number, kLargeAnswer);
     finishRun();
   }
   // The link sends one part of an answer after the other, 8,192 bytes in 7 ms: 1.17 MB/s.
@@ -138,18 +138,18 @@
   ask(100);
   CHECK(seen(100).reason == wire::NotRunReason::None);
   for (std::uint64_t number = 101; core.answers().expectedWait(now) < AnswerTransfers::kMostWait; ++number) {
-    askFor(number, kLargeAnswer);
+    ask_for(number, kLargeAnswer);
     finishRun();
   }
-  askFor(200, kLargeAnswer);
+  ask_for(200, kLargeAnswer);
   CHECK(seen(200).reason == wire::NotRunReason::Full);
-  askFor(201, 400);
+  ask_for(201, 400);
   CHECK(seen(201).reason == wire::NotRunReason::None);
 
   // Askers that have granted nothing for long hold nobody up.
   now += milliseconds(1'600);
   CHECK(core.answers().expectedWait(now) == Duration::zero());
-  askFor(202, kLargeAnswer);
+  ask_for(202, kLargeAnswer);
   CHECK(seen(202).reason == wire::NotRunReason::None);
 }
 
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -138,7 +138,7 @@
 // there, while the links of others of the same region were half idle.
 TEST_CASE("a request for a large answer goes where the answers that are held will be sent sooner") {
   DirectoryFixture fixture;
-  const auto chosenFor = [&fixture](bool has_large_answer) {
+  const auto chosen_for = [&fixture](bool has_large_answer) {
     EndpointWant want;
     want.service = "shop";
     want.has_large_answer = has_large_answer;
@@ -152,14 +152,14 @@
   reply.answer_wait_ms = 600;
   fixture.directory.onReply(*fixture.directory.find(kFast), reply, fixture.now);
   for (int i = 0; i < kDraws; ++i) {
-    CHECK(chosenFor(true) == kSlow);
-    CHECK(chosenFor(false) == kFast);
+    CHECK(chosen_for(true) == kSlow);
+    CHECK(chosen_for(false) == kFast);
   }
   // What was said long ago counts little.
   fixture.now += std::chrono::minutes(2);
   int draws = 0;
   for (int i = 0; i < kDraws; ++i) {
-    if (chosenFor(true) == kFast) ++draws;
+    if (chosen_for(true) == kFast) ++draws;
   }
   CHECK(draws > kDraws / 5);
 }
