--- a/tests/planned_stop/stop_on_full_link_test.cpp
+++ b/tests/planned_stop/stop_on_full_link_test.cpp
@@ -14,7 +14,7 @@
 //
 // Evidence: the gate's machine sent 1.04 to 1.25 MB/s all the while, of 1.21 that the link brings; its gauge
 // of answers that leave said 28; the sidecar's own log named the calls in flight when the stop's limit came,
-// in 25 of 75 stops.
+// in 20 of 75 stops.
 #include "planned_stop/full_link.h"
 
 namespace cometstand::sidecar::test {
