--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -153,7 +153,8 @@
     if (found != links_.end()) found->second->closeAfterWrites();
   }
   armTimer();
-  if (core_.stopped() || finishing_) continueStop();
+  // Not at once: each look asks the kernel about every connection, and events come by the thousand a second.
+  if (core_.stopped() || finishing_) armStopCheck();
 }
 
 void ProcessRunner::continueStop() {
