--- a/src/sidecar/answer_forecast.h
+++ b/src/sidecar/answer_forecast.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -23,6 +24,11 @@
     routes_[route].seconds.note(std::chrono::duration<double>(time).count());
   }
 
+  /// @param time from a sending to the last of its answer.
+  void noteWhole(const std::string& route, Duration time) {
+    routes_[route].whole_seconds.note(std::chrono::duration<double>(time).count());
+  }
+
   /// @return the smoothed size of the route's answers; 0 before the first.
   std::size_t answerBytes(const std::string& route) const {
     const auto known = routes_.find(route);
@@ -34,7 +40,10 @@
   Duration timeUntilWhole(const std::string& route, double bytes_per_second) const {
     const auto known = routes_.find(route);
     if (known == routes_.end()) return Duration::zero();
-    const double seconds = known->second.seconds.high() + known->second.bytes.high() / bytes_per_second;
+    const double reckoned = known->second.seconds.high() + known->second.bytes.high() / bytes_per_second;
+    // Behind a full link of the sender the answer shares that link with others, of which this side knows
+    // nothing.
+    const double seconds = std::max(reckoned, known->second.whole_seconds.high());
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
   }
 
@@ -42,6 +51,7 @@
   struct Route {
     SmoothedValue bytes;
     SmoothedValue seconds;
+    SmoothedValue whole_seconds;
   };
 
   std::map<std::string, Route> routes_;
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -25,12 +25,12 @@
 
 void OutboundCalls::begin(CallId id, Call call, TimePoint now) {
   if (table_ == nullptr || stop_ends_) {
-    refuse(id, CallOutcome::NotRun);
+    refuse(id, CallOutcome::NotRun, now);
     return;
   }
   auto route = table_->find(call.host, call.request.target);
   if (route == nullptr) {
-    refuse(id, CallOutcome::NoRoute);
+    refuse(id, CallOutcome::NoRoute, now);
     return;
   }
   CallState state;
@@ -44,7 +44,7 @@
   state.caller_leaves = now + call.deadline.value_or(timeout);
   state.deadline = std::min(state.caller_leaves, now + timeout);
   if (endsTooLate(route, state.deadline, now)) {
-    refuse(id, CallOutcome::NotRun);
+    refuse(id, CallOutcome::NotRun, now);
     return;
   }
   state.route = std::move(route);
@@ -233,6 +233,7 @@
   switch (reply.outcome) {
     case wire::ForwardOutcome::Answered:
       forecast_.noteSize(call.route->name, call.passed_bytes + reply.body.size());
+      forecast_.noteWhole(call.route->name, now - call.sent_at);
       parts_.endpoints.noteAnswered(call.request->service, now - call.sent_at);
       finish(id, {CallOutcome::Answered, reply, Duration::zero()}, now);
       return;
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -128,7 +128,9 @@
 
   /// @return true if a planned stop would end before the request has its answer and its time is up.
   bool endsTooLate(const mesh::RoutePointer& route, TimePoint deadline, TimePoint now) const;
-  void refuse(CallId id, CallOutcome outcome);
+  void refuse(CallId id, CallOutcome outcome, TimePoint now);
+  /// @return when to come back to this sidecar while it stops.
+  Duration afterStop(TimePoint now) const;
   void sendNext(CallId id, TimePoint now);
   void send(CallId id, CallState& call, Endpoint& endpoint, TimePoint now);
   bool announces(const CallState& call, const Endpoint& endpoint) const;
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -13,9 +13,8 @@
 
 /// When to come back if nothing better is known, and the least wait that is named.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(80);
-/// When to come back to a sidecar that stops, as callers on this machine have no other: the process that
-/// follows is up about so much later.
-constexpr Duration kStopRetryAfter = std::chrono::seconds(1);
+/// From the usual end of a planned stop until the process that follows is up.
+constexpr Duration kStartTime = std::chrono::seconds(1);
 /// Callers wait for as much of the time that they have left, but no longer, before they come back.
 constexpr double kHonouredShare = 1.0 / 3;
 /// An endpoint whose link ended while it had requests is avoided for a while.
@@ -41,14 +40,20 @@
   return "unknown";
 }
 
-void OutboundCalls::refuse(CallId id, CallOutcome outcome) {
+void OutboundCalls::refuse(CallId id, CallOutcome outcome, TimePoint now) {
   CallAnswer answer;
   answer.outcome = outcome;
-  if (outcome == CallOutcome::NotRun) answer.retry_after = stop_began_ ? kStopRetryAfter : kDefaultRetryAfter;
+  if (outcome == CallOutcome::NotRun) answer.retry_after = stop_began_ ? afterStop(now) : kDefaultRetryAfter;
   metrics_.noteEnd(outcome, Duration::zero());
   parts_.callers.answer(id, std::move(answer));
 }
 
+/// Callers on this machine have no other sidecar, and most stops last little longer than their minimum.
+Duration OutboundCalls::afterStop(TimePoint now) const {
+  const TimePoint usual_end = *stop_began_ + parts_.options.stop_minimum;
+  return std::max(Duration::zero(), usual_end - now) + kStartTime;
+}
+
 void OutboundCalls::recall(CallState& call, TimePoint now) {
   if (!call.at) return;
   answers_.drop(call.sent_as, now);
--- a/tests/planned_stop/full_link.cpp
+++ b/tests/planned_stop/full_link.cpp
@@ -74,8 +74,8 @@
   begun_.erase(id);
 }
 
-FullLink::FullLink(std::uint64_t seed, std::size_t askers, double load)
-    : random_(seed), load_(load), gate_(makeGateOptions()) {
+FullLink::FullLink(std::uint64_t seed, std::size_t askers, double load, std::size_t connection_window)
+    : random_(seed), load_(load), connection_window_(connection_window), gate_(makeGateOptions()) {
   setLogLevel(LogLevel::Error);
   gate_.configure(1, makeSlowConfiguration());
   for (std::size_t i = 0; i < askers; ++i) {
@@ -195,10 +195,22 @@
     const auto link = static_cast<std::uint64_t>(item.link);
     if (const auto* update = item.message->body.AsEndpointUpdate()) tellAskers(*update);
     if (link < runtime::kFirstIncomingLink) continue;
-    const auto bytes = static_cast<double>(net::encodeFrame(*item.message).size());
-    const std::chrono::duration<double> time(bytes / kBytesPerSecond);
+    const auto asker = link - runtime::kFirstIncomingLink;
+    askers_.at(asker)->queued.push_back(item.message);
+    pump(asker);
+  }
+}
+
+void FullLink::pump(std::size_t index) {
+  auto& asker = *askers_.at(index);
+  while (!asker.queued.empty() && asker.under_way < connection_window_) {
+    const auto message = std::move(asker.queued.front());
+    asker.queued.pop_front();
+    const std::size_t bytes = net::encodeFrame(*message).size();
+    const std::chrono::duration<double> time(static_cast<double>(bytes) / kBytesPerSecond);
     link_free_at_ = std::max(link_free_at_, now_) + std::chrono::duration_cast<Duration>(time);
-    answers_.push_back({link_free_at_, link - runtime::kFirstIncomingLink, item.message});
+    asker.under_way += bytes;
+    answers_.push_back({link_free_at_, index, bytes, message});
   }
 }
 
@@ -216,7 +228,10 @@
       asker.sidecar->core.onMessage(asker.sidecar->links.at(SidecarFixture::kPeer), *answers_.front().message,
                                     now_);
     }
+    const std::size_t index = answers_.front().asker;
+    asker.under_way -= answers_.front().bytes;
     answers_.pop_front();
+    pump(index);
   }
 }
 
--- a/tests/planned_stop/full_link.h
+++ b/tests/planned_stop/full_link.h
@@ -52,8 +52,12 @@
   static constexpr Duration kTick = std::chrono::milliseconds(1);
   static constexpr Duration kRunTime = std::chrono::milliseconds(200);
 
+  /// What a connection has under way; unbounded for a link on which each message is sent at once.
+  static constexpr std::size_t kConnectionWindow = 64 * 1024;
+
   /// @param load bytes asked for, as a share of what the link brings.
-  FullLink(std::uint64_t seed, std::size_t askers, double load);
+  /// @param connection_window bytes that one connection may have under way: they share the link by it.
+  FullLink(std::uint64_t seed, std::size_t askers, double load, std::size_t connection_window = SIZE_MAX);
 
   void runFor(Duration time);
   void stopAsker(std::size_t asker);
@@ -72,6 +76,7 @@
   struct Frame {
     TimePoint arrives;
     std::size_t asker = 0;
+    std::size_t bytes = 0;
     runtime::MessagePointer message;
   };
   struct Run {
@@ -80,6 +85,9 @@
     std::size_t bytes = 0;
   };
   struct Asker {
+    /// Messages to it that its connection has not taken, and bytes that it has under way.
+    std::deque<runtime::MessagePointer> queued;
+    std::size_t under_way = 0;
     CountingCallers callers;
     std::unique_ptr<SidecarFixture> sidecar;
     bool gone = false;
@@ -96,12 +104,15 @@
   void endRuns();
   void tellAskers(const wire::EndpointUpdateT& update);
   void readAnswers();
+  /// Hands queued messages to the link as far as the connection takes them.
+  void pump(std::size_t asker);
   void noteEnds();
   /// The links of a gate that is gone end behind what was sent on them.
   void endGateLinks();
 
   RandomSource random_;
   double load_;
+  std::size_t connection_window_;
   std::vector<std::unique_ptr<Asker>> askers_;
   SidecarFixture gate_;
   bool gate_gone_ = false;
