--- a/src/mesh/configuration.cpp
+++ b/src/mesh/configuration.cpp
@@ -2,11 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "base/error.h"
+#include "mesh/content_digest.h"
 
 namespace cometstand::mesh {
 namespace {
@@ -47,6 +49,25 @@
   if (total == 0) refuse(route, "no service gets any requests", "name a service, with a weight above zero");
 }
 
+void checkTenants(const wire::MeshConfigurationT& configuration) {
+  std::set<std::string> names;
+  std::map<ContentDigest, std::string> owners;
+  for (const auto& tenant : configuration.tenants) {
+    const auto refuseTenant = [&tenant](const char* problem, const char* remedy) {
+      throw Error(ErrorKind::Invalid, fmt::format("tenant {}: {}", tenant->name, problem), remedy);
+    };
+    if (tenant->name.empty() || !names.insert(tenant->name).second)
+      refuseTenant("the name is empty or used twice", "give each tenant a name of its own");
+    if (tenant->requests_per_second < 0 || tenant->burst < 0)
+      refuseTenant("its limit is below zero", "set a limit of zero for none");
+    for (const auto& digest : tenant->key_digests) {
+      const auto& owner = owners.emplace(readDigest(digest), tenant->name).first->second;
+      if (owner != tenant->name)
+        refuseTenant("another tenant has the same key", "give each tenant keys of its own");
+    }
+  }
+}
+
 }  // namespace
 
 Bytes encodeConfiguration(const wire::MeshConfigurationT& configuration) {
@@ -85,6 +106,7 @@
       refuse(*route, "another route has the same host and prefix", "remove one of the two");
     }
   }
+  checkTenants(configuration);
 }
 
 }  // namespace cometstand::mesh
--- a/src/mesh/configuration.h
+++ b/src/mesh/configuration.h
@@ -20,8 +20,8 @@
 
 /// @throw Error(Invalid) or Error(Reference) if the configuration must not be accepted: a route without a
 /// host, with a prefix that does not begin and end with a slash, with a time out of range or of a service
-/// that is not there, two routes of the same place, or a service with a rate
-/// below zero.
+/// that is not there, two routes of the same place, a service with a rate below zero, or tenants with one
+/// name or a key in common.
 void checkConfiguration(const wire::MeshConfigurationT& configuration);
 
 }  // namespace cometstand::mesh
--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -5,7 +5,7 @@
 namespace cometstand::mesh {
 
 RouteTable::RouteTable(std::uint64_t revision, const wire::MeshConfigurationT& configuration)
-    : revision_(revision) {
+    : revision_(revision), tenants_(configuration) {
   if (configuration.limits) limits_ = *configuration.limits;
   for (const auto& route : configuration.routes) {
     routes_[route->host].push_back(route);
--- a/src/mesh/route_table.h
+++ b/src/mesh/route_table.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "mesh/tenant_table.h"
 #include "schema/mesh_generated.h"
 
 namespace cometstand::mesh {
@@ -45,12 +46,16 @@
   /// none.
   RoutePointer find(std::string_view host, std::string_view path) const;
 
+  /// @return the tenants and their keys, of the same revision as the routes.
+  const TenantTable& tenants() const { return tenants_; }
+
   /// @return the route of that name; nullptr if there is none.
   RoutePointer findByName(const std::string& name) const;
 
  private:
   std::uint64_t revision_;
   wire::CallerLimitsT limits_;
+  TenantTable tenants_;
   /// By host, the longest prefix first.
   std::map<std::string, std::vector<RoutePointer>, std::less<>> routes_;
   std::map<std::string, RoutePointer> by_name_;
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -400,11 +400,13 @@
   ContentClearance = 40,
   QuarantineUpdate = 41,
   EvacuationUpdate = 42,
+  QuotaRequest = 43,
+  QuotaGrant = 44,
   MIN = NONE,
-  MAX = EvacuationUpdate
+  MAX = QuotaGrant
 };
 
-inline const Body (&EnumValuesBody())[43] {
+inline const Body (&EnumValuesBody())[45] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -448,13 +450,15 @@
     Body::CrashReport,
     Body::ContentClearance,
     Body::QuarantineUpdate,
-    Body::EvacuationUpdate
+    Body::EvacuationUpdate,
+    Body::QuotaRequest,
+    Body::QuotaGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[44] = {
+  static const char * const names[46] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -498,13 +502,15 @@
     "ContentClearance",
     "QuarantineUpdate",
     "EvacuationUpdate",
+    "QuotaRequest",
+    "QuotaGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EvacuationUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -681,6 +687,14 @@
   static const Body enum_value = Body::EvacuationUpdate;
 };
 
+template<> struct BodyTraits<cometstand::wire::QuotaRequest> {
+  static const Body enum_value = Body::QuotaRequest;
+};
+
+template<> struct BodyTraits<cometstand::wire::QuotaGrant> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -853,6 +867,14 @@
   static const Body enum_value = Body::EvacuationUpdate;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::QuotaRequestT> {
+  static const Body enum_value = Body::QuotaRequest;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::QuotaGrantT> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1219,6 +1241,22 @@
     return type == Body::EvacuationUpdate ?
       reinterpret_cast<const cometstand::wire::EvacuationUpdateT *>(value) : nullptr;
   }
+  cometstand::wire::QuotaRequestT *AsQuotaRequest() {
+    return type == Body::QuotaRequest ?
+      reinterpret_cast<cometstand::wire::QuotaRequestT *>(value) : nullptr;
+  }
+  const cometstand::wire::QuotaRequestT *AsQuotaRequest() const {
+    return type == Body::QuotaRequest ?
+      reinterpret_cast<const cometstand::wire::QuotaRequestT *>(value) : nullptr;
+  }
+  cometstand::wire::QuotaGrantT *AsQuotaGrant() {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<cometstand::wire::QuotaGrantT *>(value) : nullptr;
+  }
+  const cometstand::wire::QuotaGrantT *AsQuotaGrant() const {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<const cometstand::wire::QuotaGrantT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4650,6 +4688,12 @@
   const cometstand::wire::EvacuationUpdate *body_as_EvacuationUpdate() const {
     return body_type() == cometstand::wire::Body::EvacuationUpdate ? static_cast<const cometstand::wire::EvacuationUpdate *>(body()) : nullptr;
   }
+  const cometstand::wire::QuotaRequest *body_as_QuotaRequest() const {
+    return body_type() == cometstand::wire::Body::QuotaRequest ? static_cast<const cometstand::wire::QuotaRequest *>(body()) : nullptr;
+  }
+  const cometstand::wire::QuotaGrant *body_as_QuotaGrant() const {
+    return body_type() == cometstand::wire::Body::QuotaGrant ? static_cast<const cometstand::wire::QuotaGrant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4831,6 +4875,14 @@
   return body_as_EvacuationUpdate();
 }
 
+template<> inline const cometstand::wire::QuotaRequest *Envelope::body_as<cometstand::wire::QuotaRequest>() const {
+  return body_as_QuotaRequest();
+}
+
+template<> inline const cometstand::wire::QuotaGrant *Envelope::body_as<cometstand::wire::QuotaGrant>() const {
+  return body_as_QuotaGrant();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6391,6 +6443,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6578,6 +6638,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6753,6 +6821,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationUpdateT *>(value);
       return CreateEvacuationUpdate(_fbb, ptr, _rehasher).Union();
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaRequestT *>(value);
+      return CreateQuotaRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrantT *>(value);
+      return CreateQuotaGrant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6927,6 +7003,14 @@
       value = new cometstand::wire::EvacuationUpdateT(*reinterpret_cast<cometstand::wire::EvacuationUpdateT *>(u.value));
       break;
     }
+    case Body::QuotaRequest: {
+      value = new cometstand::wire::QuotaRequestT(*reinterpret_cast<cometstand::wire::QuotaRequestT *>(u.value));
+      break;
+    }
+    case Body::QuotaGrant: {
+      value = new cometstand::wire::QuotaGrantT(*reinterpret_cast<cometstand::wire::QuotaGrantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7144,6 +7228,16 @@
       delete ptr;
       break;
     }
+    case Body::QuotaRequest: {
+      auto ptr = reinterpret_cast<cometstand::wire::QuotaRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<cometstand::wire::QuotaGrantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -26,6 +26,10 @@
 struct MeshRouteBuilder;
 struct MeshRouteT;
 
+struct MeshTenant;
+struct MeshTenantBuilder;
+struct MeshTenantT;
+
 struct MeshService;
 struct MeshServiceBuilder;
 struct MeshServiceT;
@@ -142,6 +146,22 @@
 struct QuarantineUpdateBuilder;
 struct QuarantineUpdateT;
 
+struct QuotaNeed;
+struct QuotaNeedBuilder;
+struct QuotaNeedT;
+
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+struct QuotaRequestT;
+
+struct QuotaShare;
+struct QuotaShareBuilder;
+struct QuotaShareT;
+
+struct QuotaGrant;
+struct QuotaGrantBuilder;
+struct QuotaGrantT;
+
 struct NetworkEndpoint;
 struct NetworkEndpointBuilder;
 struct NetworkEndpointT;
@@ -452,6 +472,7 @@
   uint32_t max_attempts = 0;
   std::vector<std::shared_ptr<cometstand::wire::TrafficShareT>> shares{};
   std::vector<std::string> regions{};
+  bool is_public = false;
   MeshRouteT() = default;
   MeshRouteT(const MeshRouteT &o);
   MeshRouteT(MeshRouteT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -472,7 +493,8 @@
     VT_PRIORITY = 16,
     VT_MAX_ATTEMPTS = 18,
     VT_SHARES = 20,
-    VT_REGIONS = 22
+    VT_REGIONS = 22,
+    VT_IS_PUBLIC = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -504,6 +526,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *regions() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REGIONS);
   }
+  bool is_public() const {
+    return GetField<uint8_t>(VT_IS_PUBLIC, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -523,6 +548,7 @@
            VerifyOffset(verifier, VT_REGIONS) &&
            verifier.VerifyVector(regions()) &&
            verifier.VerifyVectorOfStrings(regions()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PUBLIC, 1) &&
            verifier.EndTable();
   }
   MeshRouteT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -564,6 +590,9 @@
   void add_regions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> regions) {
     fbb_.AddOffset(MeshRoute::VT_REGIONS, regions);
   }
+  void add_is_public(bool is_public) {
+    fbb_.AddElement<uint8_t>(MeshRoute::VT_IS_PUBLIC, static_cast<uint8_t>(is_public), 0);
+  }
   explicit MeshRouteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -586,7 +615,8 @@
     uint32_t priority = 0,
     uint32_t max_attempts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::TrafficShare>>> shares = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> regions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> regions = 0,
+    bool is_public = false) {
   MeshRouteBuilder builder_(_fbb);
   builder_.add_regions(regions);
   builder_.add_shares(shares);
@@ -597,6 +627,7 @@
   builder_.add_path_prefix(path_prefix);
   builder_.add_host(host);
   builder_.add_name(name);
+  builder_.add_is_public(is_public);
   builder_.add_repeatable(repeatable);
   return builder_.Finish();
 }
@@ -617,7 +648,8 @@
     uint32_t priority = 0,
     uint32_t max_attempts = 0,
     const std::vector<flatbuffers::Offset<cometstand::wire::TrafficShare>> *shares = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *regions = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *regions = nullptr,
+    bool is_public = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path_prefix__ = path_prefix ? _fbb.CreateString(path_prefix) : 0;
@@ -634,11 +666,134 @@
       priority,
       max_attempts,
       shares__,
-      regions__);
+      regions__,
+      is_public);
 }
 
 flatbuffers::Offset<MeshRoute> CreateMeshRoute(flatbuffers::FlatBufferBuilder &_fbb, const MeshRouteT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct MeshTenantT : public flatbuffers::NativeTable {
+  typedef MeshTenant TableType;
+  std::string name{};
+  std::vector<cometstand::wire::Digest> key_digests{};
+  uint32_t priority = 0;
+  double requests_per_second = 0.0;
+  double burst = 0.0;
+};
+
+struct MeshTenant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MeshTenantT NativeTableType;
+  typedef MeshTenantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_KEY_DIGESTS = 6,
+    VT_PRIORITY = 8,
+    VT_REQUESTS_PER_SECOND = 10,
+    VT_BURST = 12
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::Vector<const cometstand::wire::Digest *> *key_digests() const {
+    return GetPointer<const flatbuffers::Vector<const cometstand::wire::Digest *> *>(VT_KEY_DIGESTS);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  double requests_per_second() const {
+    return GetField<double>(VT_REQUESTS_PER_SECOND, 0.0);
+  }
+  double burst() const {
+    return GetField<double>(VT_BURST, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_KEY_DIGESTS) &&
+           verifier.VerifyVector(key_digests()) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_BURST, 8) &&
+           verifier.EndTable();
+  }
+  MeshTenantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MeshTenantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MeshTenant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshTenantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MeshTenantBuilder {
+  typedef MeshTenant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(MeshTenant::VT_NAME, name);
+  }
+  void add_key_digests(flatbuffers::Offset<flatbuffers::Vector<const cometstand::wire::Digest *>> key_digests) {
+    fbb_.AddOffset(MeshTenant::VT_KEY_DIGESTS, key_digests);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(MeshTenant::VT_PRIORITY, priority, 0);
+  }
+  void add_requests_per_second(double requests_per_second) {
+    fbb_.AddElement<double>(MeshTenant::VT_REQUESTS_PER_SECOND, requests_per_second, 0.0);
+  }
+  void add_burst(double burst) {
+    fbb_.AddElement<double>(MeshTenant::VT_BURST, burst, 0.0);
+  }
+  explicit MeshTenantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MeshTenant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MeshTenant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MeshTenant> CreateMeshTenant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const cometstand::wire::Digest *>> key_digests = 0,
+    uint32_t priority = 0,
+    double requests_per_second = 0.0,
+    double burst = 0.0) {
+  MeshTenantBuilder builder_(_fbb);
+  builder_.add_burst(burst);
+  builder_.add_requests_per_second(requests_per_second);
+  builder_.add_priority(priority);
+  builder_.add_key_digests(key_digests);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct MeshTenant::Traits {
+  using type = MeshTenant;
+  static auto constexpr Create = CreateMeshTenant;
+};
+
+inline flatbuffers::Offset<MeshTenant> CreateMeshTenantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const std::vector<cometstand::wire::Digest> *key_digests = nullptr,
+    uint32_t priority = 0,
+    double requests_per_second = 0.0,
+    double burst = 0.0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto key_digests__ = key_digests ? _fbb.CreateVectorOfStructs<cometstand::wire::Digest>(*key_digests) : 0;
+  return cometstand::wire::CreateMeshTenant(
+      _fbb,
+      name__,
+      key_digests__,
+      priority,
+      requests_per_second,
+      burst);
+}
+
+flatbuffers::Offset<MeshTenant> CreateMeshTenant(flatbuffers::FlatBufferBuilder &_fbb, const MeshTenantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MeshServiceT : public flatbuffers::NativeTable {
   typedef MeshService TableType;
   std::string name{};
@@ -857,6 +1012,8 @@
   std::vector<std::shared_ptr<cometstand::wire::MeshRouteT>> routes{};
   std::vector<std::shared_ptr<cometstand::wire::MeshServiceT>> services{};
   std::shared_ptr<cometstand::wire::CallerLimitsT> limits{};
+  bool requires_key = false;
+  std::vector<std::shared_ptr<cometstand::wire::MeshTenantT>> tenants{};
   MeshConfigurationT() = default;
   MeshConfigurationT(const MeshConfigurationT &o);
   MeshConfigurationT(MeshConfigurationT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -870,7 +1027,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ROUTES = 4,
     VT_SERVICES = 6,
-    VT_LIMITS = 8
+    VT_LIMITS = 8,
+    VT_REQUIRES_KEY = 10,
+    VT_TENANTS = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshRoute>> *routes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshRoute>> *>(VT_ROUTES);
@@ -881,6 +1040,12 @@
   const cometstand::wire::CallerLimits *limits() const {
     return GetPointer<const cometstand::wire::CallerLimits *>(VT_LIMITS);
   }
+  bool requires_key() const {
+    return GetField<uint8_t>(VT_REQUIRES_KEY, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshTenant>> *tenants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshTenant>> *>(VT_TENANTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTES) &&
@@ -891,6 +1056,10 @@
            verifier.VerifyVectorOfTables(services()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyTable(limits()) &&
+           VerifyField<uint8_t>(verifier, VT_REQUIRES_KEY, 1) &&
+           VerifyOffset(verifier, VT_TENANTS) &&
+           verifier.VerifyVector(tenants()) &&
+           verifier.VerifyVectorOfTables(tenants()) &&
            verifier.EndTable();
   }
   MeshConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -911,6 +1080,12 @@
   void add_limits(flatbuffers::Offset<cometstand::wire::CallerLimits> limits) {
     fbb_.AddOffset(MeshConfiguration::VT_LIMITS, limits);
   }
+  void add_requires_key(bool requires_key) {
+    fbb_.AddElement<uint8_t>(MeshConfiguration::VT_REQUIRES_KEY, static_cast<uint8_t>(requires_key), 0);
+  }
+  void add_tenants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshTenant>>> tenants) {
+    fbb_.AddOffset(MeshConfiguration::VT_TENANTS, tenants);
+  }
   explicit MeshConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -926,11 +1101,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshRoute>>> routes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshService>>> services = 0,
-    flatbuffers::Offset<cometstand::wire::CallerLimits> limits = 0) {
+    flatbuffers::Offset<cometstand::wire::CallerLimits> limits = 0,
+    bool requires_key = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::MeshTenant>>> tenants = 0) {
   MeshConfigurationBuilder builder_(_fbb);
+  builder_.add_tenants(tenants);
   builder_.add_limits(limits);
   builder_.add_services(services);
   builder_.add_routes(routes);
+  builder_.add_requires_key(requires_key);
   return builder_.Finish();
 }
 
@@ -943,14 +1122,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<cometstand::wire::MeshRoute>> *routes = nullptr,
     const std::vector<flatbuffers::Offset<cometstand::wire::MeshService>> *services = nullptr,
-    flatbuffers::Offset<cometstand::wire::CallerLimits> limits = 0) {
+    flatbuffers::Offset<cometstand::wire::CallerLimits> limits = 0,
+    bool requires_key = false,
+    const std::vector<flatbuffers::Offset<cometstand::wire::MeshTenant>> *tenants = nullptr) {
   auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshRoute>>(*routes) : 0;
   auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshService>>(*services) : 0;
+  auto tenants__ = tenants ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshTenant>>(*tenants) : 0;
   return cometstand::wire::CreateMeshConfiguration(
       _fbb,
       routes__,
       services__,
-      limits);
+      limits,
+      requires_key,
+      tenants__);
 }
 
 flatbuffers::Offset<MeshConfiguration> CreateMeshConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const MeshConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3793,6 +3977,458 @@
 
 flatbuffers::Offset<QuarantineUpdate> CreateQuarantineUpdate(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct QuotaNeedT : public flatbuffers::NativeTable {
+  typedef QuotaNeed TableType;
+  std::string tenant{};
+  uint32_t held = 0;
+  uint32_t returned = 0;
+  uint32_t need = 0;
+  uint32_t ahead = 0;
+};
+
+struct QuotaNeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaNeedT NativeTableType;
+  typedef QuotaNeedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_HELD = 6,
+    VT_RETURNED = 8,
+    VT_NEED = 10,
+    VT_AHEAD = 12
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t held() const {
+    return GetField<uint32_t>(VT_HELD, 0);
+  }
+  uint32_t returned() const {
+    return GetField<uint32_t>(VT_RETURNED, 0);
+  }
+  uint32_t need() const {
+    return GetField<uint32_t>(VT_NEED, 0);
+  }
+  uint32_t ahead() const {
+    return GetField<uint32_t>(VT_AHEAD, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_HELD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETURNED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_NEED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AHEAD, 4) &&
+           verifier.EndTable();
+  }
+  QuotaNeedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaNeedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaNeed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaNeedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaNeedBuilder {
+  typedef QuotaNeed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(QuotaNeed::VT_TENANT, tenant);
+  }
+  void add_held(uint32_t held) {
+    fbb_.AddElement<uint32_t>(QuotaNeed::VT_HELD, held, 0);
+  }
+  void add_returned(uint32_t returned) {
+    fbb_.AddElement<uint32_t>(QuotaNeed::VT_RETURNED, returned, 0);
+  }
+  void add_need(uint32_t need) {
+    fbb_.AddElement<uint32_t>(QuotaNeed::VT_NEED, need, 0);
+  }
+  void add_ahead(uint32_t ahead) {
+    fbb_.AddElement<uint32_t>(QuotaNeed::VT_AHEAD, ahead, 0);
+  }
+  explicit QuotaNeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaNeed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaNeed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaNeed> CreateQuotaNeed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t held = 0,
+    uint32_t returned = 0,
+    uint32_t need = 0,
+    uint32_t ahead = 0) {
+  QuotaNeedBuilder builder_(_fbb);
+  builder_.add_ahead(ahead);
+  builder_.add_need(need);
+  builder_.add_returned(returned);
+  builder_.add_held(held);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+struct QuotaNeed::Traits {
+  using type = QuotaNeed;
+  static auto constexpr Create = CreateQuotaNeed;
+};
+
+inline flatbuffers::Offset<QuotaNeed> CreateQuotaNeedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t held = 0,
+    uint32_t returned = 0,
+    uint32_t need = 0,
+    uint32_t ahead = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return cometstand::wire::CreateQuotaNeed(
+      _fbb,
+      tenant__,
+      held,
+      returned,
+      need,
+      ahead);
+}
+
+flatbuffers::Offset<QuotaNeed> CreateQuotaNeed(flatbuffers::FlatBufferBuilder &_fbb, const QuotaNeedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaRequestT : public flatbuffers::NativeTable {
+  typedef QuotaRequest TableType;
+  uint64_t sequence = 0;
+  uint64_t acknowledged = 0;
+  uint64_t generation = 0;
+  std::vector<std::shared_ptr<cometstand::wire::QuotaNeedT>> needs{};
+  QuotaRequestT() = default;
+  QuotaRequestT(const QuotaRequestT &o);
+  QuotaRequestT(QuotaRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuotaRequestT &operator=(QuotaRequestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestT NativeTableType;
+  typedef QuotaRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_ACKNOWLEDGED = 6,
+    VT_GENERATION = 8,
+    VT_NEEDS = 10
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t acknowledged() const {
+    return GetField<uint64_t>(VT_ACKNOWLEDGED, 0);
+  }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaNeed>> *needs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaNeed>> *>(VT_NEEDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyOffset(verifier, VT_NEEDS) &&
+           verifier.VerifyVector(needs()) &&
+           verifier.VerifyVectorOfTables(needs()) &&
+           verifier.EndTable();
+  }
+  QuotaRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_SEQUENCE, sequence, 0);
+  }
+  void add_acknowledged(uint64_t acknowledged) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_ACKNOWLEDGED, acknowledged, 0);
+  }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_GENERATION, generation, 0);
+  }
+  void add_needs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaNeed>>> needs) {
+    fbb_.AddOffset(QuotaRequest::VT_NEEDS, needs);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t acknowledged = 0,
+    uint64_t generation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaNeed>>> needs = 0) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_generation(generation);
+  builder_.add_acknowledged(acknowledged);
+  builder_.add_sequence(sequence);
+  builder_.add_needs(needs);
+  return builder_.Finish();
+}
+
+struct QuotaRequest::Traits {
+  using type = QuotaRequest;
+  static auto constexpr Create = CreateQuotaRequest;
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t acknowledged = 0,
+    uint64_t generation = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::QuotaNeed>> *needs = nullptr) {
+  auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::QuotaNeed>>(*needs) : 0;
+  return cometstand::wire::CreateQuotaRequest(
+      _fbb,
+      sequence,
+      acknowledged,
+      generation,
+      needs__);
+}
+
+flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaShareT : public flatbuffers::NativeTable {
+  typedef QuotaShare TableType;
+  std::string tenant{};
+  uint32_t granted = 0;
+  uint32_t retry_after_ms = 0;
+};
+
+struct QuotaShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaShareT NativeTableType;
+  typedef QuotaShareBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_GRANTED = 6,
+    VT_RETRY_AFTER_MS = 8
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+  QuotaShareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaShareT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaShare> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaShareT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaShareBuilder {
+  typedef QuotaShare Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(QuotaShare::VT_TENANT, tenant);
+  }
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(QuotaShare::VT_GRANTED, granted, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(QuotaShare::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit QuotaShareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaShare> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaShare>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaShare> CreateQuotaShare(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t granted = 0,
+    uint32_t retry_after_ms = 0) {
+  QuotaShareBuilder builder_(_fbb);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_granted(granted);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+struct QuotaShare::Traits {
+  using type = QuotaShare;
+  static auto constexpr Create = CreateQuotaShare;
+};
+
+inline flatbuffers::Offset<QuotaShare> CreateQuotaShareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint32_t granted = 0,
+    uint32_t retry_after_ms = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return cometstand::wire::CreateQuotaShare(
+      _fbb,
+      tenant__,
+      granted,
+      retry_after_ms);
+}
+
+flatbuffers::Offset<QuotaShare> CreateQuotaShare(flatbuffers::FlatBufferBuilder &_fbb, const QuotaShareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaGrantT : public flatbuffers::NativeTable {
+  typedef QuotaGrant TableType;
+  uint64_t sequence = 0;
+  uint64_t generation = 0;
+  uint32_t valid_ms = 0;
+  std::vector<std::shared_ptr<cometstand::wire::QuotaShareT>> shares{};
+  std::shared_ptr<cometstand::wire::NetworkEndpointT> leader{};
+  QuotaGrantT() = default;
+  QuotaGrantT(const QuotaGrantT &o);
+  QuotaGrantT(QuotaGrantT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuotaGrantT &operator=(QuotaGrantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QuotaGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaGrantT NativeTableType;
+  typedef QuotaGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_GENERATION = 6,
+    VT_VALID_MS = 8,
+    VT_SHARES = 10,
+    VT_LEADER = 12
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  uint32_t valid_ms() const {
+    return GetField<uint32_t>(VT_VALID_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaShare>> *shares() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaShare>> *>(VT_SHARES);
+  }
+  const cometstand::wire::NetworkEndpoint *leader() const {
+    return GetPointer<const cometstand::wire::NetworkEndpoint *>(VT_LEADER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
+           VerifyOffset(verifier, VT_SHARES) &&
+           verifier.VerifyVector(shares()) &&
+           verifier.VerifyVectorOfTables(shares()) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyTable(leader()) &&
+           verifier.EndTable();
+  }
+  QuotaGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaGrantBuilder {
+  typedef QuotaGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(QuotaGrant::VT_SEQUENCE, sequence, 0);
+  }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(QuotaGrant::VT_GENERATION, generation, 0);
+  }
+  void add_valid_ms(uint32_t valid_ms) {
+    fbb_.AddElement<uint32_t>(QuotaGrant::VT_VALID_MS, valid_ms, 0);
+  }
+  void add_shares(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaShare>>> shares) {
+    fbb_.AddOffset(QuotaGrant::VT_SHARES, shares);
+  }
+  void add_leader(flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader) {
+    fbb_.AddOffset(QuotaGrant::VT_LEADER, leader);
+  }
+  explicit QuotaGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t generation = 0,
+    uint32_t valid_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::QuotaShare>>> shares = 0,
+    flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader = 0) {
+  QuotaGrantBuilder builder_(_fbb);
+  builder_.add_generation(generation);
+  builder_.add_sequence(sequence);
+  builder_.add_leader(leader);
+  builder_.add_shares(shares);
+  builder_.add_valid_ms(valid_ms);
+  return builder_.Finish();
+}
+
+struct QuotaGrant::Traits {
+  using type = QuotaGrant;
+  static auto constexpr Create = CreateQuotaGrant;
+};
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    uint64_t generation = 0,
+    uint32_t valid_ms = 0,
+    const std::vector<flatbuffers::Offset<cometstand::wire::QuotaShare>> *shares = nullptr,
+    flatbuffers::Offset<cometstand::wire::NetworkEndpoint> leader = 0) {
+  auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::QuotaShare>>(*shares) : 0;
+  return cometstand::wire::CreateQuotaGrant(
+      _fbb,
+      sequence,
+      generation,
+      valid_ms,
+      shares__,
+      leader);
+}
+
+flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NetworkEndpointT : public flatbuffers::NativeTable {
   typedef NetworkEndpoint TableType;
   std::string host{};
@@ -3990,6 +4626,7 @@
   std::string route{};
   uint32_t answer_credit = 0;
   uint32_t answer_bytes = 0;
+  std::string tenant{};
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4016,7 +4653,8 @@
     VT_ANNOUNCED_BYTES = 28,
     VT_ROUTE = 30,
     VT_ANSWER_CREDIT = 32,
-    VT_ANSWER_BYTES = 34
+    VT_ANSWER_BYTES = 34,
+    VT_TENANT = 36
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4066,6 +4704,9 @@
   uint32_t answer_bytes() const {
     return GetField<uint32_t>(VT_ANSWER_BYTES, 0);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4093,6 +4734,8 @@
            verifier.VerifyString(route()) &&
            VerifyField<uint32_t>(verifier, VT_ANSWER_CREDIT, 4) &&
            VerifyField<uint32_t>(verifier, VT_ANSWER_BYTES, 4) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4152,6 +4795,9 @@
   void add_answer_bytes(uint32_t answer_bytes) {
     fbb_.AddElement<uint32_t>(ForwardRequest::VT_ANSWER_BYTES, answer_bytes, 0);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(ForwardRequest::VT_TENANT, tenant);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4180,8 +4826,10 @@
     uint32_t announced_bytes = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t answer_credit = 0,
-    uint32_t answer_bytes = 0) {
+    uint32_t answer_bytes = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_tenant(tenant);
   builder_.add_answer_bytes(answer_bytes);
   builder_.add_answer_credit(answer_credit);
   builder_.add_route(route);
@@ -4223,7 +4871,8 @@
     uint32_t announced_bytes = 0,
     const char *route = nullptr,
     uint32_t answer_credit = 0,
-    uint32_t answer_bytes = 0) {
+    uint32_t answer_bytes = 0,
+    const char *tenant = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -4232,6 +4881,7 @@
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       service__,
@@ -4249,7 +4899,8 @@
       announced_bytes,
       route__,
       answer_credit,
-      answer_bytes);
+      answer_bytes,
+      tenant__);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4794,7 +5445,8 @@
         objective_ms(o.objective_ms),
         priority(o.priority),
         max_attempts(o.max_attempts),
-        regions(o.regions) {
+        regions(o.regions),
+        is_public(o.is_public) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new cometstand::wire::TrafficShareT(*shares_) : nullptr); }
 }
@@ -4810,6 +5462,7 @@
   std::swap(max_attempts, o.max_attempts);
   std::swap(shares, o.shares);
   std::swap(regions, o.regions);
+  std::swap(is_public, o.is_public);
   return *this;
 }
 
@@ -4832,6 +5485,7 @@
   { auto _e = max_attempts(); _o->max_attempts = _e; }
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::shared_ptr<cometstand::wire::TrafficShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = regions(); if (_e) { _o->regions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->regions[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = is_public(); _o->is_public = _e; }
 }
 
 inline flatbuffers::Offset<MeshRoute> MeshRoute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshRouteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4852,6 +5506,7 @@
   auto _max_attempts = _o->max_attempts;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TrafficShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateTrafficShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _regions = _o->regions.size() ? _fbb.CreateVectorOfStrings(_o->regions) : 0;
+  auto _is_public = _o->is_public;
   return cometstand::wire::CreateMeshRoute(
       _fbb,
       _name,
@@ -4863,7 +5518,46 @@
       _priority,
       _max_attempts,
       _shares,
-      _regions);
+      _regions,
+      _is_public);
+}
+
+inline MeshTenantT *MeshTenant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MeshTenantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MeshTenant::UnPackTo(MeshTenantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = key_digests(); if (_e) { _o->key_digests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->key_digests[_i] = *_e->Get(_i); } } }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = requests_per_second(); _o->requests_per_second = _e; }
+  { auto _e = burst(); _o->burst = _e; }
+}
+
+inline flatbuffers::Offset<MeshTenant> MeshTenant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshTenantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMeshTenant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MeshTenant> CreateMeshTenant(flatbuffers::FlatBufferBuilder &_fbb, const MeshTenantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MeshTenantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _key_digests = _o->key_digests.size() ? _fbb.CreateVectorOfStructs(_o->key_digests) : 0;
+  auto _priority = _o->priority;
+  auto _requests_per_second = _o->requests_per_second;
+  auto _burst = _o->burst;
+  return cometstand::wire::CreateMeshTenant(
+      _fbb,
+      _name,
+      _key_digests,
+      _priority,
+      _requests_per_second,
+      _burst);
 }
 
 inline MeshServiceT *MeshService::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4940,17 +5634,22 @@
 }
 
 inline MeshConfigurationT::MeshConfigurationT(const MeshConfigurationT &o)
-      : limits((o.limits) ? new cometstand::wire::CallerLimitsT(*o.limits) : nullptr) {
+      : limits((o.limits) ? new cometstand::wire::CallerLimitsT(*o.limits) : nullptr),
+        requires_key(o.requires_key) {
   routes.reserve(o.routes.size());
   for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new cometstand::wire::MeshRouteT(*routes_) : nullptr); }
   services.reserve(o.services.size());
   for (const auto &services_ : o.services) { services.emplace_back((services_) ? new cometstand::wire::MeshServiceT(*services_) : nullptr); }
+  tenants.reserve(o.tenants.size());
+  for (const auto &tenants_ : o.tenants) { tenants.emplace_back((tenants_) ? new cometstand::wire::MeshTenantT(*tenants_) : nullptr); }
 }
 
 inline MeshConfigurationT &MeshConfigurationT::operator=(MeshConfigurationT o) FLATBUFFERS_NOEXCEPT {
   std::swap(routes, o.routes);
   std::swap(services, o.services);
   std::swap(limits, o.limits);
+  std::swap(requires_key, o.requires_key);
+  std::swap(tenants, o.tenants);
   return *this;
 }
 
@@ -4966,6 +5665,8 @@
   { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::shared_ptr<cometstand::wire::MeshRouteT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = std::shared_ptr<cometstand::wire::MeshServiceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = limits(); if (_e) _o->limits = std::shared_ptr<cometstand::wire::CallerLimitsT>(_e->UnPack(_resolver)); }
+  { auto _e = requires_key(); _o->requires_key = _e; }
+  { auto _e = tenants(); if (_e) { _o->tenants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tenants[_i] = std::shared_ptr<cometstand::wire::MeshTenantT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<MeshConfiguration> MeshConfiguration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MeshConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4979,11 +5680,15 @@
   auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshRoute>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return CreateMeshRoute(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _services = _o->services.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshService>> (_o->services.size(), [](size_t i, _VectorArgs *__va) { return CreateMeshService(*__va->__fbb, __va->__o->services[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _limits = _o->limits ? CreateCallerLimits(_fbb, _o->limits.get(), _rehasher) : 0;
+  auto _requires_key = _o->requires_key;
+  auto _tenants = _o->tenants.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::MeshTenant>> (_o->tenants.size(), [](size_t i, _VectorArgs *__va) { return CreateMeshTenant(*__va->__fbb, __va->__o->tenants[i].get(), __va->__rehasher); }, &_va ) : 0;
   return cometstand::wire::CreateMeshConfiguration(
       _fbb,
       _routes,
       _services,
-      _limits);
+      _limits,
+      _requires_key,
+      _tenants);
 }
 
 inline MeshChangeT::MeshChangeT(const MeshChangeT &o)
@@ -6154,6 +6859,183 @@
       _notices);
 }
 
+inline QuotaNeedT *QuotaNeed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaNeedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaNeed::UnPackTo(QuotaNeedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = held(); _o->held = _e; }
+  { auto _e = returned(); _o->returned = _e; }
+  { auto _e = need(); _o->need = _e; }
+  { auto _e = ahead(); _o->ahead = _e; }
+}
+
+inline flatbuffers::Offset<QuotaNeed> QuotaNeed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaNeedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaNeed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaNeed> CreateQuotaNeed(flatbuffers::FlatBufferBuilder &_fbb, const QuotaNeedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaNeedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _held = _o->held;
+  auto _returned = _o->returned;
+  auto _need = _o->need;
+  auto _ahead = _o->ahead;
+  return cometstand::wire::CreateQuotaNeed(
+      _fbb,
+      _tenant,
+      _held,
+      _returned,
+      _need,
+      _ahead);
+}
+
+inline QuotaRequestT::QuotaRequestT(const QuotaRequestT &o)
+      : sequence(o.sequence),
+        acknowledged(o.acknowledged),
+        generation(o.generation) {
+  needs.reserve(o.needs.size());
+  for (const auto &needs_ : o.needs) { needs.emplace_back((needs_) ? new cometstand::wire::QuotaNeedT(*needs_) : nullptr); }
+}
+
+inline QuotaRequestT &QuotaRequestT::operator=(QuotaRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(acknowledged, o.acknowledged);
+  std::swap(generation, o.generation);
+  std::swap(needs, o.needs);
+  return *this;
+}
+
+inline QuotaRequestT *QuotaRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaRequest::UnPackTo(QuotaRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = acknowledged(); _o->acknowledged = _e; }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::shared_ptr<cometstand::wire::QuotaNeedT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<QuotaRequest> QuotaRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _acknowledged = _o->acknowledged;
+  auto _generation = _o->generation;
+  auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::QuotaNeed>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return CreateQuotaNeed(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateQuotaRequest(
+      _fbb,
+      _sequence,
+      _acknowledged,
+      _generation,
+      _needs);
+}
+
+inline QuotaShareT *QuotaShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaShareT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaShare::UnPackTo(QuotaShareT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+}
+
+inline flatbuffers::Offset<QuotaShare> QuotaShare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaShareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaShare(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaShare> CreateQuotaShare(flatbuffers::FlatBufferBuilder &_fbb, const QuotaShareT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaShareT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _granted = _o->granted;
+  auto _retry_after_ms = _o->retry_after_ms;
+  return cometstand::wire::CreateQuotaShare(
+      _fbb,
+      _tenant,
+      _granted,
+      _retry_after_ms);
+}
+
+inline QuotaGrantT::QuotaGrantT(const QuotaGrantT &o)
+      : sequence(o.sequence),
+        generation(o.generation),
+        valid_ms(o.valid_ms),
+        leader((o.leader) ? new cometstand::wire::NetworkEndpointT(*o.leader) : nullptr) {
+  shares.reserve(o.shares.size());
+  for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new cometstand::wire::QuotaShareT(*shares_) : nullptr); }
+}
+
+inline QuotaGrantT &QuotaGrantT::operator=(QuotaGrantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sequence, o.sequence);
+  std::swap(generation, o.generation);
+  std::swap(valid_ms, o.valid_ms);
+  std::swap(shares, o.shares);
+  std::swap(leader, o.leader);
+  return *this;
+}
+
+inline QuotaGrantT *QuotaGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaGrant::UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::shared_ptr<cometstand::wire::QuotaShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leader(); if (_e) _o->leader = std::shared_ptr<cometstand::wire::NetworkEndpointT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<QuotaGrant> QuotaGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _generation = _o->generation;
+  auto _valid_ms = _o->valid_ms;
+  auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::QuotaShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateQuotaShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leader = _o->leader ? CreateNetworkEndpoint(_fbb, _o->leader.get(), _rehasher) : 0;
+  return cometstand::wire::CreateQuotaGrant(
+      _fbb,
+      _sequence,
+      _generation,
+      _valid_ms,
+      _shares,
+      _leader);
+}
+
 inline NetworkEndpointT *NetworkEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NetworkEndpointT>();
   UnPackTo(_o.get(), _resolver);
@@ -6230,7 +7112,8 @@
         announced_bytes(o.announced_bytes),
         route(o.route),
         answer_credit(o.answer_credit),
-        answer_bytes(o.answer_bytes) {
+        answer_bytes(o.answer_bytes),
+        tenant(o.tenant) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -6252,6 +7135,7 @@
   std::swap(route, o.route);
   std::swap(answer_credit, o.answer_credit);
   std::swap(answer_bytes, o.answer_bytes);
+  std::swap(tenant, o.tenant);
   return *this;
 }
 
@@ -6280,6 +7164,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = answer_credit(); _o->answer_credit = _e; }
   { auto _e = answer_bytes(); _o->answer_bytes = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6306,6 +7191,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _answer_credit = _o->answer_credit;
   auto _answer_bytes = _o->answer_bytes;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -6323,7 +7209,8 @@
       _announced_bytes,
       _route,
       _answer_credit,
-      _answer_bytes);
+      _answer_bytes,
+      _tenant);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
--- a/src/sidecar/caller_port.h
+++ b/src/sidecar/caller_port.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/content_digest.h"
 #include "schema/mesh_generated.h"
 
 namespace cometstand::sidecar {
@@ -20,6 +21,8 @@
   std::string host;
   /// How long the caller will wait, if it said so.
   std::optional<Duration> deadline;
+  /// Of the key that the caller sent, if it sent one.
+  std::optional<mesh::ContentDigest> key;
   /// A large answer may be handed over in parts, before it is whole.
   bool takes_parts = false;
 };
@@ -37,13 +40,17 @@
   TimedOut,
   /// Not run and never will be: requests like it have ended several targets. Coming back does not help.
   Quarantined,
+  /// Not run and never will be: the route needs a key, and no tenant holds the caller's.
+  UnknownKey,
+  /// Not run and never will be: the tenant has used up its limit, or what this sidecar has of it.
+  OverQuota,
 };
 
 struct CallAnswer {
   CallOutcome outcome = CallOutcome::Failed;
   /// Of Answered.
   wire::ForwardReplyT reply;
-  /// Of NotRun: when to come back.
+  /// Of NotRun and OverQuota: when to come back.
   Duration retry_after = Duration::zero();
 };
 
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -72,6 +72,24 @@
   if (const auto link = links_.linkTo(store)) actions_.send(*link, std::move(report), 0);
 }
 
+std::optional<Address> ControlClient::askForQuota(const wire::QuotaRequestT& request,
+                                                  const std::optional<Address>& wanted,
+                                                  const std::optional<Address>& silent) {
+  std::vector<std::optional<Address>> choices{wanted};
+  if (source_ != silent) choices.push_back(source_);
+  for (const auto& [address, store] : stores_) {
+    if (address != silent) choices.emplace_back(address);
+  }
+  choices.push_back(silent);
+  for (const auto& choice : choices) {
+    const auto link = choice ? links_.linkTo(*choice) : std::nullopt;
+    if (!link) continue;
+    actions_.send(*link, request, 0);
+    return choice;
+  }
+  return std::nullopt;
+}
+
 void ControlClient::broadcast(const runtime::MessagePointer& message) {
   for (const auto& [address, store] : stores_) {
     if (const auto link = links_.linkTo(address)) actions_.send(*link, message);
@@ -108,6 +126,8 @@
     listener_.onEvacuations(*evacuations, now);
   } else if (const auto* taken = message.body.AsCrashReport()) {
     listener_.onCrashReportTaken(taken->instance);
+  } else if (const auto* grant = message.body.AsQuotaGrant()) {
+    listener_.onQuotaGrant(*address, *grant, now);
   }
 }
 
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -24,6 +24,8 @@
   virtual void onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) = 0;
   /// A store has this sidecar's report on the end of that instance.
   virtual void onCrashReportTaken(const std::string& instance) = 0;
+  /// A store's answer to a request for tokens.
+  virtual void onQuotaGrant(const runtime::Address& store, const wire::QuotaGrantT& grant, TimePoint now) = 0;
 };
 
 /// The links of a sidecar to all stores. It reports its own endpoint to each of them, and takes
@@ -54,6 +56,12 @@
   /// Sends a report on a roll-out to the store, if it is linked.
   void send(const runtime::Address& store, wire::RolloutReportT report);
 
+  /// Sends a request for tokens to the wanted store, or, if that is none or not linked, to another one: the
+  /// source first, and `silent` last. @return the store that got it; none if no store is linked.
+  std::optional<runtime::Address> askForQuota(const wire::QuotaRequestT& request,
+                                              const std::optional<runtime::Address>& wanted,
+                                              const std::optional<runtime::Address>& silent);
+
   /// Sends the message to every linked store.
   void broadcast(const runtime::MessagePointer& message);
 
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -91,6 +91,11 @@
     "sidecar "
     "is among them. What runs there goes on. No action is needed."};
 
+inline constexpr EventDefinition kCallKeyUnknown{
+    7035, LogLevel::Info, "call_key_unknown",
+    "A caller's request was refused and has not run: its route needs a key, and it has none, or one that no "
+    "tenant holds in this revision. If it is a tenant's, compare the revision with the newest one."};
+
 inline constexpr EventDefinition kZoneDark{
     7031, LogLevel::Warning, "zone_dark",
     "Several machines of a zone do not answer this sidecar any more, and none of that zone was heard since: "
@@ -124,6 +129,7 @@
     kTargetChanged, kCallEnded,       kCallRetried,       kGateRefused,      kSidecarStopBegan,
     kUpdateRefused, kCallAnswered,    kRunEnded,          kRunGivenUp,       kBodyRefused,
     kTargetEnded,   kCallQuarantined, kTargetDoubted,     kTargetAsked,      kEvacuationsChanged,
-    kZoneDark,      kZoneHeard,       kRegionLinkReduced, kSidecarStopEnded, kUnreadableWord};
+    kZoneDark,      kZoneHeard,       kRegionLinkReduced, kSidecarStopEnded, kUnreadableWord,
+    kCallKeyUnknown};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/metrics.cpp
+++ b/src/sidecar/metrics.cpp
@@ -16,6 +16,10 @@
       return "timed_out";
     case CallOutcome::Quarantined:
       return "quarantined";
+    case CallOutcome::UnknownKey:
+      return "unknown_key";
+    case CallOutcome::OverQuota:
+      return "over_quota";
   }
   return "unrecognized";
 }
--- a/src/sidecar/metrics.h
+++ b/src/sidecar/metrics.h
@@ -11,7 +11,7 @@
 
 namespace cometstand::sidecar {
 
-inline constexpr std::size_t kCallOutcomes = 6;
+inline constexpr std::size_t kCallOutcomes = 8;
 inline constexpr std::size_t kRefusalReasons = 9;
 inline constexpr std::size_t kRunOutcomes = 3;
 
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -33,10 +33,19 @@
     refuse(id, CallOutcome::NoRoute, now);
     return;
   }
+  const auto tenant = tenantOf(call);
+  if (table_->tenants().requiresKey() && tenant == nullptr && !route->is_public) {
+    refuseKey(id, call, *route, now);
+    return;
+  }
   CallState state;
   state.request = std::make_shared<wire::ForwardRequestT>(std::move(call.request));
   state.request->service = mesh::drawService(*route, parts_.random);
-  state.request->priority = route->priority;
+  state.request->tenant = tenant == nullptr ? "" : tenant->name;
+  state.request->priority = table_->tenants().requiresKey()
+                                ? mesh::combinedPriority(tenant.get(), route->priority)
+                                : route->priority;
+  const bool has_limit = tenant != nullptr && tenant->requests_per_second > 0;
   state.request->objective_ms = route->objective_ms;
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
   state.began = now;
@@ -54,7 +63,11 @@
   most_urgent = std::min(most_urgent, state.request->priority);
   deadlines_.emplace(state.deadline, id);
   calls_.emplace(id, std::move(state));
-  sendNext(id, now);
+  if (has_limit) {
+    sendWithinQuota(id, now);
+  } else {
+    sendNext(id, now);
+  }
 }
 
 void OutboundCalls::beginStop(TimePoint now) {
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -19,6 +19,7 @@
 #include "sidecar/retry_budget.h"
 #include "sidecar/rollout_view.h"
 #include "sidecar/target_gate.h"
+#include "sidecar/tenant_quota.h"
 
 namespace cometstand::sidecar {
 
@@ -40,6 +41,7 @@
     const RolloutView& rollouts;
     const Quarantine& quarantine;
     ReceiveCredit& credit;
+    TenantQuota& quota;
   };
 
   explicit OutboundCalls(const Parts& parts)
@@ -74,8 +76,10 @@
   void onEndpointLeaves(const runtime::Address& address, TimePoint now);
   /// The link to the endpoint ended: what was sent over it may have run.
   void onPeerLost(const runtime::Address& address, TimePoint now);
+  /// Tokens may have come for requests that wait for one.
+  void onQuota(TimePoint now);
   void onTimer(TimePoint now);
-  TimePoint nextTimer() const { return deadlines_.empty() ? TimePoint::max() : deadlines_.begin()->first; }
+  TimePoint nextTimer() const;
   std::size_t inFlight() const { return calls_.size(); }
   /// @return large answers that have begun to come.
   std::size_t answersArriving() const { return answers_.size(); }
@@ -120,6 +124,10 @@
     bool announced = false;
     std::size_t body_sent = 0;
     Duration retry_after = Duration::zero();
+    /// Of the tenant's limit, once it is taken; none if it has no limit.
+    std::optional<QuotaToken> token;
+    /// Until when the request waits for it.
+    std::optional<TimePoint> quota_deadline;
     bool takes_parts = false;
     /// Some of the answer has gone to the caller: no other endpoint may be asked.
     bool is_passed_on = false;
@@ -130,6 +138,16 @@
   /// @return true if a planned stop would end before the request has its answer and its time is up.
   bool endsTooLate(const mesh::RoutePointer& route, TimePoint deadline, TimePoint now) const;
   void refuse(CallId id, CallOutcome outcome, TimePoint now);
+  /// @return the tenant on whose behalf the call comes; nullptr if it is nobody's.
+  mesh::TenantPointer tenantOf(const Call& call) const;
+  void refuseKey(CallId id, const Call& call, const wire::MeshRouteT& route, TimePoint now);
+  /// Sends the request once its tenant's limit allows it.
+  void sendWithinQuota(CallId id, TimePoint now);
+  void carryOut(CallId id, const TenantQuota::Decision& decision, TimePoint now);
+  /// The request waits for a token no longer.
+  void endQuotaWait(CallId id, CallState& call);
+  void giveUpQuotaWaits(TimePoint now);
+  void settleToken(const CallState& call, bool ran, TimePoint now);
   /// @return when to come back to this sidecar while it stops.
   Duration afterStop(TimePoint now) const;
   void sendNext(CallId id, TimePoint now);
@@ -186,6 +204,8 @@
   std::map<CallId, CallState> calls_;
   std::map<std::uint64_t, CallId> sent_;
   std::set<std::pair<TimePoint, CallId>> deadlines_;
+  /// Requests that wait for a token of their tenant, by when they are given up.
+  std::set<std::pair<TimePoint, CallId>> quota_waits_;
   std::uint64_t next_sending_ = 1;
   std::optional<TimePoint> stop_began_;
   bool stop_ends_ = false;
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -72,6 +72,10 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   ++metrics_.callers_gone;
+  if (found->second.quota_deadline) parts_.quota.stopWaiting(found->second.request->tenant);
+  endQuotaWait(id, found->second);
+  // What was sent may have run.
+  settleToken(found->second, found->second.at || found->second.may_have_run, now);
   recall(found->second, now);
   deadlines_.erase({found->second.deadline, id});
   calls_.erase(found);
@@ -97,6 +101,7 @@
             {"status", answer.reply.status},
             {"route", call.route->name},
             {"service", call.request->service},
+            {"tenant", call.request->tenant},
             {"endpoints", describeTried(call)},
             {"revision", table_->revision()},
             {"priority", call.request->priority},
@@ -121,7 +126,11 @@
   const auto& call = found->second;
   logEnd(call, answer, now);
   metrics_.noteEnd(answer.outcome, now - call.began);
-  refusals_.note(call.request->service, answer.outcome == CallOutcome::NotRun);
+  const bool has_run = answer.outcome != CallOutcome::NotRun && answer.outcome != CallOutcome::Quarantined;
+  settleToken(call, has_run, now);
+  // A limit says nothing of the service.
+  if (answer.outcome != CallOutcome::OverQuota)
+    refusals_.note(call.request->service, answer.outcome == CallOutcome::NotRun);
   deadlines_.erase({call.deadline, id});
   const bool is_passed_on = call.is_passed_on;
   calls_.erase(found);
@@ -193,7 +202,15 @@
   }
 }
 
+TimePoint OutboundCalls::nextTimer() const {
+  TimePoint next = TimePoint::max();
+  if (!deadlines_.empty()) next = deadlines_.begin()->first;
+  if (!quota_waits_.empty()) next = std::min(next, quota_waits_.begin()->first);
+  return next;
+}
+
 void OutboundCalls::onTimer(TimePoint now) {
+  giveUpQuotaWaits(now);
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const CallId id = deadlines_.begin()->second;
     auto& call = calls_.at(id);
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -43,8 +43,11 @@
             }),
       intake_(credit_, intakeListener()),
       answers_(actions_),
+      quota_([this](const wire::QuotaRequestT& request, const auto& store, const auto& silent) {
+        return control_.askForQuota(request, store, silent);
+      }),
       calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers, rollouts_, quarantine_,
-              credit_}) {}
+              credit_, quota_}) {}
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
@@ -266,6 +269,7 @@
   gate_.onTimer(now);
   askIfDoubted(now);
   if (hasTurned(now)) onTargetChanged(now);
+  quota_.onTimer(now);
   calls_.onTimer(now);
   checkStop(now);
   if (now < expire_at_) return;
@@ -274,9 +278,9 @@
 }
 
 TimePoint SidecarCore::nextTimer() const {
-  TimePoint next =
-      std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), answers_.nextTimer(),
-                gate_.nextTimer(), calls_.nextTimer(), quarantine_.nextTimer(), expire_at_});
+  TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(),
+                             answers_.nextTimer(), gate_.nextTimer(), calls_.nextTimer(),
+                             quarantine_.nextTimer(), quota_.nextTimer(), expire_at_});
   if (rollouts_.running(gate_.target().service()) != nullptr) {
     next = std::min(next, rollout_report_at_);
     // Afterwards the gate stays as it is until the next word of a store.
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -93,6 +93,9 @@
   void onQuarantine(const wire::QuarantineUpdateT& update) override { quarantine_.apply(update); }
   void onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) override;
   void onCrashReportTaken(const std::string& instance) override { quarantine_.onReportTaken(instance); }
+  void onQuotaGrant(const runtime::Address& store, const wire::QuotaGrantT& grant, TimePoint now) override {
+    if (quota_.onGrant(store, grant, now)) calls_.onQuota(now);
+  }
 
   /// Brings the gate in line with what is known of the target's version.
   void applyRollouts(TimePoint now);
@@ -139,6 +142,7 @@
   BodyIntake intake_;
   ArrivalTimes arrivals_;
   AnswerTransfers answers_;
+  TenantQuota quota_;
   OutboundCalls calls_;
   TimePoint expire_at_;
   std::optional<TimePoint> stop_began_;
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -82,10 +82,22 @@
     "An operator orders that a zone's targets get no requests, or get them again, or sends such an order "
     "again. If is_held is true it may be a late copy, and is taken when it comes once more."};
 
+inline constexpr EventDefinition kQuotaBegan{
+    3021, LogLevel::Info, "quota_began",
+    "This store hands out the tokens of tenants from now on. If at_once is false it waits, for a few "
+    "seconds, "
+    "until all that other leaders handed out are void. No action is needed."};
+
+inline constexpr EventDefinition kQuotaUnreadable{3022, LogLevel::Error, "quota_unreadable",
+                                                  "The configuration that is in force cannot be read, so "
+                                                  "tenants keep the limits of the one before. Run the "
+                                                  "same release on all stores."};
+
 inline constexpr std::array kStoreEvents{
     kReaderAdmitted, kReaderLost,         kReaderRefused,   kReaderSilent,     kSnapshotTooLarge,
     kUnexpectedPeer, kStopBegan,          kReplacementDone, kBootstrapRefused, kFormationWaiting,
     kMembershipStep, kNodeLinked,         kNodeLost,        kRolloutOrdered,   kRolloutStep,
-    kCrashReported,  kContentQuarantined, kContentCleared,  kContentReleased,  kEvacuationOrdered};
+    kCrashReported,  kContentQuarantined, kContentCleared,  kContentReleased,  kEvacuationOrdered,
+    kQuotaBegan,     kQuotaUnreadable};
 
 }  // namespace cometstand::store
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -11,6 +11,7 @@
 #include "mesh/zone_map.h"
 #include "runtime/process_core.h"
 #include "schema/consensus_generated.h"
+#include "store/quota_ledger.h"
 
 namespace cometstand::store {
 
@@ -48,6 +49,10 @@
   double rollout_exposure_share = 0.1;
   std::uint64_t rollout_exposure_slack = 50;
 
+  /// What tenants' requests may be beyond their limits. Defaults 5 s, 0.1 and 20, ranges 1 ms to 1 h, 0 to 10
+  /// and 0 to 1,000,000.
+  QuotaBounds quota;
+
   consensus::ConsensusOptions consensus;
 
   /// Credential "bootstrap" of the tenant mesh, for the first administrator: salt, and SHA-256 of salt
--- a/src/store/store_messages.cpp
+++ b/src/store/store_messages.cpp
@@ -74,6 +74,8 @@
     if (seeds_.enabled() && nodes_.nameOf(link)) quarantine_.onReport(link, *crash, now);
   } else if (const auto* clearance = body.AsContentClearance()) {
     if (seeds_.enabled() && nodes_.nameOf(link)) quarantine_.onClearance(*clearance, now);
+  } else if (const auto* quota = body.AsQuotaRequest()) {
+    if (seeds_.enabled() && nodes_.nameOf(link)) quotas_.onRequest(link, *quota, now);
   } else if (seeds_.enabled() && nodes_.onMessage(link, message, now)) {
     return;
   } else if (requireRole(link, "relay")) {
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -133,11 +133,15 @@
     snapshot_.reset();
     rollout_clock_.refresh(state_.rollouts(), now);
     evacuations_.onRestored(now);
+    quotas_.onApplied(now);
     nodes_.onApplied(now);
   }
   applyCommitted(output.committed, now);
   for (const auto& read : output.reads) reads_.onResult(read, now);
-  if (output.quorum_round) readers_.onQuorumRound(*output.quorum_round, now);
+  if (output.quorum_round) {
+    readers_.onQuorumRound(*output.quorum_round, now);
+    quotas_.onQuorumRound(*output.quorum_round);
+  }
   return has_output;
 }
 
@@ -146,6 +150,7 @@
   const bool same_term = leadership.term == leadership_.term;
   const bool still_leads = leadership.role == consensus::Role::Leader && same_term;
   leadership_ = leadership;
+  quotas_.onLeadership(leadership, now);
   readers_.onLeaderChanged();
   members_.onLeadershipChanged(now);
   if (!was_leader || still_leads) return;
@@ -176,6 +181,7 @@
   }
   rollout_clock_.refresh(state_.rollouts(), now);
   quarantine_.logChanges();
+  quotas_.onApplied(now);
   nodes_.onApplied(now);
   readers_.sendChanges();
   waits_.check();
--- a/src/store/store_parts.h
+++ b/src/store/store_parts.h
@@ -11,6 +11,7 @@
 #include "store/mesh_service.h"
 #include "store/node_hub.h"
 #include "store/quarantine_keeper.h"
+#include "store/quota_service.h"
 #include "store/rollout_controller.h"
 #include "store/rollout_service.h"
 #include "store/seed_formation.h"
@@ -40,6 +41,7 @@
   const consensus::Consensus& consensus() const { return consensus_; }
   const StateMachine& state() const { return state_; }
   StoreMetrics metrics() const;
+  const QuotaLedger& quotas() const { return quotas_.ledger(); }
   void checkInvariants() const;
 
   void changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler, TimePoint now);
@@ -95,6 +97,7 @@
   RolloutController rollout_controller_{context_, rollout_clock_, nodes_};
   QuarantineKeeper quarantine_{context_};
   EvacuationService evacuations_{context_};
+  QuotaService quotas_{context_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   ClaimExpiry claim_expiry_{context_, writer_};
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -59,6 +59,12 @@
                "Share of a service's requests that a version may get at most before a roll-out promotes it.");
   table.integer<std::uint64_t>("store.rollout_exposure_slack", store.options.rollout_exposure_slack,
                                {0, 1'000'000}, "Requests that such a version may get besides that share.");
+  table.number("store.quota_window_seconds", store.quota_window_seconds, {0.001, 3'600},
+               "Length in seconds of the windows in which tenants' requests are held to their limits.");
+  table.number("store.quota_overshoot", store.options.quota.overshoot, {0, 10},
+               "What tenants' requests may be beyond their limit in such a window, as a share of it.");
+  table.number("store.quota_slack", store.options.quota.slack, {0, 1e6},
+               "Requests that a tenant's may be beyond its limit in such a window besides that.");
   table.duration(
       "store.replace_silent_after", store.options.replace_silent_after, {milliseconds(100), hours(24)},
       "With store.seeds: a voter without an answer for this long gives its place to a replica that has "
@@ -202,6 +208,8 @@
 
 void completeStoreOptions(StoreSettings& store) {
   if (store.advertise.host.empty()) store.advertise = store.common.listen;
+  store.options.quota.window =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(store.quota_window_seconds));
   // A zone takes at least one voter with it, so fewer voters outlast no such loss, however they are spread.
   const auto losses = std::max(store.tolerated_losses, store.options.tolerated_zone_losses);
   store.options.voters = std::clamp<std::size_t>(2 * losses + 1, kLeastVoters, kMostVoters);
--- a/src/store/store_settings.h
+++ b/src/store/store_settings.h
@@ -25,6 +25,8 @@
   std::string name;
   runtime::Address advertise;
   std::size_t tolerated_losses = 1;
+  /// Of `options.quota`.
+  double quota_window_seconds = 5;
   std::vector<ReplicaSettings> replicas;
   /// Of `options.zones`: each "ZONE=REGION".
   std::vector<std::string> zones;
--- a/tests/planned_stop/full_link.cpp
+++ b/tests/planned_stop/full_link.cpp
@@ -50,6 +50,8 @@
     case CallOutcome::NotRun:
     case CallOutcome::NoRoute:
     case CallOutcome::Quarantined:
+    case CallOutcome::UnknownKey:
+    case CallOutcome::OverQuota:
       ++account.refused;
       if (ran[id]) ++account.refused_though_run;
       return;
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -1,11 +1,14 @@
 // What platform/ reads and writes, and that nothing else knows its names.
+#include <boost/beast/core/string.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 
 #include "base/error.h"
+#include "base/random.h"
 #include "mesh/configuration.h"
+#include "mesh/tenant_table.h"
 #include "platform/configuration_format.h"
 #include "platform/heartbeat_format.h"
 #include "platform/message_format.h"
@@ -186,7 +189,7 @@
   request.set("X-Hop", "1");
   request.set("X-Own", "kept");
   request.body() = "body";
-  auto call = readCall(std::move(request));
+  auto call = readCall(std::move(request), false);
   CHECK(call.host == "h.example");
   CHECK(call.deadline == std::chrono::milliseconds(1'500));
   call.request.caller_service = "desk";
@@ -205,6 +208,107 @@
   CHECK(sent.body() == "body");
 }
 
+TEST_CASE("a key is known by its digest, and neither it nor a forged tenant goes on", "[platform]") {
+  const std::string scheme = GENERATE("Token", "token", "TOKEN", " Token", "Token \t");
+  web::Request request;
+  request.target("/p/x");
+  request.set("Authorization", scheme + " secret-key ");
+  request.set("Tenant", "forged");
+  request.insert("tenant", "forged-too");
+  auto call = readCall(std::move(request), true);
+  CHECK(call.key == mesh::digestOfKey("secret-key"));
+  call.request.tenant = "true-one";
+  sidecar::RunOrder order;
+  order.request = std::make_shared<wire::ForwardRequestT>(call.request);
+  const auto sent = makeTargetRequest(order);
+  CHECK(sent.count("Authorization") == 0);
+  CHECK(sent.count(kTenant) == 1);
+  CHECK(sent[kTenant] == "true-one");
+}
+
+TEST_CASE("a request has no key if it has none, two, or one of another scheme", "[platform]") {
+  web::Request request;
+  SECTION("none") {}
+  SECTION("two") {
+    request.insert("Authorization", "Token one");
+    request.insert("authorization", "Token two");
+  }
+  SECTION("another scheme") { request.set("Authorization", "Basic Token"); }
+  SECTION("a scheme that begins alike") { request.set("Authorization", "Tokens one"); }
+  SECTION("nothing") { request.set("Authorization", ""); }
+  SECTION("blanks") { request.set("Authorization", " \t "); }
+  const auto call = readCall(std::move(request), true);
+  CHECK_FALSE(call.key.has_value());
+  for (const auto& field : call.request.fields) CHECK(field->value.find("Token one") == std::string::npos);
+}
+
+TEST_CASE("whatever stands in the field of a key, the key does not go on", "[platform]") {
+  RandomSource random(7);
+  constexpr std::string_view kAlphabet = "Token tOKEN\t ,=:\"secret";
+  for (int round = 0; round < 20'000; ++round) {
+    std::string value = random.uniform(0, 1) == 0 ? "Token" : "";
+    const auto length = random.uniform(0, 24);
+    for (std::uint64_t i = 0; i < length; ++i) value += kAlphabet[random.uniform(0, kAlphabet.size() - 1)];
+    web::Request request;
+    request.insert("Authorization", value);
+    const auto call = readCall(std::move(request), true);
+    for (const auto& field : call.request.fields) {
+      const std::string_view text = field->value;
+      const auto begin = text.find_first_not_of(" \t");
+      const auto scheme = text.substr(std::min(begin, text.size()), 5);
+      const bool is_key = boost::beast::iequals(scheme, "token") &&
+                          (text.size() == begin + 5 || text[begin + 5] == ' ' || text[begin + 5] == '\t');
+      CHECK_FALSE(is_key);
+    }
+  }
+}
+
+TEST_CASE("without tenants the fields of a key and a tenant are as all others", "[platform]") {
+  web::Request request;
+  request.set("Authorization", "Token mine");
+  request.set("Tenant", "mine");
+  const auto call = readCall(std::move(request), false);
+  CHECK_FALSE(call.key.has_value());
+  CHECK(call.request.fields.size() == 2);
+}
+
+TEST_CASE("an order's tenants and public routes are read, and its keys go no further", "[platform]") {
+  const auto body = replaced(
+      replaced(kOrder, "\"max_attempts\":2,\"new_field\":1", "\"public\":true"), "\"limits\":",
+      R"("tenants":{"t1":{"api_keys":["key-one","key-two",""],"priority":1,"rate_per_s":6.5,"burst":7},)"
+      R"("t2":{"api_keys":["key-three"]}},"limits":)");
+  const auto change = readChange("r5", body);
+  const auto configuration = mesh::decodeConfiguration(change.configuration);
+  CHECK(configuration.requires_key);
+  CHECK(configuration.routes[0]->is_public);
+  CHECK_FALSE(configuration.routes[1]->is_public);
+  REQUIRE(configuration.tenants.size() == 2);
+  const auto& first = *configuration.tenants[0];
+  CHECK(first.name == "t1");
+  CHECK(first.requests_per_second == 6.5);
+  CHECK(first.burst == 7);
+  CHECK(first.key_digests.size() == 2);
+  const std::string bytes(change.configuration.begin(), change.configuration.end());
+  CHECK(bytes.find("key-") == std::string::npos);
+  CHECK_FALSE(mesh::decodeConfiguration(readChange("r5", kOrder).configuration).requires_key);
+  // An empty table still means that a key is needed.
+  const auto none = readChange("r5", replaced(kOrder, "\"limits\":", R"("tenants":{},"limits":)"));
+  CHECK(mesh::decodeConfiguration(none.configuration).requires_key);
+}
+
+TEST_CASE("a shared key is refused, and the refusal does not tell it", "[platform]") {
+  const auto body = replaced(
+      kOrder, "\"limits\":",
+      R"("tenants":{"t1":{"api_keys":["secret-key"]},"t2":{"api_keys":["other","secret-key"]}},"limits":)");
+  try {
+    readChange("r5", body);
+    FAIL("it was taken");
+  } catch (const Error& error) {
+    CHECK(std::string(error.what()).find("secret-key") == std::string::npos);
+    CHECK(error.remedy().find("secret-key") == std::string::npos);
+  }
+}
+
 TEST_CASE("the target's word on whether it ran the request is kept", "[platform]") {
   web::SendResult result;
   result.outcome = web::SendOutcome::Answered;
--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <fstream>
+#include <iterator>
 
 #include "base/error.h"
 #include "platform/names.h"
@@ -122,9 +124,20 @@
   return {boost::asio::ip::make_address(sidecarHost(zone)), caller_port_.port()};
 }
 
-unsigned PlatformMesh::call(std::size_t zone) {
+std::string PlatformMesh::logs() const {
+  std::string text;
+  for (const auto& entry : std::filesystem::directory_iterator(folder_.path())) {
+    if (entry.path().extension() != ".log") continue;
+    std::ifstream file(entry.path());
+    text.append(std::istreambuf_iterator<char>(file), {});
+  }
+  return text;
+}
+
+unsigned PlatformMesh::call(std::size_t zone, const std::map<std::string, std::string>& fields) {
   const auto id = fmt::format("request-{}", ++calls_);
-  const HttpQuestion question{"GET", kHost, "/", "", {{kRequestId, id}, {kDeadline, "8000"}}};
+  HttpQuestion question{"GET", kHost, "/", "", {{kRequestId, id}, {kDeadline, "8000"}}};
+  question.fields.insert(fields.begin(), fields.end());
   return ask(sidecarHost(zone), caller_port_, question).status;
 }
 
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <deque>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -75,7 +76,10 @@
   boost::asio::ip::tcp::endpoint callerEndpoint(std::size_t zone) const;
   /// Sends a request of a new id to the zone's sidecar.
   /// @return the status of the answer, or 0 if there is none.
-  unsigned call(std::size_t zone);
+  /// @param fields further header fields.
+  unsigned call(std::size_t zone, const std::map<std::string, std::string>& fields = {});
+  /// @return all that the programs have written to their logs so far.
+  std::string logs() const;
 
  private:
   std::string host(std::size_t number) const;
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -58,6 +58,11 @@
   return {std::lower_bound(arrivals_.begin(), arrivals_.end(), begin), arrivals_.end()};
 }
 
+std::string StandInTarget::seenFields() const {
+  const std::scoped_lock lock(mutex_);
+  return seen_fields_;
+}
+
 void StandInTarget::onRequest(web::ExchangeId id, web::Request request) {
   web::Response response;
   response.result(http::status::ok);
@@ -71,6 +76,10 @@
     const bool is_cold = coldRemaining() > Duration::zero();
     const std::scoped_lock lock(mutex_);
     arrivals_.push_back(SteadyClock::now());
+    for (const auto& field : request) {
+      seen_fields_ +=
+          fmt::format("{}: {}\n", std::string_view(field.name_string()), std::string_view(field.value()));
+    }
     if (is_cold) cold_arrivals_.push_back(arrivals_.back());
   }
   server_.respond(id, std::move(response));
--- a/tests/platform_processes/stand_in_target.h
+++ b/tests/platform_processes/stand_in_target.h
@@ -51,6 +51,8 @@
   /// @return those that came while it said that it was cold.
   std::vector<TimePoint> coldArrivals() const;
   std::vector<TimePoint> arrivalsSince(TimePoint begin) const;
+  /// @return the header fields of all requests that came, a line each.
+  std::string seenFields() const;
 
   void onRequest(web::ExchangeId id, web::Request request) override;
   void onCallerGone(web::ExchangeId) override {}
@@ -72,6 +74,7 @@
   TimePoint cold_until_;
   std::vector<TimePoint> arrivals_;
   std::vector<TimePoint> cold_arrivals_;
+  std::string seen_fields_;
 };
 
 /// @param times in rising order.
