A sidecar links itself to a subset of each service's endpoints

Cause: a link to every endpoint of any route, and one accepted from each: two descriptors a machine at each sidecar (2,364 measured at 1,178 machines, against a limit of 4,100), and as many connects at each when everything comes back at once. A request walked all endpoints of its service.

Change: of each version of each service 32 endpoints of the own zone and 32 of all others, by rendezvous hashing, at least 2 of each zone; all of a service while a roll-out of it runs. A request looks at the linked ones only. Closing links to endpoints that leave was tried and taken out: a test of requests that end targets saw 2 ends instead of 3 or more, not traced further.

--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,8 @@
   /// Where the sidecar beside the target listens.
   runtime::Address address;
   std::string service;
+  /// Rises with each endpoint that is listed under a service: the order in which a choice looks at them.
+  std::uint64_t number = 0;
   std::string instance;
   /// Of the target's software; empty if not known.
   std::string version;
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -62,17 +62,37 @@
 }
 
 void EndpointDirectory::setService(Endpoint& endpoint, const std::string& service) {
-  auto& listed = by_service_[service];
-  if (std::find(listed.begin(), listed.end(), &endpoint) != listed.end()) return;
+  if (endpoint.service == service) return;
   unlist(endpoint);
   endpoint.service = service;
-  listed.push_back(&endpoint);
+  endpoint.number = ++last_number_;
+  by_service_[service].push_back(&endpoint);
+  if (endpoint.linked) listLinked(endpoint);
+}
+
+void EndpointDirectory::listLinked(Endpoint& endpoint) {
+  auto& listed = linked_[endpoint.service];
+  const auto place = std::upper_bound(
+      listed.begin(), listed.end(), &endpoint,
+      [](const Endpoint* left, const Endpoint* right) { return left->number < right->number; });
+  listed.insert(place, &endpoint);
 }
 
 void EndpointDirectory::unlist(Endpoint& endpoint) {
-  const auto listed = by_service_.find(endpoint.service);
-  if (listed == by_service_.end()) return;
-  std::erase(listed->second, &endpoint);
+  for (auto* lists : {&by_service_, &linked_}) {
+    const auto listed = lists->find(endpoint.service);
+    if (listed != lists->end()) std::erase(listed->second, &endpoint);
+  }
+}
+
+void EndpointDirectory::setLinked(Endpoint& endpoint, bool is_linked) {
+  if (endpoint.linked == is_linked) return;
+  endpoint.linked = is_linked;
+  if (is_linked) {
+    listLinked(endpoint);
+  } else {
+    std::erase(linked_[endpoint.service], &endpoint);
+  }
 }
 
 Endpoint* EndpointDirectory::find(const runtime::Address& address) {
@@ -88,8 +108,8 @@
 
 Endpoint* EndpointDirectory::choose(const EndpointWant& want, const std::set<runtime::Address>& tried,
                                     RandomSource& random, TimePoint now) {
-  const auto listed = by_service_.find(want.service);
-  if (listed == by_service_.end()) return nullptr;
+  const auto listed = linked_.find(want.service);
+  if (listed == linked_.end()) return nullptr;
   std::vector<Endpoint*> candidates;
   candidates.reserve(listed->second.size());
   LoadEstimate estimate(now);
@@ -132,7 +152,7 @@
 void EndpointDirectory::noteLinked(const runtime::Address& address, TimePoint now) {
   auto* endpoint = find(address);
   if (endpoint == nullptr) return;
-  endpoint->linked = true;
+  setLinked(*endpoint, true);
   zone_health_.noteHeard(endpoint->zone, now);
 }
 
@@ -140,10 +160,18 @@
   auto* endpoint = find(address);
   if (endpoint == nullptr) return;
   const bool is_missed = endpoint->linked && endpoint->live;
-  endpoint->linked = false;
+  setLinked(*endpoint, false);
   if (is_missed) zone_health_.noteMissed(endpoint->zone, address.host, now);
 }
 
+void EndpointDirectory::noteOwn(const runtime::Address& address) {
+  if (auto* endpoint = find(address)) setLinked(*endpoint, true);
+}
+
+void EndpointDirectory::noteReleased(const runtime::Address& address) {
+  if (auto* endpoint = find(address)) setLinked(*endpoint, false);
+}
+
 Endpoint* EndpointDirectory::cheapest(const std::vector<Endpoint*>& candidates, const EndpointWant& want,
                                       const LoadEstimate& estimate, RandomSource& random,
                                       TimePoint now) const {
@@ -167,8 +195,8 @@
 }
 
 Duration EndpointDirectory::coldTime(const EndpointWant& want, TimePoint now) const {
-  const auto listed = by_service_.find(want.service);
-  if (listed == by_service_.end()) return Duration::zero();
+  const auto listed = linked_.find(want.service);
+  if (listed == linked_.end()) return Duration::zero();
   Duration least = Duration::max();
   for (const auto* endpoint : listed->second) {
     if (!filter_.isEligible(*endpoint, want)) continue;
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -51,6 +51,10 @@
   void noteLinked(const runtime::Address& address, TimePoint now);
   /// The link to the address ended, or could not be opened.
   void noteUnlinked(const runtime::Address& address, TimePoint now);
+  /// The endpoint beside this sidecar needs no link.
+  void noteOwn(const runtime::Address& address);
+  /// This sidecar gives up its link to the address: that says nothing of the endpoint.
+  void noteReleased(const runtime::Address& address);
   /// @return true if the request may be served in the endpoint's region.
   bool isAllowedRegion(const Endpoint& endpoint, const EndpointWant& want) const {
     return filter_.isAllowedRegion(endpoint, want);
@@ -84,6 +88,8 @@
   static void forgetTarget(Endpoint& endpoint);
   void setService(Endpoint& endpoint, const std::string& service);
   void unlist(Endpoint& endpoint);
+  void setLinked(Endpoint& endpoint, bool is_linked);
+  void listLinked(Endpoint& endpoint);
   /// Whoever has an endpoint in the own region may send to others.
   void countSenders();
 
@@ -93,8 +99,11 @@
   EndpointCost cost_;
   ZoneHealth zone_health_;
   std::map<runtime::Address, Endpoint> endpoints_;
-  /// The same by service: a request looks at those of its own service only.
+  /// The same by service.
   std::map<std::string, std::vector<Endpoint*>> by_service_;
+  std::uint64_t last_number_ = 0;
+  /// Those that can be reached: a request looks at these of its own service only, however many there are.
+  std::map<std::string, std::vector<Endpoint*>> linked_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -30,6 +30,13 @@
   peers_.erase(peer);
 }
 
+std::vector<Address> PeerLinks::all() const {
+  std::vector<Address> addresses;
+  addresses.reserve(peers_.size());
+  for (const auto& [address, peer] : peers_) addresses.push_back(address);
+  return addresses;
+}
+
 void PeerLinks::reset(const Address& address) {
   const auto peer = peers_.find(address);
   if (peer != peers_.end() && peer->second.link) actions_.close(*peer->second.link);
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "base/random.h"
 #include "runtime/action_queue.h"
@@ -22,6 +23,8 @@
   /// Closes the link to the address and forgets it.
   void remove(const runtime::Address& address);
   bool contains(const runtime::Address& address) const { return peers_.contains(address); }
+  /// @return all addresses to which links are kept.
+  std::vector<runtime::Address> all() const;
 
   /// @return true if the link was opened by this object and has not ended.
   bool owns(runtime::LinkId link) const { return addresses_.contains(link); }
--- a/src/sidecar/rollout_view.cpp
+++ b/src/sidecar/rollout_view.cpp
@@ -37,6 +37,14 @@
   return runs ? &found->second : nullptr;
 }
 
+std::set<std::string> RolloutView::servicesInRollout() const {
+  std::set<std::string> services;
+  for (const auto& [service, record] : records_) {
+    if (running(service) != nullptr) services.insert(service);
+  }
+  return services;
+}
+
 bool RolloutView::isCanary(const std::string& service) const {
   const auto* record = running(service);
   return record != nullptr && record->phase == Phase::Canary;
--- a/src/sidecar/rollout_view.h
+++ b/src/sidecar/rollout_view.h
@@ -39,6 +39,8 @@
 
   /// @return the service's roll-out that is not over; nullptr if there is none.
   const wire::RolloutRecordT* running(const std::string& service) const;
+  /// @return the services with such a one.
+  std::set<std::string> servicesInRollout() const;
   /// @return true while the service's new version gets a share only.
   bool isCanary(const std::string& service) const;
   /// @return where reports go.
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -35,6 +35,7 @@
       control_(options_, actions_, random_, *this),
       quarantine_([this](const runtime::MessagePointer& message) { control_.broadcast(message); }),
       endpoints_(options_, evacuations_),
+      subset_(options_.node, options_.zone),
       peers_(actions_, random_),
       incarnation_(random_.uniform(0, UINT64_MAX)),
       gate_(options_, target, quarantine_,
@@ -185,11 +186,13 @@
     if (record->state == wire::EndpointState::Leaving)
       calls_.onEndpointLeaves({record->address, record->port}, now);
   }
-  linkTo(update, now);
+  chooseAmong(update, now);
 }
 
 void SidecarCore::onRollouts(const wire::RolloutUpdateT& update, TimePoint now) {
   rollouts_.apply(update, now);
+  subset_.setWhole(rollouts_.servicesInRollout());
+  openLinks(now);
   applyRollouts(now);
   // The leader waits for this sidecar's word on the step.
   reportRollout(now);
@@ -239,20 +242,36 @@
   control_.send(*rollouts_.leader(), std::move(report));
 }
 
-void SidecarCore::linkTo(const wire::EndpointUpdateT& update, TimePoint now) {
+void SidecarCore::chooseAmong(const wire::EndpointUpdateT& update, TimePoint now) {
   for (const auto& record : update.records) {
     const Address address{record->address, record->port};
-    auto* endpoint = endpoints_.find(address);
-    if (endpoint == nullptr) continue;
+    const auto* endpoint = endpoints_.find(address);
     if (address == options_.advertise) {
-      endpoint->linked = true;
-    } else {
-      peers_.add(address, now);
+      endpoints_.noteOwn(address);
+    } else if (endpoint != nullptr) {
+      // One that leaves keeps its link until it is gone: most come back a moment later.
+      subset_.add(address, endpoint->service, endpoint->version, endpoint->zone);
     }
   }
+  openLinks(now);
+}
+
+void SidecarCore::openLinks(TimePoint now) {
+  for (const auto& address : subset_.refresh()) peers_.add(address, now);
   peers_.onTimer(now);
 }
 
+/// What was sent over a link is answered over it.
+void SidecarCore::closeLinks() {
+  for (const auto& address : peers_.all()) {
+    const auto* endpoint = endpoints_.find(address);
+    const bool is_needed = subset_.contains(address) || (endpoint != nullptr && endpoint->outstanding > 0);
+    if (is_needed) continue;
+    endpoints_.noteReleased(address);
+    peers_.remove(address);
+  }
+}
+
 void SidecarCore::onTimer(TimePoint now) {
   advance(now);
   control_.onTimer(now);
@@ -274,7 +293,12 @@
   checkStop(now);
   if (now < expire_at_) return;
   expire_at_ = now + kExpireInterval;
-  for (const auto& address : endpoints_.expire(now)) peers_.remove(address);
+  for (const auto& address : endpoints_.expire(now)) {
+    subset_.remove(address);
+    peers_.remove(address);
+  }
+  openLinks(now);
+  closeLinks();
 }
 
 TimePoint SidecarCore::nextTimer() const {
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -10,6 +10,7 @@
 #include "sidecar/arrival_times.h"
 #include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
+#include "sidecar/endpoint_subset.h"
 #include "sidecar/outbound_calls.h"
 
 namespace cometstand::sidecar {
@@ -115,8 +116,12 @@
   void askTarget();
   bool isNamed(const std::string& service) const;
   wire::EndpointRecordT ownRecord() const;
-  /// Opens links to the endpoints of the update.
-  void linkTo(const wire::EndpointUpdateT& update, TimePoint now);
+  /// Takes the endpoints of the update into the subset, or out of it.
+  void chooseAmong(const wire::EndpointUpdateT& update, TimePoint now);
+  /// Opens links to the endpoints that have come into the subset.
+  void openLinks(TimePoint now);
+  /// Closes idle links to endpoints that are not in it any more.
+  void closeLinks();
   void checkStop(TimePoint now);
   /// @return true if nothing is under way for callers or for other sidecars.
   bool isIdle() const;
@@ -133,6 +138,7 @@
   Quarantine quarantine_;
   ZoneEvacuations evacuations_;
   EndpointDirectory endpoints_;
+  EndpointSubset subset_;
   PeerLinks peers_;
   RolloutView rollouts_;
   std::uint64_t incarnation_;
--- a/tests/sidecar/endpoint_directory_test.cpp
+++ b/tests/sidecar/endpoint_directory_test.cpp
@@ -32,7 +32,7 @@
       update.records.push_back(std::move(record));
     }
     directory.apply(update, true, now);
-    for (const auto& address : {kFast, kSlow}) directory.find(address)->linked = true;
+    for (const auto& address : {kFast, kSlow}) directory.noteOwn(address);
   }
 
   void report(const runtime::Address& address, std::uint32_t run_time_permille, unsigned running = 0) {
@@ -197,7 +197,7 @@
   record->slots = kSlots;
   update.records.push_back(std::move(record));
   fixture.directory.apply(update, false, fixture.now);
-  fixture.directory.find(joined)->linked = true;
+  fixture.directory.noteOwn(joined);
   CHECK(fixture.drawsOf(joined) > 0);
 }
 
