Scarce retries go to callers who have come back already

A fresh caller who is refused comes back, a returned one is lost: of requests that fail with probability p at each try a retry of a returned one saves 1 - p, one of a fresh one p (1 - p).

--- a/src/sidecar/retry_budget.h
+++ b/src/sidecar/retry_budget.h
@@ -2,43 +2,72 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "base/time.h"
+
 namespace cometstand::sidecar {
 
 /// This sidecar's part of the retries that all sidecars together may send to a service: a token bucket for
 /// each service, filled by its requests.
+///
+/// It answers targets that turn many requests away although they have room: then more retries are wanted than
+/// are allowed, and they go to those who would be lost without. Of requests that fail with probability p at
+/// each try, and whose callers come back once, p^2 are lost without retries; a retry of a returned one saves
+/// 1 - p of a request, one of a fresh one p (1 - p) only.
 class RetryBudget {
  public:
   /// @param shared_ratio what all sidecars together may send again, as a share of the requests; half of it is
   /// used.
   RetryBudget(double shared_ratio, double burst) : ratio_(shared_ratio * kUsedShare), burst_(burst) {}
 
+  /// What speaks for one more sending of a request.
+  struct Claim {
+    /// No more urgent requests come for the service; any other leaves the last token to those.
+    bool is_urgent = false;
+    /// The caller will hardly come back once it is refused.
+    bool is_last_chance = false;
+  };
+
   /// A first sending of a request for the service.
   void onRequest(const std::string& service) {
-    double& tokens = tokens_.try_emplace(service, kFirstTokens).first->second;
+    double& tokens = buckets_[service].tokens;
     tokens = std::min(tokens + ratio_, std::max(burst_, kFirstTokens));
   }
 
-  /// @param is_urgent false leaves the last token to more urgent requests for the service.
   /// @return true if one more sending is allowed; it is then counted.
-  bool take(const std::string& service, bool is_urgent) {
-    const auto tokens = tokens_.find(service);
-    const double least = is_urgent ? 1 : 1 + kReserved;
-    if (tokens == tokens_.end() || tokens->second < least) return false;
-    tokens->second -= 1;
+  bool take(const std::string& service, const Claim& claim, TimePoint now) {
+    const auto found = buckets_.find(service);
+    if (found == buckets_.end()) return false;
+    auto& bucket = found->second;
+    const bool is_scarce = bucket.missed_at && now < *bucket.missed_at + kScarceTime;
+    const bool yields = !claim.is_urgent || (is_scarce && !claim.is_last_chance);
+    if (bucket.tokens < (yields ? 1 + kReserved : 1)) {
+      if (claim.is_last_chance) bucket.missed_at = now;
+      return false;
+    }
+    bucket.tokens -= 1;
     return true;
   }
 
  private:
+  struct Bucket {
+    double tokens = kFirstTokens;
+    /// When a last chance was last given up for want of a token.
+    std::optional<TimePoint> missed_at;
+  };
+
   static constexpr double kFirstTokens = 1;
-  /// Tokens that are kept for urgent requests.
+  /// Tokens that are kept for those who do not yield.
   static constexpr double kReserved = 1;
   static constexpr double kUsedShare = 0.5;
+  /// For which retries count as scarce: some requests of a sidecar that sends two a second.
+  static constexpr Duration kScarceTime = std::chrono::seconds(3);
 
   double ratio_;
   double burst_;
-  std::map<std::string, double> tokens_;
+  std::map<std::string, Bucket> buckets_;
 };
 
 }  // namespace cometstand::sidecar
