--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -205,10 +205,6 @@
   return least == Duration::max() ? Duration::zero() : least;
 }
 
-bool EndpointDirectory::isLinked() const {
-  return std::any_of(linked_.begin(), linked_.end(), [](const auto& item) { return !item.second.empty(); });
-}
-
 bool EndpointDirectory::knows(const std::string& service) const {
   const auto listed = by_service_.find(service);
   return listed != by_service_.end() && std::any_of(listed->second.begin(), listed->second.end(),
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -60,8 +60,6 @@
     return filter_.isAllowedRegion(endpoint, want);
   }
 
-  /// @return true if any endpoint can be reached.
-  bool isLinked() const;
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
 
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -55,8 +55,6 @@
   void setRoutes(mesh::RouteTablePointer table) { table_ = std::move(table); }
   const mesh::RouteTablePointer& routes() const { return table_; }
 
-  /// The process starts.
-  void start(TimePoint now) { started_at_ = now; }
   void begin(CallId id, Call call, TimePoint now);
   /// A planned stop began: what could not be answered before its end is refused.
   void beginStop(TimePoint now);
@@ -198,8 +196,6 @@
   /// @return true if the request may be sent once more to a target.
   bool takeRetry(const CallState& call, TimePoint now);
   Duration comeBackAfter(const CallState& call, TimePoint now);
-  /// @return the usual time until a sidecar that has started serves; zero once this one does.
-  Duration untilServing(TimePoint now) const;
 
   Parts parts_;
   RetryBudget budget_;
@@ -217,7 +213,6 @@
   /// Requests that wait for a token of their tenant, by when they are given up.
   std::set<std::pair<TimePoint, CallId>> quota_waits_;
   std::uint64_t next_sending_ = 1;
-  TimePoint started_at_;
   std::optional<TimePoint> stop_began_;
   bool stop_ends_ = false;
 };
--- a/src/sidecar/outbound_ends.cpp
+++ b/src/sidecar/outbound_ends.cpp
@@ -15,10 +15,6 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(80);
 /// From the usual end of a planned stop until the process that follows is up.
 constexpr Duration kStartTime = std::chrono::seconds(1);
-/// From the start of the process until it has a configuration and links. After a loss of power of 984
-/// machines: 0.36 s until the configuration, 0.74 s until the links, as one sidecar's log told. Who came back
-/// after 80 to 160 ms was refused again, and lost.
-constexpr Duration kServingTime = std::chrono::milliseconds(800);
 /// Callers wait for as much of the time that they have left, but no longer, before they come back.
 constexpr double kHonouredShare = 1.0 / 3;
 /// An endpoint whose link ended while it had requests is avoided for a while.
@@ -47,8 +43,7 @@
 void OutboundCalls::refuse(CallId id, CallOutcome outcome, TimePoint now) {
   CallAnswer answer;
   answer.outcome = outcome;
-  if (outcome == CallOutcome::NotRun)
-    answer.retry_after = stop_began_ ? afterStop(now) : std::max(kDefaultRetryAfter, untilServing(now));
+  if (outcome == CallOutcome::NotRun) answer.retry_after = stop_began_ ? afterStop(now) : kDefaultRetryAfter;
   metrics_.noteEnd(outcome, Duration::zero());
   parts_.callers.answer(id, std::move(answer));
 }
@@ -155,17 +150,11 @@
   // While all targets are cold, who comes back takes the room of others.
   const Duration cold = std::min(parts_.endpoints.coldTime(wantOf(call), now), honoured);
   const Duration wish = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
-  const Duration least = std::max({wish, cold, std::min(untilServing(now), honoured)});
+  const Duration least = std::max(wish, cold);
   const auto spread = std::chrono::duration_cast<Duration>(honoured * refusals_.of(call.request->service));
   return parts_.random.uniform(least, least + std::max(least, spread));
 }
 
-Duration OutboundCalls::untilServing(TimePoint now) const {
-  const bool reaches_all_known = parts_.endpoints.all().empty() || parts_.endpoints.isLinked();
-  if (table_ != nullptr && reaches_all_known) return Duration::zero();
-  return std::max(Duration::zero(), started_at_ + kServingTime - now);
-}
-
 void OutboundCalls::finishNotRun(CallId id, TimePoint now) {
   CallAnswer answer;
   answer.outcome = CallOutcome::NotRun;
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -23,7 +23,6 @@
   /// Closes the link to the address and forgets it.
   void remove(const runtime::Address& address);
   bool contains(const runtime::Address& address) const { return peers_.contains(address); }
-  bool empty() const { return peers_.empty(); }
   /// @return all addresses to which links are kept.
   std::vector<runtime::Address> all() const;
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -18,9 +18,6 @@
 /// Timers come at least each kExpireInterval, so a longer time without any event was one in which the process
 /// stood still, and its target may have started again.
 constexpr Duration kSuspension = std::chrono::seconds(2);
-/// For which a sidecar with a configuration says that it is not ready while it reaches no other one. After a
-/// loss of power of 984 machines the first links were open 0.4 s after the configuration.
-constexpr Duration kLinkPatience = std::chrono::seconds(1);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 /// In a planned stop the target gets requests for so many of its usual run times less than callers are
 /// served: most of what began last then ends before the process does.
@@ -55,7 +52,6 @@
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
-  calls_.start(now);
   control_.begin(now);
 }
 
@@ -70,7 +66,6 @@
   if (control_.owns(link)) {
     control_.onLinkOpened(link, now);
   } else if (const auto address = peers_.onLinkOpened(link)) {
-    was_linked_ = true;
     endpoints_.noteLinked(*address, now);
   }
 }
@@ -176,7 +171,6 @@
 
 void SidecarCore::onConfiguration(const mesh::RouteTablePointer& table, TimePoint now) {
   const bool is_first = calls_.routes() == nullptr;
-  if (is_first) configured_at_ = now;
   calls_.setRoutes(table);
   setColdStart(now);
   gate_.setRoutes(table);
@@ -263,17 +257,8 @@
 }
 
 void SidecarCore::openLinks(TimePoint now) {
-  const auto added = subset_.refresh();
-  if (added.empty()) return;
-  for (const auto& address : added) peers_.add(address, now);
+  for (const auto& address : subset_.refresh()) peers_.add(address, now);
   peers_.onTimer(now);
-  // While a list grows, as after a start of the whole fleet, each addition displaces another one.
-  closeLinks();
-}
-
-bool SidecarCore::canReachOthers() const {
-  const bool has_waited = configured_at_ && now_ >= *configured_at_ + kLinkPatience;
-  return was_linked_ || has_waited || peers_.empty();
 }
 
 /// What was sent over a link is answered over it.
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -55,7 +55,7 @@
   }
 
   /// @return true if callers may be sent here.
-  bool ready() const { return calls_.routes() != nullptr && !stop_began_ && canReachOthers(); }
+  bool ready() const { return calls_.routes() != nullptr && !stop_began_; }
   /// @return the configuration in force; nullptr before the first one.
   const mesh::RouteTablePointer& routes() const { return calls_.routes(); }
   /// @return true from the beginning of a planned stop on.
@@ -122,9 +122,6 @@
   void openLinks(TimePoint now);
   /// Closes idle links to endpoints that are not in it any more.
   void closeLinks();
-  /// @return true once a link to another sidecar was open, if any is known; at last some time after the first
-  /// configuration, so that a sidecar that reaches nobody says so to its callers itself.
-  bool canReachOthers() const;
   void checkStop(TimePoint now);
   /// @return true if nothing is under way for callers or for other sidecars.
   bool isIdle() const;
@@ -158,9 +155,6 @@
   TimePoint stop_check_at_;
   /// The endpoint's record says that it leaves, since this sidecar stops.
   bool withdrawn_ = false;
-  /// A link to another sidecar was open.
-  bool was_linked_ = false;
-  std::optional<TimePoint> configured_at_;
   std::map<ErrorKind, std::uint64_t> unreadable_words_;
   /// The endpoint's newest record says that the target is cold.
   bool is_reported_cold_ = false;
--- a/tests/sidecar/sidecar_core_test.cpp
+++ b/tests/sidecar/sidecar_core_test.cpp
@@ -215,37 +215,4 @@
   CHECK(sidecar.links.contains(later));
 }
 
-TEST_CASE("a sidecar that has just started tells callers when it will serve, and others when it does",
-          "[sidecar]") {
-  SidecarFixture sidecar;
-  const auto id = sidecar.call("/read/x");
-  const auto told = sidecar.callers.answers.at(id).retry_after;
-  CHECK(told >= milliseconds(500));
-  CHECK(told <= milliseconds(1'000));
-  // It knows another sidecar, which it cannot reach yet.
-  wire::EndpointUpdateT update;
-  auto record = std::make_shared<wire::EndpointRecordT>();
-  record->service = "shop";
-  record->endpoint = "far";
-  record->address = SidecarFixture::kPeer.host;
-  record->port = SidecarFixture::kPeer.port;
-  record->zone = "zone-a";
-  record->state = wire::EndpointState::Live;
-  update.records.push_back(record);
-  sidecar.configure();
-  sidecar.core.onMessage(sidecar.links.at(SidecarFixture::kStore), runtime::makeEnvelope(update, 0),
-                         sidecar.now);
-  auto actions = sidecar.core.takeActions();
-  REQUIRE(actions.connects.size() == 1);
-  CHECK_FALSE(sidecar.core.ready());
-  SECTION("its first link opens") {
-    sidecar.core.onLinkOpened(actions.connects.front().link, {}, sidecar.now);
-    CHECK(sidecar.core.ready());
-  }
-  SECTION("no link opens for a while") {
-    sidecar.pass(milliseconds(1'600));
-    CHECK(sidecar.core.ready());
-  }
-}
-
 }  // namespace cometstand::sidecar::test
