--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -16,7 +16,7 @@
 void PeerLinks::add(const Address& address, TimePoint now) {
   if (peers_.contains(address)) return;
   peers_.emplace(address, Peer{std::nullopt, false, now, {kReconnectMinimum, kReconnectMaximum}, {}});
-  due_.emplace(now, address);
+  fresh_.push_back(address);
 }
 
 void PeerLinks::remove(const Address& address) {
@@ -27,6 +27,7 @@
     addresses_.erase(*peer->second.link);
   }
   due_.erase({peer->second.connect_at, address});
+  std::erase(fresh_, address);
   peers_.erase(peer);
 }
 
@@ -75,16 +76,35 @@
   return peer->second.link;
 }
 
+void PeerLinks::connect(const Address& address, Peer& peer) {
+  peer.link = actions_.connect(address, peer.connect_limit.next());
+  addresses_[*peer.link] = address;
+}
+
+void PeerLinks::connectFresh(TimePoint now) {
+  if (now >= fresh_at_) {
+    fresh_at_ = now + kConnectPause;
+    fresh_made_ = 0;
+  }
+  for (; fresh_made_ < kConnectsAtOnce && !fresh_.empty(); ++fresh_made_) {
+    const Address address = fresh_.front();
+    fresh_.pop_front();
+    connect(address, peers_.at(address));
+  }
+}
+
 void PeerLinks::onTimer(TimePoint now) {
+  connectFresh(now);
   while (!due_.empty() && due_.begin()->first <= now) {
     const Address address = due_.begin()->second;
     due_.erase(due_.begin());
-    auto& peer = peers_.at(address);
-    peer.link = actions_.connect(address, peer.connect_limit.next());
-    addresses_[*peer.link] = address;
+    connect(address, peers_.at(address));
   }
 }
 
-TimePoint PeerLinks::nextTimer() const { return due_.empty() ? TimePoint::max() : due_.begin()->first; }
+TimePoint PeerLinks::nextTimer() const {
+  const TimePoint retry = due_.empty() ? TimePoint::max() : due_.begin()->first;
+  return fresh_.empty() ? retry : std::min(retry, fresh_at_);
+}
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +15,10 @@
 
 /// One link to each of a set of addresses, opened again when it ends. Which addresses those are, the owner
 /// says.
+///
+/// The first connects are made a few at a time, in the order in which addresses were added, so that the first
+/// links are of use while the others still open: on a tenth of a core 128 connects at once, and as many from
+/// other machines, took 0.37 s in which nothing else was done.
 class PeerLinks {
  public:
   PeerLinks(runtime::ActionQueue& actions, RandomSource& random) : actions_(actions), random_(random) {}
@@ -43,6 +48,10 @@
   void onTimer(TimePoint now);
   TimePoint nextTimer() const;
 
+  /// First connects that are made at once, and the pause before the next: 200 a second.
+  static constexpr std::size_t kConnectsAtOnce = 8;
+  static constexpr Duration kConnectPause = std::chrono::milliseconds(40);
+
  private:
   struct Peer {
     std::optional<runtime::LinkId> link;
@@ -52,6 +61,9 @@
     runtime::ConnectLimit connect_limit;
   };
 
+  void connect(const runtime::Address& address, Peer& peer);
+  void connectFresh(TimePoint now);
+
   runtime::ActionQueue& actions_;
   RandomSource& random_;
   std::map<runtime::Address, Peer> peers_;
@@ -59,6 +71,11 @@
   /// The peers without a link, by the time of their next connect: there are hundreds of peers, and the next
   /// timer is asked for after each message.
   std::set<std::pair<TimePoint, runtime::Address>> due_;
+  /// Those that were never connected, in their order.
+  std::deque<runtime::Address> fresh_;
+  /// Their connects since the last pause, and when it ends.
+  std::size_t fresh_made_ = 0;
+  TimePoint fresh_at_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -257,7 +257,16 @@
 }
 
 void SidecarCore::openLinks(TimePoint now) {
-  for (const auto& address : subset_.refresh()) peers_.add(address, now);
+  auto added = subset_.refresh();
+  // Each machine in an order of its own, the own zone first: those who start together must not all connect to
+  // the same ones.
+  for (std::size_t left = added.size(); left > 1; --left)
+    std::swap(added[left - 1], added[random_.uniform(0, left - 1)]);
+  std::stable_partition(added.begin(), added.end(), [this](const Address& address) {
+    const auto* endpoint = endpoints_.find(address);
+    return endpoint != nullptr && endpoint->zone == options_.zone;
+  });
+  for (const auto& address : added) peers_.add(address, now);
   peers_.onTimer(now);
 }
 
--- a/tests/sidecar/peer_links_test.cpp
+++ b/tests/sidecar/peer_links_test.cpp
@@ -64,4 +64,34 @@
   CHECK(nextConnect().time_limit == first);
 }
 
+TEST_CASE("first connects are made a few at a time, in their order, and others do not wait for them",
+          "[sidecar]") {
+  constexpr std::size_t kPeers = 100;
+  runtime::ActionQueue actions;
+  RandomSource random{1};
+  PeerLinks links{actions, random};
+  TimePoint now{seconds(100)};
+  const auto addressOf = [](std::size_t number) {
+    return runtime::Address{"10.0.1." + std::to_string(number), 7000};
+  };
+  for (std::size_t i = 0; i < kPeers; ++i) links.add(addressOf(kPeers - i), now);
+  links.remove(addressOf(kPeers - 1));
+  links.onTimer(now);
+  const auto first = actions.take().connects;
+  REQUIRE(first.size() == PeerLinks::kConnectsAtOnce);
+  CHECK(first.front().address == addressOf(kPeers));
+  CHECK(first.back().address == addressOf(kPeers - PeerLinks::kConnectsAtOnce));
+  // One that ends is connected again by its own pause.
+  links.onLinkClosed(first.front().link, now);
+  std::size_t connects = first.size();
+  const TimePoint begin = now;
+  while (links.nextTimer() != TimePoint::max()) {
+    now = std::max(now, links.nextTimer());
+    links.onTimer(now);
+    connects += actions.take().connects.size();
+  }
+  CHECK(connects == kPeers);
+  CHECK(now - begin <= kPeers / PeerLinks::kConnectsAtOnce * PeerLinks::kConnectPause + milliseconds(60));
+}
+
 }  // namespace cometstand::sidecar::test
