--- a/src/mesh/configuration.cpp
+++ b/src/mesh/configuration.cpp
@@ -53,17 +53,17 @@
   std::set<std::string> names;
   std::map<ContentDigest, std::string> owners;
   for (const auto& tenant : configuration.tenants) {
-    const auto refuseTenant = [&tenant](const char* problem, const char* remedy) {
+    const auto refuse_tenant = [&tenant](const char* problem, const char* remedy) {
       throw Error(ErrorKind::Invalid, fmt::format("tenant {}: {}", tenant->name, problem), remedy);
     };
     if (tenant->name.empty() || !names.insert(tenant->name).second)
-      refuseTenant("the name is empty or used twice", "give each tenant a name of its own");
+      refuse_tenant("the name is empty or used twice", "give each tenant a name of its own");
     if (tenant->requests_per_second < 0 || tenant->burst < 0)
-      refuseTenant("its limit is below zero", "set a limit of zero for none");
+      refuse_tenant("its limit is below zero", "set a limit of zero for none");
     for (const auto& digest : tenant->key_digests) {
       const auto& owner = owners.emplace(readDigest(digest), tenant->name).first->second;
       if (owner != tenant->name)
-        refuseTenant("another tenant has the same key", "give each tenant keys of its own");
+        refuse_tenant("another tenant has the same key", "give each tenant keys of its own");
     }
   }
 }
--- a/src/sidecar/answer_intake.cpp
+++ b/src/sidecar/answer_intake.cpp
@@ -8,8 +8,8 @@
 void AnswerIntake::begin(std::uint64_t sending, const wire::ForwardReplyT& reply, unsigned priority,
                          Duration way, TimePoint now) {
   now_ = now;
-  const auto grantTo = [this, sending](std::uint32_t bytes) { grant(sending, bytes); };
-  const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grantTo, now, way);
+  const auto grant_to = [this, sending](std::uint32_t bytes) { grant(sending, bytes); };
+  const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grant_to, now, way);
   auto& answer = answers_.emplace(sending, Answer{reply, flow, std::nullopt}).first->second;
   if (all_due_) expedite(answer, *all_due_);
   credit_.grantMore(now);
--- a/tests/sidecar/peer_links_test.cpp
+++ b/tests/sidecar/peer_links_test.cpp
@@ -71,16 +71,16 @@
   RandomSource random{1};
   PeerLinks links{actions, random};
   TimePoint now{seconds(100)};
-  const auto addressOf = [](std::size_t number) {
+  const auto address_of = [](std::size_t number) {
     return runtime::Address{"10.0.1." + std::to_string(number), 7000};
   };
-  for (std::size_t i = 0; i < kPeers; ++i) links.add(addressOf(kPeers - i), now);
-  links.remove(addressOf(kPeers - 1));
+  for (std::size_t i = 0; i < kPeers; ++i) links.add(address_of(kPeers - i), now);
+  links.remove(address_of(kPeers - 1));
   links.onTimer(now);
   const auto first = actions.take().connects;
   REQUIRE(first.size() == PeerLinks::kConnectsAtOnce);
-  CHECK(first.front().address == addressOf(kPeers));
-  CHECK(first.back().address == addressOf(kPeers - PeerLinks::kConnectsAtOnce));
+  CHECK(first.front().address == address_of(kPeers));
+  CHECK(first.back().address == address_of(kPeers - PeerLinks::kConnectsAtOnce));
   // One that ends is connected again by its own pause.
   links.onLinkClosed(first.front().link, now);
   std::size_t connects = first.size();
