How many retries a sidecar may save up follows from the shared slack and the number of sidecars

Change: a sidecar keeps 0.8 of the slack divided by the number of sidecars, one at least and retry_burst at most; what is beyond that fades.

--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -47,7 +47,7 @@
 
   explicit OutboundCalls(const Parts& parts)
       : parts_(parts),
-        budget_(parts.options.retry_ratio, parts.options.retry_burst),
+        budget_(parts.options.retry_ratio, parts.options.retry_burst, parts.options.retry_slack),
         answers_(parts.credit, [this](std::uint64_t sending, const wire::BodyGrantT& grant) {
           grantAnswer(sending, grant);
         }) {}
@@ -67,6 +67,8 @@
   /// @param request_id as it was sent; `from` the endpoint's address.
   void onReply(const runtime::Address& from, std::uint64_t request_id, const wire::ForwardReplyT& reply,
                TimePoint now);
+  /// So many sidecars are known.
+  void setSidecars(std::size_t sidecars) { budget_.setSidecars(sidecars); }
   /// The endpoint is ready to receive so many more bytes of an announced body.
   void onGrant(const runtime::Address& from, std::uint64_t request_id, std::size_t bytes, TimePoint now);
   /// The next bytes of an answer whose body follows.
--- a/src/sidecar/retry_budget.h
+++ b/src/sidecar/retry_budget.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,7 +22,15 @@
  public:
   /// @param shared_ratio what all sidecars together may send again, as a share of the requests; half of it is
   /// used.
-  RetryBudget(double shared_ratio, double burst) : ratio_(shared_ratio * kUsedShare), burst_(burst) {}
+  /// @param shared_slack what they may send again besides.
+  RetryBudget(double shared_ratio, double burst, double shared_slack)
+      : ratio_(shared_ratio * kUsedShare), burst_(burst), shared_slack_(shared_slack) {}
+
+  /// So many sidecars share what is allowed.
+  void setSidecars(std::size_t sidecars) {
+    const double part = kUsedSlack * shared_slack_ / static_cast<double>(std::max<std::size_t>(1, sidecars));
+    kept_ = std::clamp(part, kFirstTokens, std::max(burst_, kFirstTokens));
+  }
 
   /// What speaks for one more sending of a request.
   struct Claim {
@@ -34,7 +43,7 @@
   /// A first sending of a request for the service.
   void onRequest(const std::string& service, TimePoint now) {
     auto& bucket = buckets_[service];
-    bucket.fade(now);
+    bucket.fade(kept_, now);
     bucket.tokens = std::min(bucket.tokens + ratio_, std::max(burst_, kFirstTokens));
   }
 
@@ -43,7 +52,7 @@
     const auto found = buckets_.find(service);
     if (found == buckets_.end()) return false;
     auto& bucket = found->second;
-    bucket.fade(now);
+    bucket.fade(kept_, now);
     const bool is_scarce = bucket.missed_at && now < *bucket.missed_at + kScarceTime;
     const bool yields = !claim.is_urgent || (is_scarce && !claim.is_last_chance);
     if (bucket.tokens < (yields ? 1 + kReserved : 1)) {
@@ -59,13 +68,13 @@
     double tokens = kFirstTokens;
     TimePoint faded_at;
 
-    /// What is saved beyond the first token fades: else all sidecars together could save up `burst` each,
-    /// more than all may send again in a window (3,500 of 2,000 at 1,178 sidecars), and send it at one
-    /// moment.
-    void fade(TimePoint now) {
-      if (tokens > kFirstTokens) {
+    /// What is saved beyond a part of the shared slack fades: else all sidecars together could save up
+    /// `burst` each, more than all may send again in a window (3,500 of 2,000 at 1,178 sidecars), and send it
+    /// at one moment.
+    void fade(double kept, TimePoint now) {
+      if (tokens > kept) {
         const double time = std::chrono::duration<double>(now - faded_at).count();
-        tokens = kFirstTokens + (tokens - kFirstTokens) * std::exp(-time / kFadeSeconds);
+        tokens = kept + (tokens - kept) * std::exp(-time / kFadeSeconds);
       }
       faded_at = now;
     }
@@ -84,8 +93,14 @@
   /// sidecar that sends two requests a second served 0.39 of a caller each, as the test plays it, of 0.45.
   static constexpr Duration kScarceTime = std::chrono::seconds(10);
 
+  /// The rest of the slack is for chance.
+  static constexpr double kUsedSlack = 0.8;
+
   double ratio_;
   double burst_;
+  double shared_slack_;
+  /// Tokens that a sidecar may keep for as long as it likes.
+  double kept_ = kFirstTokens;
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -186,6 +186,7 @@
     if (record->state == wire::EndpointState::Leaving)
       calls_.onEndpointLeaves({record->address, record->port}, now);
   }
+  calls_.setSidecars(endpoints_.all().size());
   chooseAmong(update, now);
 }
 
--- a/src/sidecar/sidecar_options.h
+++ b/src/sidecar/sidecar_options.h
@@ -43,6 +43,10 @@
   /// Such sendings that may be saved up for a service. Default 3, range 0 to 1,000.
   double retry_burst = 3;
 
+  /// Such sendings in a window of ten seconds that all sidecars together may add beyond the share. Default
+  /// 64, range 0 to 1,000,000.
+  double retry_slack = 64;
+
   /// Most endpoints that are asked one after another for a request that none has run. Default 2, range 1
   /// to 10: under overload each further one costs more on narrow links than it finds
   /// (docs/design/shifted-work.md).
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -19,6 +19,10 @@
       "requests for a service; each uses half of it at most.");
   table.number("sidecar.retry_burst", options.retry_burst, {0, 1'000},
                "Such sendings that may be saved up for a service.");
+  table.number(
+      "sidecar.retry_slack", options.retry_slack, {0, 1e6},
+      "Such sendings in ten seconds that all sidecars together may add beyond the share; how many may be "
+      "saved up for long follows from it and from the number of sidecars.");
   table.integer<unsigned>("sidecar.max_refusals", options.max_refusals, {1, 10},
                           "Endpoints that are asked one after another for a request that none has run.");
   table.number("sidecar.other_zone_cost", options.zone_cost.base, {0, 10},
