Retries go to whoever asks first again

Tried and taken out: retries for callers who have come back. Why a fresh caller's second try is worth more there was not traced. The fading of saved retries stays.

--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -56,7 +56,6 @@
     refuse(id, CallOutcome::NotRun, now);
     return;
   }
-  state.is_last_chance = call.deadline && returning_.note(route->name, *call.deadline);
   state.route = std::move(route);
   state.revision = table_->revision();
   budget_.onRequest(state.request->service, now);
@@ -267,10 +266,6 @@
   return known == most_urgent_.end() || call.request->priority <= known->second;
 }
 
-bool OutboundCalls::takeRetry(const CallState& call, TimePoint now) {
-  return budget_.take(call.request->service, {isUrgent(call), call.is_last_chance}, now);
-}
-
 void OutboundCalls::onRefused(CallId id, CallState& call, const wire::ForwardReplyT& reply, TimePoint now) {
   if (reply.reason == wire::NotRunReason::Quarantined) {
     finishQuarantined(id, now);
@@ -289,7 +284,7 @@
   if (reached_target) ++call.sendings;
   const bool is_allowed = call.refusals < parts_.options.max_refusals &&
                           call.sendings < call.route->max_attempts &&
-                          (!reached_target || takeRetry(call, now));
+                          (!reached_target || budget_.take(call.request->service, isUrgent(call), now));
   if (is_allowed) {
     sendNext(id, now);
   } else if (call.may_have_run) {
@@ -304,7 +299,8 @@
   ++call.sendings;
   const bool may_repeat = !call.is_passed_on && call.route->repeatable &&
                           call.sendings < call.route->max_attempts && call.deadline - now >= kLeastTimeLeft &&
-                          !parts_.quarantine.isSuspect(*call.request) && takeRetry(call, now);
+                          !parts_.quarantine.isSuspect(*call.request) &&
+                          budget_.take(call.request->service, isUrgent(call), now);
   if (!may_repeat) {
     finish(id, CallAnswer(), now);
     return;
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -17,7 +17,6 @@
 #include "sidecar/quarantine.h"
 #include "sidecar/refusal_share.h"
 #include "sidecar/retry_budget.h"
-#include "sidecar/returning_callers.h"
 #include "sidecar/rollout_view.h"
 #include "sidecar/target_gate.h"
 #include "sidecar/tenant_quota.h"
@@ -132,8 +131,6 @@
     /// Until when the request waits for it.
     std::optional<TimePoint> quota_deadline;
     bool takes_parts = false;
-    /// Its caller has probably come back after a refusal.
-    bool is_last_chance = false;
     /// Some of the answer has gone to the caller: no other endpoint may be asked.
     bool is_passed_on = false;
     std::size_t passed_bytes = 0;
@@ -195,13 +192,10 @@
   static wire::ForwardReplyT lostBeforeWhole();
   /// @return true unless more urgent requests come for the same service.
   bool isUrgent(const CallState& call) const;
-  /// @return true if the request may be sent once more to a target.
-  bool takeRetry(const CallState& call, TimePoint now);
   Duration comeBackAfter(const CallState& call, TimePoint now);
 
   Parts parts_;
   RetryBudget budget_;
-  ReturningCallers returning_;
   /// The most urgent priority of each service's requests.
   std::map<std::string, unsigned> most_urgent_;
   RefusalShare refusals_;
