--- a/src/config/object_key.h
+++ b/src/config/object_key.h
@@ -24,7 +24,7 @@
 /// @return the kind in lower case, for example "service".
 std::string_view objectKindName(wire::ObjectKind kind);
 
-/// @return the key for messages and logs, for example "service krakow/editor-desk".
+/// @return the key for messages and logs, for example "service shop/checkout".
 std::string formatKey(const wire::ObjectKeyT& key);
 
 }  // namespace cometstand::config
--- a/src/settings/settings_file.h
+++ b/src/settings/settings_file.h
@@ -16,7 +16,7 @@
 SettingGroup readSettingsFile(const std::string& path);
 
 /// Reads the value of `--set key=value`. A value that is not TOML stands for a string, so that
-/// `--set zone=krk-a` needs no quotes.
+/// `--set zone=zone-a` needs no quotes.
 SettingValue parseFlagValue(const std::string& text);
 
 }  // namespace cometstand::settings
