Requests sent ahead are answered in a planned stop, the last with a close

Cause: a connection took no further request in a stop while one was under way, and the answer to that one closed it; what the caller had sent behind it was thrown away, though it could not know of the stop before. Ruled out: connections that rest until the end of the process.

Why it holds: every request that has come before the closing answer is written is read and answered; only the last answer closes. The bound of one second keeps a caller that always sends ahead from holding the stop up.

A check was wrong: "a planned stop answers what was read and reads no more" demanded that a request which came before any closing answer is thrown away. In its place stand three: such requests are answered and only the last answer closes; one that may not run beside others, too; one that comes after the bound is not read.

--- a/src/web/server.cpp
+++ b/src/web/server.cpp
@@ -52,6 +52,10 @@
   });
 }
 
+void Server::beginStop() {
+  if (!stop_began_) stop_began_ = SteadyClock::now();
+}
+
 void Server::sweep() {
   const auto now = SteadyClock::now();
   const auto limits = handler_.limits();
--- a/src/web/server.h
+++ b/src/web/server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "runtime/deliveries.h"
 #include "runtime/process_core.h"
@@ -79,8 +80,8 @@
   void beginResponse(ExchangeId id, Response response);
   /// Sends the next bytes. Does nothing if the caller is gone.
   void continueResponse(ExchangeId id, const std::string& bytes, PartEnd end);
-  /// From now on each answer closes its connection.
-  void beginStop() { stopping_ = true; }
+  /// From now on the last answer to what a caller has sent closes its connection.
+  void beginStop();
 
   std::size_t undelivered() const override;
   std::size_t connections() const { return connections_.size(); }
@@ -88,6 +89,14 @@
  private:
   friend class ServerConnection;
 
+  /// Callers that send ahead are read on in a planned stop for so long: they learn that their connection ends
+  /// from an answer, and what they had sent until then would be lost. One that always sends ahead must not
+  /// hold the stop up.
+  static constexpr Duration kReadAheadTime = std::chrono::seconds(1);
+
+  bool isStopping() const { return stop_began_.has_value(); }
+  /// @return true if a request may be read while the answers to those before it are awaited.
+  bool readsAhead(TimePoint now) const { return !stop_began_ || now < *stop_began_ + kReadAheadTime; }
   void acceptNext();
   void sweep();
 
@@ -98,7 +107,7 @@
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::map<ExchangeId, ServerConnection*> exchanges_;
   std::uint64_t next_exchange_ = 1;
-  bool stopping_ = false;
+  std::optional<TimePoint> stop_began_;
 };
 
 }  // namespace cometstand::web
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -73,6 +73,13 @@
   return writing_ || has_answer || net::unsentBytes(socket_) > 0;
 }
 
+/// @return true if some of a request has come that is not handed out.
+bool ServerConnection::hasRequestBytes() {
+  if (reading_ended_) return false;
+  error_code ignored;
+  return parser_.has_value() || buffer_.size() > 0 || socket_.available(ignored) > 0;
+}
+
 void ServerConnection::awaitBytes() {
   if (read_pending_ || state_ == State::Closed || buffer_.size() >= kMaxUnreadBytes) return;
   read_pending_ = true;
@@ -95,10 +102,11 @@
   awaitBytes();
 }
 
-/// @return true if the next request may be read: a planned stop answers what was read and reads no more.
+/// @return true if the next request may be read.
 bool ServerConnection::mayBegin() const {
   if (reading_ended_) return false;
-  return pending_.empty() || (!server_.stopping_ && pending_.size() < kMaxPipelinedRequests);
+  if (pending_.empty()) return true;
+  return pending_.size() < kMaxPipelinedRequests && server_.readsAhead(SteadyClock::now());
 }
 
 /// @return true if the request whose header was read has to wait for the answers before it.
@@ -204,9 +212,13 @@
   writeNext();
 }
 
-/// In a planned stop the answer to the last request that was read closes the connection.
+/// In a planned stop the answer to the last request that has come closes the connection. Requests that came
+/// before their caller could see that are answered: it cannot tell whether they have run.
 void ServerConnection::prepareLast(Pending& item) {
-  item.is_last = item.is_last || (server_.stopping_ && pending_.size() == 1);
+  if (server_.isStopping() && pending_.size() == 1) {
+    const bool more_follows = server_.readsAhead(SteadyClock::now()) && hasRequestBytes();
+    item.is_last = item.is_last || !more_follows;
+  }
   reading_ended_ = reading_ended_ || item.is_last;
 }
 
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -64,6 +64,7 @@
   void onBytes(boost::system::error_code error, std::size_t length);
   void parseRequests();
   bool parseOne();
+  bool hasRequestBytes();
   bool mayBegin() const;
   bool mustWait() const;
   void finishRequest();
--- a/tests/web/pipelining_test.cpp
+++ b/tests/web/pipelining_test.cpp
@@ -136,21 +136,68 @@
   CHECK(handler.requests.size() == 1);
 }
 
-TEST_CASE_METHOD(PipeliningFixture, "a planned stop answers what was read and reads no more",
+// What users saw: under planned stops alone, some five requests for each stop ended with their connection
+// closed and no answer, where callers send requests ahead.
+//
+// Order of events: a caller had sent three requests at once. The stop began when one of them was read. Its
+// answer closed the connection, and what had come behind it was thrown away unread.
+//
+// Cause: a stop took no request any more while another one was under way on its connection, and closed with
+// the answer to that one, though the caller could not know of the stop before it had that answer.
+//
+// Evidence: of 246 stops on a day of stops alone, 1,195 requests were cut without an answer, all of them
+// retried; only the callers of one route send ahead there. On a deployment whose callers do not, four stops
+// cut none, and in the log of every connection's end no request that had been read was without an answer.
+TEST_CASE_METHOD(PipeliningFixture, "a planned stop answers what its caller sent before it could know of it",
                  "[web][pipelining]") {
   auto socket = connect();
   write(socket, get("/one") + get("/two"));
   REQUIRE(awaitRequests(2));
   server.beginStop();
   write(socket, get("/three"));
-  settle();
-  CHECK(handler.requests.size() == 2);
+  REQUIRE(awaitRequests(3));
+  handler.echo(0);
+  handler.echo(1);
+  handler.echo(2);
+  const auto text = readAll(socket);
+  const auto places = placesOf(text, {"/one", "/two", "/three"});
+  CHECK(std::is_sorted(places.begin(), places.end()));
+  // The last answer closes the connection, and no other one.
+  const auto close = text.find("Connection: close");
+  CHECK(close != std::string::npos);
+  CHECK(close > text.find("/two"));
+}
+
+TEST_CASE_METHOD(PipeliningFixture,
+                 "a request that may not run beside others is answered in a planned stop, too",
+                 "[web][pipelining]") {
+  auto socket = connect();
+  write(socket, get("/one") + "POST /two HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(awaitRequests(1));
+  server.beginStop();
   handler.echo(0);
+  REQUIRE(awaitRequests(2));
   handler.echo(1);
   const auto text = readAll(socket);
   placesOf(text, {"/one", "/two"});
   CHECK(text.find("Connection: close") > text.find("/one"));
-  CHECK(text.find("/three") == std::string::npos);
+}
+
+TEST_CASE_METHOD(PipeliningFixture, "a caller that always sends ahead does not hold a planned stop up",
+                 "[web][pipelining]") {
+  auto socket = connect();
+  write(socket, get("/one"));
+  REQUIRE(awaitRequests(1));
+  server.beginStop();
+  // Longer than callers that send ahead are read.
+  io.run_for(std::chrono::milliseconds(1'100));
+  write(socket, get("/two"));
+  settle();
+  CHECK(handler.requests.size() == 1);
+  handler.echo(0);
+  const auto text = readAll(socket);
+  CHECK(text.find("Connection: close") != std::string::npos);
+  CHECK(text.find("/two") == std::string::npos);
 }
 
 TEST_CASE_METHOD(PipeliningFixture, "a header and a body in the middle may come in any pieces",
