A leader knows from the replicated state whose tokens may be in use

Cause: how many leaderships' tokens may be in use was known by what a replica's process had heard. One that had just started knew nothing, and gave nothing until whatever may have been given was void.

Why it holds: a leadership is recorded in the log before it gives its first token, so a later leader has it, and once more when all tokens of those before it are void. Nothing is recorded while no tenant has a limit.

--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -154,6 +154,14 @@
 struct QuotaRequestBuilder;
 struct QuotaRequestT;
 
+struct QuotaLeadership;
+struct QuotaLeadershipBuilder;
+struct QuotaLeadershipT;
+
+struct QuotaLeadershipState;
+struct QuotaLeadershipStateBuilder;
+struct QuotaLeadershipStateT;
+
 struct QuotaShare;
 struct QuotaShareBuilder;
 struct QuotaShareT;
@@ -4209,6 +4217,144 @@
 
 flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(flatbuffers::FlatBufferBuilder &_fbb, const QuotaRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct QuotaLeadershipT : public flatbuffers::NativeTable {
+  typedef QuotaLeadership TableType;
+  uint64_t generation = 0;
+  bool earlier_are_void = false;
+};
+
+struct QuotaLeadership FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaLeadershipT NativeTableType;
+  typedef QuotaLeadershipBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GENERATION = 4,
+    VT_EARLIER_ARE_VOID = 6
+  };
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  bool earlier_are_void() const {
+    return GetField<uint8_t>(VT_EARLIER_ARE_VOID, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_EARLIER_ARE_VOID, 1) &&
+           verifier.EndTable();
+  }
+  QuotaLeadershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaLeadershipT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaLeadership> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaLeadershipBuilder {
+  typedef QuotaLeadership Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(QuotaLeadership::VT_GENERATION, generation, 0);
+  }
+  void add_earlier_are_void(bool earlier_are_void) {
+    fbb_.AddElement<uint8_t>(QuotaLeadership::VT_EARLIER_ARE_VOID, static_cast<uint8_t>(earlier_are_void), 0);
+  }
+  explicit QuotaLeadershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaLeadership> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaLeadership>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaLeadership> CreateQuotaLeadership(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t generation = 0,
+    bool earlier_are_void = false) {
+  QuotaLeadershipBuilder builder_(_fbb);
+  builder_.add_generation(generation);
+  builder_.add_earlier_are_void(earlier_are_void);
+  return builder_.Finish();
+}
+
+struct QuotaLeadership::Traits {
+  using type = QuotaLeadership;
+  static auto constexpr Create = CreateQuotaLeadership;
+};
+
+flatbuffers::Offset<QuotaLeadership> CreateQuotaLeadership(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaLeadershipStateT : public flatbuffers::NativeTable {
+  typedef QuotaLeadershipState TableType;
+  uint64_t generation = 0;
+  uint32_t live = 0;
+};
+
+struct QuotaLeadershipState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaLeadershipStateT NativeTableType;
+  typedef QuotaLeadershipStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GENERATION = 4,
+    VT_LIVE = 6
+  };
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  uint32_t live() const {
+    return GetField<uint32_t>(VT_LIVE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIVE, 4) &&
+           verifier.EndTable();
+  }
+  QuotaLeadershipStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaLeadershipStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaLeadershipState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaLeadershipStateBuilder {
+  typedef QuotaLeadershipState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(QuotaLeadershipState::VT_GENERATION, generation, 0);
+  }
+  void add_live(uint32_t live) {
+    fbb_.AddElement<uint32_t>(QuotaLeadershipState::VT_LIVE, live, 0);
+  }
+  explicit QuotaLeadershipStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaLeadershipState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaLeadershipState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaLeadershipState> CreateQuotaLeadershipState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t generation = 0,
+    uint32_t live = 0) {
+  QuotaLeadershipStateBuilder builder_(_fbb);
+  builder_.add_generation(generation);
+  builder_.add_live(live);
+  return builder_.Finish();
+}
+
+struct QuotaLeadershipState::Traits {
+  using type = QuotaLeadershipState;
+  static auto constexpr Create = CreateQuotaLeadershipState;
+};
+
+flatbuffers::Offset<QuotaLeadershipState> CreateQuotaLeadershipState(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct QuotaShareT : public flatbuffers::NativeTable {
   typedef QuotaShare TableType;
   std::string tenant{};
@@ -6948,6 +7094,64 @@
       _needs);
 }
 
+inline QuotaLeadershipT *QuotaLeadership::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaLeadershipT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaLeadership::UnPackTo(QuotaLeadershipT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = earlier_are_void(); _o->earlier_are_void = _e; }
+}
+
+inline flatbuffers::Offset<QuotaLeadership> QuotaLeadership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaLeadership(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaLeadership> CreateQuotaLeadership(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaLeadershipT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _generation = _o->generation;
+  auto _earlier_are_void = _o->earlier_are_void;
+  return cometstand::wire::CreateQuotaLeadership(
+      _fbb,
+      _generation,
+      _earlier_are_void);
+}
+
+inline QuotaLeadershipStateT *QuotaLeadershipState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaLeadershipStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaLeadershipState::UnPackTo(QuotaLeadershipStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = live(); _o->live = _e; }
+}
+
+inline flatbuffers::Offset<QuotaLeadershipState> QuotaLeadershipState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaLeadershipState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaLeadershipState> CreateQuotaLeadershipState(flatbuffers::FlatBufferBuilder &_fbb, const QuotaLeadershipStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaLeadershipStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _generation = _o->generation;
+  auto _live = _o->live;
+  return cometstand::wire::CreateQuotaLeadershipState(
+      _fbb,
+      _generation,
+      _live);
+}
+
 inline QuotaShareT *QuotaShare::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<QuotaShareT>();
   UnPackTo(_o.get(), _resolver);
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -66,11 +66,12 @@
   ContentClearance = 8,
   ContentRelease = 9,
   EvacuationOrder = 10,
+  QuotaLeadership = 11,
   MIN = NONE,
-  MAX = EvacuationOrder
+  MAX = QuotaLeadership
 };
 
-inline const StoreCommandBody (&EnumValuesStoreCommandBody())[11] {
+inline const StoreCommandBody (&EnumValuesStoreCommandBody())[12] {
   static const StoreCommandBody values[] = {
     StoreCommandBody::NONE,
     StoreCommandBody::ChangeCommand,
@@ -82,13 +83,14 @@
     StoreCommandBody::CrashReport,
     StoreCommandBody::ContentClearance,
     StoreCommandBody::ContentRelease,
-    StoreCommandBody::EvacuationOrder
+    StoreCommandBody::EvacuationOrder,
+    StoreCommandBody::QuotaLeadership
   };
   return values;
 }
 
 inline const char * const *EnumNamesStoreCommandBody() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "NONE",
     "ChangeCommand",
     "ClaimRequest",
@@ -100,13 +102,14 @@
     "ContentClearance",
     "ContentRelease",
     "EvacuationOrder",
+    "QuotaLeadership",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameStoreCommandBody(StoreCommandBody e) {
-  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::EvacuationOrder)) return "";
+  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::QuotaLeadership)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesStoreCommandBody()[index];
 }
@@ -155,6 +158,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::EvacuationOrder;
 };
 
+template<> struct StoreCommandBodyTraits<cometstand::wire::QuotaLeadership> {
+  static const StoreCommandBody enum_value = StoreCommandBody::QuotaLeadership;
+};
+
 template<typename T> struct StoreCommandBodyUnionTraits {
   static const StoreCommandBody enum_value = StoreCommandBody::NONE;
 };
@@ -199,6 +206,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::EvacuationOrder;
 };
 
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::QuotaLeadershipT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::QuotaLeadership;
+};
+
 struct StoreCommandBodyUnion {
   StoreCommandBody type;
   void *value;
@@ -309,6 +320,14 @@
     return type == StoreCommandBody::EvacuationOrder ?
       reinterpret_cast<const cometstand::wire::EvacuationOrderT *>(value) : nullptr;
   }
+  cometstand::wire::QuotaLeadershipT *AsQuotaLeadership() {
+    return type == StoreCommandBody::QuotaLeadership ?
+      reinterpret_cast<cometstand::wire::QuotaLeadershipT *>(value) : nullptr;
+  }
+  const cometstand::wire::QuotaLeadershipT *AsQuotaLeadership() const {
+    return type == StoreCommandBody::QuotaLeadership ?
+      reinterpret_cast<const cometstand::wire::QuotaLeadershipT *>(value) : nullptr;
+  }
 };
 
 bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type);
@@ -506,6 +525,9 @@
   const cometstand::wire::EvacuationOrder *body_as_EvacuationOrder() const {
     return body_type() == cometstand::wire::StoreCommandBody::EvacuationOrder ? static_cast<const cometstand::wire::EvacuationOrder *>(body()) : nullptr;
   }
+  const cometstand::wire::QuotaLeadership *body_as_QuotaLeadership() const {
+    return body_type() == cometstand::wire::StoreCommandBody::QuotaLeadership ? static_cast<const cometstand::wire::QuotaLeadership *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -558,6 +580,10 @@
   return body_as_EvacuationOrder();
 }
 
+template<> inline const cometstand::wire::QuotaLeadership *StoreCommand::body_as<cometstand::wire::QuotaLeadership>() const {
+  return body_as_QuotaLeadership();
+}
+
 struct StoreCommandBuilder {
   typedef StoreCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1256,6 +1282,7 @@
   std::shared_ptr<cometstand::wire::RolloutStateT> rollouts{};
   std::shared_ptr<cometstand::wire::QuarantineStateT> quarantine{};
   std::shared_ptr<cometstand::wire::EvacuationStateT> evacuations{};
+  std::shared_ptr<cometstand::wire::QuotaLeadershipStateT> quota{};
   StoreStateT() = default;
   StoreStateT(const StoreStateT &o);
   StoreStateT(StoreStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1276,7 +1303,8 @@
     VT_MESH = 16,
     VT_ROLLOUTS = 18,
     VT_QUARANTINE = 20,
-    VT_EVACUATIONS = 22
+    VT_EVACUATIONS = 22,
+    VT_QUOTA = 24
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1308,6 +1336,9 @@
   const cometstand::wire::EvacuationState *evacuations() const {
     return GetPointer<const cometstand::wire::EvacuationState *>(VT_EVACUATIONS);
   }
+  const cometstand::wire::QuotaLeadershipState *quota() const {
+    return GetPointer<const cometstand::wire::QuotaLeadershipState *>(VT_QUOTA);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1332,6 +1363,8 @@
            verifier.VerifyTable(quarantine()) &&
            VerifyOffset(verifier, VT_EVACUATIONS) &&
            verifier.VerifyTable(evacuations()) &&
+           VerifyOffset(verifier, VT_QUOTA) &&
+           verifier.VerifyTable(quota()) &&
            verifier.EndTable();
   }
   StoreStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1373,6 +1406,9 @@
   void add_evacuations(flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations) {
     fbb_.AddOffset(StoreState::VT_EVACUATIONS, evacuations);
   }
+  void add_quota(flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota) {
+    fbb_.AddOffset(StoreState::VT_QUOTA, quota);
+  }
   explicit StoreStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1395,10 +1431,12 @@
     flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
     flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
-    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0) {
+    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0,
+    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0) {
   StoreStateBuilder builder_(_fbb);
   builder_.add_pruned_version(pruned_version);
   builder_.add_version(version);
+  builder_.add_quota(quota);
   builder_.add_evacuations(evacuations);
   builder_.add_quarantine(quarantine);
   builder_.add_rollouts(rollouts);
@@ -1426,7 +1464,8 @@
     flatbuffers::Offset<cometstand::wire::MeshState> mesh = 0,
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
     flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
-    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0) {
+    flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0,
+    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>>(*requests) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>>(*claims) : 0;
@@ -1442,7 +1481,8 @@
       mesh,
       rollouts,
       quarantine,
-      evacuations);
+      evacuations,
+      quota);
 }
 
 flatbuffers::Offset<StoreState> CreateStoreState(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1832,7 +1872,8 @@
         mesh((o.mesh) ? new cometstand::wire::MeshStateT(*o.mesh) : nullptr),
         rollouts((o.rollouts) ? new cometstand::wire::RolloutStateT(*o.rollouts) : nullptr),
         quarantine((o.quarantine) ? new cometstand::wire::QuarantineStateT(*o.quarantine) : nullptr),
-        evacuations((o.evacuations) ? new cometstand::wire::EvacuationStateT(*o.evacuations) : nullptr) {
+        evacuations((o.evacuations) ? new cometstand::wire::EvacuationStateT(*o.evacuations) : nullptr),
+        quota((o.quota) ? new cometstand::wire::QuotaLeadershipStateT(*o.quota) : nullptr) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
   requests.reserve(o.requests.size());
@@ -1854,6 +1895,7 @@
   std::swap(rollouts, o.rollouts);
   std::swap(quarantine, o.quarantine);
   std::swap(evacuations, o.evacuations);
+  std::swap(quota, o.quota);
   return *this;
 }
 
@@ -1876,6 +1918,7 @@
   { auto _e = rollouts(); if (_e) _o->rollouts = std::shared_ptr<cometstand::wire::RolloutStateT>(_e->UnPack(_resolver)); }
   { auto _e = quarantine(); if (_e) _o->quarantine = std::shared_ptr<cometstand::wire::QuarantineStateT>(_e->UnPack(_resolver)); }
   { auto _e = evacuations(); if (_e) _o->evacuations = std::shared_ptr<cometstand::wire::EvacuationStateT>(_e->UnPack(_resolver)); }
+  { auto _e = quota(); if (_e) _o->quota = std::shared_ptr<cometstand::wire::QuotaLeadershipStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreState> StoreState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1896,6 +1939,7 @@
   auto _rollouts = _o->rollouts ? CreateRolloutState(_fbb, _o->rollouts.get(), _rehasher) : 0;
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   auto _evacuations = _o->evacuations ? CreateEvacuationState(_fbb, _o->evacuations.get(), _rehasher) : 0;
+  auto _quota = _o->quota ? CreateQuotaLeadershipState(_fbb, _o->quota.get(), _rehasher) : 0;
   return cometstand::wire::CreateStoreState(
       _fbb,
       _version,
@@ -1907,7 +1951,8 @@
       _mesh,
       _rollouts,
       _quarantine,
-      _evacuations);
+      _evacuations,
+      _quota);
 }
 
 inline bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type) {
@@ -1955,6 +2000,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrder *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case StoreCommandBody::QuotaLeadership: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadership *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2014,6 +2063,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrder *>(obj);
       return ptr->UnPack(resolver);
     }
+    case StoreCommandBody::QuotaLeadership: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadership *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2061,6 +2114,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::EvacuationOrderT *>(value);
       return CreateEvacuationOrder(_fbb, ptr, _rehasher).Union();
     }
+    case StoreCommandBody::QuotaLeadership: {
+      auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadershipT *>(value);
+      return CreateQuotaLeadership(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2107,6 +2164,10 @@
       value = new cometstand::wire::EvacuationOrderT(*reinterpret_cast<cometstand::wire::EvacuationOrderT *>(u.value));
       break;
     }
+    case StoreCommandBody::QuotaLeadership: {
+      value = new cometstand::wire::QuotaLeadershipT(*reinterpret_cast<cometstand::wire::QuotaLeadershipT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2164,6 +2225,11 @@
       delete ptr;
       break;
     }
+    case StoreCommandBody::QuotaLeadership: {
+      auto ptr = reinterpret_cast<cometstand::wire::QuotaLeadershipT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -84,9 +84,9 @@
 
 inline constexpr EventDefinition kQuotaBegan{
     3021, LogLevel::Info, "quota_began",
-    "This store hands out the tokens of tenants from now on. If at_once is false it waits, for a few "
-    "seconds, "
-    "until all that other leaders handed out are void. No action is needed."};
+    "This store hands out the tokens of tenants. Of so many leaderships, this one among them, tokens may be "
+    "in "
+    "use: the more there are, the fewer it gives, for a few seconds. No action is needed."};
 
 inline constexpr EventDefinition kQuotaUnreadable{3022, LogLevel::Error, "quota_unreadable",
                                                   "The configuration that is in force cannot be read, so "
--- a/src/store/quota_ledger.cpp
+++ b/src/store/quota_ledger.cpp
@@ -8,9 +8,8 @@
 
 /// Part of what the bounds allow beyond a limit that is used: the rest is for rounding.
 constexpr double kUsedExcess = 0.9;
-/// Part of that which a leader gives out while tokens of the leadership before it may be in use. The other
-/// part belongs to those.
-constexpr double kFirstShare = 0.5;
+/// Part of that which a leader gives out besides a burst once all tokens of leaderships before it are void.
+constexpr double kSteadyShare = 0.5;
 /// Tokens for requests that are only expected are given while the level is above this part of the capacity:
 /// the rest is for requests that wait.
 constexpr double kReserve = 0.25;
@@ -30,19 +29,27 @@
   return tokens;
 }
 
-void QuotaLedger::begin(std::uint64_t generation, bool only_one_before, TimePoint now) {
+void QuotaLedger::begin(std::uint64_t generation, std::uint32_t live, TimePoint led_since) {
   generation_ = generation;
-  only_one_before_ = only_one_before;
-  began_ = now;
-  confirmed_at_ = now;
+  live_ = live;
+  began_ = led_since;
+  confirmed_at_ = std::max(confirmed_at_, led_since);
   for (auto& [tenant, account] : accounts_) {
     const QuotaLimit limit = account.limit;
     account = Account();
     account.limit = limit;
-    account.filled_to = now;
+    account.filled_to = led_since;
   }
 }
 
+/// Each further leadership gets half of what those before it have left, so that all together never have more
+/// than there is, however fast leaders change. A leadership that is the first on record is taken for the
+/// second: replicas of an earlier release gave tokens without a record.
+double QuotaLedger::firstShare() const {
+  constexpr std::uint32_t kLeastLive = 2;
+  return std::pow(1 - kSteadyShare, std::max(live_, kLeastLive));
+}
+
 void QuotaLedger::confirm(TimePoint at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
 void QuotaLedger::setLimits(std::map<std::string, QuotaLimit> limits, TimePoint now) {
@@ -60,8 +67,7 @@
   const double window = limit.requests_per_second * secondsOf(bounds_.window);
   const double excess = kUsedExcess * (bounds_.overshoot * (window + limit.burst) + bounds_.slack);
   const bool are_all_void = now >= began_ + kGenerationTime;
-  if (are_all_void) return limit.burst + (1 - kFirstShare) * excess;
-  return only_one_before_ ? kFirstShare * excess : 0;
+  return are_all_void ? limit.burst + kSteadyShare * excess : firstShare() * excess;
 }
 
 /// The level rises for the time of which it is sure that no other store led in it.
--- a/src/store/quota_ledger.h
+++ b/src/store/quota_ledger.h
@@ -50,16 +50,17 @@
   /// A leader gives nothing when a quorum last confirmed it longer ago; it then steps down. The shortest
   /// election timeout.
   static constexpr Duration kConfirmTime = std::chrono::milliseconds(300);
-  /// After this time under another leader, or without any, all tokens of a leadership are void.
+  /// After this time under another leader, or without any, all tokens of a leadership are void. Then
+  /// the leader has them recorded as void.
   static constexpr Duration kGenerationTime = kValidTime + 2 * kConfirmTime;
 
   explicit QuotaLedger(const QuotaBounds& bounds) : bounds_(bounds) {}
 
-  /// This store leads from now on. Nothing is known of the tokens of the leaderships before.
-  /// @param generation its number, higher than all before.
-  /// @param only_one_before tokens of one earlier leadership only may still be in use; else nothing is given
-  /// until those of all are void.
-  void begin(std::uint64_t generation, bool only_one_before, TimePoint now);
+  /// This store gives tokens from now on. Nothing is known of the tokens of the leaderships before.
+  /// @param generation its leadership's number, higher than all before.
+  /// @param live leaderships, this one among them, whose tokens may be in use.
+  /// @param led_since when the leadership began.
+  void begin(std::uint64_t generation, std::uint32_t live, TimePoint led_since);
   /// This store does not lead any more.
   void end() { generation_ = 0; }
   /// A quorum confirmed that this store led at that moment or later.
@@ -114,6 +115,9 @@
   };
 
   double capacityOf(const Account& account, TimePoint now) const;
+  /// @return the part of what the bounds allow beyond a limit that belongs to this leadership while tokens of
+  /// those before it may be in use.
+  double firstShare() const;
   void fill(Account& account, TimePoint now);
   void takeReport(Account& account, Holding& holding, const wire::QuotaRequestT& request,
                   const wire::QuotaNeedT& need);
@@ -124,7 +128,7 @@
 
   QuotaBounds bounds_;
   std::uint64_t generation_ = 0;
-  bool only_one_before_ = false;
+  std::uint32_t live_ = 0;
   TimePoint began_;
   TimePoint confirmed_at_;
   std::map<std::string, Account> accounts_;
--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -47,8 +47,10 @@
   flatbuffers::Offset<wire::EvacuationState> evacuations;
   if (state_.evacuations != nullptr)
     evacuations = wire::CreateEvacuationState(builder_, state_.evacuations.get());
+  flatbuffers::Offset<wire::QuotaLeadershipState> quota;
+  if (state_.quota != nullptr) quota = wire::CreateQuotaLeadershipState(builder_, state_.quota.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history, mesh, rollouts, quarantine, evacuations));
+                                         claims, history, mesh, rollouts, quarantine, evacuations, quota));
   finished_ = true;
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -74,6 +74,7 @@
   if (const auto* clearance = command.body.AsContentClearance()) return quarantine_.apply(*clearance);
   if (const auto* release = command.body.AsContentRelease()) return quarantine_.apply(*release);
   if (const auto* order = command.body.AsEvacuationOrder()) return evacuations_.apply(*order);
+  if (const auto* record = command.body.AsQuotaLeadership()) return quota_.apply(*record);
   return notRun<wire::CommandReplyT>(
       Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
 }
@@ -178,6 +179,7 @@
   state.rollouts = rollouts_.capture();
   state.quarantine = quarantine_.capture();
   state.evacuations = evacuations_.capture();
+  state.quota = quota_.capture();
   return state;
 }
 
@@ -200,6 +202,7 @@
   rollouts_.restore(state.rollouts);
   quarantine_.restore(state.quarantine);
   evacuations_.restore(state.evacuations);
+  quota_.restore(state.quota);
 }
 
 }  // namespace cometstand::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -15,6 +15,7 @@
 #include "store/evacuation_register.h"
 #include "store/mesh_register.h"
 #include "store/quarantine_register.h"
+#include "store/quota_register.h"
 #include "store/request_table.h"
 #include "store/rollout_register.h"
 
@@ -27,9 +28,9 @@
 /// What one StoreCommand came to: a CommandReply for a change, a ClaimReply for a claim or its end, a
 /// MeshChangeResult for a change of the whole mesh configuration, a RolloutResult for an order or a step of a
 /// roll-out, a QuarantineResult for a crash report, a clearance or a release of a content, an
-/// EvacuationResult for an order for a zone.
+/// EvacuationResult for an order for a zone, a QuotaLeadershipResult for a record of a leadership.
 using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult,
-                                   QuarantineResult, EvacuationResult>;
+                                   QuarantineResult, EvacuationResult, QuotaLeadershipResult>;
 
 /// The replicated state: catalog, answered requests, claims, history. Owns no input or output and never looks
 /// at a clock or a random number: equal sequences of apply() give equal states and results on every replica.
@@ -81,6 +82,7 @@
   RolloutRegister rollouts_;
   QuarantineRegister quarantine_;
   EvacuationRegister evacuations_;
+  QuotaRegister quota_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
 };
 
--- a/src/store/store_parts.cpp
+++ b/src/store/store_parts.cpp
@@ -87,6 +87,7 @@
   rollout_controller_.onTimer(now);
   quarantine_.onTimer(now);
   evacuations_.onTimer(now);
+  quotas_.onTimer(now);
   nodes_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
@@ -102,18 +103,33 @@
 
 TimePoint StoreParts::nextTimer() const {
   const TimePoint consensus_timer = holdsElections() ? TimePoint::max() : consensus_.nextTimer();
-  return std::min({consensus_timer, formation_.nextTimer(), seeds_.nextTimer(), members_.nextTimer(),
-                   mesh_.nextTimer(), rollouts_.nextTimer(), rollout_controller_.nextTimer(),
-                   quarantine_.nextTimer(), evacuations_.nextTimer(), nodes_.nextTimer(),
-                   replicas_.nextTimer(), readers_.nextTimer(), writer_.nextTimer(),
-                   claim_expiry_.nextTimer(), statuses_.nextTimer(), waits_.nextTimer(), admin_.nextTimer(),
-                   forwarder_.nextTimer(), stop_passed_ ? TimePoint::max() : stop_deadline_});
+  return std::min({consensus_timer,
+                   formation_.nextTimer(),
+                   seeds_.nextTimer(),
+                   members_.nextTimer(),
+                   mesh_.nextTimer(),
+                   rollouts_.nextTimer(),
+                   rollout_controller_.nextTimer(),
+                   quarantine_.nextTimer(),
+                   evacuations_.nextTimer(),
+                   quotas_.nextTimer(),
+                   nodes_.nextTimer(),
+                   replicas_.nextTimer(),
+                   readers_.nextTimer(),
+                   writer_.nextTimer(),
+                   claim_expiry_.nextTimer(),
+                   statuses_.nextTimer(),
+                   waits_.nextTimer(),
+                   admin_.nextTimer(),
+                   forwarder_.nextTimer(),
+                   stop_passed_ ? TimePoint::max() : stop_deadline_});
 }
 
 void StoreParts::drain(TimePoint now) {
   do {
     if (context_.isLeader()) writer_.flush(now);
     admin_.step(now);
+    quotas_.step(now);
     stepStop(now);
   } while (drainOnce(now));
   replicas_.refresh(now);
@@ -133,7 +149,7 @@
     snapshot_.reset();
     rollout_clock_.refresh(state_.rollouts(), now);
     evacuations_.onRestored(now);
-    quotas_.onApplied(now);
+    quotas_.refreshLimits(now);
     nodes_.onApplied(now);
   }
   applyCommitted(output.committed, now);
@@ -160,6 +176,7 @@
   rollouts_.onLeadershipLost();
   quarantine_.onLeadershipLost();
   evacuations_.onLeadershipLost();
+  quotas_.onLeadershipLost();
   claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
@@ -178,10 +195,11 @@
     rollouts_.onApplied(*entry, results);
     quarantine_.onApplied(*entry, results);
     evacuations_.onApplied(*entry, results, now);
+    quotas_.onApplied(*entry, results);
   }
   rollout_clock_.refresh(state_.rollouts(), now);
   quarantine_.logChanges();
-  quotas_.onApplied(now);
+  quotas_.refreshLimits(now);
   nodes_.onApplied(now);
   readers_.sendChanges();
   waits_.check();
