The incarnations of a target that are over are remembered to a bound

Callers saw nothing yet: a sidecar kept every incarnation that another one had followed, and every id of a farewell, for as long as it ran, and looked through them for each heartbeat.

Cause: TargetState::past_ was never shortened.

--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -1,7 +1,5 @@
 #include "sidecar/target_state.h"
 
-#include <algorithm>
-
 namespace cometstand::sidecar {
 
 /// What was learned by asking has no time of birth.
@@ -11,11 +9,6 @@
          (incarnation.id == known.id && (incarnation.born_ms == 0 || known.born_ms == 0));
 }
 
-bool TargetState::isPast(const std::string& id) const {
-  return std::any_of(past_.begin(), past_.end(),
-                     [&id](const mesh::Incarnation& past) { return past.id == id; });
-}
-
 bool TargetState::mayFollow(const Heartbeat& beat, TimePoint now) {
   const auto& known = beat_.incarnation;
   const bool looks_older = beat.incarnation.id == known.id && beat.incarnation.born_ms < known.born_ms;
@@ -31,7 +24,7 @@
   // What was learned by asking has no sequence.
   if (is_same && beat_.sequence != 0 && beat.sequence <= beat_.sequence) return false;
   if (!is_same && !mayFollow(beat, now)) return false;
-  if (!is_same && !beat_.incarnation.empty()) past_.insert(beat_.incarnation);
+  if (!is_same && !beat_.incarnation.empty()) past_.add(beat_.incarnation);
   const bool was_leaving = is_same && condition_ == TargetCondition::Leaving;
   const bool changed = beat.incarnation != beat_.incarnation || beat.slots != beat_.slots ||
                        beat.service != beat_.service || beat.version != beat_.version ||
@@ -49,7 +42,7 @@
 }
 
 bool TargetState::onReadyWhenAsked(const std::string& id, const std::string& service, unsigned slots) {
-  const bool is_news = condition_ == TargetCondition::Unheard && !isPast(id);
+  const bool is_news = condition_ == TargetCondition::Unheard && !past_.containsId(id);
   if (!is_news) return false;
   beat_ = {};
   beat_.incarnation.id = id;
@@ -66,7 +59,7 @@
 
 bool TargetState::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now) {
   if (!isKnown(incarnation)) {
-    past_.insert(incarnation);
+    past_.add(incarnation);
     return false;
   }
   const bool changed = condition_ != TargetCondition::Leaving;
@@ -76,7 +69,7 @@
 
 bool TargetState::onOtherId(const std::string& expected) {
   if (expected != beat_.incarnation.id || condition_ == TargetCondition::Unheard) return false;
-  past_.insert(beat_.incarnation);
+  past_.add(beat_.incarnation);
   condition_ = TargetCondition::Unheard;
   return true;
 }
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
 #include <string>
 
 #include "base/time.h"
 #include "mesh/incarnation.h"
+#include "sidecar/past_incarnations.h"
 
 namespace cometstand::sidecar {
 
@@ -66,6 +66,8 @@
   std::uint64_t sequence() const { return beat_.sequence; }
   /// @return until when the target is slow from its start.
   TimePoint coldUntil() const { return cold_until_; }
+  /// @return incarnations that are remembered besides the known one.
+  std::size_t pastIncarnations() const { return past_.size(); }
   /// When the target began to leave.
   TimePoint leavingSince() const { return leaving_since_; }
 
@@ -82,7 +84,6 @@
 
   void leave(TimePoint now);
   bool isKnown(const mesh::Incarnation& incarnation) const;
-  bool isPast(const std::string& id) const;
   /// @return true if the heartbeat is of an incarnation that may follow the known one.
   bool mayFollow(const Heartbeat& beat, TimePoint now);
 
@@ -93,8 +94,7 @@
   /// When the newest heartbeat that counted came.
   TimePoint heard_at_;
   Doubtful doubtful_;
-  /// Incarnations that another one followed or that are gone.
-  std::set<mesh::Incarnation> past_;
+  PastIncarnations past_;
 };
 
 }  // namespace cometstand::sidecar
