A gate whose link is full tells when that has room, not when a slot is free

Cause: every refusal of a gate told the wait for its slots, whatever it was refused for.

Why it holds: the refusal names the time until the link has sent what is too much, and at least the answer's own bytes.

--- a/src/sidecar/answer_transfers.cpp
+++ b/src/sidecar/answer_transfers.cpp
@@ -43,9 +43,21 @@
   return is_large && expectedWait(now) >= kMostWait;
 }
 
-Duration AnswerTransfers::expectedWait(TimePoint now) const {
+/// At least the answer's own bytes must have left, so that those who are refused together do not come back at
+/// once to a link that is as full as before.
+Duration AnswerTransfers::timeUntilRoom(std::size_t answer_bytes, TimePoint now) const {
+  const std::size_t excess = held_bytes_ - std::min(held_bytes_, kMostHeldBytes);
+  return std::max({expectedWait(now) - kMostWait, sendingTime(excess), sendingTime(answer_bytes)});
+}
+
+Duration AnswerTransfers::sendingTime(std::size_t bytes) const {
   const double rate = rate_.bytesPerSecond();
   if (rate <= 0) return Duration::zero();
+  const std::chrono::duration<double> time(static_cast<double>(bytes) / rate);
+  return std::chrono::duration_cast<Duration>(time);
+}
+
+Duration AnswerTransfers::expectedWait(TimePoint now) const {
   std::size_t bytes = 0;
   std::size_t active = 0;
   for (const auto& [asker, transfer] : transfers_) {
@@ -53,9 +65,7 @@
     bytes += transfer.left();
     ++active;
   }
-  if (active < kLeastActive) return Duration::zero();
-  const std::chrono::duration<double> time(static_cast<double>(bytes) / rate);
-  return std::chrono::duration_cast<Duration>(time);
+  return active < kLeastActive ? Duration::zero() : sendingTime(bytes);
 }
 
 void AnswerTransfers::send(const GateAsker& asker, wire::ForwardReplyT reply, TimePoint now) {
--- a/src/sidecar/answer_transfers.h
+++ b/src/sidecar/answer_transfers.h
@@ -49,6 +49,9 @@
   /// @return true if so much is held that no further request should be run for other sidecars.
   /// @param answer_bytes what its answer is expected to have.
   bool isFull(std::size_t answer_bytes, unsigned credit, TimePoint now) const;
+  /// @return once isFull(): the expected time until the link has sent enough for a further answer. Zero until
+  /// a rate was measured.
+  Duration timeUntilRoom(std::size_t answer_bytes, TimePoint now) const;
 
   /// Of the answers that are held: about seven of the largest that are usual (540 KB, as our deployments
   /// say). Requests that run already may add theirs, one for each slot of the target.
@@ -77,6 +80,8 @@
   };
   using Transfers = std::map<GateAsker, Transfer>;
 
+  /// @return the time in which the link sends so many bytes; zero until a rate was measured.
+  Duration sendingTime(std::size_t bytes) const;
   static std::vector<std::uint8_t> nextBytes(Transfer& transfer, std::size_t bytes);
   void noteDue(const GateAsker& asker, Transfer& transfer, const wire::BodyGrantT& grant, TimePoint now);
   void sendGranted(TimePoint now);
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -125,7 +125,9 @@
   if (calls_.routes() == nullptr) {
     gate_.refuse(asker, request, wire::NotRunReason::TargetDown, now);
   } else if (answers_.isFull(request.answer_bytes, request.answer_credit, now)) {
-    gate_.refuse(asker, request, wire::NotRunReason::Full, now);
+    // There may be free slots: a caller that came back for one of these would find the link as full.
+    gate_.refuse(asker, request, wire::NotRunReason::Full, now,
+                 answers_.timeUntilRoom(request.answer_bytes, now));
   } else if (request.announced_bytes == 0) {
     gate_.admit(asker, std::make_shared<const wire::ForwardRequestT>(request), now);
   } else if (!gate_.refuseNow(asker, request, now)) {
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -136,12 +136,12 @@
 }
 
 void TargetGate::refuse(const GateAsker& asker, const wire::ForwardRequestT& request,
-                        wire::NotRunReason reason, TimePoint now) {
+                        wire::NotRunReason reason, TimePoint now, Duration least_wait) {
   wire::ForwardReplyT answer;
   answer.outcome = wire::ForwardOutcome::NotRun;
   answer.reason = reason;
   metrics_.noteRefusal(reason);
-  const Duration wait = std::max(waitFor(waiting_.size(), now), kLeastRetryAfter);
+  const Duration wait = std::max({waitFor(waiting_.size(), now), least_wait, kLeastRetryAfter});
   logEvent(kGateRefused, {{"request", request.request_id},
                           {"reason", wire::EnumNameNotRunReason(reason)},
                           {"service", request.service},
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -52,8 +52,9 @@
   /// Refuses the request if admit() would refuse it at once. @return true if so.
   bool refuseNow(const GateAsker& asker, const wire::ForwardRequestT& request, TimePoint now);
   /// Answers that the request has not run and will not.
+  /// @param least_wait when to come back at the earliest, if something else than the slots binds.
   void refuse(const GateAsker& asker, const wire::ForwardRequestT& request, wire::NotRunReason reason,
-              TimePoint now);
+              TimePoint now, Duration least_wait = Duration::zero());
   /// @return true if new requests are refused since the target or this sidecar leaves.
   bool isLeaving(TimePoint now) const;
   void cancel(const GateAsker& asker, TimePoint now);
--- a/tests/sidecar/answer_transfers_test.cpp
+++ b/tests/sidecar/answer_transfers_test.cpp
@@ -146,6 +146,9 @@
   ask_for(201, 400);
   CHECK(seen(201).reason == wire::NotRunReason::None);
 
+  // There are free slots, but the link needs 80 ms for one answer of this size, at the rate above.
+  CHECK(seen(200).retry_after_ms >= kLargeAnswer / 1'300);
+
   // Askers that have granted nothing for long hold nobody up.
   now += milliseconds(1'600);
   CHECK(core.answers().expectedWait(now) == Duration::zero());
--- a/tests/sidecar/large_answer_fixture.h
+++ b/tests/sidecar/large_answer_fixture.h
@@ -141,6 +141,7 @@
     wire::BodyEnd end = wire::BodyEnd::Open;
     wire::NotRunReason reason = wire::NotRunReason::None;
     bool body_follows = false;
+    std::uint32_t retry_after_ms = 0;
   };
 
   /// @return what the asker has seen of the answer so far.
@@ -152,6 +153,7 @@
         answer.body = reply->body;
         answer.body_follows = reply->body_follows;
         answer.reason = reply->reason;
+        answer.retry_after_ms = reply->retry_after_ms;
       } else if (const auto* part = item.message->body.AsBodyPart()) {
         answer.body.insert(answer.body.end(), part->bytes.begin(), part->bytes.end());
         answer.end = part->end;
