Crowded stops while askers are cut off, links are reset, and the gate stands still or stops

By reading: due_ms is a span, not a time, so the two ends' clocks need not agree; a confirmation that never comes is given up after 1.5 s, and with its link after 2 s.

--- a/tests/planned_stop/full_link.cpp
+++ b/tests/planned_stop/full_link.cpp
@@ -99,15 +99,58 @@
   for (auto& asker : askers_) {
     if (!asker->gone) asker->sidecar->say(SidecarFixture::kStore, from_store);
   }
-  if (gate_gone_) return;
+  if (gate_gone_ || isGatePaused()) return;
   gate_.say(SidecarFixture::kStore, from_store);
   auto from_target = SidecarFixture::makeBeat("a", ++beats_);
   from_target.slots = kSlots;
   gate_.core.onHeartbeat(from_target, now_);
 }
 
-runtime::LinkId FullLink::linkOf(std::size_t asker) {
-  return runtime::LinkId{runtime::kFirstIncomingLink + asker};
+runtime::LinkId FullLink::linkOf(std::size_t asker) const {
+  const std::uint64_t connection = asker < askers_.size() ? askers_[asker]->connection : 0;
+  return runtime::LinkId{runtime::kFirstIncomingLink + connection * askers_.size() + asker};
+}
+
+void FullLink::cutAsker(std::size_t asker) { askers_.at(asker)->is_cut = true; }
+
+void FullLink::resetLink(std::size_t index) {
+  auto& asker = *askers_.at(index);
+  if (asker.gone || gate_gone_) return;
+  gate_.core.onLinkClosed(linkOf(index), now_);
+  asker.queued.clear();
+  asker.under_way = 0;
+  ++asker.connection;
+  gate_.core.onLinkOpened(linkOf(index), {}, now_);
+  auto& sidecar = *asker.sidecar;
+  sidecar.core.onLinkClosed(sidecar.links.at(SidecarFixture::kPeer), now_);
+  sidecar.step();
+}
+
+/// What was sent to a machine that is cut off has no answer.
+void FullLink::endUnansweredLinks() {
+  for (std::size_t i = 0; i < askers_.size(); ++i) {
+    auto& asker = *askers_[i];
+    if (!asker.is_cut || asker.gone) continue;
+    if (!asker.unanswered_since && asker.under_way > 0) asker.unanswered_since = now_;
+    if (!asker.unanswered_since || now_ < *asker.unanswered_since + kUnansweredTime) continue;
+    asker.gone = true;
+    asker.queued.clear();
+    if (!gate_gone_) gate_.core.onLinkClosed(linkOf(i), now_);
+  }
+}
+
+void FullLink::sayToGate(runtime::LinkId link, const runtime::MessagePointer& message) {
+  if (gate_gone_) return;
+  if (isGatePaused()) {
+    held_.push_back({link, message});
+  } else {
+    gate_.core.onMessage(link, *message, now_);
+  }
+}
+
+void FullLink::resumeGate() {
+  if (isGatePaused()) return;
+  for (const auto& item : std::exchange(held_, {})) sayToGate(item.link, item.message);
 }
 
 void FullLink::runFor(Duration time) {
@@ -124,12 +167,14 @@
 void FullLink::tick() {
   now_ += kTick;
   gate_.now = now_;
-  if (!gate_gone_) gate_.core.onTimer(now_);
+  resumeGate();
+  if (!gate_gone_ && !isGatePaused()) gate_.core.onTimer(now_);
   for (auto& asker : askers_) {
     asker->sidecar->now = now_;
     if (!asker->gone) asker->sidecar->core.onTimer(now_);
   }
   if (now_ >= next_beat_) beat();
+  endUnansweredLinks();
   askMore();
   carryAnswers();
   readAnswers();
@@ -146,7 +191,7 @@
     const auto bytes = static_cast<std::size_t>(random_.uniform(kSmallestAnswer, kLargestAnswer));
     bytes_due_ -= static_cast<double>(bytes);
     auto& asker = *askers_.at(random_.uniform(0, askers_.size() - 1));
-    if (asker.gone) continue;
+    if (asker.gone || asker.is_cut) continue;
     Call call;
     call.host = "shop.example";
     call.request.target = pathOf(bytes);
@@ -167,7 +212,7 @@
     sidecar.step();
     const auto link = sidecar.links.at(SidecarFixture::kPeer);
     for (const auto& item : std::exchange(sidecar.sent, {})) {
-      if (item.link == link && !gate_gone_) gate_.core.onMessage(linkOf(i), *item.message, now_);
+      if (item.link == link && !askers_[i]->is_cut) sayToGate(linkOf(i), item.message);
     }
   }
 }
@@ -184,7 +229,7 @@
 }
 
 void FullLink::endRuns() {
-  while (!runs_.empty() && runs_.front().ends <= now_) {
+  while (!isGatePaused() && !runs_.empty() && runs_.front().ends <= now_) {
     RunResult result;
     result.reply.outcome = wire::ForwardOutcome::Answered;
     result.reply.status = 200;
@@ -197,7 +242,8 @@
     const auto link = static_cast<std::uint64_t>(item.link);
     if (const auto* update = item.message->body.AsEndpointUpdate()) tellAskers(*update);
     if (link < runtime::kFirstIncomingLink) continue;
-    const auto asker = link - runtime::kFirstIncomingLink;
+    const std::size_t asker = (link - runtime::kFirstIncomingLink) % askers_.size();
+    if (item.link != linkOf(asker)) continue;
     askers_.at(asker)->queued.push_back(item.message);
     pump(asker);
   }
@@ -212,7 +258,7 @@
     const std::chrono::duration<double> time(static_cast<double>(bytes) / kBytesPerSecond);
     link_free_at_ = std::max(link_free_at_, now_) + std::chrono::duration_cast<Duration>(time);
     asker.under_way += bytes;
-    answers_.push_back({link_free_at_, index, bytes, message});
+    answers_.push_back({link_free_at_, index, asker.connection, bytes, message});
   }
 }
 
@@ -225,15 +271,15 @@
 
 void FullLink::carryAnswers() {
   while (!answers_.empty() && answers_.front().arrives <= now_) {
-    auto& asker = *askers_.at(answers_.front().asker);
+    const Frame frame = std::move(answers_.front());
+    answers_.pop_front();
+    auto& asker = *askers_.at(frame.asker);
+    if (asker.is_cut || frame.connection != asker.connection) continue;
     if (!asker.gone) {
-      asker.sidecar->core.onMessage(asker.sidecar->links.at(SidecarFixture::kPeer), *answers_.front().message,
-                                    now_);
+      asker.sidecar->core.onMessage(asker.sidecar->links.at(SidecarFixture::kPeer), *frame.message, now_);
     }
-    const std::size_t index = answers_.front().asker;
-    asker.under_way -= answers_.front().bytes;
-    answers_.pop_front();
-    pump(index);
+    asker.under_way -= frame.bytes;
+    pump(frame.asker);
   }
 }
 
@@ -247,12 +293,12 @@
 /// A sidecar that is gone closes its links.
 void FullLink::noteEnds() {
   for (std::size_t i = 0; i < askers_.size(); ++i) {
-    if (askers_[i]->gone || !askers_[i]->sidecar->core.stopped()) continue;
+    if (askers_[i]->gone || askers_[i]->is_cut || !askers_[i]->sidecar->core.stopped()) continue;
     askers_[i]->gone = true;
     gate_.core.onLinkClosed(linkOf(i), now_);
   }
   // What was sent before is still on its way.
-  gate_gone_ = gate_gone_ || gate_.core.stopped();
+  gate_gone_ = gate_gone_ || (!isGatePaused() && gate_.core.stopped());
   if (gate_gone_ && answers_.empty() && !std::exchange(gate_links_ended_, true)) {
     gate_ended_at_ = now_;
     endGateLinks();
--- a/tests/planned_stop/full_link.h
+++ b/tests/planned_stop/full_link.h
@@ -54,6 +54,8 @@
 
   /// What a connection has under way; unbounded for a link on which each message is sent at once.
   static constexpr std::size_t kConnectionWindow = 64 * 1024;
+  /// After which the kernel takes a peer for dead, as net::Link has it.
+  static constexpr Duration kUnansweredTime = std::chrono::seconds(2);
 
   /// @param load bytes asked for, as a share of what the link brings.
   /// @param connection_window bytes that one connection may have under way: they share the link by it.
@@ -62,6 +64,14 @@
   void runFor(Duration time);
   void stopAsker(std::size_t asker);
   void stopGate();
+  /// The asker's machine is cut off for good: nothing comes or goes, and its callers ask nothing. The gate's
+  /// link to it ends once sent bytes have had no answer for kUnansweredTime.
+  void cutAsker(std::size_t asker);
+  /// The gate's process stands still; its link goes on with what it has.
+  void pauseGate(Duration time) { gate_paused_until_ = now_ + time; }
+  /// The connection between the asker and the gate is reset, and opened again at once. What was under way is
+  /// lost.
+  void resetLink(std::size_t asker);
   /// @return true once the sidecar's stop is over; it does nothing any more.
   bool askerHasStopped(std::size_t asker) const { return askers_.at(asker)->gone; }
   bool gateHasStopped() const { return gate_gone_; }
@@ -76,6 +86,8 @@
   struct Frame {
     TimePoint arrives;
     std::size_t asker = 0;
+    /// Of the asker's connection.
+    std::uint64_t connection = 0;
     std::size_t bytes = 0;
     runtime::MessagePointer message;
   };
@@ -91,10 +103,19 @@
     CountingCallers callers;
     std::unique_ptr<SidecarFixture> sidecar;
     bool gone = false;
+    bool is_cut = false;
+    /// Of a cut one: when the first bytes were sent that have no answer.
+    std::optional<TimePoint> unanswered_since;
+    /// Counts resets.
+    std::uint64_t connection = 0;
   };
 
-  static runtime::LinkId linkOf(std::size_t asker);
+  runtime::LinkId linkOf(std::size_t asker) const;
+  bool isGatePaused() const { return now_ < gate_paused_until_; }
   void tick();
+  void resumeGate();
+  void sayToGate(runtime::LinkId link, const runtime::MessagePointer& message);
+  void endUnansweredLinks();
   /// The target's and the store's heartbeats.
   void beat();
   void askMore();
@@ -117,6 +138,9 @@
   SidecarFixture gate_;
   bool gate_gone_ = false;
   bool gate_links_ended_ = false;
+  TimePoint gate_paused_until_;
+  /// What came to the gate while it stood still.
+  std::deque<runtime::OutgoingMessage> held_;
   TimePoint gate_stop_began_;
   TimePoint gate_ended_at_;
   TimePoint now_;
