--- a/src/runtime/process_runner.h
+++ b/src/runtime/process_runner.h
@@ -54,9 +54,8 @@
   /// this order, as each step may still need the ones after it:
   /// 1. the core says that it has stopped; it goes on meanwhile, and may take back its word;
   /// 2. what was handed to the added Deliveries has come;
-  /// 3. the core hears that its stop ends, callers' connections that rest are closed, and the links close
-  /// once
-  ///    their peers have all messages;
+  /// 3. the core hears that its stop ends, and callers' connections that rest are closed;
+  ///    the links close once their peers have all messages;
   /// 4. nobody can connect any more, and who had connected has an answer;
   /// 5. the io_context is stopped.
   /// At the time limit the io_context is stopped whatever is left, and steps 3 and 4 begin kLastWritesTime
