--- a/tests/planned_stop/closing_connections_test.cpp
+++ b/tests/planned_stop/closing_connections_test.cpp
@@ -1,16 +1,15 @@
 // Callers' connections at the end of a planned stop.
 //
-// What users saw: under planned stops alone, some five requests for each stop ended with their connection
-// closed and no answer. A caller cannot tell whether such a request has run, so one that may not be repeated
-// is lost.
-//
-// Order of events: a sidecar that stopped had nothing in flight, so its program ended. Connections that
-// rested were open until the very end, and the address still took new ones while the program cleared up, on a
-// slow processor for some tenths of a second. What callers sent in that time was never read, and the end of
-// the process reset it.
+// What happens: a sidecar that stops has nothing in flight, so its program ends. Connections that rest are
+// open until the very end, and the address takes new ones while the program clears up. What a caller sends in
+// that time is never read, and the end of the process resets it. It cannot tell whether its request has run.
 //
 // Cause: a stop ended what this side does, and left it to the end of the process to tell its callers. RFC
 // 9112, section 9.6, has the server close its side first, and read on until the caller has closed, too.
+//
+// Evidence: found by reading, and shown by these cases alone. In a play 4 to 20 connections rested at the end
+// of each of four stops; that requests were lost on them was not seen. Those that were cut in stops had
+// another cause (pipelining_test.cpp in tests/web).
 #include <catch2/catch.hpp>
 
 #include "runtime/process_runner.h"
--- a/tests/quota/all_stores_lost_test.cpp
+++ b/tests/quota/all_stores_lost_test.cpp
@@ -10,8 +10,8 @@
 //
 // Cause: whose tokens may be in use was known by what a replica had seen, not by the replicated state.
 //
-// Evidence: the log line quota_began said at_once=false in each such case, and the first token came 2.6 s
-// after it.
+// Evidence: after a loss of all stores the log line quota_began said at_once=false, and with a new leader's
+// share of tokens set to nothing the first case below fails at each of its seeds.
 #include <catch2/catch.hpp>
 
 #include "base/event_log.h"
