Sidecar: read the limit and the leave notice that targets state in their responses, and log them

No log line told what a target had named, so that 'not read', 'kept by each sender for itself' and 'forgotten again' could only be told apart by counting requests. Nothing decides by them yet.

A lower limit applies at once; a higher one or none only if its request started after the last response with a lower one had arrived, since responses may arrive in another order than they were produced. The schema gains the fields by which sidecars will tell each other.

--- a/src/mesh/incarnation.h
+++ b/src/mesh/incarnation.h
@@ -18,6 +18,10 @@
   friend bool operator==(const Incarnation&, const Incarnation&) = default;
 
   bool empty() const { return id.empty(); }
+  /// @return true if both may be the same one: where a start time is not known, only the ids are compared.
+  bool matches(const Incarnation& other) const {
+    return id == other.id && (born_ms == other.born_ms || born_ms == 0 || other.born_ms == 0);
+  }
   /// @return a text that no other incarnation has, for records and logs: the id, with the time of the start
   /// behind it if it is known.
   std::string name() const { return born_ms == 0 ? id : id + "@" + std::to_string(born_ms); }
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -182,6 +182,10 @@
 struct ForwardRequestBuilder;
 struct ForwardRequestT;
 
+struct TargetStatement;
+struct TargetStatementBuilder;
+struct TargetStatementT;
+
 struct ForwardReply;
 struct ForwardReplyBuilder;
 struct ForwardReplyT;
@@ -313,11 +317,12 @@
   Quarantined = 6,
   Cold = 7,
   Evacuated = 8,
+  Limited = 9,
   MIN = None,
-  MAX = Evacuated
+  MAX = Limited
 };
 
-inline const NotRunReason (&EnumValuesNotRunReason())[9] {
+inline const NotRunReason (&EnumValuesNotRunReason())[10] {
   static const NotRunReason values[] = {
     NotRunReason::None,
     NotRunReason::Full,
@@ -327,13 +332,14 @@
     NotRunReason::Deadline,
     NotRunReason::Quarantined,
     NotRunReason::Cold,
-    NotRunReason::Evacuated
+    NotRunReason::Evacuated,
+    NotRunReason::Limited
   };
   return values;
 }
 
 inline const char * const *EnumNamesNotRunReason() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "None",
     "Full",
     "Leaving",
@@ -343,13 +349,14 @@
     "Quarantined",
     "Cold",
     "Evacuated",
+    "Limited",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameNotRunReason(NotRunReason e) {
-  if (flatbuffers::IsOutRange(e, NotRunReason::None, NotRunReason::Evacuated)) return "";
+  if (flatbuffers::IsOutRange(e, NotRunReason::None, NotRunReason::Limited)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesNotRunReason()[index];
 }
@@ -4773,6 +4780,7 @@
   uint32_t answer_credit = 0;
   uint32_t answer_bytes = 0;
   std::string tenant{};
+  std::shared_ptr<cometstand::wire::TargetStatementT> statement{};
   ForwardRequestT() = default;
   ForwardRequestT(const ForwardRequestT &o);
   ForwardRequestT(ForwardRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4800,7 +4808,8 @@
     VT_ROUTE = 30,
     VT_ANSWER_CREDIT = 32,
     VT_ANSWER_BYTES = 34,
-    VT_TENANT = 36
+    VT_TENANT = 36,
+    VT_STATEMENT = 38
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -4853,6 +4862,9 @@
   const flatbuffers::String *tenant() const {
     return GetPointer<const flatbuffers::String *>(VT_TENANT);
   }
+  const cometstand::wire::TargetStatement *statement() const {
+    return GetPointer<const cometstand::wire::TargetStatement *>(VT_STATEMENT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -4882,6 +4894,8 @@
            VerifyField<uint32_t>(verifier, VT_ANSWER_BYTES, 4) &&
            VerifyOffset(verifier, VT_TENANT) &&
            verifier.VerifyString(tenant()) &&
+           VerifyOffset(verifier, VT_STATEMENT) &&
+           verifier.VerifyTable(statement()) &&
            verifier.EndTable();
   }
   ForwardRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4944,6 +4958,9 @@
   void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
     fbb_.AddOffset(ForwardRequest::VT_TENANT, tenant);
   }
+  void add_statement(flatbuffers::Offset<cometstand::wire::TargetStatement> statement) {
+    fbb_.AddOffset(ForwardRequest::VT_STATEMENT, statement);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4973,8 +4990,10 @@
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t answer_credit = 0,
     uint32_t answer_bytes = 0,
-    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    flatbuffers::Offset<cometstand::wire::TargetStatement> statement = 0) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_statement(statement);
   builder_.add_tenant(tenant);
   builder_.add_answer_bytes(answer_bytes);
   builder_.add_answer_credit(answer_credit);
@@ -5018,7 +5037,8 @@
     const char *route = nullptr,
     uint32_t answer_credit = 0,
     uint32_t answer_bytes = 0,
-    const char *tenant = nullptr) {
+    const char *tenant = nullptr,
+    flatbuffers::Offset<cometstand::wire::TargetStatement> statement = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
@@ -5046,11 +5066,119 @@
       route__,
       answer_credit,
       answer_bytes,
-      tenant__);
+      tenant__,
+      statement);
 }
 
 flatbuffers::Offset<ForwardRequest> CreateForwardRequest(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TargetStatementT : public flatbuffers::NativeTable {
+  typedef TargetStatement TableType;
+  std::string instance{};
+  uint64_t born_ms = 0;
+  flatbuffers::Optional<double> rate_limit = flatbuffers::nullopt;
+  bool leaving = false;
+};
+
+struct TargetStatement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetStatementT NativeTableType;
+  typedef TargetStatementBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_BORN_MS = 6,
+    VT_RATE_LIMIT = 8,
+    VT_LEAVING = 10
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  uint64_t born_ms() const {
+    return GetField<uint64_t>(VT_BORN_MS, 0);
+  }
+  flatbuffers::Optional<double> rate_limit() const {
+    return GetOptional<double, double>(VT_RATE_LIMIT);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<double>(verifier, VT_RATE_LIMIT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+  TargetStatementT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetStatementT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetStatement> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatementT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TargetStatementBuilder {
+  typedef TargetStatement Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(TargetStatement::VT_INSTANCE, instance);
+  }
+  void add_born_ms(uint64_t born_ms) {
+    fbb_.AddElement<uint64_t>(TargetStatement::VT_BORN_MS, born_ms, 0);
+  }
+  void add_rate_limit(double rate_limit) {
+    fbb_.AddElement<double>(TargetStatement::VT_RATE_LIMIT, rate_limit);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(TargetStatement::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit TargetStatementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TargetStatement> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TargetStatement>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TargetStatement> CreateTargetStatement(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    uint64_t born_ms = 0,
+    flatbuffers::Optional<double> rate_limit = flatbuffers::nullopt,
+    bool leaving = false) {
+  TargetStatementBuilder builder_(_fbb);
+  if(rate_limit) { builder_.add_rate_limit(*rate_limit); }
+  builder_.add_born_ms(born_ms);
+  builder_.add_instance(instance);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct TargetStatement::Traits {
+  using type = TargetStatement;
+  static auto constexpr Create = CreateTargetStatement;
+};
+
+inline flatbuffers::Offset<TargetStatement> CreateTargetStatementDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    uint64_t born_ms = 0,
+    flatbuffers::Optional<double> rate_limit = flatbuffers::nullopt,
+    bool leaving = false) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  return cometstand::wire::CreateTargetStatement(
+      _fbb,
+      instance__,
+      born_ms,
+      rate_limit,
+      leaving);
+}
+
+flatbuffers::Offset<TargetStatement> CreateTargetStatement(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatementT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ForwardReplyT : public flatbuffers::NativeTable {
   typedef ForwardReply TableType;
   cometstand::wire::ForwardOutcome outcome = cometstand::wire::ForwardOutcome::Answered;
@@ -5071,6 +5199,8 @@
   bool body_follows = false;
   uint32_t at_endpoint_ms = 0;
   uint32_t answer_wait_ms = 0;
+  std::shared_ptr<cometstand::wire::TargetStatementT> statement{};
+  uint32_t limit_pause_ms = 0;
   ForwardReplyT() = default;
   ForwardReplyT(const ForwardReplyT &o);
   ForwardReplyT(ForwardReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5099,7 +5229,9 @@
     VT_COLD_ROOM = 32,
     VT_BODY_FOLLOWS = 34,
     VT_AT_ENDPOINT_MS = 36,
-    VT_ANSWER_WAIT_MS = 38
+    VT_ANSWER_WAIT_MS = 38,
+    VT_STATEMENT = 40,
+    VT_LIMIT_PAUSE_MS = 42
   };
   cometstand::wire::ForwardOutcome outcome() const {
     return static_cast<cometstand::wire::ForwardOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
@@ -5155,6 +5287,12 @@
   uint32_t answer_wait_ms() const {
     return GetField<uint32_t>(VT_ANSWER_WAIT_MS, 0);
   }
+  const cometstand::wire::TargetStatement *statement() const {
+    return GetPointer<const cometstand::wire::TargetStatement *>(VT_STATEMENT);
+  }
+  uint32_t limit_pause_ms() const {
+    return GetField<uint32_t>(VT_LIMIT_PAUSE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
@@ -5178,6 +5316,9 @@
            VerifyField<uint8_t>(verifier, VT_BODY_FOLLOWS, 1) &&
            VerifyField<uint32_t>(verifier, VT_AT_ENDPOINT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_ANSWER_WAIT_MS, 4) &&
+           VerifyOffset(verifier, VT_STATEMENT) &&
+           verifier.VerifyTable(statement()) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT_PAUSE_MS, 4) &&
            verifier.EndTable();
   }
   ForwardReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5243,6 +5384,12 @@
   void add_answer_wait_ms(uint32_t answer_wait_ms) {
     fbb_.AddElement<uint32_t>(ForwardReply::VT_ANSWER_WAIT_MS, answer_wait_ms, 0);
   }
+  void add_statement(flatbuffers::Offset<cometstand::wire::TargetStatement> statement) {
+    fbb_.AddOffset(ForwardReply::VT_STATEMENT, statement);
+  }
+  void add_limit_pause_ms(uint32_t limit_pause_ms) {
+    fbb_.AddElement<uint32_t>(ForwardReply::VT_LIMIT_PAUSE_MS, limit_pause_ms, 0);
+  }
   explicit ForwardReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5273,8 +5420,12 @@
     uint32_t cold_room = 0,
     bool body_follows = false,
     uint32_t at_endpoint_ms = 0,
-    uint32_t answer_wait_ms = 0) {
+    uint32_t answer_wait_ms = 0,
+    flatbuffers::Offset<cometstand::wire::TargetStatement> statement = 0,
+    uint32_t limit_pause_ms = 0) {
   ForwardReplyBuilder builder_(_fbb);
+  builder_.add_limit_pause_ms(limit_pause_ms);
+  builder_.add_statement(statement);
   builder_.add_answer_wait_ms(answer_wait_ms);
   builder_.add_at_endpoint_ms(at_endpoint_ms);
   builder_.add_cold_room(cold_room);
@@ -5320,7 +5471,9 @@
     uint32_t cold_room = 0,
     bool body_follows = false,
     uint32_t at_endpoint_ms = 0,
-    uint32_t answer_wait_ms = 0) {
+    uint32_t answer_wait_ms = 0,
+    flatbuffers::Offset<cometstand::wire::TargetStatement> statement = 0,
+    uint32_t limit_pause_ms = 0) {
   auto fields__ = fields ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::HttpField>>(*fields) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return cometstand::wire::CreateForwardReply(
@@ -5342,7 +5495,9 @@
       cold_room,
       body_follows,
       at_endpoint_ms,
-      answer_wait_ms);
+      answer_wait_ms,
+      statement,
+      limit_pause_ms);
 }
 
 flatbuffers::Offset<ForwardReply> CreateForwardReply(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7317,7 +7472,8 @@
         route(o.route),
         answer_credit(o.answer_credit),
         answer_bytes(o.answer_bytes),
-        tenant(o.tenant) {
+        tenant(o.tenant),
+        statement((o.statement) ? new cometstand::wire::TargetStatementT(*o.statement) : nullptr) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -7340,6 +7496,7 @@
   std::swap(answer_credit, o.answer_credit);
   std::swap(answer_bytes, o.answer_bytes);
   std::swap(tenant, o.tenant);
+  std::swap(statement, o.statement);
   return *this;
 }
 
@@ -7369,6 +7526,7 @@
   { auto _e = answer_credit(); _o->answer_credit = _e; }
   { auto _e = answer_bytes(); _o->answer_bytes = _e; }
   { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = statement(); if (_e) _o->statement = std::shared_ptr<cometstand::wire::TargetStatementT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<ForwardRequest> ForwardRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7396,6 +7554,7 @@
   auto _answer_credit = _o->answer_credit;
   auto _answer_bytes = _o->answer_bytes;
   auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _statement = _o->statement ? CreateTargetStatement(_fbb, _o->statement.get(), _rehasher) : 0;
   return cometstand::wire::CreateForwardRequest(
       _fbb,
       _service,
@@ -7414,7 +7573,43 @@
       _route,
       _answer_credit,
       _answer_bytes,
-      _tenant);
+      _tenant,
+      _statement);
+}
+
+inline TargetStatementT *TargetStatement::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TargetStatementT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TargetStatement::UnPackTo(TargetStatementT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = rate_limit(); _o->rate_limit = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+}
+
+inline flatbuffers::Offset<TargetStatement> TargetStatement::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatementT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTargetStatement(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TargetStatement> CreateTargetStatement(flatbuffers::FlatBufferBuilder &_fbb, const TargetStatementT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetStatementT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _born_ms = _o->born_ms;
+  auto _rate_limit = _o->rate_limit;
+  auto _leaving = _o->leaving;
+  return cometstand::wire::CreateTargetStatement(
+      _fbb,
+      _instance,
+      _born_ms,
+      _rate_limit,
+      _leaving);
 }
 
 inline ForwardReplyT::ForwardReplyT(const ForwardReplyT &o)
@@ -7434,7 +7629,9 @@
         cold_room(o.cold_room),
         body_follows(o.body_follows),
         at_endpoint_ms(o.at_endpoint_ms),
-        answer_wait_ms(o.answer_wait_ms) {
+        answer_wait_ms(o.answer_wait_ms),
+        statement((o.statement) ? new cometstand::wire::TargetStatementT(*o.statement) : nullptr),
+        limit_pause_ms(o.limit_pause_ms) {
   fields.reserve(o.fields.size());
   for (const auto &fields_ : o.fields) { fields.emplace_back((fields_) ? new cometstand::wire::HttpFieldT(*fields_) : nullptr); }
 }
@@ -7458,6 +7655,8 @@
   std::swap(body_follows, o.body_follows);
   std::swap(at_endpoint_ms, o.at_endpoint_ms);
   std::swap(answer_wait_ms, o.answer_wait_ms);
+  std::swap(statement, o.statement);
+  std::swap(limit_pause_ms, o.limit_pause_ms);
   return *this;
 }
 
@@ -7488,6 +7687,8 @@
   { auto _e = body_follows(); _o->body_follows = _e; }
   { auto _e = at_endpoint_ms(); _o->at_endpoint_ms = _e; }
   { auto _e = answer_wait_ms(); _o->answer_wait_ms = _e; }
+  { auto _e = statement(); if (_e) _o->statement = std::shared_ptr<cometstand::wire::TargetStatementT>(_e->UnPack(_resolver)); }
+  { auto _e = limit_pause_ms(); _o->limit_pause_ms = _e; }
 }
 
 inline flatbuffers::Offset<ForwardReply> ForwardReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForwardReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7516,6 +7717,8 @@
   auto _body_follows = _o->body_follows;
   auto _at_endpoint_ms = _o->at_endpoint_ms;
   auto _answer_wait_ms = _o->answer_wait_ms;
+  auto _statement = _o->statement ? CreateTargetStatement(_fbb, _o->statement.get(), _rehasher) : 0;
+  auto _limit_pause_ms = _o->limit_pause_ms;
   return cometstand::wire::CreateForwardReply(
       _fbb,
       _outcome,
@@ -7535,7 +7738,9 @@
       _cold_room,
       _body_follows,
       _at_endpoint_ms,
-      _answer_wait_ms);
+      _answer_wait_ms,
+      _statement,
+      _limit_pause_ms);
 }
 
 inline ForwardCancelT *ForwardCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/sidecar/cold_gate.cpp
+++ b/src/sidecar/cold_gate.cpp
@@ -31,6 +31,7 @@
 
 void TargetGate::onHealth(const TargetHealth& health, TimePoint now) {
   now_ = now;
+  if (health.statement) recordHealthStatement(*health.statement, {health.instance, 0}, now);
   if (health.instance.empty() || health.instance != target_.incarnation().id) {
     cold_start_.onAnswered(std::nullopt, now);
     return;
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -122,12 +122,49 @@
     "A stopping sidecar begins to close its links; the fields contain what is still in progress. If the "
     "reason is time_limit, the remaining requests are cancelled: see docs/OPERATIONS.md."};
 
-inline constexpr std::array kSidecarEvents{
-    kStoreLinked,      kStoreLost,       kSourceChosen,       kSourceLost,           kConfigurationInForce,
-    kTargetChanged,    kCallEnded,       kCallRetried,        kGateRefused,          kSidecarStopBegan,
-    kUpdateRefused,    kCallAnswered,    kRunEnded,           kRunCancelled,         kBodyRefused,
-    kTargetEnded,      kCallQuarantined, kTargetPresumedCold, kTargetHealthReceived, kEvacuationsChanged,
-    kZoneUnresponsive, kZoneResponsive,  kRegionLinkReduced,  kSidecarStopEnded,     kUnreadableMessage,
-    kCallKeyUnknown};
+inline constexpr EventDefinition kTargetLimitChanged{
+    7036, LogLevel::Info, "target_limit_changed",
+    "The target beside this sidecar states another limit on its requests per second; limit is none if it "
+    "states none. The request field names the request whose response said so. If targets of a service stay "
+    "limited, the service lacks capacity: see docs/OPERATIONS.md."};
+
+inline constexpr EventDefinition kTargetLeavingStated{
+    7037, LogLevel::Info, "target_leaving_stated",
+    "The target beside this sidecar stated in a response that it is shutting down. No action is needed."};
+
+inline constexpr EventDefinition kStatementMalformed{
+    7038, LogLevel::Warning, "statement_malformed",
+    "A response of the target beside this sidecar names a limit that is no decimal number, or several. The "
+    "limit in force was kept. If the event repeats, correct the target."};
+
+inline constexpr std::array kSidecarEvents{kStoreLinked,
+                                           kStoreLost,
+                                           kSourceChosen,
+                                           kSourceLost,
+                                           kConfigurationInForce,
+                                           kTargetChanged,
+                                           kCallEnded,
+                                           kCallRetried,
+                                           kGateRefused,
+                                           kSidecarStopBegan,
+                                           kUpdateRefused,
+                                           kCallAnswered,
+                                           kRunEnded,
+                                           kRunCancelled,
+                                           kBodyRefused,
+                                           kTargetEnded,
+                                           kCallQuarantined,
+                                           kTargetPresumedCold,
+                                           kTargetHealthReceived,
+                                           kEvacuationsChanged,
+                                           kZoneUnresponsive,
+                                           kZoneResponsive,
+                                           kRegionLinkReduced,
+                                           kSidecarStopEnded,
+                                           kUnreadableMessage,
+                                           kCallKeyUnknown,
+                                           kTargetLimitChanged,
+                                           kTargetLeavingStated,
+                                           kStatementMalformed};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/metrics.h
+++ b/src/sidecar/metrics.h
@@ -12,7 +12,7 @@
 namespace cometstand::sidecar {
 
 inline constexpr std::size_t kCallOutcomes = 8;
-inline constexpr std::size_t kRefusalReasons = 9;
+inline constexpr std::size_t kRefusalReasons = 10;
 inline constexpr std::size_t kRunOutcomes = 3;
 
 /// Counts of callers' requests by outcome since the process started.
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -257,6 +257,10 @@
   const RunningRequest finished = run->second;
   running_.erase(run);
   reportToWatch(finished, result, now);
+  if (result.statement) {
+    recordStatement(*result.statement, finished.incarnation, finished.started, finished.request->request_id,
+                    now);
+  }
   recordOutcome(finished, result.reply, now);
   recordEnd(finished, result.reply, now);
   startWaiting(now);
@@ -271,6 +275,7 @@
     failure_rate_ = 0;
     cold_limit_.reset(now);
   }
+  stated_limit_.follow(target_.incarnation());
   startWaiting(now);
 }
 
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -17,6 +17,7 @@
 #include "sidecar/quarantine.h"
 #include "sidecar/run_samples.h"
 #include "sidecar/sidecar_options.h"
+#include "sidecar/stated_limit.h"
 #include "sidecar/target_port.h"
 #include "sidecar/target_state.h"
 #include "sidecar/target_watch.h"
@@ -107,6 +108,8 @@
   TimePoint nextTimer() const;
   unsigned running() const { return static_cast<unsigned>(running_.size()); }
   const GateMetrics& metrics() const { return metrics_; }
+  /// @return the limit that the target states.
+  const StatedLimit& statedLimit() const { return stated_limit_; }
   unsigned waiting() const { return static_cast<unsigned>(waiting_.size()); }
 
  private:
@@ -184,6 +187,13 @@
   /// Passes the result of a run to the crash detection and the quarantine.
   void reportToWatch(const RunningRequest& run, const RunResult& result, TimePoint now);
   void recordTargetEnd(const std::optional<TargetEnd>& end, TimePoint now);
+  /// Applies what an incarnation of the target states in a response.
+  /// @param started when the request of the response was sent to the target.
+  /// @param request_id of that request; empty for a health check.
+  void recordStatement(const TargetStatement& statement, const mesh::Incarnation& incarnation,
+                       TimePoint started, const std::string& request_id, TimePoint now);
+  void recordHealthStatement(const TargetStatement& statement, const mesh::Incarnation& incarnation,
+                             TimePoint now);
   std::vector<TargetWatch::Run> runsAtTarget() const;
 
   const SidecarOptions& options_;
@@ -228,6 +238,7 @@
   TargetWatch watch_;
   /// The incarnation that failure_rate_ describes.
   mesh::Incarnation failure_rate_incarnation_;
+  StatedLimit stated_limit_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/time.h"
 #include "schema/mesh_generated.h"
 
 namespace cometstand::sidecar {
@@ -24,9 +25,21 @@
   Duration time_left{};
 };
 
+/// What a target states about itself in a response.
+struct TargetStatement {
+  /// Requests per second that the target accepts from all senders together; unset if it names no limit.
+  std::optional<double> rate_limit;
+  /// The response names a limit that cannot be parsed; the limit in force stays as it is.
+  bool has_malformed_limit = false;
+  /// The target is shutting down.
+  bool is_leaving = false;
+};
+
 /// Result of a request at the target.
 struct RunResult {
   wire::ForwardReplyT reply;
+  /// Set for a complete response of the target that was expected.
+  std::optional<TargetStatement> statement{};
   /// The target refused the request because it has another id.
   bool instance_mismatch = false;
 };
@@ -40,6 +53,8 @@
   unsigned slots = 1;
   /// Remaining cold time, if the target reported it.
   std::optional<Duration> cold_remaining{};
+  /// Set for a complete response.
+  std::optional<TargetStatement> statement{};
 };
 
 /// Outcome of a connection attempt that checks whether the target is alive.
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -2,11 +2,9 @@
 
 namespace cometstand::sidecar {
 
-/// Without a start time on either side only the ids are compared, since a health check response carries none.
+/// A health check response carries no start time.
 bool TargetState::isCurrent(const mesh::Incarnation& incarnation) const {
-  const auto& current = beat_.incarnation;
-  return incarnation == current ||
-         (incarnation.id == current.id && (incarnation.born_ms == 0 || current.born_ms == 0));
+  return incarnation.matches(beat_.incarnation);
 }
 
 bool TargetState::maySupersede(const Heartbeat& beat, TimePoint now) {
