Sidecar: a target gets no more requests than the limit it states allows, from all senders together

What callers and operators saw: targets that named 5.6 and 3.5 requests a second went on getting 16 to 23 and 7 to 14 a second (incident of exceeded target limits; 65 in 4 s where 39 were allowed).

Cause: the header passed through the sidecar unread; nothing decided by it.

Why this holds: every request for a target passes the gate beside it, so the gate alone can bound the sum, in any partition. TargetLimit joins what the target stated (StatedLimit), a token bucket with a window of 4 s (the class that limited cold targets, now RequestRateLimit, one type for both) and turns, by which senders share the rate without a refusal each. A gate that restarts knows nothing: senders put what they know into their requests, and the gate uses it until the target has responded to it. Refusals have the reason Limited and the time at which the limit allows the next.

A limit of nothing still lets a request through every 4 s, since only a response can lift it.

--- a/src/sidecar/cold_gate.cpp
+++ b/src/sidecar/cold_gate.cpp
@@ -7,6 +7,18 @@
 
 /// The part of the gate that limits requests to a cold target.
 namespace cometstand::sidecar {
+namespace {
+
+/// A request that waits for a new connection reaches the target up to this much later than it was sent.
+constexpr Duration kConnectTime = std::chrono::milliseconds(250);
+/// A few requests that arrive together need not wait, and their work still fits into a handful of slots.
+constexpr double kMaxColdTokens = 3;
+
+}  // namespace
+
+RateBounds TargetGate::coldBounds(const SidecarOptions& options) {
+  return {std::chrono::seconds(1), options.cold_overshoot, options.cold_slack, kConnectTime, kMaxColdTokens};
+}
 
 void TargetGate::setColdStart(const mesh::ColdStart& start, TimePoint now) {
   now_ = now;
@@ -74,6 +86,7 @@
   if (target_.condition() != TargetCondition::Ready || !cold_start_.startHealthCheckIfDue(now)) return false;
   // A health check occupies a slot of the target, as a request does.
   cold_limit_.recordSent(now);
+  target_limit_.recordSent(now);
   return true;
 }
 
@@ -82,13 +95,14 @@
 }
 
 Duration TargetGate::estimateWait(std::size_t ahead, TimePoint now) const {
-  const Duration for_slot = estimateSlotWait(ahead);
+  const Duration for_slot = std::max(estimateSlotWait(ahead), target_limit_.nextAvailable(now, ahead) - now);
   if (!cold_start_.isCold(now)) return for_slot;
   const TimePoint limit_allows_at = std::min(cold_limit_.nextAvailable(now, ahead), cold_start_.coldUntil());
   return std::max(for_slot, limit_allows_at - now);
 }
 
 wire::NotRunReason TargetGate::capacityRefusalReason(TimePoint now) const {
+  if (target_limit_.isExhausted(now)) return wire::NotRunReason::Limited;
   return isColdLimited(now) ? wire::NotRunReason::Cold : wire::NotRunReason::Full;
 }
 
--- a/src/sidecar/endpoint.h
+++ b/src/sidecar/endpoint.h
@@ -52,6 +52,11 @@
   unsigned cold_room = 0;
   /// Until this time a cold target without capacity gets no request.
   TimePoint cold_retry_at;
+  /// Time between two requests of this sidecar at which the sidecars share the target's rate limit, as its
+  /// sidecar last assigned; zero without a limit.
+  Duration limit_pause{};
+  /// Until this time a target with a rate limit gets no request from this sidecar.
+  TimePoint limit_retry_at;
   /// Time at which the endpoint is removed, unless a store lists it again.
   std::optional<TimePoint> expires_at;
 };
--- a/src/sidecar/endpoint_directory.cpp
+++ b/src/sidecar/endpoint_directory.cpp
@@ -51,6 +51,8 @@
   endpoint.avoid_until = TimePoint();
   endpoint.cold_room = 0;
   endpoint.cold_retry_at = TimePoint();
+  endpoint.limit_pause = Duration::zero();
+  endpoint.limit_retry_at = TimePoint();
 }
 
 void EndpointDirectory::updateSenderCount() {
@@ -104,6 +106,7 @@
   if (endpoint.outstanding == 0) endpoint.no_reply_since = now;
   ++endpoint.outstanding;
   if (endpoint.cold_room > 0) --endpoint.cold_room;
+  if (endpoint.limit_pause > Duration::zero()) endpoint.limit_retry_at = now + endpoint.limit_pause;
 }
 
 Endpoint* EndpointDirectory::choose(const EndpointCriteria& criteria, const std::set<runtime::Address>& tried,
@@ -197,13 +200,14 @@
   candidates.resize(wanted);
 }
 
-Duration EndpointDirectory::coldTime(const EndpointCriteria& criteria, TimePoint now) const {
+Duration EndpointDirectory::timeUntilCapacity(const EndpointCriteria& criteria, TimePoint now) const {
   const auto listed = linked_.find(criteria.service);
   if (listed == linked_.end()) return Duration::zero();
   Duration least = Duration::max();
   for (const auto* endpoint : listed->second) {
     if (!filter_.isEligible(*endpoint, criteria)) continue;
-    least = std::min(least, std::max(Duration::zero(), endpoint->cold_until - now));
+    const TimePoint capacity_at = std::max(endpoint->cold_until, endpoint->limit_retry_at);
+    least = std::min(least, std::max(Duration::zero(), capacity_at - now));
   }
   return least == Duration::max() ? Duration::zero() : least;
 }
@@ -226,6 +230,9 @@
   const Duration retry_delay =
       was_refused ? std::chrono::milliseconds(reply.retry_after_ms) : kMinColdRetryDelay;
   endpoint.cold_retry_at = now + std::max(retry_delay, kMinColdRetryDelay);
+  endpoint.limit_pause = std::chrono::milliseconds(reply.limit_pause_ms);
+  endpoint.limit_retry_at = now + endpoint.limit_pause;
+  if (reply.statement) statements_.record(endpoint.address, *reply.statement, now);
   endpoint.reported_at = now;
   endpoint.no_reply_since = now;
   zone_health_.noteContact(endpoint.zone, now);
--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -12,6 +12,7 @@
 #include "sidecar/endpoint.h"
 #include "sidecar/endpoint_cost.h"
 #include "sidecar/endpoint_filter.h"
+#include "sidecar/known_statements.h"
 #include "sidecar/region_links.h"
 #include "sidecar/sidecar_options.h"
 #include "sidecar/zone_health.h"
@@ -45,9 +46,9 @@
   Endpoint* choose(const EndpointCriteria& criteria, const std::set<runtime::Address>& tried,
                    RandomSource& random, TimePoint now);
 
-  /// @return time until the first endpoint that is eligible for the request is warm; zero if one is warm or
-  /// none is eligible.
-  Duration coldTime(const EndpointCriteria& criteria, TimePoint now) const;
+  /// @return time until the first endpoint that is eligible for the request is warm and, if its target has a
+  /// rate limit, this sidecar's next turn; zero if none is eligible.
+  Duration timeUntilCapacity(const EndpointCriteria& criteria, TimePoint now) const;
   /// Records that the link to the address was opened.
   void noteLinked(const runtime::Address& address, TimePoint now);
   /// Records that the link to the address ended or could not be opened.
@@ -64,6 +65,11 @@
   /// @return true if a live endpoint of the service is known, reachable or not.
   bool knows(const std::string& service) const;
 
+  /// @return what the endpoint's target has stated to this sidecar; nullptr if nothing.
+  const wire::TargetStatementT* statementOf(const Endpoint& endpoint) const {
+    return statements_.find(endpoint);
+  }
+
   RegionLinks& regionLinks() { return region_links_; }
   const RegionLinks& regionLinks() const { return region_links_; }
 
@@ -104,6 +110,7 @@
   RegionLinks region_links_;
   EndpointCost cost_;
   ZoneHealth zone_health_;
+  KnownStatements statements_;
   std::map<runtime::Address, Endpoint> endpoints_;
   /// Endpoints by service.
   std::map<std::string, std::vector<Endpoint*>> by_service_;
--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -3,7 +3,7 @@
 namespace cometstand::sidecar {
 
 bool EndpointFilter::admits(const Endpoint& endpoint, const EndpointCriteria& criteria, TimePoint now) const {
-  return isEligible(endpoint, criteria) && hasColdCapacity(endpoint, now);
+  return isEligible(endpoint, criteria) && hasColdCapacity(endpoint, now) && now >= endpoint.limit_retry_at;
 }
 
 bool EndpointFilter::isEligible(const Endpoint& endpoint, const EndpointCriteria& criteria) const {
--- a/src/sidecar/outbound_calls.cpp
+++ b/src/sidecar/outbound_calls.cpp
@@ -175,6 +175,9 @@
   request.answer_credit = parts_.options.answer_credit;
   request.answer_bytes = static_cast<std::uint32_t>(forecast_.answerBytes(call.route->name));
   request.route = routeNameFor(call, endpoint);
+  const auto* statement = parts_.endpoints.statementOf(endpoint);
+  if (statement != nullptr && statement->rate_limit)
+    request.statement = std::make_shared<wire::TargetStatementT>(*statement);
   return request;
 }
 
@@ -280,7 +283,9 @@
   for (const auto& address : call.tried_endpoints) {
     auto* endpoint = parts_.endpoints.find(address);
     if (endpoint == nullptr || call.refusals > 1) continue;
-    const bool is_full = reply.reason == wire::NotRunReason::Full || reply.reason == wire::NotRunReason::Cold;
+    const bool is_full = reply.reason == wire::NotRunReason::Full ||
+                         reply.reason == wire::NotRunReason::Cold ||
+                         reply.reason == wire::NotRunReason::Limited;
     endpoint->avoid_until = now + (is_full ? kFullAvoidance : kDownAvoidance);
   }
   const bool reached_target = reply.reached_target;
--- a/src/sidecar/outbound_completion.cpp
+++ b/src/sidecar/outbound_completion.cpp
@@ -150,10 +150,11 @@
 /// refused together do not retry together, and wait longer the more of them are refused.
 Duration OutboundCalls::drawRetryAfter(const CallState& call, TimePoint now) {
   const auto max_wait = std::chrono::duration_cast<Duration>((call.caller_deadline - now) * kMaxWaitShare);
-  // While all targets warm up, a retry would take the capacity of other requests.
-  const Duration cold = std::min(parts_.endpoints.coldTime(criteriaOf(call), now), max_wait);
+  // While all targets warm up or have a rate limit, a retry would take the capacity of other requests.
+  const Duration until_capacity =
+      std::min(parts_.endpoints.timeUntilCapacity(criteriaOf(call), now), max_wait);
   const Duration suggested = call.retry_after == Duration::zero() ? kDefaultRetryAfter : call.retry_after;
-  const Duration min_retry_after = std::max(suggested, cold);
+  const Duration min_retry_after = std::max(suggested, until_capacity);
   const auto spread = std::chrono::duration_cast<Duration>(max_wait * refusals_.of(call.request->service));
   return parts_.random.uniform(min_retry_after, min_retry_after + std::max(min_retry_after, spread));
 }
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -93,10 +93,10 @@
                 std::chrono::duration<double>(core_.targetColdTime()).count());
   metrics.gauge("cometstand_sidecar_target_limited",
                 "1 if the target states a limit on its requests per second, else 0.",
-                core_.gate().statedLimit().rate() ? 1 : 0);
+                core_.gate().targetLimit().stated().rate() ? 1 : 0);
   metrics.gauge("cometstand_sidecar_target_limit",
                 "Requests per second that the target accepts from all sidecars; 0 if it states no limit.",
-                core_.gate().statedLimit().rate().value_or(0));
+                core_.gate().targetLimit().stated().rate().value_or(0));
   for (const auto& [kind, count] : core_.unreadableMessages()) {
     metrics.counter("cometstand_sidecar_unreadable_words_total",
                     "Heartbeats and deregistrations that could not be parsed, by error kind.",
--- a/src/sidecar/stated_limit.cpp
+++ b/src/sidecar/stated_limit.cpp
@@ -2,16 +2,17 @@
 
 namespace cometstand::sidecar {
 
-void StatedLimit::follow(const mesh::Incarnation& incarnation) {
+bool StatedLimit::follow(const mesh::Incarnation& incarnation) {
   if (incarnation_.matches(incarnation)) {
     // The start time may become known later than the id.
     if (incarnation_.born_ms == 0) incarnation_ = incarnation;
-    return;
+    return false;
   }
   incarnation_ = incarnation;
   rate_.reset();
   has_response_ = false;
   stated_at_ = {};
+  return true;
 }
 
 bool StatedLimit::set(std::optional<double> rate, TimePoint now) {
--- a/src/sidecar/stated_limit.h
+++ b/src/sidecar/stated_limit.h
@@ -15,8 +15,9 @@
 /// had arrived: it is then newer for sure.
 class StatedLimit {
  public:
-  /// Sets the target's current incarnation. Nothing is known about one that follows another.
-  void follow(const mesh::Incarnation& incarnation);
+  /// Sets the target's current incarnation. @return true if it follows another; nothing is known about it
+  /// then.
+  bool follow(const mesh::Incarnation& incarnation);
 
   /// Applies the statement of a response.
   /// @param started when the request of the response was sent to the target.
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -78,7 +78,7 @@
 /// Bounds yielding requests by their own number and not by all running ones: a slot that other requests use
 /// now is not reserved for them a second time.
 bool TargetGate::hasSlotFor(const wire::ForwardRequestT& request, TimePoint now) const {
-  if (running_.size() >= slots() || isColdLimited(now)) return false;
+  if (running_.size() >= slots() || isColdLimited(now) || target_limit_.isExhausted(now)) return false;
   if (!yields(request)) return true;
   const auto yielding =
       std::count_if(running_.begin(), running_.end(), [](const auto& item) { return item.second.yields; });
@@ -124,7 +124,8 @@
   return estimateWait(static_cast<std::size_t>(ahead), now) > maxQueueTime(request, now);
 }
 
-void TargetGate::reply(const GateRequester& requester, wire::ForwardReplyT reply, TimePoint now) {
+void TargetGate::reply(const GateRequester& requester, const wire::ForwardRequestT& request,
+                       wire::ForwardReplyT reply, TimePoint now) {
   reply.running = running();
   reply.waiting = waiting();
   reply.slots = slots();
@@ -132,6 +133,7 @@
   reply.run_time_permille = static_cast<std::uint32_t>(relative_run_time_ * kPermille);
   reply.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(coldTime(now)));
   reply.cold_room = reply.cold_ms == 0 ? 0 : cold_limit_.available(now);
+  addStatement(requester, request, reply, now);
   answer_(requester, std::move(reply));
 }
 
@@ -151,14 +153,18 @@
                           {"waiting", waiting()},
                           {"slots", slots()},
                           {"cold_ms", ceilMilliseconds(coldTime(now))},
+                          {"limit", formatLimit(target_limit_.stated().rate())},
+                          {"limit_age_ms", limitAgeMilliseconds(now)},
+                          {"sent_in_window", target_limit_.sentInWindow(now)},
                           {"patience_ms", request.patience_ms},
                           {"expected_wait_ms", ceilMilliseconds(wait)}});
   answer.retry_after_ms = static_cast<std::uint32_t>(ceilMilliseconds(wait));
-  reply(requester, std::move(answer), now);
+  reply(requester, request, std::move(answer), now);
 }
 
 bool TargetGate::refuseNow(const GateRequester& requester, const wire::ForwardRequestT& request,
                            TimePoint now) {
+  applyReportedStatement(request, now);
   auto reason = refusalReason(request, now);
   if (!reason && isFullFor(request, now)) reason = capacityRefusalReason(now);
   if (!reason) return false;
@@ -168,13 +174,14 @@
 
 void TargetGate::admit(const GateRequester& requester, ForwardRequestPointer request, TimePoint now) {
   now_ = now;
+  applyReportedStatement(*request, now);
   if (const auto reason = refusalReason(*request, now)) {
     refuse(requester, *request, *reason, now);
     return;
   }
   const TimePoint deadline = now + std::chrono::milliseconds(request->deadline_ms);
-  // Queued requests are served first if the limit of a cold target has allowed more since the last event.
-  if (cold_start_.isCold(now)) startWaiting(now);
+  // Queued requests are served first if a rate limit has allowed more since the last event.
+  if (cold_start_.isCold(now) || target_limit_.stated().rate()) startWaiting(now);
   recordObjective(*request, now);
   if (yields(*request)) {
     yielding_seen_at_ = now;
@@ -203,6 +210,7 @@
                                       target_.incarnation()});
   samples_.recordStart();
   cold_limit_.recordSent(now);
+  target_limit_.recordSent(now);
   port_.run({id, request, target_.incarnation().id, deadline - now});
 }
 
@@ -264,7 +272,7 @@
   recordOutcome(finished, result.reply, now);
   recordEnd(finished, result.reply, now);
   startWaiting(now);
-  reply(finished.requester, std::move(result.reply), now);
+  reply(finished.requester, *finished.request, std::move(result.reply), now);
 }
 
 void TargetGate::onTargetChanged(TimePoint now) {
@@ -275,7 +283,7 @@
     failure_rate_ = 0;
     cold_limit_.reset(now);
   }
-  stated_limit_.follow(target_.incarnation());
+  target_limit_.follow(target_.incarnation(), now);
   startWaiting(now);
 }
 
@@ -305,7 +313,7 @@
     wire::ForwardReplyT answer;
     answer.outcome = wire::ForwardOutcome::Unknown;
     recordEnd(run, answer, now);
-    reply(run.requester, std::move(answer), now);
+    reply(run.requester, *run.request, std::move(answer), now);
   }
   startWaiting(now);
 }
@@ -314,7 +322,7 @@
   TimePoint next = TimePoint::max();
   for (const auto& [key, waiting] : waiting_) next = std::min(next, waiting.start_by);
   for (const auto& [id, run] : running_) next = std::min(next, run.deadline + kAnswerGrace);
-  return std::min(next, nextColdTimer());
+  return std::min({next, nextColdTimer(), nextLimitTimer()});
 }
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "mesh/route_table.h"
-#include "sidecar/cold_rate_limit.h"
 #include "sidecar/cold_start_tracker.h"
 #include "sidecar/gate_requester.h"
 #include "sidecar/metrics.h"
@@ -17,7 +16,7 @@
 #include "sidecar/quarantine.h"
 #include "sidecar/run_samples.h"
 #include "sidecar/sidecar_options.h"
-#include "sidecar/stated_limit.h"
+#include "sidecar/target_limit.h"
 #include "sidecar/target_port.h"
 #include "sidecar/target_state.h"
 #include "sidecar/target_watch.h"
@@ -43,7 +42,7 @@
         port_(port),
         quarantine_(quarantine),
         answer_(std::move(answer)),
-        cold_limit_(options.cold_overshoot, options.cold_slack),
+        cold_limit_(coldBounds(options)),
         watch_(port, [this] { return runsAtTarget(); }) {}
 
   TargetState& target() { return target_; }
@@ -108,8 +107,8 @@
   TimePoint nextTimer() const;
   unsigned running() const { return static_cast<unsigned>(running_.size()); }
   const GateMetrics& metrics() const { return metrics_; }
-  /// @return the limit that the target states.
-  const StatedLimit& statedLimit() const { return stated_limit_; }
+  /// @return the rate limit that the target states.
+  const TargetLimit& targetLimit() const { return target_limit_; }
   unsigned waiting() const { return static_cast<unsigned>(waiting_.size()); }
 
  private:
@@ -161,6 +160,9 @@
   bool isColdLimited(TimePoint now) const;
   /// @return the expected wait behind `ahead` queued requests, for a slot and for the limit of a cold target.
   Duration estimateWait(std::size_t ahead, TimePoint now) const;
+  static RateBounds coldBounds(const SidecarOptions& options);
+  /// @return when queued requests may be sent to a limited target.
+  TimePoint nextLimitTimer() const;
   /// @return when queued requests may be sent to a cold target, or when a health check is due.
   TimePoint nextColdTimer() const;
   /// @return the reason for refusing a request that would wait too long.
@@ -183,7 +185,13 @@
   void recordAbandoned(const RunningRequest& run, TimePoint now);
   void recordRunTime(const RunningRequest& run, TimePoint now);
   void recordEnd(const RunningRequest& run, const wire::ForwardReplyT& reply, TimePoint now);
-  void reply(const GateRequester& requester, wire::ForwardReplyT reply, TimePoint now);
+  void reply(const GateRequester& requester, const wire::ForwardRequestT& request, wire::ForwardReplyT reply,
+             TimePoint now);
+  /// Adds what the target states to a reply.
+  void addStatement(const GateRequester& requester, const wire::ForwardRequestT& request,
+                    wire::ForwardReplyT& reply, TimePoint now);
+  /// Applies what the sender knows about the target.
+  void applyReportedStatement(const wire::ForwardRequestT& request, TimePoint now);
   /// Passes the result of a run to the crash detection and the quarantine.
   void reportToWatch(const RunningRequest& run, const RunResult& result, TimePoint now);
   void recordTargetEnd(const std::optional<TargetEnd>& end, TimePoint now);
@@ -192,6 +200,11 @@
   /// @param request_id of that request; empty for a health check.
   void recordStatement(const TargetStatement& statement, const mesh::Incarnation& incarnation,
                        TimePoint started, const std::string& request_id, TimePoint now);
+  static std::string formatLimit(const std::optional<double>& rate);
+  /// @return time since the limit in force was last stated; 0 without a limit.
+  std::int64_t limitAgeMilliseconds(TimePoint now) const;
+  void logLimitChange(const std::optional<double>& previous, const std::string& request_id,
+                      const char* source) const;
   void recordHealthStatement(const TargetStatement& statement, const mesh::Incarnation& incarnation,
                              TimePoint now);
   std::vector<TargetWatch::Run> runsAtTarget() const;
@@ -230,7 +243,7 @@
   ColdStartTracker cold_start_;
   /// The incarnation that cold_start_ describes.
   mesh::Incarnation cold_start_incarnation_;
-  ColdRateLimit cold_limit_;
+  RequestRateLimit cold_limit_;
   /// When the newest heartbeat arrived; unset once the target is presumed cold for lack of one.
   std::optional<TimePoint> last_heartbeat_at_;
   /// Time of the newest event.
@@ -238,7 +251,7 @@
   TargetWatch watch_;
   /// The incarnation that failure_rate_ describes.
   mesh::Incarnation failure_rate_incarnation_;
-  StatedLimit stated_limit_;
+  TargetLimit target_limit_;
 };
 
 }  // namespace cometstand::sidecar
--- a/tests/sidecar/cold_rate_limit_test.cpp
+++ b/tests/sidecar/request_rate_limit_test.cpp
@@ -1,11 +1,11 @@
-#include "sidecar/cold_rate_limit.h"
+#include "sidecar/request_rate_limit.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
 
 using namespace cometstand;
-using sidecar::ColdRateLimit;
+using sidecar::RequestRateLimit;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -32,7 +32,7 @@
     return sent;
   }
 
-  ColdRateLimit limit{kOvershoot, kSlack};
+  RequestRateLimit limit{{seconds(1), kOvershoot, kSlack, milliseconds(250), 3}};
   TimePoint now{seconds(100)};
 };
 
@@ -96,7 +96,7 @@
 }
 
 TEST_CASE("a rate below one request per second still allows a request in time") {
-  ColdRateLimit limit(1, 0);
+  RequestRateLimit limit({seconds(1), 1, 0, milliseconds(250), 3});
   limit.setRate(0.5);
   const TimePoint start{seconds(100)};
   limit.reset(start);
--- a/tests/target_limits/statement_mesh.cpp
+++ b/tests/target_limits/statement_mesh.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kStores = 3;
 constexpr const char* kService = "desk";
-constexpr Duration kHeartbeat = milliseconds(1'500);
+constexpr Duration kHeartbeat = milliseconds(300);
 constexpr Duration kStopTime = seconds(4);
 constexpr Duration kRestartTime = milliseconds(300);
 constexpr std::size_t kFirstMachineAddress = 101;
