Sidecar: a target that states in its responses that it leaves gets no new requests

Cause: as for limits, the header passed through unread, and only heartbeats and deregistrations made a target leave.

Why this holds: the gate takes the notice as it takes a heartbeat that says draining (refused after leaving_grace, record withdrawn at the stores), and heartbeats of the incarnation do not take it back. A gate that restarts beside such a target believes its heartbeats, so each sender also remembers the notice by incarnation, apart from the endpoint's record, and does not choose it again.

--- a/src/sidecar/endpoint_directory.h
+++ b/src/sidecar/endpoint_directory.h
@@ -26,7 +26,7 @@
   /// @param options, evacuations must outlive the directory.
   EndpointDirectory(const SidecarOptions& options, const ZoneEvacuations& evacuations)
       : options_(options),
-        filter_(options.zones, evacuations),
+        filter_(options.zones, evacuations, statements_),
         region_links_(options),
         cost_(options, region_links_),
         zone_health_(options.zone) {}
--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -10,6 +10,8 @@
   if (!isReachable(endpoint)) return false;
   if (!criteria.versions.admits(endpoint.version)) return false;
   if (!isAllowedRegion(endpoint, criteria)) return false;
+  // The sidecar beside a leaving target may have restarted, and does not know then that it leaves.
+  if (statements_.isLeaving(endpoint)) return false;
   return !evacuations_.isEvacuated(endpoint.zone);
 }
 
--- a/src/sidecar/endpoint_filter.h
+++ b/src/sidecar/endpoint_filter.h
@@ -2,6 +2,7 @@
 
 #include "mesh/zone_map.h"
 #include "sidecar/endpoint.h"
+#include "sidecar/known_statements.h"
 #include "sidecar/zone_evacuations.h"
 
 namespace cometstand::sidecar {
@@ -10,9 +11,10 @@
 /// independent of each other; EndpointCost ranks the eligible endpoints.
 class EndpointFilter {
  public:
-  /// @param zones, evacuations must outlive the filter.
-  EndpointFilter(const mesh::ZoneMap& zones, const ZoneEvacuations& evacuations)
-      : zones_(zones), evacuations_(evacuations) {}
+  /// @param zones, evacuations, statements must outlive the filter.
+  EndpointFilter(const mesh::ZoneMap& zones, const ZoneEvacuations& evacuations,
+                 const KnownStatements& statements)
+      : zones_(zones), evacuations_(evacuations), statements_(statements) {}
 
   /// @return true if the endpoint is up and linked.
   static bool isReachable(const Endpoint& endpoint) { return endpoint.live && endpoint.linked; }
@@ -29,6 +31,7 @@
 
   const mesh::ZoneMap& zones_;
   const ZoneEvacuations& evacuations_;
+  const KnownStatements& statements_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/limit_gate.cpp
+++ b/src/sidecar/limit_gate.cpp
@@ -23,7 +23,7 @@
     logEvent(kStatementMalformed, {{"instance", incarnation.name()}, {"request", request_id}});
   const auto previous = target_limit_.stated().rate();
   if (target_limit_.onResponse(statement, started, now)) logLimitChange(previous, request_id, "response");
-  if (statement.is_leaving && target_.condition() == TargetCondition::Ready)
+  if (statement.is_leaving && target_.onLeavingStated(incarnation, now))
     logEvent(kTargetLeavingStated, {{"instance", incarnation.name()}, {"request", request_id}});
 }
 
@@ -41,7 +41,8 @@
 /// The response to a health check can set a limit, but not lift one: targets need not state it there.
 void TargetGate::recordHealthStatement(const TargetStatement& statement, const mesh::Incarnation& incarnation,
                                        TimePoint now) {
-  if (!statement.rate_limit && !statement.is_leaving) return;
+  const bool states_nothing = !statement.rate_limit && !statement.is_leaving;
+  if (states_nothing || incarnation.empty()) return;
   recordStatement(statement, incarnation, TimePoint::min(), "", now);
 }
 
--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -15,7 +15,9 @@
   advance(now);
   if (result.instance_mismatch && gate_.target().onIdMismatch(gate_.target().incarnation().id))
     onTargetChanged(now);
+  const auto previous = gate_.target().condition();
   gate_.onResult(id, std::move(result), now);
+  if (gate_.target().condition() != previous) onTargetChanged(now);
 }
 
 /// The target of this sidecar's own service may register before the configuration that names the service
@@ -37,11 +39,11 @@
 
 void SidecarCore::onHealth(const TargetHealth& health, TimePoint now) {
   advance(now);
+  const auto previous = gate_.target().condition();
   const bool is_ready = health.ready && !health.instance.empty();
-  const bool has_target_changed =
-      is_ready && gate_.target().onHealthCheckPassed(health.instance, options_.service, health.slots);
+  if (is_ready) gate_.target().onHealthCheckPassed(health.instance, options_.service, health.slots);
   gate_.onHealth(health, now);
-  if (has_target_changed || hasColdStateChanged(now)) onTargetChanged(now);
+  if (gate_.target().condition() != previous || hasColdStateChanged(now)) onTargetChanged(now);
 }
 
 void SidecarCore::onProbed(ProbeOutcome outcome, TimePoint now) {
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -66,6 +66,12 @@
   return changed;
 }
 
+bool TargetState::onLeavingStated(const mesh::Incarnation& incarnation, TimePoint now) {
+  const bool is_news = isCurrent(incarnation) && condition_ == TargetCondition::Ready;
+  if (is_news) markLeaving(now);
+  return is_news;
+}
+
 bool TargetState::onIdMismatch(const std::string& expected) {
   if (expected != beat_.incarnation.id || condition_ == TargetCondition::Unknown) return false;
   past_.add(beat_.incarnation);
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -53,6 +53,8 @@
   /// The incarnation has ended or is about to end. Without a start time, it matches the current incarnation
   /// if that has the same id. @return true if anything changed.
   bool onDeregistered(const mesh::Incarnation& incarnation, TimePoint now);
+  /// The target stated in a response that it is shutting down. @return true if anything changed.
+  bool onLeavingStated(const mesh::Incarnation& incarnation, TimePoint now);
   /// The target refused a request because its id is not the expected one. @return true if anything changed.
   bool onIdMismatch(const std::string& expected);
 
--- a/tests/sidecar/endpoint_filter_test.cpp
+++ b/tests/sidecar/endpoint_filter_test.cpp
@@ -7,6 +7,7 @@
 using sidecar::Endpoint;
 using sidecar::EndpointCriteria;
 using sidecar::EndpointFilter;
+using sidecar::KnownStatements;
 
 namespace {
 
@@ -17,7 +18,8 @@
     endpoint.linked = true;
   }
 
-  bool admits() const { return EndpointFilter(zones, evacuations).admits(endpoint, criteria, now); }
+  KnownStatements statements;
+  bool admits() const { return EndpointFilter(zones, evacuations, statements).admits(endpoint, criteria, now); }
 
   const mesh::ZoneMap zones{{"east-a=east", "west-a=west"}};
   sidecar::ZoneEvacuations evacuations;
--- a/tests/target_limits/leave_notices_test.cpp
+++ b/tests/target_limits/leave_notices_test.cpp
@@ -33,4 +33,44 @@
   CHECK(countSince(mesh.arrivals(2), left) == 0);
 }
 
+TEST_CASE("a leave notice holds while the sidecar beside the target restarts and its heartbeats say ready",
+          "[limits]") {
+  setLogLevel(LogLevel::Error);
+  const auto seed = GENERATE(range<std::uint64_t>(1, 6));
+  INFO("seed " << seed);
+  StatementMesh mesh(seed, kCalls);
+  mesh.runFor(seconds(2));
+  mesh.leave(2);
+  mesh.runFor(seconds(3));
+  for (int restart = 0; restart < 4; ++restart) {
+    mesh.restartSidecar(2, milliseconds(200));
+    mesh.runFor(milliseconds(1'500));
+  }
+  CHECK(mesh.checker().violations() == std::vector<std::string>());
+}
+
+TEST_CASE("a leave notice holds while all stores are down", "[limits]") {
+  setLogLevel(LogLevel::Error);
+  StatementMesh mesh(3, kCalls);
+  mesh.runFor(seconds(2));
+  mesh.restartStores(seconds(6));
+  mesh.leave(2);
+  mesh.runFor(seconds(10));
+  CHECK(mesh.checker().violations() == std::vector<std::string>());
+}
+
+TEST_CASE("a target that starts again under its id after it left gets requests", "[limits]") {
+  setLogLevel(LogLevel::Error);
+  StatementMesh mesh(4, kCalls);
+  mesh.runFor(seconds(2));
+  mesh.leave(2);
+  mesh.runFor(seconds(4));
+  mesh.restartTarget(2);
+  mesh.runFor(seconds(4));
+  const TimePoint begin = mesh.network.now();
+  mesh.runFor(seconds(2));
+  CHECK(countSince(mesh.arrivals(2), begin) >= 40);
+  CHECK(mesh.checker().violations() == std::vector<std::string>());
+}
+
 }  // namespace cometstand::limits::test
--- a/tests/target_limits/statement_mesh.cpp
+++ b/tests/target_limits/statement_mesh.cpp
@@ -102,7 +102,7 @@
     auto& machine = machines_.at(random_.uniform(0, kMachines - 1));
     const std::uint64_t number = next_call_++;
     calls_[number] = {machine.number, network.now()};
-    network.call(machine.process, [&] {
+    network.call(machine.process, [this, &machine, number] {
       sidecar::Call call;
       call.host = "desk.example";
       call.request.target = "/read/x";
@@ -194,7 +194,7 @@
     if (is_leaving) addField(result.reply, kLeavingField, "1");
   }
   mesh->network.call(
-      process, [this, run, &result] { mesh->coreOf(*this).onRunResult(run, result, mesh->network.now()); });
+      process, [this, run, result] { mesh->coreOf(*this).onRunResult(run, result, mesh->network.now()); });
 }
 
 void StatementMesh::Machine::answer(sidecar::CallId id, sidecar::CallAnswer answer) {
