--- a/tests/sidecar/endpoint_filter_test.cpp
+++ b/tests/sidecar/endpoint_filter_test.cpp
@@ -18,11 +18,13 @@
     endpoint.linked = true;
   }
 
-  KnownStatements statements;
-  bool admits() const { return EndpointFilter(zones, evacuations, statements).admits(endpoint, criteria, now); }
+  bool admits() const {
+    return EndpointFilter(zones, evacuations, statements).admits(endpoint, criteria, now);
+  }
 
   const mesh::ZoneMap zones{{"east-a=east", "west-a=west"}};
   sidecar::ZoneEvacuations evacuations;
+  KnownStatements statements;
   Endpoint endpoint;
   EndpointCriteria criteria;
   TimePoint now{std::chrono::seconds(100)};
