--- a/tests/sidecar/limit_gate_test.cpp
+++ b/tests/sidecar/limit_gate_test.cpp
@@ -114,6 +114,19 @@
   CHECK(reply.limit_pause_ms > 0);
 }
 
+TEST_CASE_METHOD(LimitGateFixture, "refusals for a limit do not make the target count as failing or slow") {
+  limit = 2;
+  offer(seconds(2));
+  pass(milliseconds(200));
+  const auto before = replies.at(last_number).run_time_permille;
+  for (int i = 0; i < 20; ++i) admit();
+  const auto& reply = replies.at(last_number);
+  CHECK(reply.reason == NotRunReason::Limited);
+  CHECK(reply.failure_permille == 0);
+  CHECK(reply.run_time_permille == before);
+  CHECK(target.probes == 0);
+}
+
 TEST_CASE_METHOD(LimitGateFixture, "senders that are told their turns share the limit") {
   limit = 6;
   offer(seconds(1));
