Sidecar: log each leave notice with its effect, and what led to a change of the target

The log had one line for a change of the target's condition, without its source, and none for a notice that changed nothing. leave_notice (E7039) tells what a heartbeat or a deregistration did: applied, repeated, or about another incarnation (acknowledged all the same). target_changed gains cause and sequence, so that the first line of a restarted sidecar says what its belief about the target rests on. Nothing decides by it.

--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -24,7 +24,8 @@
     "Requests are now routed by this revision of the configuration. No action is needed."};
 inline constexpr EventDefinition kTargetChanged{7006, LogLevel::Info, "target_changed",
                                                 "The target beside this sidecar appeared, is leaving, or was "
-                                                "replaced by another instance. No action is needed."};
+                                                "replaced by another instance; cause names the source of the "
+                                                "change. No action is needed."};
 inline constexpr EventDefinition kCallEnded{7007, LogLevel::Info, "call_ended",
                                             "A caller's request ended without a response of the target. The "
                                             "fields contain the cause; see docs/OPERATIONS.md."};
@@ -137,6 +138,12 @@
     "A response of the target beside this sidecar names a limit that is no decimal number, or several. The "
     "limit in force was kept. If the event repeats, correct the target."};
 
+inline constexpr EventDefinition kLeaveNotice{
+    7039, LogLevel::Info, "leave_notice",
+    "A heartbeat or a deregistration announced the shutdown of an incarnation of the target. The effect is "
+    "applied for the current incarnation, repeated if it was known to leave, and other_incarnation if the "
+    "notice is not about the current one."};
+
 inline constexpr std::array kSidecarEvents{kStoreLinked,
                                            kStoreLost,
                                            kSourceChosen,
@@ -165,6 +172,7 @@
                                            kCallKeyUnknown,
                                            kTargetLimitChanged,
                                            kTargetLeavingStated,
-                                           kStatementMalformed};
+                                           kStatementMalformed,
+                                           kLeaveNotice};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -180,7 +180,8 @@
   gate_.setRoutes(table);
   requestTargetHealth();
   // Before the first configuration the endpoint is not published as live.
-  if (is_first && gate_.target().condition() != TargetCondition::Unknown) onTargetChanged(now);
+  if (is_first && gate_.target().condition() != TargetCondition::Unknown)
+    onTargetChanged(TargetChangeCause::Configuration, now);
 }
 
 void SidecarCore::onEndpoints(const wire::EndpointUpdateT& update, bool is_whole, TimePoint now) {
@@ -301,7 +302,7 @@
   }
   gate_.onTimer(now);
   sendHealthCheckIfDue(now);
-  if (hasColdStateChanged(now)) onTargetChanged(now);
+  if (hasColdStateChanged(now)) onTargetChanged(TargetChangeCause::ColdState, now);
   quota_.onTimer(now);
   calls_.onTimer(now);
   checkStop(now);
@@ -350,7 +351,7 @@
   if (!withdrawn_ && now >= gateClosesAt() - options_.leaving_grace) {
     withdrawn_ = true;
     gate_.closeAt(now + options_.leaving_grace);
-    if (gate_.target().condition() != TargetCondition::Unknown) onTargetChanged(now);
+    if (gate_.target().condition() != TargetCondition::Unknown) onTargetChanged(TargetChangeCause::Stop, now);
   }
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -12,6 +12,7 @@
 #include "sidecar/endpoint_subset.h"
 #include "sidecar/outbound_calls.h"
 #include "sidecar/response_transfers.h"
+#include "sidecar/target_change_cause.h"
 
 namespace cometstand::sidecar {
 
@@ -115,7 +116,9 @@
   void onRequesterRequest(GateRequester requester, const wire::ForwardRequestT& request, TimePoint now);
   void replyToRequester(const GateRequester& requester, wire::ForwardReplyT reply);
   BodyIntake::Listener intakeListener();
-  void onTargetChanged(TimePoint now);
+  void onTargetChanged(TargetChangeCause cause, TimePoint now);
+  void logLeaveNotice(const char* source, const mesh::Incarnation& incarnation, std::uint64_t sequence,
+                      bool has_changed) const;
   void requestTargetHealth();
   bool isServiceConfigured(const std::string& service) const;
   wire::EndpointRecordT ownRecord() const;
--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -14,10 +14,10 @@
 void SidecarCore::onRunResult(RunId id, RunResult result, TimePoint now) {
   advance(now);
   if (result.instance_mismatch && gate_.target().onIdMismatch(gate_.target().incarnation().id))
-    onTargetChanged(now);
+    onTargetChanged(TargetChangeCause::Response, now);
   const auto previous = gate_.target().condition();
   gate_.onResult(id, std::move(result), now);
-  if (gate_.target().condition() != previous) onTargetChanged(now);
+  if (gate_.target().condition() != previous) onTargetChanged(TargetChangeCause::Response, now);
 }
 
 /// The target of this sidecar's own service may register before the configuration that names the service
@@ -33,8 +33,9 @@
                 "send the service of this machine, or put it into the configuration");
   }
   const bool has_changed = gate_.target().onHeartbeat(beat, now);
+  if (!beat.ready) logLeaveNotice("heartbeat", beat.incarnation, beat.sequence, has_changed);
   gate_.onHeartbeat(beat, now);
-  if (has_changed || hasColdStateChanged(now)) onTargetChanged(now);
+  if (has_changed || hasColdStateChanged(now)) onTargetChanged(TargetChangeCause::Heartbeat, now);
 }
 
 void SidecarCore::onHealth(const TargetHealth& health, TimePoint now) {
@@ -43,7 +44,8 @@
   const bool is_ready = health.ready && !health.instance.empty();
   if (is_ready) gate_.target().onHealthCheckPassed(health.instance, options_.service, health.slots);
   gate_.onHealth(health, now);
-  if (gate_.target().condition() != previous || hasColdStateChanged(now)) onTargetChanged(now);
+  if (gate_.target().condition() != previous || hasColdStateChanged(now))
+    onTargetChanged(TargetChangeCause::HealthCheck, now);
 }
 
 void SidecarCore::onProbed(ProbeOutcome outcome, TimePoint now) {
@@ -63,7 +65,9 @@
 
 void SidecarCore::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now) {
   advance(now);
-  if (gate_.target().onDeregistered(incarnation, now)) onTargetChanged(now);
+  const bool has_changed = gate_.target().onDeregistered(incarnation, now);
+  logLeaveNotice("deregistration", incarnation, 0, has_changed);
+  if (has_changed) onTargetChanged(TargetChangeCause::Deregistration, now);
 }
 
 void SidecarCore::onUnreadableMessage(const std::string& id, const Error& error) {
@@ -73,9 +77,25 @@
                                 {"reason", error.what()}});
 }
 
-void SidecarCore::onTargetChanged(TimePoint now) {
+void SidecarCore::logLeaveNotice(const char* source, const mesh::Incarnation& incarnation,
+                                 std::uint64_t sequence, bool has_changed) const {
+  const auto& target = gate_.target();
+  const bool is_known = target.condition() == TargetCondition::Leaving;
+  const bool is_current = is_known && incarnation.matches(target.incarnation());
+  const char* effect = is_current ? "repeated" : "other_incarnation";
+  logEvent(kLeaveNotice, {{"instance", incarnation.name()},
+                          {"source", source},
+                          {"sequence", sequence},
+                          {"effect", has_changed ? "applied" : effect},
+                          {"current", target.incarnation().name()},
+                          {"condition", static_cast<int>(target.condition())}});
+}
+
+void SidecarCore::onTargetChanged(TargetChangeCause cause, TimePoint now) {
   const auto& target = gate_.target();
   logEvent(kTargetChanged, {{"instance", target.incarnation().name()},
+                            {"cause", targetChangeCauseName(cause)},
+                            {"sequence", target.sequence()},
                             {"service", target.service()},
                             {"condition", static_cast<int>(target.condition())},
                             {"slots", target.slots()}});
