Leave notices: failing tests with the platform's programs as real processes

Targets announce their shutdown in both ways (heartbeats that say draining; a deregistration, after which the health check still passes) beside the real store and sidecar programs, which are killed, stopped, suspended, one, all of a kind or all together; some runs deliver an older heartbeat that says ready. Callers keep their connections.

--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -120,6 +120,30 @@
   startSidecar(zone);
 }
 
+void PlatformMesh::restartStores(Duration pause) {
+  for (auto& store : store_processes_) store.reset();
+  rehearsal::pauseFor(pause);
+  for (std::size_t store = 0; store < kStores; ++store) startStore(store);
+}
+
+void PlatformMesh::restartSidecars(bool with_stores, Duration pause) {
+  for (auto& sidecar : sidecar_processes_) sidecar->sendSignal(SIGKILL);
+  if (with_stores) {
+    for (auto& store : store_processes_) store->sendSignal(SIGKILL);
+  }
+  for (auto& sidecar : sidecar_processes_) sidecar.reset();
+  if (with_stores) {
+    restartStores(pause);
+  } else {
+    rehearsal::pauseFor(pause);
+  }
+  for (std::size_t zone = 0; zone < kZones; ++zone) startSidecar(zone);
+}
+
+void PlatformMesh::signalStores(int signal) {
+  for (auto& store : store_processes_) store->sendSignal(signal);
+}
+
 boost::asio::ip::tcp::endpoint PlatformMesh::callerEndpoint(std::size_t zone) const {
   return {boost::asio::ip::make_address(sidecarHost(zone)), caller_port_.port()};
 }
@@ -181,6 +205,39 @@
   sidecar_processes_.at(zone) = startProgram(name, SIDECAR_PROGRAM, settings);
 }
 
+KeptConnections::KeptConnections(PlatformMesh& mesh) {
+  for (std::size_t zone = 0; zone < PlatformMesh::kZones; ++zone) {
+    const auto endpoint = mesh.callerEndpoint(zone);
+    clients_.emplace_back(io_, runtime::Address{endpoint.address().to_string(), endpoint.port()});
+    for (std::size_t caller = 0; caller < kCallersPerZone; ++caller) send(zone);
+  }
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+KeptConnections::~KeptConnections() {
+  io_.stop();
+  thread_.join();
+}
+
+void KeptConnections::send(std::size_t zone) {
+  web::Request request;
+  request.version(11);
+  request.method(boost::beast::http::verb::get);
+  request.target("/");
+  request.set(boost::beast::http::field::host, kHost);
+  request.set(kRequestId, fmt::format("kept-{}", ++sends_));
+  request.set(kDeadline, "1000");
+  clients_.at(zone).send(
+      web::SendId{sends_}, std::move(request), [](const web::Response&) { return true; },
+      [this, zone](const web::SendResult& result) {
+        const bool is_answered =
+            result.outcome == web::SendOutcome::Answered && result.response.result_int() == kOk;
+        if (is_answered) ++answered_;
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io_, kCallerPause);
+        timer->async_wait([this, zone, timer](boost::system::error_code) { send(zone); });
+      });
+}
+
 Press::Press(PlatformMesh& mesh) {
   for (std::size_t caller = 0; caller < kCallersPerZone * PlatformMesh::kZones; ++caller) {
     threads_.emplace_back([this, &mesh, zone = caller % PlatformMesh::kZones] {
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -18,6 +18,7 @@
 #include "rehearsal/fleet/child_process.h"
 #include "rehearsal/fleet/http_client.h"
 #include "rehearsal/fleet/reserved_port.h"
+#include "web/client.h"
 
 namespace cometstand::platform {
 
@@ -62,6 +63,12 @@
   /// @return the store that leads, once one does.
   std::size_t waitForLeader() const;
   void killStore(std::size_t store) { store_processes_.at(store).reset(); }
+  /// SIGKILL to all stores and, after a pause, a new start on their disks.
+  void restartStores(Duration pause);
+  /// The same for all sidecars and, if `with_stores`, for all stores with them.
+  void restartSidecars(bool with_stores, Duration pause);
+  /// Suspends all stores (SIGSTOP), as if every sidecar was cut off from them, or lets them go on.
+  void signalStores(int signal);
 
   void waitForReadiness(std::size_t zone) const;
   /// SIGKILL and a new start; returns before the new process is ready.
@@ -110,6 +117,28 @@
   std::thread thread_;
 };
 
+/// Callers of all sidecars that keep their connections and use them again as long as they are open. Each
+/// pauses between its requests, until the object goes.
+class KeptConnections {
+ public:
+  explicit KeptConnections(PlatformMesh& mesh);
+  ~KeptConnections();
+  KeptConnections(const KeptConnections&) = delete;
+  KeptConnections& operator=(const KeptConnections&) = delete;
+
+  /// @return the number of requests that were answered with success.
+  std::size_t answered() const { return answered_; }
+
+ private:
+  void send(std::size_t zone);
+
+  boost::asio::io_context io_;
+  std::deque<web::Client> clients_;
+  std::uint64_t sends_ = 0;
+  std::atomic<std::size_t> answered_ = 0;
+  std::thread thread_;
+};
+
 /// Callers that send to all sidecars as fast as they are answered, each pausing between its requests,
 /// until the object goes.
 class Press {
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
 
 #include "platform/names.h"
 #include "rehearsal/fleet/wait_until.h"
@@ -15,12 +17,26 @@
 constexpr unsigned kSlots = 8;
 constexpr Duration kBeatInterval = std::chrono::milliseconds(200);
 
+/// While it drains; a sidecar that restarts learns of it only after some time.
+constexpr Duration kDrainingBeatInterval = std::chrono::milliseconds(1'500);
+/// A response that comes later than this acknowledges nothing.
+constexpr Duration kAcknowledgementTime = std::chrono::seconds(1);
+
+std::uint64_t unixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
 
 StandInTarget::StandInTarget(boost::asio::io_context& io, TargetPlan plan)
-    : plan_(std::move(plan)), server_(io, plan_.listen, *this), client_(io, plan_.sidecar), timer_(io) {}
+    : plan_(std::move(plan)),
+      server_(io, plan_.listen, *this),
+      client_(io, plan_.sidecar),
+      timer_(io),
+      born_ms_(unixMilliseconds()) {}
 
 void StandInTarget::start() {
   server_.start();
@@ -47,6 +63,37 @@
   is_leaving_ = true;
 }
 
+void StandInTarget::announceDraining() {
+  const std::scoped_lock lock(mutex_);
+  announcement_ = Announcement::Draining;
+}
+
+void StandInTarget::deregister() {
+  const std::scoped_lock lock(mutex_);
+  announcement_ = Announcement::Deregistered;
+}
+
+void StandInTarget::startAgain() {
+  const std::scoped_lock lock(mutex_);
+  announcement_ = Announcement::Ready;
+  is_leaving_ = false;
+  sequence_ = 0;
+  born_ms_ = unixMilliseconds();
+  leave_acknowledged_at_.reset();
+}
+
+void StandInTarget::sendDelayedHeartbeat() {
+  boost::asio::post(timer_.get_executor(), [this] {
+    const std::scoped_lock lock(mutex_);
+    sendHeartbeat("ready", last_ready_sequence_);
+  });
+}
+
+std::optional<TimePoint> StandInTarget::leaveAcknowledgedAt() const {
+  const std::scoped_lock lock(mutex_);
+  return leave_acknowledged_at_;
+}
+
 void StandInTarget::waitForHeartbeat() const {
   // The one under way may have been sent before.
   const std::uint64_t enough = acknowledged_beats_ + 2;
@@ -74,9 +121,11 @@
 }
 
 void StandInTarget::onRequest(web::ExchangeId id, web::Request request) {
+  const std::scoped_lock lock(mutex_);
   web::Response response;
   response.result(http::status::ok);
   if (request.target() == kHealthPath) {
+    if (announcement_ == Announcement::Draining) response.result(http::status::service_unavailable);
     response.set(kInstanceId, plan_.instance);
     response.set(kServerLoad, fmt::format("0,0,{}", kSlots));
     response.set(kColdRemaining, std::to_string(ceilMilliseconds(coldRemaining())));
@@ -84,7 +133,6 @@
     response.set(kRequestId, request[kRequestId]);
     response.body() = bodyFor(request);
     const bool is_cold = coldRemaining() > Duration::zero();
-    const std::scoped_lock lock(mutex_);
     arrivals_.push_back(SteadyClock::now());
     if (!limit_.empty()) response.set(kServerLimit, limit_);
     if (is_leaving_) response.set(kServerLeaving, "1");
@@ -105,33 +153,66 @@
 }
 
 void StandInTarget::beat() {
+  Duration interval = kBeatInterval;
+  {
+    const std::scoped_lock lock(mutex_);
+    if (announcement_ == Announcement::Draining && leave_acknowledged_at_) interval = kDrainingBeatInterval;
+    switch (announcement_) {
+      case Announcement::Ready:
+        last_ready_sequence_ = ++sequence_;
+        sendHeartbeat("ready", sequence_);
+        break;
+      case Announcement::Draining:
+        sendHeartbeat("draining", ++sequence_);
+        break;
+      case Announcement::Deregistered:
+        if (!leave_acknowledged_at_) sendDeregistration();
+        break;
+    }
+  }
+  timer_.expires_after(interval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) beat();
+  });
+}
+
+void StandInTarget::sendHeartbeat(const char* state, std::uint64_t sequence) {
+  auto body = fmt::format(
+      R"({{"address":"{}:{}","born":{},"info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},)"
+      R"("status":{{"state":"{}","sequence":{},"cold_remaining_s":{}}}}})",
+      plan_.listen.host, plan_.listen.port, born_ms_, kTestService, plan_.zone, kSlots, state, sequence,
+      secondsOf(coldRemaining()));
+  send(kHeartbeatPath + plan_.instance, std::move(body), announcement_ == Announcement::Draining);
+}
+
+void StandInTarget::sendDeregistration() {
+  send(kDeregisterPath + plan_.instance, fmt::format(R"({{"born":{}}})", born_ms_), true);
+}
+
+void StandInTarget::send(const std::string& path, std::string body, bool is_leave_notice) {
   web::Request request;
   request.version(11);
   request.method(http::verb::post);
-  request.target(kHeartbeatPath + plan_.instance);
+  request.target(path);
   request.set(http::field::host, plan_.sidecar.host);
-  request.body() =
-      fmt::format(R"({{"address":"{}:{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},)"
-                  R"("status":{{"state":"ready","sequence":{},"cold_remaining_s":{}}}}})",
-                  plan_.listen.host, plan_.listen.port, kTestService, plan_.zone, kSlots, ++beats_,
-                  secondsOf(coldRemaining()));
+  request.body() = std::move(body);
   request.prepare_payload();
   client_.send(
-      web::SendId{beats_}, std::move(request), [](const web::Response&) { return true; },
-      [this](const web::SendResult& result) {
+      web::SendId{++sends_}, std::move(request), [](const web::Response&) { return true; },
+      [this, is_leave_notice, sent_at = SteadyClock::now()](const web::SendResult& result) {
         const bool is_taken =
             result.outcome == web::SendOutcome::Answered && result.response.result() == http::status::ok;
-        if (is_taken) ++acknowledged_beats_;
+        if (!is_taken) return;
+        ++acknowledged_beats_;
+        const TimePoint now = SteadyClock::now();
+        const std::scoped_lock lock(mutex_);
+        if (is_leave_notice && !leave_acknowledged_at_ && now < sent_at + kAcknowledgementTime)
+          leave_acknowledged_at_ = now;
       });
-  timer_.expires_after(kBeatInterval);
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) beat();
-  });
 }
 
 Duration StandInTarget::coldRemaining() const {
   const auto now = SteadyClock::now();
-  const std::scoped_lock lock(mutex_);
   if (cold_until_ <= now) return Duration::zero();
   return std::min(kColdTime, std::chrono::duration_cast<Duration>(cold_until_ - now));
 }
--- a/tests/platform_processes/stand_in_target.h
+++ b/tests/platform_processes/stand_in_target.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,18 @@
   void nameLimit(const std::string& limit);
   /// From now on its responses to requests say that it leaves; its heartbeats still say that it is ready.
   void sayLeaving();
+  /// From now on its heartbeats say that it drains, and its health checks fail. Heartbeats come less often
+  /// once it is acknowledged.
+  void announceDraining();
+  /// Sends no more heartbeats but a deregistration, again until one is acknowledged. Its health checks still
+  /// pass.
+  void deregister();
+  /// Starts again under its id, and knows nothing of before.
+  void startAgain();
+  /// Sends one heartbeat that says ready, as it was sent before the shutdown was announced.
+  void sendDelayedHeartbeat();
+  /// @return when the first response came that acknowledged the announced shutdown.
+  std::optional<TimePoint> leaveAcknowledgedAt() const;
   /// Waits until the sidecar has taken a heartbeat that was sent after this call began.
   void waitForHeartbeat() const;
 
@@ -62,15 +75,24 @@
   void onCallerGone(web::ExchangeId) override {}
 
  private:
+  /// What the target tells its sidecar about itself.
+  enum class Announcement : std::uint8_t { Ready, Draining, Deregistered };
+
+  /// Sends what is due, and again after a pause.
   void beat();
+  /// To be called with mutex_ held, as is sendDeregistration().
+  void sendHeartbeat(const char* state, std::uint64_t sequence);
+  void sendDeregistration();
+  void send(const std::string& path, std::string body, bool is_leave_notice);
   std::string bodyFor(const web::Request& request) const;
+  /// To be called with mutex_ held.
   Duration coldRemaining() const;
 
   const TargetPlan plan_;
   web::Server server_;
   web::Client client_;
   boost::asio::steady_timer timer_;
-  std::uint64_t beats_ = 0;
+  std::uint64_t sends_ = 0;
   std::atomic<std::uint64_t> acknowledged_beats_ = 0;
 
   /// Guards what follows.
@@ -81,6 +103,12 @@
   std::string seen_fields_;
   std::string limit_;
   bool is_leaving_ = false;
+  Announcement announcement_ = Announcement::Ready;
+  std::uint64_t sequence_ = 0;
+  /// Sequence of the last heartbeat that said ready.
+  std::uint64_t last_ready_sequence_ = 0;
+  std::uint64_t born_ms_ = 0;
+  std::optional<TimePoint> leave_acknowledged_at_;
 };
 
 /// @param times in rising order.
