--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -402,11 +402,14 @@
   EvacuationUpdate = 42,
   QuotaRequest = 43,
   QuotaGrant = 44,
+  LeaveNotice = 45,
+  LeaveNoticeQuery = 46,
+  LeaveNoticeList = 47,
   MIN = NONE,
-  MAX = QuotaGrant
+  MAX = LeaveNoticeList
 };
 
-inline const Body (&EnumValuesBody())[45] {
+inline const Body (&EnumValuesBody())[48] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -452,13 +455,16 @@
     Body::QuarantineUpdate,
     Body::EvacuationUpdate,
     Body::QuotaRequest,
-    Body::QuotaGrant
+    Body::QuotaGrant,
+    Body::LeaveNotice,
+    Body::LeaveNoticeQuery,
+    Body::LeaveNoticeList
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[46] = {
+  static const char * const names[49] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -504,13 +510,16 @@
     "EvacuationUpdate",
     "QuotaRequest",
     "QuotaGrant",
+    "LeaveNotice",
+    "LeaveNoticeQuery",
+    "LeaveNoticeList",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaGrant)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaveNoticeList)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -695,6 +704,18 @@
   static const Body enum_value = Body::QuotaGrant;
 };
 
+template<> struct BodyTraits<cometstand::wire::LeaveNotice> {
+  static const Body enum_value = Body::LeaveNotice;
+};
+
+template<> struct BodyTraits<cometstand::wire::LeaveNoticeQuery> {
+  static const Body enum_value = Body::LeaveNoticeQuery;
+};
+
+template<> struct BodyTraits<cometstand::wire::LeaveNoticeList> {
+  static const Body enum_value = Body::LeaveNoticeList;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -875,6 +896,18 @@
   static const Body enum_value = Body::QuotaGrant;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::LeaveNoticeT> {
+  static const Body enum_value = Body::LeaveNotice;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::LeaveNoticeQueryT> {
+  static const Body enum_value = Body::LeaveNoticeQuery;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::LeaveNoticeListT> {
+  static const Body enum_value = Body::LeaveNoticeList;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1257,6 +1290,30 @@
     return type == Body::QuotaGrant ?
       reinterpret_cast<const cometstand::wire::QuotaGrantT *>(value) : nullptr;
   }
+  cometstand::wire::LeaveNoticeT *AsLeaveNotice() {
+    return type == Body::LeaveNotice ?
+      reinterpret_cast<cometstand::wire::LeaveNoticeT *>(value) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeT *AsLeaveNotice() const {
+    return type == Body::LeaveNotice ?
+      reinterpret_cast<const cometstand::wire::LeaveNoticeT *>(value) : nullptr;
+  }
+  cometstand::wire::LeaveNoticeQueryT *AsLeaveNoticeQuery() {
+    return type == Body::LeaveNoticeQuery ?
+      reinterpret_cast<cometstand::wire::LeaveNoticeQueryT *>(value) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeQueryT *AsLeaveNoticeQuery() const {
+    return type == Body::LeaveNoticeQuery ?
+      reinterpret_cast<const cometstand::wire::LeaveNoticeQueryT *>(value) : nullptr;
+  }
+  cometstand::wire::LeaveNoticeListT *AsLeaveNoticeList() {
+    return type == Body::LeaveNoticeList ?
+      reinterpret_cast<cometstand::wire::LeaveNoticeListT *>(value) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeListT *AsLeaveNoticeList() const {
+    return type == Body::LeaveNoticeList ?
+      reinterpret_cast<const cometstand::wire::LeaveNoticeListT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4694,6 +4751,15 @@
   const cometstand::wire::QuotaGrant *body_as_QuotaGrant() const {
     return body_type() == cometstand::wire::Body::QuotaGrant ? static_cast<const cometstand::wire::QuotaGrant *>(body()) : nullptr;
   }
+  const cometstand::wire::LeaveNotice *body_as_LeaveNotice() const {
+    return body_type() == cometstand::wire::Body::LeaveNotice ? static_cast<const cometstand::wire::LeaveNotice *>(body()) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeQuery *body_as_LeaveNoticeQuery() const {
+    return body_type() == cometstand::wire::Body::LeaveNoticeQuery ? static_cast<const cometstand::wire::LeaveNoticeQuery *>(body()) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeList *body_as_LeaveNoticeList() const {
+    return body_type() == cometstand::wire::Body::LeaveNoticeList ? static_cast<const cometstand::wire::LeaveNoticeList *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4883,6 +4949,18 @@
   return body_as_QuotaGrant();
 }
 
+template<> inline const cometstand::wire::LeaveNotice *Envelope::body_as<cometstand::wire::LeaveNotice>() const {
+  return body_as_LeaveNotice();
+}
+
+template<> inline const cometstand::wire::LeaveNoticeQuery *Envelope::body_as<cometstand::wire::LeaveNoticeQuery>() const {
+  return body_as_LeaveNoticeQuery();
+}
+
+template<> inline const cometstand::wire::LeaveNoticeList *Envelope::body_as<cometstand::wire::LeaveNoticeList>() const {
+  return body_as_LeaveNoticeList();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6451,6 +6529,18 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LeaveNoticeQuery: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LeaveNoticeList: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeList *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6646,6 +6736,18 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrant *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::LeaveNoticeQuery: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::LeaveNoticeList: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeList *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6829,6 +6931,18 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaGrantT *>(value);
       return CreateQuotaGrant(_fbb, ptr, _rehasher).Union();
     }
+    case Body::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeT *>(value);
+      return CreateLeaveNotice(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::LeaveNoticeQuery: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeQueryT *>(value);
+      return CreateLeaveNoticeQuery(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::LeaveNoticeList: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeListT *>(value);
+      return CreateLeaveNoticeList(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7011,6 +7125,18 @@
       value = new cometstand::wire::QuotaGrantT(*reinterpret_cast<cometstand::wire::QuotaGrantT *>(u.value));
       break;
     }
+    case Body::LeaveNotice: {
+      value = new cometstand::wire::LeaveNoticeT(*reinterpret_cast<cometstand::wire::LeaveNoticeT *>(u.value));
+      break;
+    }
+    case Body::LeaveNoticeQuery: {
+      value = new cometstand::wire::LeaveNoticeQueryT(*reinterpret_cast<cometstand::wire::LeaveNoticeQueryT *>(u.value));
+      break;
+    }
+    case Body::LeaveNoticeList: {
+      value = new cometstand::wire::LeaveNoticeListT(*reinterpret_cast<cometstand::wire::LeaveNoticeListT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7238,6 +7364,21 @@
       delete ptr;
       break;
     }
+    case Body::LeaveNotice: {
+      auto ptr = reinterpret_cast<cometstand::wire::LeaveNoticeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::LeaveNoticeQuery: {
+      auto ptr = reinterpret_cast<cometstand::wire::LeaveNoticeQueryT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::LeaveNoticeList: {
+      auto ptr = reinterpret_cast<cometstand::wire::LeaveNoticeListT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/schema/mesh_generated.h
+++ b/src/schema/mesh_generated.h
@@ -86,6 +86,22 @@
 struct EvacuationUpdateBuilder;
 struct EvacuationUpdateT;
 
+struct LeaveNotice;
+struct LeaveNoticeBuilder;
+struct LeaveNoticeT;
+
+struct LeaveNoticeQuery;
+struct LeaveNoticeQueryBuilder;
+struct LeaveNoticeQueryT;
+
+struct LeaveNoticeList;
+struct LeaveNoticeListBuilder;
+struct LeaveNoticeListT;
+
+struct LeaveNoticeState;
+struct LeaveNoticeStateBuilder;
+struct LeaveNoticeStateT;
+
 struct NodeHello;
 struct NodeHelloBuilder;
 struct NodeHelloT;
@@ -2367,6 +2383,293 @@
 
 flatbuffers::Offset<EvacuationUpdate> CreateEvacuationUpdate(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeaveNoticeT : public flatbuffers::NativeTable {
+  typedef LeaveNotice TableType;
+  std::string node{};
+  std::string instance{};
+  uint64_t born_ms = 0;
+};
+
+struct LeaveNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaveNoticeT NativeTableType;
+  typedef LeaveNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_INSTANCE = 6,
+    VT_BORN_MS = 8
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  uint64_t born_ms() const {
+    return GetField<uint64_t>(VT_BORN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN_MS, 8) &&
+           verifier.EndTable();
+  }
+  LeaveNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaveNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaveNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaveNoticeBuilder {
+  typedef LeaveNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(LeaveNotice::VT_NODE, node);
+  }
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(LeaveNotice::VT_INSTANCE, instance);
+  }
+  void add_born_ms(uint64_t born_ms) {
+    fbb_.AddElement<uint64_t>(LeaveNotice::VT_BORN_MS, born_ms, 0);
+  }
+  explicit LeaveNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaveNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaveNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaveNotice> CreateLeaveNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    uint64_t born_ms = 0) {
+  LeaveNoticeBuilder builder_(_fbb);
+  builder_.add_born_ms(born_ms);
+  builder_.add_instance(instance);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct LeaveNotice::Traits {
+  using type = LeaveNotice;
+  static auto constexpr Create = CreateLeaveNotice;
+};
+
+inline flatbuffers::Offset<LeaveNotice> CreateLeaveNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const char *instance = nullptr,
+    uint64_t born_ms = 0) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  return cometstand::wire::CreateLeaveNotice(
+      _fbb,
+      node__,
+      instance__,
+      born_ms);
+}
+
+flatbuffers::Offset<LeaveNotice> CreateLeaveNotice(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LeaveNoticeQueryT : public flatbuffers::NativeTable {
+  typedef LeaveNoticeQuery TableType;
+};
+
+struct LeaveNoticeQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaveNoticeQueryT NativeTableType;
+  typedef LeaveNoticeQueryBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  LeaveNoticeQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaveNoticeQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaveNoticeQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaveNoticeQueryBuilder {
+  typedef LeaveNoticeQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit LeaveNoticeQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaveNoticeQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaveNoticeQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaveNoticeQuery> CreateLeaveNoticeQuery(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  LeaveNoticeQueryBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct LeaveNoticeQuery::Traits {
+  using type = LeaveNoticeQuery;
+  static auto constexpr Create = CreateLeaveNoticeQuery;
+};
+
+flatbuffers::Offset<LeaveNoticeQuery> CreateLeaveNoticeQuery(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LeaveNoticeListT : public flatbuffers::NativeTable {
+  typedef LeaveNoticeList TableType;
+  std::vector<std::shared_ptr<cometstand::wire::LeaveNoticeT>> notices{};
+  LeaveNoticeListT() = default;
+  LeaveNoticeListT(const LeaveNoticeListT &o);
+  LeaveNoticeListT(LeaveNoticeListT&&) FLATBUFFERS_NOEXCEPT = default;
+  LeaveNoticeListT &operator=(LeaveNoticeListT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LeaveNoticeList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaveNoticeListT NativeTableType;
+  typedef LeaveNoticeListBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTICES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *>(VT_NOTICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
+           verifier.VerifyVectorOfTables(notices()) &&
+           verifier.EndTable();
+  }
+  LeaveNoticeListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaveNoticeListT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaveNoticeList> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeListT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaveNoticeListBuilder {
+  typedef LeaveNoticeList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>> notices) {
+    fbb_.AddOffset(LeaveNoticeList::VT_NOTICES, notices);
+  }
+  explicit LeaveNoticeListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaveNoticeList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaveNoticeList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaveNoticeList> CreateLeaveNoticeList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>> notices = 0) {
+  LeaveNoticeListBuilder builder_(_fbb);
+  builder_.add_notices(notices);
+  return builder_.Finish();
+}
+
+struct LeaveNoticeList::Traits {
+  using type = LeaveNoticeList;
+  static auto constexpr Create = CreateLeaveNoticeList;
+};
+
+inline flatbuffers::Offset<LeaveNoticeList> CreateLeaveNoticeListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *notices = nullptr) {
+  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>(*notices) : 0;
+  return cometstand::wire::CreateLeaveNoticeList(
+      _fbb,
+      notices__);
+}
+
+flatbuffers::Offset<LeaveNoticeList> CreateLeaveNoticeList(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LeaveNoticeStateT : public flatbuffers::NativeTable {
+  typedef LeaveNoticeState TableType;
+  std::vector<std::shared_ptr<cometstand::wire::LeaveNoticeT>> notices{};
+  LeaveNoticeStateT() = default;
+  LeaveNoticeStateT(const LeaveNoticeStateT &o);
+  LeaveNoticeStateT(LeaveNoticeStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  LeaveNoticeStateT &operator=(LeaveNoticeStateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LeaveNoticeState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaveNoticeStateT NativeTableType;
+  typedef LeaveNoticeStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NOTICES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *>(VT_NOTICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
+           verifier.VerifyVectorOfTables(notices()) &&
+           verifier.EndTable();
+  }
+  LeaveNoticeStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeaveNoticeStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeaveNoticeState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeaveNoticeStateBuilder {
+  typedef LeaveNoticeState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>> notices) {
+    fbb_.AddOffset(LeaveNoticeState::VT_NOTICES, notices);
+  }
+  explicit LeaveNoticeStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaveNoticeState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaveNoticeState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaveNoticeState> CreateLeaveNoticeState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>> notices = 0) {
+  LeaveNoticeStateBuilder builder_(_fbb);
+  builder_.add_notices(notices);
+  return builder_.Finish();
+}
+
+struct LeaveNoticeState::Traits {
+  using type = LeaveNoticeState;
+  static auto constexpr Create = CreateLeaveNoticeState;
+};
+
+inline flatbuffers::Offset<LeaveNoticeState> CreateLeaveNoticeStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> *notices = nullptr) {
+  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::LeaveNotice>>(*notices) : 0;
+  return cometstand::wire::CreateLeaveNoticeState(
+      _fbb,
+      notices__);
+}
+
+flatbuffers::Offset<LeaveNoticeState> CreateLeaveNoticeState(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct NodeHelloT : public flatbuffers::NativeTable {
   typedef NodeHello TableType;
   std::string node{};
@@ -6459,6 +6762,133 @@
       _records);
 }
 
+inline LeaveNoticeT *LeaveNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaveNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaveNotice::UnPackTo(LeaveNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+}
+
+inline flatbuffers::Offset<LeaveNotice> LeaveNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaveNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaveNotice> CreateLeaveNotice(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaveNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _born_ms = _o->born_ms;
+  return cometstand::wire::CreateLeaveNotice(
+      _fbb,
+      _node,
+      _instance,
+      _born_ms);
+}
+
+inline LeaveNoticeQueryT *LeaveNoticeQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaveNoticeQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaveNoticeQuery::UnPackTo(LeaveNoticeQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<LeaveNoticeQuery> LeaveNoticeQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaveNoticeQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaveNoticeQuery> CreateLeaveNoticeQuery(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaveNoticeQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return cometstand::wire::CreateLeaveNoticeQuery(
+      _fbb);
+}
+
+inline LeaveNoticeListT::LeaveNoticeListT(const LeaveNoticeListT &o) {
+  notices.reserve(o.notices.size());
+  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new cometstand::wire::LeaveNoticeT(*notices_) : nullptr); }
+}
+
+inline LeaveNoticeListT &LeaveNoticeListT::operator=(LeaveNoticeListT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(notices, o.notices);
+  return *this;
+}
+
+inline LeaveNoticeListT *LeaveNoticeList::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaveNoticeListT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaveNoticeList::UnPackTo(LeaveNoticeListT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::shared_ptr<cometstand::wire::LeaveNoticeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LeaveNoticeList> LeaveNoticeList::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeListT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaveNoticeList(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaveNoticeList> CreateLeaveNoticeList(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeListT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaveNoticeListT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateLeaveNotice(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateLeaveNoticeList(
+      _fbb,
+      _notices);
+}
+
+inline LeaveNoticeStateT::LeaveNoticeStateT(const LeaveNoticeStateT &o) {
+  notices.reserve(o.notices.size());
+  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new cometstand::wire::LeaveNoticeT(*notices_) : nullptr); }
+}
+
+inline LeaveNoticeStateT &LeaveNoticeStateT::operator=(LeaveNoticeStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(notices, o.notices);
+  return *this;
+}
+
+inline LeaveNoticeStateT *LeaveNoticeState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeaveNoticeStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeaveNoticeState::UnPackTo(LeaveNoticeStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::shared_ptr<cometstand::wire::LeaveNoticeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LeaveNoticeState> LeaveNoticeState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeaveNoticeState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeaveNoticeState> CreateLeaveNoticeState(flatbuffers::FlatBufferBuilder &_fbb, const LeaveNoticeStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeaveNoticeStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::LeaveNotice>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateLeaveNotice(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return cometstand::wire::CreateLeaveNoticeState(
+      _fbb,
+      _notices);
+}
+
 inline NodeHelloT *NodeHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<NodeHelloT>();
   UnPackTo(_o.get(), _resolver);
--- a/src/schema/store_generated.h
+++ b/src/schema/store_generated.h
@@ -67,11 +67,12 @@
   ContentRelease = 9,
   EvacuationOrder = 10,
   QuotaLeadership = 11,
+  LeaveNotice = 12,
   MIN = NONE,
-  MAX = QuotaLeadership
+  MAX = LeaveNotice
 };
 
-inline const StoreCommandBody (&EnumValuesStoreCommandBody())[12] {
+inline const StoreCommandBody (&EnumValuesStoreCommandBody())[13] {
   static const StoreCommandBody values[] = {
     StoreCommandBody::NONE,
     StoreCommandBody::ChangeCommand,
@@ -84,13 +85,14 @@
     StoreCommandBody::ContentClearance,
     StoreCommandBody::ContentRelease,
     StoreCommandBody::EvacuationOrder,
-    StoreCommandBody::QuotaLeadership
+    StoreCommandBody::QuotaLeadership,
+    StoreCommandBody::LeaveNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesStoreCommandBody() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "ChangeCommand",
     "ClaimRequest",
@@ -103,13 +105,14 @@
     "ContentRelease",
     "EvacuationOrder",
     "QuotaLeadership",
+    "LeaveNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameStoreCommandBody(StoreCommandBody e) {
-  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::QuotaLeadership)) return "";
+  if (flatbuffers::IsOutRange(e, StoreCommandBody::NONE, StoreCommandBody::LeaveNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesStoreCommandBody()[index];
 }
@@ -162,6 +165,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::QuotaLeadership;
 };
 
+template<> struct StoreCommandBodyTraits<cometstand::wire::LeaveNotice> {
+  static const StoreCommandBody enum_value = StoreCommandBody::LeaveNotice;
+};
+
 template<typename T> struct StoreCommandBodyUnionTraits {
   static const StoreCommandBody enum_value = StoreCommandBody::NONE;
 };
@@ -210,6 +217,10 @@
   static const StoreCommandBody enum_value = StoreCommandBody::QuotaLeadership;
 };
 
+template<> struct StoreCommandBodyUnionTraits<cometstand::wire::LeaveNoticeT> {
+  static const StoreCommandBody enum_value = StoreCommandBody::LeaveNotice;
+};
+
 struct StoreCommandBodyUnion {
   StoreCommandBody type;
   void *value;
@@ -328,6 +339,14 @@
     return type == StoreCommandBody::QuotaLeadership ?
       reinterpret_cast<const cometstand::wire::QuotaLeadershipT *>(value) : nullptr;
   }
+  cometstand::wire::LeaveNoticeT *AsLeaveNotice() {
+    return type == StoreCommandBody::LeaveNotice ?
+      reinterpret_cast<cometstand::wire::LeaveNoticeT *>(value) : nullptr;
+  }
+  const cometstand::wire::LeaveNoticeT *AsLeaveNotice() const {
+    return type == StoreCommandBody::LeaveNotice ?
+      reinterpret_cast<const cometstand::wire::LeaveNoticeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type);
@@ -528,6 +547,9 @@
   const cometstand::wire::QuotaLeadership *body_as_QuotaLeadership() const {
     return body_type() == cometstand::wire::StoreCommandBody::QuotaLeadership ? static_cast<const cometstand::wire::QuotaLeadership *>(body()) : nullptr;
   }
+  const cometstand::wire::LeaveNotice *body_as_LeaveNotice() const {
+    return body_type() == cometstand::wire::StoreCommandBody::LeaveNotice ? static_cast<const cometstand::wire::LeaveNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -584,6 +606,10 @@
   return body_as_QuotaLeadership();
 }
 
+template<> inline const cometstand::wire::LeaveNotice *StoreCommand::body_as<cometstand::wire::LeaveNotice>() const {
+  return body_as_LeaveNotice();
+}
+
 struct StoreCommandBuilder {
   typedef StoreCommand Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1283,6 +1309,7 @@
   std::shared_ptr<cometstand::wire::QuarantineStateT> quarantine{};
   std::shared_ptr<cometstand::wire::EvacuationStateT> evacuations{};
   std::shared_ptr<cometstand::wire::QuotaLeadershipStateT> quota{};
+  std::shared_ptr<cometstand::wire::LeaveNoticeStateT> leave_notices{};
   StoreStateT() = default;
   StoreStateT(const StoreStateT &o);
   StoreStateT(StoreStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1304,7 +1331,8 @@
     VT_ROLLOUTS = 18,
     VT_QUARANTINE = 20,
     VT_EVACUATIONS = 22,
-    VT_QUOTA = 24
+    VT_QUOTA = 24,
+    VT_LEAVE_NOTICES = 26
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1339,6 +1367,9 @@
   const cometstand::wire::QuotaLeadershipState *quota() const {
     return GetPointer<const cometstand::wire::QuotaLeadershipState *>(VT_QUOTA);
   }
+  const cometstand::wire::LeaveNoticeState *leave_notices() const {
+    return GetPointer<const cometstand::wire::LeaveNoticeState *>(VT_LEAVE_NOTICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1365,6 +1396,8 @@
            verifier.VerifyTable(evacuations()) &&
            VerifyOffset(verifier, VT_QUOTA) &&
            verifier.VerifyTable(quota()) &&
+           VerifyOffset(verifier, VT_LEAVE_NOTICES) &&
+           verifier.VerifyTable(leave_notices()) &&
            verifier.EndTable();
   }
   StoreStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1409,6 +1442,9 @@
   void add_quota(flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota) {
     fbb_.AddOffset(StoreState::VT_QUOTA, quota);
   }
+  void add_leave_notices(flatbuffers::Offset<cometstand::wire::LeaveNoticeState> leave_notices) {
+    fbb_.AddOffset(StoreState::VT_LEAVE_NOTICES, leave_notices);
+  }
   explicit StoreStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1432,10 +1468,12 @@
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
     flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
     flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0,
-    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0) {
+    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0,
+    flatbuffers::Offset<cometstand::wire::LeaveNoticeState> leave_notices = 0) {
   StoreStateBuilder builder_(_fbb);
   builder_.add_pruned_version(pruned_version);
   builder_.add_version(version);
+  builder_.add_leave_notices(leave_notices);
   builder_.add_quota(quota);
   builder_.add_evacuations(evacuations);
   builder_.add_quarantine(quarantine);
@@ -1465,7 +1503,8 @@
     flatbuffers::Offset<cometstand::wire::RolloutState> rollouts = 0,
     flatbuffers::Offset<cometstand::wire::QuarantineState> quarantine = 0,
     flatbuffers::Offset<cometstand::wire::EvacuationState> evacuations = 0,
-    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0) {
+    flatbuffers::Offset<cometstand::wire::QuotaLeadershipState> quota = 0,
+    flatbuffers::Offset<cometstand::wire::LeaveNoticeState> leave_notices = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::ObjectChange>>(*changes) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantRequests>>(*requests) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<cometstand::wire::TenantClaims>>(*claims) : 0;
@@ -1482,7 +1521,8 @@
       rollouts,
       quarantine,
       evacuations,
-      quota);
+      quota,
+      leave_notices);
 }
 
 flatbuffers::Offset<StoreState> CreateStoreState(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1873,7 +1913,8 @@
         rollouts((o.rollouts) ? new cometstand::wire::RolloutStateT(*o.rollouts) : nullptr),
         quarantine((o.quarantine) ? new cometstand::wire::QuarantineStateT(*o.quarantine) : nullptr),
         evacuations((o.evacuations) ? new cometstand::wire::EvacuationStateT(*o.evacuations) : nullptr),
-        quota((o.quota) ? new cometstand::wire::QuotaLeadershipStateT(*o.quota) : nullptr) {
+        quota((o.quota) ? new cometstand::wire::QuotaLeadershipStateT(*o.quota) : nullptr),
+        leave_notices((o.leave_notices) ? new cometstand::wire::LeaveNoticeStateT(*o.leave_notices) : nullptr) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new cometstand::wire::ObjectChangeT(*changes_) : nullptr); }
   requests.reserve(o.requests.size());
@@ -1896,6 +1937,7 @@
   std::swap(quarantine, o.quarantine);
   std::swap(evacuations, o.evacuations);
   std::swap(quota, o.quota);
+  std::swap(leave_notices, o.leave_notices);
   return *this;
 }
 
@@ -1919,6 +1961,7 @@
   { auto _e = quarantine(); if (_e) _o->quarantine = std::shared_ptr<cometstand::wire::QuarantineStateT>(_e->UnPack(_resolver)); }
   { auto _e = evacuations(); if (_e) _o->evacuations = std::shared_ptr<cometstand::wire::EvacuationStateT>(_e->UnPack(_resolver)); }
   { auto _e = quota(); if (_e) _o->quota = std::shared_ptr<cometstand::wire::QuotaLeadershipStateT>(_e->UnPack(_resolver)); }
+  { auto _e = leave_notices(); if (_e) _o->leave_notices = std::shared_ptr<cometstand::wire::LeaveNoticeStateT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreState> StoreState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1940,6 +1983,7 @@
   auto _quarantine = _o->quarantine ? CreateQuarantineState(_fbb, _o->quarantine.get(), _rehasher) : 0;
   auto _evacuations = _o->evacuations ? CreateEvacuationState(_fbb, _o->evacuations.get(), _rehasher) : 0;
   auto _quota = _o->quota ? CreateQuotaLeadershipState(_fbb, _o->quota.get(), _rehasher) : 0;
+  auto _leave_notices = _o->leave_notices ? CreateLeaveNoticeState(_fbb, _o->leave_notices.get(), _rehasher) : 0;
   return cometstand::wire::CreateStoreState(
       _fbb,
       _version,
@@ -1952,7 +1996,8 @@
       _rollouts,
       _quarantine,
       _evacuations,
-      _quota);
+      _quota,
+      _leave_notices);
 }
 
 inline bool VerifyStoreCommandBody(flatbuffers::Verifier &verifier, const void *obj, StoreCommandBody type) {
@@ -2004,6 +2049,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadership *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case StoreCommandBody::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2067,6 +2116,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadership *>(obj);
       return ptr->UnPack(resolver);
     }
+    case StoreCommandBody::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2118,6 +2171,10 @@
       auto ptr = reinterpret_cast<const cometstand::wire::QuotaLeadershipT *>(value);
       return CreateQuotaLeadership(_fbb, ptr, _rehasher).Union();
     }
+    case StoreCommandBody::LeaveNotice: {
+      auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeT *>(value);
+      return CreateLeaveNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2168,6 +2225,10 @@
       value = new cometstand::wire::QuotaLeadershipT(*reinterpret_cast<cometstand::wire::QuotaLeadershipT *>(u.value));
       break;
     }
+    case StoreCommandBody::LeaveNotice: {
+      value = new cometstand::wire::LeaveNoticeT(*reinterpret_cast<cometstand::wire::LeaveNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2230,6 +2291,11 @@
       delete ptr;
       break;
     }
+    case StoreCommandBody::LeaveNotice: {
+      auto ptr = reinterpret_cast<cometstand::wire::LeaveNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/sidecar/control_client.cpp
+++ b/src/sidecar/control_client.cpp
@@ -127,6 +127,10 @@
     listener_.onEvacuations(*evacuations, now);
   } else if (const auto* acknowledged_report = message.body.AsCrashReport()) {
     listener_.onCrashReportAcknowledged(acknowledged_report->instance);
+  } else if (const auto* notice = message.body.AsLeaveNotice()) {
+    listener_.onLeaveNoticeCommitted(*notice, now);
+  } else if (const auto* list = message.body.AsLeaveNoticeList()) {
+    listener_.onLeaveNoticeList(*list, now);
   } else if (const auto* grant = message.body.AsQuotaGrant()) {
     listener_.onQuotaGrant(*address, *grant, now);
   }
--- a/src/sidecar/control_client.h
+++ b/src/sidecar/control_client.h
@@ -24,6 +24,10 @@
   virtual void onEvacuations(const wire::EvacuationUpdateT& update, TimePoint now) = 0;
   /// Called when a store has acknowledged this sidecar's crash report for the instance.
   virtual void onCrashReportAcknowledged(const std::string& instance) = 0;
+  /// Called when a store has committed a leave notice of this sidecar's target.
+  virtual void onLeaveNoticeCommitted(const wire::LeaveNoticeT& notice, TimePoint now) = 0;
+  /// Called with the leader's list of this sidecar's committed leave notices.
+  virtual void onLeaveNoticeList(const wire::LeaveNoticeListT& list, TimePoint now) = 0;
   /// Called with the response of a store to a request for quota tokens.
   virtual void onQuotaGrant(const runtime::Address& store, const wire::QuotaGrantT& grant, TimePoint now) = 0;
 };
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -140,9 +140,21 @@
 
 inline constexpr EventDefinition kLeaveNotice{
     7039, LogLevel::Info, "leave_notice",
-    "A heartbeat or a deregistration announced the shutdown of an incarnation of the target. The effect is "
-    "applied for the current incarnation, repeated if it was known to leave, and other_incarnation if the "
-    "notice is not about the current one."};
+    "A heartbeat, a deregistration or a response announced the shutdown of an incarnation of the target. The "
+    "effect is applied if it changed the target's state, repeated if the shutdown was known, and "
+    "not_accepted "
+    "if the notice may be an outdated one; it is then not acknowledged, and the target must repeat it."};
+
+inline constexpr EventDefinition kLeaveNoticeAnswered{
+    7040, LogLevel::Info, "leave_notice_answered",
+    "The sender of a leave notice got its response: an acknowledgement if committed is true. If it is often "
+    "false, check that the stores have a leader."};
+
+inline constexpr EventDefinition kLeaveNoticesRecovered{
+    7041, LogLevel::Info, "leave_notices_recovered",
+    "After its start, the sidecar got the committed leave notices of its targets from the stores, and may "
+    "now "
+    "send requests to the target beside it. No action is needed."};
 
 inline constexpr std::array kSidecarEvents{kStoreLinked,
                                            kStoreLost,
@@ -173,6 +185,8 @@
                                            kTargetLimitChanged,
                                            kTargetLeavingStated,
                                            kStatementMalformed,
-                                           kLeaveNotice};
+                                           kLeaveNotice,
+                                           kLeaveNoticeAnswered,
+                                           kLeaveNoticesRecovered};
 
 }  // namespace cometstand::sidecar
--- a/src/sidecar/past_incarnations.h
+++ b/src/sidecar/past_incarnations.h
@@ -27,6 +27,11 @@
   bool contains(const mesh::Incarnation& incarnation) const {
     return std::find(incarnations_.begin(), incarnations_.end(), incarnation) != incarnations_.end();
   }
+  /// @return true if it is contained, or if an incarnation of its id without a start time is, which may be
+  /// any of that id.
+  bool covers(const mesh::Incarnation& incarnation) const {
+    return contains(incarnation) || contains({incarnation.id, 0});
+  }
   /// @return true if any past incarnation had this id.
   bool containsId(const std::string& id) const {
     return std::any_of(incarnations_.begin(), incarnations_.end(),
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -35,6 +35,7 @@
       target_port_(target),
       control_(options_, actions_, random_, *this),
       quarantine_([this](const runtime::MessagePointer& message) { control_.broadcast(message); }),
+      leave_notices_([this](const runtime::MessagePointer& message) { control_.broadcast(message); }),
       endpoints_(options_, evacuations_),
       subset_(options_.node, options_.zone),
       peers_(actions_, random_),
@@ -53,6 +54,7 @@
 
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
+  gate_.holdRequests();
   control_.begin(now);
 }
 
@@ -66,6 +68,7 @@
   advance(now);
   if (control_.owns(link)) {
     control_.onLinkOpened(link, now);
+    for (const auto& message : leave_notices_.outstanding()) actions_.send(link, message);
   } else if (const auto address = peers_.onLinkOpened(link)) {
     endpoints_.noteLinked(*address, now);
   }
@@ -304,6 +307,7 @@
   sendHealthCheckIfDue(now);
   if (hasColdStateChanged(now)) onTargetChanged(TargetChangeCause::ColdState, now);
   quota_.onTimer(now);
+  leave_notices_.onTimer(control_.hasCurrentSource(), now);
   calls_.onTimer(now);
   checkStop(now);
   if (now < expire_at_) return;
@@ -317,9 +321,10 @@
 }
 
 TimePoint SidecarCore::nextTimer() const {
-  TimePoint next = std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(),
-                             answers_.nextTimer(), gate_.nextTimer(), calls_.nextTimer(),
-                             quarantine_.nextTimer(), quota_.nextTimer(), expire_at_});
+  TimePoint next =
+      std::min({control_.nextTimer(), peers_.nextTimer(), intake_.nextTimer(), answers_.nextTimer(),
+                gate_.nextTimer(), calls_.nextTimer(), quarantine_.nextTimer(), quota_.nextTimer(),
+                leave_notices_.nextTimer(), expire_at_});
   if (rollouts_.running(gate_.target().service()) != nullptr) {
     next = std::min(next, rollout_report_at_);
     // After the end of the lease, the gate does not change until the next update from a store.
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -10,6 +10,7 @@
 #include "sidecar/body_intake.h"
 #include "sidecar/control_client.h"
 #include "sidecar/endpoint_subset.h"
+#include "sidecar/leave_notices.h"
 #include "sidecar/outbound_calls.h"
 #include "sidecar/response_transfers.h"
 #include "sidecar/target_change_cause.h"
@@ -40,12 +41,15 @@
     calls_.onRead(id, bytes, now);
   }
   void onRunResult(RunId id, RunResult result, TimePoint now);
+  /// @param handler called exactly once unless this throws: with true if the heartbeat is accepted, and for a
+  /// leave notice only once it is committed.
   /// @throw Error(Invalid) if neither the settings nor the configuration contains the service; the state is
   /// then unchanged.
-  void onHeartbeat(const Heartbeat& beat, TimePoint now);
+  void onHeartbeat(const Heartbeat& beat, TimePoint now, LeaveNoticeHandler handler = {});
   void onProbed(ProbeOutcome outcome, TimePoint now);
   void onHealth(const TargetHealth& health, TimePoint now);
-  void onDeregistered(const mesh::Incarnation& incarnation, TimePoint now);
+  /// @param handler as for onHeartbeat().
+  void onDeregistered(const mesh::Incarnation& incarnation, TimePoint now, LeaveNoticeHandler handler = {});
   /// Counts and logs a heartbeat or deregistration that could not be parsed. It has no other effect.
   void onUnreadableMessage(const std::string& id, const Error& error);
   /// @return number of heartbeats and deregistrations that could not be parsed, by the kind of the error.
@@ -73,6 +77,7 @@
   const EndpointDirectory& endpoints() const { return endpoints_; }
   const Quarantine& quarantine() const { return quarantine_; }
   const ZoneEvacuations& evacuations() const { return evacuations_; }
+  const LeaveNotices& leaveNotices() const { return leave_notices_; }
 
   // runtime::ProcessCore
   void start(const runtime::FileReader& files, TimePoint now) override;
@@ -98,6 +103,10 @@
   void onCrashReportAcknowledged(const std::string& instance) override {
     quarantine_.onReportAcknowledged(instance);
   }
+  void onLeaveNoticeCommitted(const wire::LeaveNoticeT& notice, TimePoint now) override {
+    leave_notices_.onCommitted({notice.instance, notice.born_ms}, now);
+  }
+  void onLeaveNoticeList(const wire::LeaveNoticeListT& list, TimePoint now) override;
   void onQuotaGrant(const runtime::Address& store, const wire::QuotaGrantT& grant, TimePoint now) override {
     if (quota_.onGrant(store, grant, now)) calls_.onQuota(now);
   }
@@ -117,8 +126,9 @@
   void replyToRequester(const GateRequester& requester, wire::ForwardReplyT reply);
   BodyIntake::Listener intakeListener();
   void onTargetChanged(TargetChangeCause cause, TimePoint now);
-  void logLeaveNotice(const char* source, const mesh::Incarnation& incarnation, std::uint64_t sequence,
-                      bool has_changed) const;
+  /// Logs the notice, and commits it if the target's state took it over.
+  void commitLeaveNotice(const char* source, const mesh::Incarnation& incarnation, std::uint64_t sequence,
+                         bool has_changed, LeaveNoticeHandler handler, TimePoint now);
   void requestTargetHealth();
   bool isServiceConfigured(const std::string& service) const;
   wire::EndpointRecordT ownRecord() const;
@@ -143,6 +153,7 @@
   ControlClient control_;
   Quarantine quarantine_;
   ZoneEvacuations evacuations_;
+  LeaveNotices leave_notices_;
   EndpointDirectory endpoints_;
   EndpointSubset subset_;
   PeerLinks peers_;
--- a/src/sidecar/sidecar_pages.cpp
+++ b/src/sidecar/sidecar_pages.cpp
@@ -73,6 +73,13 @@
                 static_cast<double>(core_.quarantine().suspected()));
   metrics.gauge("cometstand_sidecar_zones_evacuated", "Evacuated zones, whose targets get no requests.",
                 static_cast<double>(core_.evacuations().zones().size()));
+  metrics.gauge("cometstand_sidecar_leave_notices_pending",
+                "Announced shutdowns of targets that no store has committed yet.",
+                static_cast<double>(core_.leaveNotices().pending()));
+  metrics.gauge("cometstand_sidecar_leave_notices_recovered",
+                "1 once the leave notices of earlier processes are known, without which the target gets no "
+                "requests, else 0.",
+                core_.leaveNotices().isRecovered() ? 1 : 0);
   add("bodies_arriving", "Large request bodies that are announced to, or being received by, this sidecar.",
       core_.intake().size());
   metrics.gauge("cometstand_sidecar_answers_arriving",
--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -17,7 +17,10 @@
     onTargetChanged(TargetChangeCause::Response, now);
   const auto previous = gate_.target().condition();
   gate_.onResult(id, std::move(result), now);
-  if (gate_.target().condition() != previous) onTargetChanged(TargetChangeCause::Response, now);
+  if (gate_.target().condition() == previous) return;
+  onTargetChanged(TargetChangeCause::Response, now);
+  if (gate_.target().condition() == TargetCondition::Leaving)
+    commitLeaveNotice("response", gate_.target().incarnation(), gate_.target().sequence(), true, {}, now);
 }
 
 /// The target of this sidecar's own service may register before the configuration that names the service
@@ -26,16 +29,20 @@
   return service == options_.service || calls_.routes() == nullptr || calls_.routes()->knows(service);
 }
 
-void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now) {
+void SidecarCore::onHeartbeat(const Heartbeat& beat, TimePoint now, LeaveNoticeHandler handler) {
   advance(now);
   if (!isServiceConfigured(beat.service)) {
     throw Error(ErrorKind::Invalid, "no configuration names the service",
                 "send the service of this machine, or put it into the configuration");
   }
   const bool has_changed = gate_.target().onHeartbeat(beat, now);
-  if (!beat.ready) logLeaveNotice("heartbeat", beat.incarnation, beat.sequence, has_changed);
   gate_.onHeartbeat(beat, now);
   if (has_changed || hasColdStateChanged(now)) onTargetChanged(TargetChangeCause::Heartbeat, now);
+  if (!beat.ready) {
+    commitLeaveNotice("heartbeat", beat.incarnation, beat.sequence, has_changed, std::move(handler), now);
+  } else if (handler) {
+    handler(true);
+  }
 }
 
 void SidecarCore::onHealth(const TargetHealth& health, TimePoint now) {
@@ -56,6 +63,8 @@
 /// Requests the health of a target of which no heartbeat has arrived, so that a sidecar that starts beside a
 /// running target need not wait for its next heartbeat.
 void SidecarCore::requestTargetHealth() {
+  // A target that deregistered still passes its health check.
+  if (!leave_notices_.isRecovered()) return;
   if (has_requested_health_ || gate_.target().condition() != TargetCondition::Unknown) return;
   const auto path = calls_.routes()->healthPath(options_.service);
   if (path.empty()) return;
@@ -63,11 +72,12 @@
   target_port_.requestHealth(path);
 }
 
-void SidecarCore::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now) {
+void SidecarCore::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now,
+                                 LeaveNoticeHandler handler) {
   advance(now);
   const bool has_changed = gate_.target().onDeregistered(incarnation, now);
-  logLeaveNotice("deregistration", incarnation, 0, has_changed);
   if (has_changed) onTargetChanged(TargetChangeCause::Deregistration, now);
+  commitLeaveNotice("deregistration", incarnation, 0, has_changed, std::move(handler), now);
 }
 
 void SidecarCore::onUnreadableMessage(const std::string& id, const Error& error) {
@@ -77,18 +87,37 @@
                                 {"reason", error.what()}});
 }
 
-void SidecarCore::logLeaveNotice(const char* source, const mesh::Incarnation& incarnation,
-                                 std::uint64_t sequence, bool has_changed) const {
+void SidecarCore::commitLeaveNotice(const char* source, const mesh::Incarnation& incarnation,
+                                    std::uint64_t sequence, bool has_changed, LeaveNoticeHandler handler,
+                                    TimePoint now) {
   const auto& target = gate_.target();
-  const bool is_known = target.condition() == TargetCondition::Leaving;
-  const bool is_current = is_known && incarnation.matches(target.incarnation());
-  const char* effect = is_current ? "repeated" : "other_incarnation";
+  const bool is_bound = target.hasLeft(incarnation);
+  const char* effect = is_bound ? "repeated" : "not_accepted";
   logEvent(kLeaveNotice, {{"instance", incarnation.name()},
                           {"source", source},
                           {"sequence", sequence},
                           {"effect", has_changed ? "applied" : effect},
                           {"current", target.incarnation().name()},
                           {"condition", static_cast<int>(target.condition())}});
+  if (is_bound) {
+    leave_notices_.commit(target.resolve(incarnation), std::move(handler), now);
+  } else if (handler) {
+    handler(false);
+  }
+}
+
+void SidecarCore::onLeaveNoticeList(const wire::LeaveNoticeListT& list, TimePoint now) {
+  if (leave_notices_.isRecovered()) return;
+  const auto recovered = leave_notices_.onList(list, now);
+  for (const auto& incarnation : recovered) gate_.target().onLeaveRecovered(incarnation, now);
+  gate_.allowRequests();
+  logEvent(kLeaveNoticesRecovered, {{"notices", recovered.size()},
+                                    {"newest", recovered.empty() ? "" : recovered.back().name()},
+                                    {"current", gate_.target().incarnation().name()},
+                                    {"condition", static_cast<int>(gate_.target().condition())}});
+  if (calls_.routes() != nullptr) requestTargetHealth();
+  if (gate_.target().condition() != TargetCondition::Unknown)
+    onTargetChanged(TargetChangeCause::Recovery, now);
 }
 
 void SidecarCore::onTargetChanged(TargetChangeCause cause, TimePoint now) {
@@ -132,8 +161,8 @@
   record.cold_ms = static_cast<std::uint32_t>(ceilMilliseconds(gate_.reportedColdTime(now_)));
   // Without a configuration the gate does not know the limits of a cold target, or whether the zone is in
   // use.
-  const bool is_live =
-      target.condition() == TargetCondition::Ready && !withdrawn_ && calls_.routes() != nullptr;
+  const bool may_serve = calls_.routes() != nullptr && leave_notices_.isRecovered();
+  const bool is_live = target.condition() == TargetCondition::Ready && !withdrawn_ && may_serve;
   record.state = is_live ? wire::EndpointState::Live : wire::EndpointState::Leaving;
   return record;
 }
--- a/src/sidecar/target_change_cause.h
+++ b/src/sidecar/target_change_cause.h
@@ -15,6 +15,8 @@
   Configuration,
   /// The target became cold or warm.
   ColdState,
+  /// The leave notices of earlier processes were recovered.
+  Recovery,
   /// A planned stop of the sidecar began.
   Stop,
 };
@@ -34,6 +36,8 @@
       return "configuration";
     case TargetChangeCause::ColdState:
       return "cold_state";
+    case TargetChangeCause::Recovery:
+      return "recovery";
     case TargetChangeCause::Stop:
       break;
   }
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -34,7 +34,7 @@
 
 std::optional<wire::NotRunReason> TargetGate::refusalReason(const wire::ForwardRequestT& request,
                                                             TimePoint now) const {
-  if (target_.condition() == TargetCondition::Unknown) return wire::NotRunReason::TargetDown;
+  if (is_held_ || target_.condition() == TargetCondition::Unknown) return wire::NotRunReason::TargetDown;
   if (target_.service() != request.service) return wire::NotRunReason::WrongTarget;
   if (refusesAsEvacuated(now)) return wire::NotRunReason::Evacuated;
   if (!isServedInRegion(request)) return wire::NotRunReason::WrongTarget;
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -98,6 +98,10 @@
   void setRoutes(mesh::RouteTablePointer table) { routes_ = std::move(table); }
   /// To be called after any change of target().
   void onTargetChanged(TimePoint now);
+  /// Refuses all requests until allowRequests() is called.
+  void holdRequests() { is_held_ = true; }
+  void allowRequests() { is_held_ = false; }
+  bool isHeld() const { return is_held_; }
   /// Refuses new requests from that time on, because this sidecar shuts down.
   void closeAt(TimePoint time) { close_at_ = time; }
   /// @return the smoothed run time of a request at the target; zero before the first result.
@@ -230,6 +234,7 @@
   /// When a planned stop of this sidecar begins to refuse requests.
   TimePoint close_at_ = TimePoint::max();
   bool is_version_closed_ = false;
+  bool is_held_ = false;
   /// When the evacuation of the target's zone began.
   std::optional<TimePoint> evacuated_since_;
   mesh::RouteTablePointer routes_;
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -17,11 +17,17 @@
   return is_increasing && now >= last_heartbeat_at_ + kHeartbeatTimeout;
 }
 
+bool TargetState::hasLeft(const mesh::Incarnation& incarnation) const {
+  const bool is_leaving = condition_ == TargetCondition::Leaving && isCurrent(incarnation);
+  return is_leaving || isPast(incarnation);
+}
+
 bool TargetState::onHeartbeat(const Heartbeat& beat, TimePoint now) {
-  if (past_.contains(beat.incarnation)) return false;
+  if (isPast(beat.incarnation)) return false;
   const bool is_same = isCurrent(beat.incarnation);
   // A state that comes from a health check has sequence 0.
-  if (is_same && beat_.sequence != 0 && beat.sequence <= beat_.sequence) return false;
+  const bool is_outdated = is_same && beat_.sequence != 0 && beat.sequence <= beat_.sequence;
+  if (is_outdated) return !beat.ready && markLeaving(now);
   if (!is_same && !maySupersede(beat, now)) return false;
   if (!is_same && !beat_.incarnation.empty()) past_.add(beat_.incarnation);
   const bool was_leaving = is_same && condition_ == TargetCondition::Leaving;
@@ -41,7 +47,8 @@
 }
 
 bool TargetState::onHealthCheckPassed(const std::string& id, const std::string& service, unsigned slots) {
-  const bool is_applicable = condition_ == TargetCondition::Unknown && !past_.containsId(id);
+  const bool is_applicable =
+      condition_ == TargetCondition::Unknown && !past_.containsId(id) && !left_.containsId(id);
   if (!is_applicable) return false;
   beat_ = {};
   beat_.incarnation.id = id;
@@ -51,19 +58,35 @@
   return true;
 }
 
-void TargetState::markLeaving(TimePoint now) {
-  if (condition_ != TargetCondition::Leaving) leaving_since_ = now;
+bool TargetState::markLeaving(TimePoint now) {
+  if (condition_ == TargetCondition::Leaving) return false;
+  leaving_since_ = now;
   condition_ = TargetCondition::Leaving;
+  return true;
 }
 
 bool TargetState::onDeregistered(const mesh::Incarnation& incarnation, TimePoint now) {
-  if (!isCurrent(incarnation)) {
-    past_.add(incarnation);
+  if (isCurrent(incarnation)) return markLeaving(now);
+  if (isPast(incarnation)) return false;
+  if (incarnation.id != beat_.incarnation.id) {
+    left_.add(incarnation);
     return false;
   }
-  const bool changed = condition_ != TargetCondition::Leaving;
-  markLeaving(now);
-  return changed;
+  const bool is_silent = now >= last_heartbeat_at_ + kHeartbeatTimeout;
+  if (!is_silent) return false;
+  past_.add(beat_.incarnation);
+  beat_.incarnation = incarnation;
+  condition_ = TargetCondition::Leaving;
+  leaving_since_ = now;
+  return true;
+}
+
+void TargetState::onLeaveRecovered(const mesh::Incarnation& incarnation, TimePoint now) {
+  if (isCurrent(incarnation)) {
+    markLeaving(now);
+  } else {
+    left_.add(incarnation);
+  }
 }
 
 bool TargetState::onLeavingStated(const mesh::Incarnation& incarnation, TimePoint now) {
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -40,7 +40,13 @@
 /// back makes a newer incarnation look older. An unknown incarnation with an earlier start time is therefore
 /// accepted, too, once two heartbeats with increasing sequence numbers have arrived from it while the current
 /// one sent none for kHeartbeatTimeout. Heartbeats that a network partition delayed do not meet this
-/// condition, because they arrive while the newer incarnation sends its own.
+/// condition, because they arrive while the newer incarnation sends its own. An incarnation that is leaving
+/// may send none, so one that started earlier is accepted after it only if its heartbeats still increase
+/// kMaxHeartbeatDelay after the first one arrived.
+///
+/// A leave notice counts whatever its sequence number, unless it may be an outdated one about an incarnation
+/// that is no longer the target: same id, another start time, and the current incarnation is not silent. Such
+/// a notice is not accepted, and hasLeft() remains false.
 ///
 /// Invariant: an incarnation that reported that it is leaving is never considered ready again.
 class TargetState {
@@ -53,11 +59,20 @@
   /// The incarnation has ended or is about to end. Without a start time, it matches the current incarnation
   /// if that has the same id. @return true if anything changed.
   bool onDeregistered(const mesh::Incarnation& incarnation, TimePoint now);
+  /// A leave notice of the incarnation was committed by an earlier process of this sidecar.
+  void onLeaveRecovered(const mesh::Incarnation& incarnation, TimePoint now);
   /// The target stated in a response that it is shutting down. @return true if anything changed.
   bool onLeavingStated(const mesh::Incarnation& incarnation, TimePoint now);
   /// The target refused a request because its id is not the expected one. @return true if anything changed.
   bool onIdMismatch(const std::string& expected);
 
+  /// @return true if the incarnation reported that it is leaving, or was superseded by another: it is never
+  /// considered ready again.
+  bool hasLeft(const mesh::Incarnation& incarnation) const;
+  /// @return the current incarnation, with its start time, if the given one matches it; else the given one.
+  mesh::Incarnation resolve(const mesh::Incarnation& incarnation) const {
+    return isCurrent(incarnation) ? beat_.incarnation : incarnation;
+  }
   TargetCondition condition() const { return condition_; }
   const mesh::Incarnation& incarnation() const { return beat_.incarnation; }
   const std::string& service() const { return beat_.service; }
@@ -69,7 +84,7 @@
   /// @return end of the target's cold start, during which it is slow.
   TimePoint coldUntil() const { return cold_until_; }
   /// @return number of remembered incarnations, without the current one.
-  std::size_t pastIncarnationCount() const { return past_.size(); }
+  std::size_t pastIncarnationCount() const { return past_.size() + left_.size(); }
   /// @return when the target's condition became Leaving.
   TimePoint leavingSince() const { return leaving_since_; }
 
@@ -84,7 +99,11 @@
     std::uint64_t sequence = 0;
   };
 
-  void markLeaving(TimePoint now);
+  /// @return true if the condition changed.
+  bool markLeaving(TimePoint now);
+  bool isPast(const mesh::Incarnation& incarnation) const {
+    return past_.contains(incarnation) || left_.covers(incarnation);
+  }
   bool isCurrent(const mesh::Incarnation& incarnation) const;
   /// @return true if the incarnation of the heartbeat may supersede the current one.
   bool maySupersede(const Heartbeat& beat, TimePoint now);
@@ -96,7 +115,10 @@
   /// When the newest accepted heartbeat arrived.
   TimePoint last_heartbeat_at_;
   OlderCandidate older_candidate_;
+  /// Incarnations that were superseded by another one.
   PastIncarnations past_;
+  /// Incarnations that reported that they are leaving when they were not the current one.
+  PastIncarnations left_;
 };
 
 }  // namespace cometstand::sidecar
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -96,11 +96,22 @@
     "The current configuration cannot be decoded, so the tenants' limits of the previous one stay in force. "
     "Run the same release on all stores."};
 
-inline constexpr std::array kStoreEvents{
-    kReaderAdmitted, kReaderLost,         kReaderRefused,   kReaderUnresponsive, kSnapshotTooLarge,
-    kUnexpectedPeer, kStopBegan,          kReplacementDone, kBootstrapRefused,   kFormationWaiting,
-    kMembershipStep, kNodeLinked,         kNodeLost,        kRolloutOrdered,     kRolloutStep,
-    kCrashReported,  kContentQuarantined, kContentCleared,  kContentReleased,    kEvacuationOrdered,
-    kQuotaBegan,     kQuotaUnreadable};
+inline constexpr EventDefinition kLeaveNoticeCommitted{
+    3023, LogLevel::Info, "leave_notice_committed",
+    "A target's announced shutdown is committed, and its node was told so. No action is needed."};
+
+inline constexpr EventDefinition kLeaveNoticeInvalid{3024, LogLevel::Warning, "leave_notice_invalid",
+                                                     "A node sent a leave notice whose id is empty or too "
+                                                     "long, and it was ignored. Check that all machines run "
+                                                     "the same release."};
+
+inline constexpr std::array kStoreEvents{kReaderAdmitted,     kReaderLost,           kReaderRefused,
+                                         kReaderUnresponsive, kSnapshotTooLarge,     kUnexpectedPeer,
+                                         kStopBegan,          kReplacementDone,      kBootstrapRefused,
+                                         kFormationWaiting,   kMembershipStep,       kNodeLinked,
+                                         kNodeLost,           kRolloutOrdered,       kRolloutStep,
+                                         kCrashReported,      kContentQuarantined,   kContentCleared,
+                                         kContentReleased,    kEvacuationOrdered,    kQuotaBegan,
+                                         kQuotaUnreadable,    kLeaveNoticeCommitted, kLeaveNoticeInvalid};
 
 }  // namespace cometstand::store
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -19,6 +19,7 @@
   std::uint64_t claims_finished = 0;
   std::uint64_t commands_waiting = 0;
   std::uint64_t zones_evacuated = 0;
+  std::uint64_t leave_notices = 0;
 
   // Counters.
   std::uint64_t commands_completed = 0;
--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -49,8 +49,11 @@
     evacuations = wire::CreateEvacuationState(builder_, state_.evacuations.get());
   flatbuffers::Offset<wire::QuotaLeadershipState> quota;
   if (state_.quota != nullptr) quota = wire::CreateQuotaLeadershipState(builder_, state_.quota.get());
+  flatbuffers::Offset<wire::LeaveNoticeState> leave_notices;
+  if (state_.leave_notices != nullptr)
+    leave_notices = wire::CreateLeaveNoticeState(builder_, state_.leave_notices.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history, mesh, rollouts, quarantine, evacuations, quota));
+                                         claims, history, mesh, rollouts, quarantine, evacuations, quota, leave_notices));
   finished_ = true;
 }
 
--- a/src/store/state_machine.cpp
+++ b/src/store/state_machine.cpp
@@ -77,6 +77,7 @@
   if (const auto* release = command.body.AsContentRelease()) return quarantine_.apply(*release);
   if (const auto* order = command.body.AsEvacuationOrder()) return evacuations_.apply(*order);
   if (const auto* record = command.body.AsQuotaLeadership()) return quota_.apply(*record);
+  if (const auto* notice = command.body.AsLeaveNotice()) return leave_notices_.apply(*notice);
   return notRunReply<wire::CommandReplyT>(
       Error(ErrorKind::Malformed, "the command is empty", "use a client of this release"));
 }
@@ -182,6 +183,7 @@
   state.quarantine = quarantine_.capture();
   state.evacuations = evacuations_.capture();
   state.quota = quota_.capture();
+  state.leave_notices = leave_notices_.capture();
   return state;
 }
 
@@ -205,6 +207,7 @@
   quarantine_.restore(state.quarantine);
   evacuations_.restore(state.evacuations);
   quota_.restore(state.quota);
+  leave_notices_.restore(state.leave_notices);
 }
 
 }  // namespace cometstand::store
--- a/src/store/state_machine.h
+++ b/src/store/state_machine.h
@@ -13,6 +13,7 @@
 #include "schema/store_generated.h"
 #include "store/claim_table.h"
 #include "store/evacuation_register.h"
+#include "store/leave_notice_register.h"
 #include "store/mesh_register.h"
 #include "store/quarantine_register.h"
 #include "store/quota_register.h"
@@ -29,14 +30,15 @@
 /// MeshChangeResult for a change of the whole mesh configuration, RolloutResult for an order or a step of a
 /// roll-out, QuarantineResult for a crash report, a clearance or a release of quarantined content,
 /// EvacuationResult for the evacuation order of a zone, QuotaLeadershipResult for a leadership record of the
-/// quota.
-using CommandResult = std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult,
-                                   QuarantineResult, EvacuationResult, QuotaLeadershipResult>;
+/// quota, LeaveNoticeResult for a leave notice.
+using CommandResult =
+    std::variant<wire::CommandReplyT, wire::ClaimReplyT, MeshChangeResult, RolloutResult, QuarantineResult,
+                 EvacuationResult, QuotaLeadershipResult, LeaveNoticeResult>;
 
 /// The replicated state: catalog, answered requests, claims, mesh configuration, roll-outs, quarantine,
-/// evacuations, quota leadership and change history. Deterministic: it does no I/O and uses neither a clock
-/// nor random numbers, so that applying the committed log entries in order gives equal states and results on
-/// every replica.
+/// evacuations, quota leadership, leave notices and change history. Deterministic: it does no I/O and uses
+/// neither a clock nor random numbers, so that applying the committed log entries in order gives equal states
+/// and results on every replica.
 class StateMachine {
  public:
   /// Applies the commands of one log entry in order.
@@ -53,6 +55,7 @@
   const RolloutRegister& rollouts() const { return rollouts_; }
   const QuarantineRegister& quarantine() const { return quarantine_; }
   const EvacuationRegister& evacuations() const { return evacuations_; }
+  const LeaveNoticeRegister& leaveNotices() const { return leave_notices_; }
   /// @return the latest accepted changes, oldest first.
   const std::deque<std::shared_ptr<wire::AcceptedChangeT>>& history() const { return history_; }
 
@@ -85,6 +88,7 @@
   QuarantineRegister quarantine_;
   EvacuationRegister evacuations_;
   QuotaRegister quota_;
+  LeaveNoticeRegister leave_notices_;
   std::deque<std::shared_ptr<wire::AcceptedChangeT>> history_;
 };
 
--- a/src/store/store_messages.cpp
+++ b/src/store/store_messages.cpp
@@ -77,6 +77,12 @@
     if (seed_formation_.enabled() && nodes_.nameOf(link)) quarantine_.onClearance(*clearance, now);
   } else if (const auto* quota = body.AsQuotaRequest()) {
     if (seed_formation_.enabled() && nodes_.nameOf(link)) quotas_.onRequest(link, *quota, now);
+  } else if (const auto* notice = body.AsLeaveNotice()) {
+    const auto node = nodes_.nameOf(link);
+    if (seed_formation_.enabled() && node) leave_notices_.onNotice(link, *node, *notice, now);
+  } else if (body.AsLeaveNoticeQuery() != nullptr) {
+    const auto node = nodes_.nameOf(link);
+    if (seed_formation_.enabled() && node) leave_notices_.onQuery(link, *node, now);
   } else if (seed_formation_.enabled() && nodes_.onMessage(link, message, now)) {
     return;
   } else if (requireRole(link, "relay")) {
--- a/src/store/store_pages.cpp
+++ b/src/store/store_pages.cpp
@@ -23,6 +23,7 @@
   add("claims_finished", "Finished claims whose outcome is still stored.", metrics.claims_finished);
   add("commands_waiting", "Changes and claims waiting to be added to a log entry.", metrics.commands_waiting);
   add("zones_evacuated", "Zones under evacuation, whose targets get no requests.", metrics.zones_evacuated);
+  add("leave_notices", "Incarnations of targets whose announced shutdown is stored.", metrics.leave_notices);
 }
 
 void addCommandCounters(admin::MetricSet& set, const StoreMetrics& metrics) {
--- a/src/store/store_replica.cpp
+++ b/src/store/store_replica.cpp
@@ -89,6 +89,7 @@
   quarantine_.onTimer(now);
   evacuations_.onTimer(now);
   quotas_.onTimer(now);
+  leave_notices_.onTimer(now);
   nodes_.onTimer(now);
   replicas_.onTimer(now);
   readers_.onTimer(now);
@@ -114,6 +115,7 @@
                    quarantine_.nextTimer(),
                    evacuations_.nextTimer(),
                    quotas_.nextTimer(),
+                   leave_notices_.nextTimer(),
                    nodes_.nextTimer(),
                    replicas_.nextTimer(),
                    readers_.nextTimer(),
@@ -178,6 +180,7 @@
   quarantine_.onLeadershipLost();
   evacuations_.onLeadershipLost();
   quotas_.onLeadershipLost();
+  leave_notices_.onLeadershipLost();
   claim_expiry_.onLeadershipLost();
   admin_.onLeadershipLost(same_term);
   statuses_.onLeadershipLost();
@@ -197,6 +200,7 @@
     quarantine_.onApplied(*entry, results);
     evacuations_.onApplied(*entry, results, now);
     quotas_.onApplied(*entry, results);
+    leave_notices_.onApplied(*entry, results);
   }
   rollout_clock_.refresh(state_.rollouts(), now);
   quarantine_.logChanges();
@@ -308,6 +312,7 @@
   metrics.claims_finished = state_.claims().finishedCount();
   metrics.commands_waiting = writer_.waiting();
   metrics.zones_evacuated = state_.evacuations().count();
+  metrics.leave_notices = state_.leaveNotices().size();
   return metrics;
 }
 
--- a/src/store/store_replica.h
+++ b/src/store/store_replica.h
@@ -7,6 +7,7 @@
 #include "store/cluster_formation.h"
 #include "store/command_service.h"
 #include "store/evacuation_service.h"
+#include "store/leave_notice_service.h"
 #include "store/membership_manager.h"
 #include "store/mesh_service.h"
 #include "store/node_hub.h"
@@ -64,7 +65,9 @@
   void continueSnapshot(TimePoint now);
   void continueStop(TimePoint now);
   /// @return true if no caller in the same process waits for a response.
-  bool servicesIdle() const { return mesh_.idle() && rollouts_.idle() && evacuations_.idle(); }
+  bool servicesIdle() const {
+    return mesh_.idle() && rollouts_.idle() && evacuations_.idle() && leave_notices_.idle();
+  }
   TimePoint stopTimer() const;
   /// Closes the link if its certificate allows neither role.
   /// @return true if the certificate allows one of the roles.
@@ -99,6 +102,7 @@
   QuarantineController quarantine_{context_};
   EvacuationService evacuations_{context_};
   QuotaService quotas_{context_};
+  LeaveNoticeService leave_notices_{context_};
   ReaderHub readers_{context_, replicas_};
   LogWriter writer_{context_};
   ClaimExpiry claim_expiry_{context_, writer_};
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -51,12 +51,16 @@
   explicit SidecarFixture(SidecarOptions options = makeOptions())
       : SidecarFixture(std::move(options), callers) {}
 
+  /// @param recovered leave notices that earlier processes of the sidecar have committed.
+  explicit SidecarFixture(wire::LeaveNoticeListT recovered)
+      : leave_notices(std::move(recovered)), core(makeOptions(), 1, target, callers) {
+    begin();
+  }
+
   /// @param other_callers receives the responses instead of `callers`.
   SidecarFixture(SidecarOptions options, CallerPort& other_callers)
       : core(std::move(options), 1, target, other_callers) {
-    core.start(runtime::EmptyFileReader(), now);
-    step();
-    REQUIRE(links.contains(kStore));
+    begin();
   }
 
   static SidecarOptions makeOptions() {
@@ -69,15 +73,27 @@
     return options;
   }
 
+  void begin() {
+    core.start(runtime::EmptyFileReader(), now);
+    step();
+    REQUIRE(links.contains(kStore));
+  }
+
   /// Executes the actions of the core; every connect succeeds at once.
   void step() {
     auto actions = core.takeActions();
+    const bool is_queried = std::any_of(
+        actions.messages.begin(), actions.messages.end(),
+        [](const auto& message) { return message.message->body.AsLeaveNoticeQuery() != nullptr; });
+    std::erase_if(actions.messages,
+                  [](const auto& message) { return message.message->body.AsLeaveNoticeQuery() != nullptr; });
     for (auto& message : actions.messages) sent.push_back(std::move(message));
     for (const auto& order : actions.connects) {
       links[order.address] = order.link;
       core.onLinkOpened(order.link, {}, now);
       step();
     }
+    if (is_queried) deliver(kStore, wire::LeaveNoticeListT(leave_notices));
   }
 
   /// Advances the time and fires the timers that are due.
@@ -221,6 +237,8 @@
   TimePoint now{std::chrono::seconds(100)};
   std::map<runtime::Address, runtime::LinkId> links;
   std::vector<runtime::OutgoingMessage> sent;
+  /// Response of the store to queries for leave notices.
+  wire::LeaveNoticeListT leave_notices;
   SidecarCore core;
   std::uint64_t last_call = 0;
 };
--- a/tests/target_limits/statement_mesh.cpp
+++ b/tests/target_limits/statement_mesh.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kStores = 3;
 constexpr const char* kService = "desk";
 constexpr Duration kHeartbeat = milliseconds(300);
+/// A response that comes later acknowledges nothing.
+constexpr Duration kAcknowledgementTime = seconds(1);
 constexpr Duration kStopTime = seconds(4);
 constexpr Duration kRestartTime = milliseconds(300);
 constexpr std::size_t kFirstMachineAddress = 101;
@@ -85,15 +87,50 @@
   sendHeartbeats(machine);
 }
 
-void StatementMesh::sendHeartbeats(Machine& machine) {
-  network.call(machine.process, [&] {
-    sidecar::Heartbeat heartbeat;
-    heartbeat.incarnation = {"target-" + std::to_string(machine.number), machine.start + 1};
-    heartbeat.service = kService;
-    heartbeat.slots = kSlots;
-    heartbeat.sequence = ++machine.sequence;
-    coreOf(machine).onHeartbeat(heartbeat, network.now());
+mesh::Incarnation StatementMesh::incarnationOf(const Machine& machine) {
+  return {"target-" + std::to_string(machine.number), machine.start + 1};
+}
+
+sidecar::LeaveNoticeHandler StatementMesh::acknowledgementFor(const Machine& machine) {
+  return [this, start = machine.start, sent_at = network.now()](bool is_committed) {
+    const bool is_timely = network.now() < sent_at + kAcknowledgementTime;
+    if (is_committed && is_timely) shutdowns_.onAcknowledged(start, network.now());
+  };
+}
+
+void StatementMesh::sendHeartbeat(Machine& machine) {
+  sidecar::Heartbeat heartbeat;
+  heartbeat.incarnation = incarnationOf(machine);
+  heartbeat.service = kService;
+  heartbeat.slots = kSlots;
+  heartbeat.ready = machine.announcement == Announcement::Ready;
+  heartbeat.sequence = ++machine.sequence;
+  const auto handler = heartbeat.ready ? sidecar::LeaveNoticeHandler() : acknowledgementFor(machine);
+  const bool is_delayed = delays_heartbeats_ && random_.uniform(0, 4) == 0;
+  const Duration delay =
+      is_delayed ? random_.uniform(Duration::zero(), kMaxHeartbeatDelay) : Duration::zero();
+  network.at(network.now() + delay, [this, &machine, heartbeat, handler] {
+    network.call(machine.process, [this, &machine, heartbeat, handler] {
+      coreOf(machine).onHeartbeat(heartbeat, network.now(), handler);
+    });
   });
+}
+
+void StatementMesh::sendDeregistration(Machine& machine) {
+  if (shutdowns_.isAcknowledged(machine.start)) return;
+  const auto incarnation = incarnationOf(machine);
+  const auto handler = acknowledgementFor(machine);
+  network.call(machine.process, [this, &machine, incarnation, handler] {
+    coreOf(machine).onDeregistered(incarnation, network.now(), handler);
+  });
+}
+
+void StatementMesh::sendHeartbeats(Machine& machine) {
+  if (machine.announcement == Announcement::Deregistered) {
+    sendDeregistration(machine);
+  } else {
+    sendHeartbeat(machine);
+  }
   network.at(network.now() + kHeartbeat, [this, &machine] { sendHeartbeats(machine); });
 }
 
@@ -119,11 +156,21 @@
   checker_.onLimit(machines_.at(machine).start, rate, network.now());
 }
 
+void StatementMesh::announceDraining(MachineNumber machine) {
+  machines_.at(machine).announcement = Announcement::Draining;
+}
+
+void StatementMesh::deregister(MachineNumber machine) {
+  machines_.at(machine).announcement = Announcement::Deregistered;
+}
+
 void StatementMesh::restartTarget(MachineNumber number) {
   auto& machine = machines_.at(number);
   machine.start = next_start_++;
   machine.limit.reset();
   machine.is_leaving = false;
+  machine.announcement = Announcement::Ready;
+  machine.sequence = 0;
   machine.running.clear();
 }
 
@@ -171,9 +218,15 @@
   }
 }
 
+void StatementMesh::restartEverything(Duration down) {
+  restartStores(down);
+  for (MachineNumber machine = 0; machine < kMachines; ++machine) restartSidecar(machine, down);
+}
+
 void StatementMesh::Machine::run(sidecar::RunRequest order) {
   const auto& call = mesh->calls_.at(std::stoull(order.request->request_id));
   arrivals.push_back(mesh->network.now());
+  mesh->shutdowns_.onArrival(start, mesh->network.now());
   mesh->checker_.onArrival(call.machine, start, call.at, mesh->network.now());
   running.insert(order.id);
   mesh->network.at(mesh->network.now() + kRunTime,
--- a/tests/target_limits/statement_mesh.h
+++ b/tests/target_limits/statement_mesh.h
@@ -12,6 +12,7 @@
 #include "sidecar/sidecar_core.h"
 #include "tests/rollout/process_network.h"
 #include "tests/rollout/store_group.h"
+#include "tests/target_limits/shutdown_checker.h"
 #include "tests/target_limits/statement_checker.h"
 
 namespace cometstand::limits::test {
@@ -27,6 +28,7 @@
   static constexpr std::size_t kMachines = 6;
   static constexpr unsigned kSlots = 4;
   static constexpr Duration kRunTime = std::chrono::milliseconds(50);
+  static constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(4);
 
   /// @param calls_per_second at all sidecars together.
   StatementMesh(std::uint64_t seed, double calls_per_second);
@@ -36,6 +38,13 @@
   void setLimit(MachineNumber machine, std::optional<double> rate);
   /// The target states that it leaves; its heartbeats still say ready.
   void leave(MachineNumber machine) { machines_.at(machine).is_leaving = true; }
+  /// The target's heartbeats say from now on that it drains.
+  void announceDraining(MachineNumber machine);
+  /// The target sends no more heartbeats but a deregistration, again until it is acknowledged.
+  void deregister(MachineNumber machine);
+  /// From now on a share of the heartbeats arrives up to kMaxHeartbeatDelay late, as sent by a target that
+  /// may have announced its shutdown or started anew since.
+  void delayHeartbeats() { delays_heartbeats_ = true; }
   /// The target starts anew under its id.
   void restartTarget(MachineNumber machine);
   void restartSidecar(MachineNumber machine, Duration down);
@@ -45,8 +54,11 @@
   void cutOff(MachineNumber machine, Duration time);
   void resetLinks(MachineNumber machine);
   void restartStores(Duration down);
+  /// All stores and all sidecars terminate at once; their files are kept.
+  void restartEverything(Duration down);
 
   const StatementChecker& checker() const { return checker_; }
+  const ShutdownChecker& shutdowns() const { return shutdowns_; }
   std::size_t answered() const { return answered_; }
   std::size_t refused() const { return refused_; }
   /// @return times at which requests reached the target, over all its starts.
@@ -59,6 +71,9 @@
   ProcessNetwork network;
 
  private:
+  /// What a target tells its sidecar about itself.
+  enum class Announcement : std::uint8_t { Ready, Draining, Deregistered };
+
   struct Machine : sidecar::TargetPort, sidecar::CallerPort {
     StatementMesh* mesh = nullptr;
     ProcessId process = 0;
@@ -67,6 +82,7 @@
     StartNumber start = 0;
     std::optional<double> limit;
     bool is_leaving = false;
+    Announcement announcement = Announcement::Ready;
     std::set<sidecar::RunId> running;
     std::vector<TimePoint> arrivals;
 
@@ -87,6 +103,11 @@
   static wire::MeshConfigurationT makeConfiguration();
   void addMachine();
   void sendHeartbeats(Machine& machine);
+  void sendHeartbeat(Machine& machine);
+  void sendDeregistration(Machine& machine);
+  /// @return how the target learns that its leave notice was acknowledged.
+  sidecar::LeaveNoticeHandler acknowledgementFor(const Machine& machine);
+  static mesh::Incarnation incarnationOf(const Machine& machine);
   void sendCalls();
   sidecar::SidecarCore& coreOf(const Machine& machine) {
     return dynamic_cast<sidecar::SidecarCore&>(network.core(machine.process));
@@ -95,6 +116,8 @@
   RandomSource random_;
   StoreGroup stores_;
   StatementChecker checker_;
+  ShutdownChecker shutdowns_;
+  bool delays_heartbeats_ = false;
   std::deque<Machine> machines_;
   Duration mean_pause_;
   std::map<std::uint64_t, SentCall> calls_;
