Target state: a delayed heartbeat of an earlier incarnation does not follow one that left

Cause: a target announced its shutdown, its sidecar restarted, and a heartbeat of an earlier incarnation under the same id arrived late. The new process knew the notice of the later incarnation only, took the earlier one for the target, and sent requests by the id that both share. The same could happen without a restart once the leaving incarnation was silent for 3.5 s, as a deregistered target is: silence is no evidence then. Class: a delayed message that is newer than all that the process knows.

Change: an incarnation that started earlier than one that left is accepted only if its heartbeats still increase 10 s after the first one. A target whose clock was set back and that starts again under its id after it left waits that long.

--- a/src/sidecar/past_incarnations.h
+++ b/src/sidecar/past_incarnations.h
@@ -32,6 +32,12 @@
   bool covers(const mesh::Incarnation& incarnation) const {
     return contains(incarnation) || contains({incarnation.id, 0});
   }
+  /// @return true if a past incarnation with this id started later.
+  bool containsLater(const mesh::Incarnation& incarnation) const {
+    return std::any_of(incarnations_.begin(), incarnations_.end(), [&](const mesh::Incarnation& past) {
+      return past.id == incarnation.id && past.born_ms > incarnation.born_ms;
+    });
+  }
   /// @return true if any past incarnation had this id.
   bool containsId(const std::string& id) const {
     return std::any_of(incarnations_.begin(), incarnations_.end(),
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -1,5 +1,8 @@
 #include "sidecar/target_state.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cometstand::sidecar {
 
 /// A health check response carries no start time.
@@ -7,14 +10,31 @@
   return incarnation.matches(beat_.incarnation);
 }
 
+bool TargetState::isOlderThanLeft(const mesh::Incarnation& incarnation) const {
+  const auto& current = beat_.incarnation;
+  const bool is_older = incarnation.id == current.id && incarnation.born_ms < current.born_ms;
+  return (is_older && condition_ == TargetCondition::Leaving) || left_.containsLater(incarnation);
+}
+
 bool TargetState::maySupersede(const Heartbeat& beat, TimePoint now) {
   const auto& current = beat_.incarnation;
-  const bool looks_older = beat.incarnation.id == current.id && beat.incarnation.born_ms < current.born_ms;
-  if (!looks_older) return true;
-  const bool is_increasing =
-      older_candidate_.incarnation == beat.incarnation && beat.sequence > older_candidate_.sequence;
-  older_candidate_ = {beat.incarnation, beat.sequence};
-  return is_increasing && now >= last_heartbeat_at_ + kHeartbeatTimeout;
+  const bool is_older = beat.incarnation.id == current.id && beat.incarnation.born_ms < current.born_ms;
+  const bool is_older_than_left = isOlderThanLeft(beat.incarnation);
+  if (!is_older && !is_older_than_left) return true;
+  if (older_candidate_.incarnation != beat.incarnation) {
+    older_candidate_ = {beat.incarnation, beat.sequence, now};
+    return false;
+  }
+  const bool is_increasing = beat.sequence > std::exchange(older_candidate_.sequence, beat.sequence);
+  TimePoint silent_at = last_heartbeat_at_ + kHeartbeatTimeout;
+  if (is_older_than_left)
+    silent_at = std::max(silent_at, older_candidate_.first_seen_at + kMaxHeartbeatDelay);
+  return is_increasing && now >= silent_at;
+}
+
+void TargetState::forgetCurrent() {
+  auto& incarnations = condition_ == TargetCondition::Leaving ? left_ : past_;
+  incarnations.add(beat_.incarnation);
 }
 
 bool TargetState::hasLeft(const mesh::Incarnation& incarnation) const {
@@ -29,7 +49,7 @@
   const bool is_outdated = is_same && beat_.sequence != 0 && beat.sequence <= beat_.sequence;
   if (is_outdated) return !beat.ready && markLeaving(now);
   if (!is_same && !maySupersede(beat, now)) return false;
-  if (!is_same && !beat_.incarnation.empty()) past_.add(beat_.incarnation);
+  if (!is_same && !beat_.incarnation.empty()) forgetCurrent();
   const bool was_leaving = is_same && condition_ == TargetCondition::Leaving;
   const bool changed = beat.incarnation != beat_.incarnation || beat.slots != beat_.slots ||
                        beat.service != beat_.service || beat.version != beat_.version ||
@@ -74,7 +94,7 @@
   }
   const bool is_silent = now >= last_heartbeat_at_ + kHeartbeatTimeout;
   if (!is_silent) return false;
-  past_.add(beat_.incarnation);
+  forgetCurrent();
   beat_.incarnation = incarnation;
   condition_ = TargetCondition::Leaving;
   leaving_since_ = now;
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -91,12 +91,15 @@
   /// Time without heartbeats after which an incarnation counts as silent. Heartbeats are sent about every
   /// 1.5 s, so at least two fall into this time and one of them may be lost.
   static constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(3'500);
+  /// Time within which the heartbeats of an incarnation that has ended arrive.
+  static constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(10);
 
  private:
-  /// An incarnation whose start time is earlier than that of the current one.
+  /// An incarnation whose start time is earlier than that of the current one, or of one that is leaving.
   struct OlderCandidate {
     mesh::Incarnation incarnation;
     std::uint64_t sequence = 0;
+    TimePoint first_seen_at;
   };
 
   /// @return true if the condition changed.
@@ -105,6 +108,9 @@
     return past_.contains(incarnation) || left_.covers(incarnation);
   }
   bool isCurrent(const mesh::Incarnation& incarnation) const;
+  /// @return true if an incarnation with the same id that started later is leaving.
+  bool isOlderThanLeft(const mesh::Incarnation& incarnation) const;
+  void forgetCurrent();
   /// @return true if the incarnation of the heartbeat may supersede the current one.
   bool maySupersede(const Heartbeat& beat, TimePoint now);
 
@@ -115,9 +121,9 @@
   /// When the newest accepted heartbeat arrived.
   TimePoint last_heartbeat_at_;
   OlderCandidate older_candidate_;
-  /// Incarnations that were superseded by another one.
+  /// Incarnations that were superseded by another one and had not reported that they are leaving.
   PastIncarnations past_;
-  /// Incarnations that reported that they are leaving when they were not the current one.
+  /// Incarnations that reported that they are leaving and are not the current one.
   PastIncarnations left_;
 };
 
--- a/tests/sidecar/leave_notices_test.cpp
+++ b/tests/sidecar/leave_notices_test.cpp
@@ -157,6 +157,30 @@
   CHECK(state.condition() == TargetCondition::Leaving);
 }
 
+TEST_CASE("a delayed heartbeat of an earlier incarnation does not follow one that left", "[leave]") {
+  TargetState state;
+  TimePoint now{seconds(100)};
+  auto beat = SidecarFixture::makeHeartbeat("a", 5);
+  if (GENERATE(true, false)) {
+    state.onLeaveRecovered({"a", 9}, now);
+  } else {
+    beat.incarnation.born_ms = 9;
+    state.onHeartbeat(beat, now);
+    state.onDeregistered({"a", 9}, now);
+  }
+  beat.incarnation.born_ms = 8;
+  for (; now < TimePoint(seconds(109)); now += milliseconds(1'500)) {
+    ++beat.sequence;
+    state.onHeartbeat(beat, now);
+    CHECK(state.condition() != TargetCondition::Ready);
+  }
+  // It goes on, so its clock was set back before it started.
+  now += TargetState::kMaxHeartbeatDelay;
+  ++beat.sequence;
+  state.onHeartbeat(beat, now);
+  CHECK(state.condition() == TargetCondition::Ready);
+}
+
 TEST_CASE("a leave notice that is not accepted is not acknowledged", "[leave]") {
   SidecarFixture fixture;
   fixture.configure();
