Web client: a request is not sent once its connection took too long to open

What a target could see: a request that its gate had released before the shutdown was announced, arriving seconds later, since the kernel repeats the opening packet after 1, 3 and 7 s while the target's queue of connections is full, and a sidecar that was suspended meanwhile sends it whenever it goes on.

Change: after 1.3 s, which one lost packet fits into, the request counts as not sent, so that it may go elsewhere; the time is checked again when the connection opens. With the 0.3 s in which senders learn of a notice, the last request leaves 1.6 s after it.

--- a/src/web/client.h
+++ b/src/web/client.h
@@ -18,7 +18,7 @@
 enum class SendOutcome : std::uint8_t {
   /// A whole answer came.
   Answered,
-  /// No byte of the request left: no connection could be opened.
+  /// No byte of the request left: no connection could be opened in time.
   NotSent,
   /// The connection ended, or what came is no whole answer; the request may have run.
   Broken,
@@ -51,6 +51,10 @@
 /// which anything arrives unasked is closed.
 class Client {
  public:
+  /// Time after which a request whose connection does not open is not sent. The connection opens by then if
+  /// one packet is lost; a request must not reach a server much later than its sender decided to send it.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(1'300);
+
   Client(boost::asio::io_context& io, runtime::Address address);
   ~Client();
 
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -37,7 +37,8 @@
 
 }  // namespace
 
-ClientConnection::ClientConnection(Client& client) : client_(client), socket_(client.io_) {}
+ClientConnection::ClientConnection(Client& client)
+    : client_(client), socket_(client.io_), connect_timer_(client.io_) {}
 
 void ClientConnection::send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler) {
   id_ = id;
@@ -53,19 +54,30 @@
 }
 
 void ClientConnection::connect() {
-  state_ = State::Busy;
+  state_ = State::Connecting;
   error_code parse_error;
   const auto host = asio::ip::make_address(client_.address_.host, parse_error);
-  socket_.async_connect({host, client_.address_.port}, [self = shared_from_this()](error_code error) {
-    if (self->state_ != State::Busy) return;
-    if (error) {
-      self->finish({SendOutcome::NotSent, {}});
-      return;
-    }
-    error_code ignored;
-    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-    self->writeRequest();
+  connect_timer_.expires_after(Client::kConnectTimeout);
+  connect_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->state_ == State::Connecting) self->finish({SendOutcome::NotSent, {}});
   });
+  socket_.async_connect({host, client_.address_.port},
+                        [self = shared_from_this()](error_code error) { self->onConnected(error); });
+}
+
+void ClientConnection::onConnected(error_code error) {
+  if (state_ != State::Connecting) return;
+  // The timer has not fired yet if the process was suspended meanwhile.
+  const bool is_late = connect_timer_.expiry() <= asio::steady_timer::clock_type::now();
+  connect_timer_.cancel();
+  if (error || is_late) {
+    finish({SendOutcome::NotSent, {}});
+    return;
+  }
+  state_ = State::Busy;
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  writeRequest();
 }
 
 void ClientConnection::writeRequest() {
@@ -167,6 +179,7 @@
 void ClientConnection::close() {
   if (state_ == State::Closed) return;
   state_ = State::Closed;
+  connect_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
 }
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
@@ -21,10 +22,11 @@
   bool isStale(TimePoint now) const { return idle_until_ <= now; }
 
  private:
-  enum class State : std::uint8_t { New, Idle, Busy, Closed };
+  enum class State : std::uint8_t { New, Connecting, Idle, Busy, Closed };
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void connect();
+  void onConnected(boost::system::error_code error);
   void writeRequest();
   void awaitBytes();
   void onBytes(boost::system::error_code error, std::size_t length);
@@ -35,6 +37,8 @@
 
   Client& client_;
   boost::asio::ip::tcp::socket socket_;
+  /// Expires when an attempt to connect is given up.
+  boost::asio::steady_timer connect_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<const Request> request_;
--- a/tests/web/server_client_test.cpp
+++ b/tests/web/server_client_test.cpp
@@ -149,6 +149,25 @@
   CHECK(sendOnce(io, client, "1").outcome == SendOutcome::NotSent);
 }
 
+TEST_CASE("a request is not sent once its connection took too long to open", "[web]") {
+  asio::io_context io;
+  // The kernel drops further connections while the queue of those that were not accepted is full.
+  tcp::acceptor acceptor(io, tcp::v4());
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen(0);
+  std::vector<std::unique_ptr<tcp::socket>> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.push_back(std::make_unique<tcp::socket>(io));
+    queued.back()->async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+  }
+  io.run_for(std::chrono::milliseconds(100));
+  io.restart();
+  Client client(io, {"127.0.0.1", acceptor.local_endpoint().port()});
+  const auto began = std::chrono::steady_clock::now();
+  CHECK(sendOnce(io, client, "1").outcome == SendOutcome::NotSent);
+  CHECK(std::chrono::steady_clock::now() - began < Client::kConnectTimeout + std::chrono::milliseconds(500));
+}
+
 TEST_CASE("a probe tells whether anybody listens", "[web]") {
   asio::io_context io;
   std::optional<ConnectOutcome> outcome;
