--- a/src/store/snapshot_writer.cpp
+++ b/src/store/snapshot_writer.cpp
@@ -53,7 +53,8 @@
   if (state_.leave_notices != nullptr)
     leave_notices = wire::CreateLeaveNoticeState(builder_, state_.leave_notices.get());
   builder_.Finish(wire::CreateStoreState(builder_, state_.version, state_.pruned_version, changes, requests,
-                                         claims, history, mesh, rollouts, quarantine, evacuations, quota, leave_notices));
+                                         claims, history, mesh, rollouts, quarantine, evacuations, quota,
+                                         leave_notices));
   finished_ = true;
 }
 
