--- a/src/sidecar/endpoint_filter.cpp
+++ b/src/sidecar/endpoint_filter.cpp
@@ -10,7 +10,7 @@
   if (!isReachable(endpoint)) return false;
   if (!criteria.versions.admits(endpoint.version)) return false;
   if (!isAllowedRegion(endpoint, criteria)) return false;
-  // The sidecar beside a leaving target may have restarted, and does not know then that it leaves.
+  // A sidecar that restarted before the stores committed the notice does not know that its target leaves.
   if (statements_.isLeaving(endpoint)) return false;
   return !evacuations_.isEvacuated(endpoint.zone);
 }
--- a/tests/sidecar/endpoint_filter_test.cpp
+++ b/tests/sidecar/endpoint_filter_test.cpp
@@ -56,6 +56,18 @@
   CHECK_FALSE(admits());
 }
 
+TEST_CASE_METHOD(FilterFixture, "an endpoint whose target stated that it leaves gets no requests") {
+  endpoint.instance = "a@7";
+  wire::TargetStatementT statement;
+  statement.instance = "a";
+  statement.born_ms = 7;
+  statement.leaving = true;
+  statements.record(endpoint.address, statement, now);
+  CHECK_FALSE(admits());
+  endpoint.instance = "a@8";
+  CHECK(admits());
+}
+
 TEST_CASE_METHOD(FilterFixture, "the endpoints of an evacuated zone get no requests") {
   wire::EvacuationUpdateT update;
   update.number = 1;
