--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,15 +8,17 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 
-from mesh import CannotRun, ask, configuration, run_case  # noqa: E402
+from mesh import CannotRun, ask, configuration_text, run_case  # noqa: E402
 
 # From the end of the replaced machine's process to the change after which the disk is lost.
 PAUSE_AFTER_REPLACEMENT_S = 1.5
 DOWN_S = 1.0
 
 
-def change(number):
-    return configuration(f"r{number}", {"cue": ("desk.example", f"/cue{number}/", "safe", "desk")}, ["desk"])
+def put(mesh, number, patience_s=30):
+    routes = {"cue": ("desk.example", f"/cue{number}/", "safe", "desk")}
+    base = f"r{number - 1}" if number > 1 else "0"
+    return mesh.put(base, f"r{number}", configuration_text(f"r{number}", routes, ["desk"]), patience_s)
 
 
 def leader_of(mesh, stores):
@@ -35,7 +37,7 @@
     mesh.stores = everything[:4]
     for store in mesh.stores:
         mesh.start(store, bootstrap=True)
-    if mesh.put("0", change(1)) != 200 or mesh.put("r1", change(2)) != 200:
+    if put(mesh, 1) != 200 or put(mesh, 2) != 200:
         raise CannotRun("the first configurations are not taken")
     time.sleep(mesh.bounds["contact_s"])
 
@@ -53,7 +55,7 @@
     time.sleep(PAUSE_AFTER_REPLACEMENT_S)
 
     # Right after the next acknowledgement the machine that gave it loses its disk.
-    if mesh.put("r2", change(3)) != 200:
+    if put(mesh, 3) != 200:
         raise CannotRun("the change after the replacement is not taken")
     if trouble:
         acknowledging = leader_of(mesh, mesh.stores)
@@ -68,7 +70,7 @@
     version = mesh.read(patience_s=20)
     record.add("check", f"acknowledged: r3; read back until {time.monotonic() - back_at:.1f} s after the machine "
                         f"is back: {version}")
-    status = mesh.put("r3", change(4), patience_s=10)
+    status = put(mesh, 4, patience_s=10)
     record.add("check", f"a further change on r3 -> {status}")
     return version != "r3"
 
--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -266,9 +266,8 @@
 
     # The operator.
 
-    def put(self, base, configuration, patience_s=30):
+    def put(self, base, version, body, patience_s=30):
         """Sends the order to the stores in turn until it gets a clear answer. Returns the status, or None."""
-        body = json.dumps(configuration)
         until = time.monotonic() + patience_s
         number = 0
         while time.monotonic() < until:
@@ -277,10 +276,10 @@
             status, _, _ = follow(store.ip, self.control_port, "POST", "/-/Config.Put",
                                   {"Base-Version": base, "Content-Type": "application/json"}, body)
             if status is not None and status < 500 and status not in (307, 408, 429):
-                self.record.add("operator", f"Config.Put {configuration['version']} on {base} -> {status}")
+                self.record.add("operator", f"Config.Put {version} on {base} -> {status}")
                 return status
             time.sleep(0.2)
-        self.record.add("operator", f"Config.Put {configuration['version']} on {base} -> no clear answer in "
+        self.record.add("operator", f"Config.Put {version} on {base} -> no clear answer in "
                                     f"{patience_s} s")
         return None
 
@@ -339,6 +338,10 @@
     return status, fields, content
 
 
+def configuration_text(version, routes, services):
+    return json.dumps(configuration(version, routes, services))
+
+
 def configuration(version, routes, services):
     """`routes`: name to (host, prefix, kind, service). The limits are those of the example on the pages."""
     return {
