Sidecar: a request that waits for a quota token leaves all indexes when it ends

Callers saw requests on kept connections that were passed on and got no answer (LOST): the sidecar's process ended with "map::at".

Cause: a request of a tenant with a limit waits up to 100 ms for a token. If its deadline came first, finish() removed it from calls_ and deadlines_, but not from quota_waits_; when the wait expired, calls_.at() threw. Only cancel() removed it from all three. The number of waiting requests reported to the leader stayed too high, too.

Why it works: removeCall() is now the only place that removes a request, and it removes it from every index and from the requests that wait for a token.

Class: indexes that outlive their entry. All at() lookups of src/sidecar and src/store were read; no other one was found.

--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -149,7 +149,7 @@
   /// Sends the request once it has a token of its tenant's quota.
   void sendWithinQuota(CallId id, TimePoint now);
   void applyQuotaDecision(CallId id, const TenantQuota::Decision& decision, TimePoint now);
-  /// Removes the request from those that wait for a token.
+  /// Ends the request's wait for a token.
   void removeQuotaWait(CallId id, CallState& call);
   void expireQuotaWaits(TimePoint now);
   void releaseToken(const CallState& call, bool ran, TimePoint now);
@@ -172,6 +172,8 @@
   void logEnd(const CallState& call, const CallAnswer& answer, TimePoint now) const;
   static std::string formatTriedEndpoints(const CallState& call);
   void finish(CallId id, CallAnswer answer, TimePoint now);
+  /// Removes the request from all indexes, and from those that wait for a token.
+  void removeCall(CallId id);
   void finishNotRun(CallId id, TimePoint now);
   /// Ends a quarantined request without another attempt, because requests like it have crashed targets.
   void finishQuarantined(CallId id, TimePoint now);
--- a/src/sidecar/outbound_completion.cpp
+++ b/src/sidecar/outbound_completion.cpp
@@ -74,12 +74,23 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   ++metrics_.callers_gone;
-  if (found->second.quota_deadline) parts_.quota.stopWaiting(found->second.request->tenant);
-  removeQuotaWait(id, found->second);
   // An attempt in flight may have run.
   releaseToken(found->second, found->second.endpoint || found->second.may_have_run, now);
   cancelAttempt(found->second, now);
-  deadlines_.erase({found->second.deadline, id});
+  removeCall(id);
+}
+
+/// The only place that removes a request. Each index must lose it here: an entry that remained would refer to
+/// a request that no longer exists.
+void OutboundCalls::removeCall(CallId id) {
+  const auto found = calls_.find(id);
+  auto& call = found->second;
+  if (call.quota_deadline) {
+    parts_.quota.stopWaiting(call.request->tenant);
+    removeQuotaWait(id, call);
+  }
+  deadlines_.erase({call.deadline, id});
+  calls_by_attempt_.erase(call.attempt_number);
   calls_.erase(found);
 }
 
@@ -134,9 +145,8 @@
   // A request over its tenant's quota is no sign of an overloaded service.
   if (answer.outcome != CallOutcome::OverQuota)
     refusals_.note(call.request->service, answer.outcome == CallOutcome::NotRun);
-  deadlines_.erase({call.deadline, id});
   const bool is_streamed = call.is_streamed;
-  calls_.erase(found);
+  removeCall(id);
   if (!is_streamed) {
     parts_.callers.answer(id, std::move(answer));
   } else if (answer.outcome == CallOutcome::Answered) {
--- a/tests/sidecar/tenant_test.cpp
+++ b/tests/sidecar/tenant_test.cpp
@@ -38,9 +38,11 @@
     return tenant;
   }
 
-  CallId sendCall(const std::optional<std::string>& key, const std::string& path = "/read/x") {
+  CallId sendCall(const std::optional<std::string>& key, const std::string& path = "/read/x",
+                  std::optional<Duration> deadline = std::nullopt) {
     Call call;
     call.host = "shop.example";
+    call.deadline = deadline;
     if (key) call.key = mesh::digestOfKey(*key);
     call.request.target = path;
     call.request.method = "GET";
@@ -256,4 +258,65 @@
   CHECK(target.orders[2].request->priority < target.orders[1].request->priority);
 }
 
+// Guards against the end of the process when the wait for a token outlasts the deadline of its request.
+TEST_CASE_METHOD(TenantFixture, "a request whose deadline passes while it waits for a token ends once",
+                 "[tenant]") {
+  takeQuotaRequests();
+  const auto id = sendCall("bound-key", "/read/x", milliseconds(GENERATE(1, 5, 20)));
+  const auto quota_request = takeQuotaRequests().front();
+  const bool is_granted_late = GENERATE(false, true);
+  advance(TenantQuota::kMaxTokenWait - milliseconds(1));
+  CHECK(outcomeOf(id) == CallOutcome::NotRun);
+  if (is_granted_late) grant(quota_request, 0, 1);
+  advance(milliseconds(300));
+  CHECK(target.orders.empty());
+  CHECK(core.callsInFlight() == 0);
+}
+
+// Guards against tokens that are requested for requests that have ended.
+TEST_CASE_METHOD(TenantFixture, "no token is requested for a request whose deadline has passed", "[tenant]") {
+  takeQuotaRequests();
+  sendCall("bound-key", "/read/x", milliseconds(5));
+  const auto first = takeQuotaRequests();
+  REQUIRE(first.size() == 1);
+  advance(milliseconds(10));
+  sendCall("bound-key");
+  grant(first.front(), 0);
+  const auto second = takeQuotaRequests();
+  REQUIRE(second.size() == 1);
+  CHECK(second.front().needs.front()->need == 1);
+}
+
+// Guards against indexes of requests that keep an entry of one that has ended, by whatever way it ended.
+TEST_CASE_METHOD(TenantFixture, "requests end in any order of deadlines, grants, results and lost callers",
+                 "[tenant]") {
+  RandomSource random(GENERATE(range(1, 201)));
+  const auto pick = [&random](std::uint64_t end) { return random.uniform(std::uint64_t{0}, end - 1); };
+  std::vector<CallId> calls;
+  std::vector<wire::QuotaRequestT> unanswered;
+  for (int step_number = 0; step_number < 200; ++step_number) {
+    const auto event = pick(6);
+    if (event == 0) {
+      const auto deadline = milliseconds(1 + pick(120));
+      calls.push_back(sendCall(pick(8) == 0 ? "free-key" : "bound-key", "/read/x", deadline));
+    } else if (event == 1 && !unanswered.empty()) {
+      grant(unanswered.back(), static_cast<std::uint32_t>(pick(3)), static_cast<std::uint32_t>(pick(2)));
+      unanswered.clear();
+    } else if (event == 2 && !calls.empty()) {
+      core.onCallerGone(calls.at(pick(calls.size())), now);
+      step();
+    } else if (event == 3 && !target.orders.empty()) {
+      RunResult result;
+      result.reply.outcome = pick(2) == 0 ? wire::ForwardOutcome::Answered : wire::ForwardOutcome::NotRun;
+      core.onRunResult(target.orders.at(pick(target.orders.size())).id, result, now);
+      step();
+    } else {
+      advance(milliseconds(pick(40)));
+    }
+    for (auto& request : takeQuotaRequests()) unanswered.push_back(std::move(request));
+  }
+  advance(std::chrono::seconds(2));
+  CHECK(core.callsInFlight() == 0);
+}
+
 }  // namespace cometstand::sidecar::test
