Store: a stopping replica gives its vote away before its process ends; spare voters

Cause: a planned stop handed over leadership, but not the vote. For some 3 s the ended process was one of three voters, and two learners that held everything could not be used. The loss of one more disk left one voter of three, and the change of the membership that would have helped needs two.

With five replicas or more there are two spare voters, for an end without a signal: four of five remain, and three after the next loss. Without these replicas the number of voters falls back, and is always odd again. A new leader counts the silence of the former one from its last message.

The tests of zone losses name the number of voters, so ZonedCluster sets spare_voters to 0; one of them also runs with spare voters.

Metrics and the events E3025 and E3026 tell how many losses the quorum bears.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -102,6 +102,8 @@
   LogIndex lastIndex() const;
   /// The latest membership in the log, committed or not (section 4.1 of the dissertation).
   wire::MembershipT membership() const;
+  /// @return true if that membership is known to be committed and no replacement of a voter is in progress.
+  bool isMembershipSettled() const;
   /// Replication state of the other replicas; empty if this replica is not the leader.
   std::vector<FollowerStatus> followers() const;
 
--- a/src/consensus/consensus_leader.cpp
+++ b/src/consensus/consensus_leader.cpp
@@ -230,7 +230,7 @@
     // round number is 0; such a follower is not reported as active.
     const bool is_active = progress.acked_round.number != 0 &&
                            now_ <= progress.acked_round.began_at + options_.election_timeout_max;
-    result.push_back({id, isLearner(log_.membership(), id), progress.match, is_active});
+    result.push_back({id, isLearner(log_.membership(), id), progress.match, is_active, isCaughtUp(progress)});
   }
   return result;
 }
--- a/src/consensus/consensus_membership.cpp
+++ b/src/consensus/consensus_membership.cpp
@@ -19,6 +19,10 @@
 
 }  // namespace
 
+bool Consensus::isMembershipSettled() const {
+  return log_.membershipIndex() <= commit_index_ && log_.membership().replaced == 0;
+}
+
 void Consensus::requireReadyForChange() const {
   if (role_ != Role::Leader) {
     throw Error(ErrorKind::Unavailable, fmt::format("replica {} is not the leader", self_.id),
@@ -31,7 +35,7 @@
     throw Error(ErrorKind::Unavailable, "the leader has not committed an entry in its term yet",
                 "repeat the change", options_.heartbeat_interval);
   }
-  if (log_.membershipIndex() > commit_index_ || log_.membership().replaced != 0) {
+  if (!isMembershipSettled()) {
     throw Error(ErrorKind::Conflict, "another membership change is running", "repeat the change",
                 options_.election_timeout_max);
   }
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -41,6 +41,23 @@
   membership.voters.push_back(std::move(voter));
 }
 
+void requireVoterLeft(const wire::MembershipT& membership) {
+  if (!membership.voters.empty()) return;
+  throw Error(ErrorKind::Invalid, "the last voter cannot be removed", "promote another replica first");
+}
+
+void demoteVoter(wire::MembershipT& membership, ReplicaId id) {
+  const auto voter = find(membership.voters, id);
+  if (voter == membership.voters.end()) {
+    throw Error(ErrorKind::NotFound, fmt::format("replica {} is not a voter", id),
+                "name a voter of the membership");
+  }
+  const wire::ReplicaT replica = **voter;
+  membership.voters.erase(voter);
+  requireVoterLeft(membership);
+  addLearner(membership, replica);
+}
+
 void removeReplica(wire::MembershipT& membership, ReplicaId id) {
   if (findReplica(membership, id) == nullptr) {
     throw Error(ErrorKind::NotFound, fmt::format("replica {} is not a member", id),
@@ -49,9 +66,7 @@
   std::erase_if(membership.learners, [id](const auto& replica) { return replica->id == id; });
   std::erase_if(membership.voters, [id](const auto& replica) { return replica->id == id; });
   if (membership.replaced == id) membership.replaced = 0;
-  if (membership.voters.empty()) {
-    throw Error(ErrorKind::Invalid, "the last voter cannot be removed", "promote another replica first");
-  }
+  requireVoterLeft(membership);
 }
 
 }  // namespace
@@ -110,6 +125,9 @@
     case MembershipChangeKind::RemoveReplica:
       removeReplica(result, change.replica.id);
       break;
+    case MembershipChangeKind::DemoteVoter:
+      demoteVoter(result, change.replica.id);
+      break;
   }
   checkMembership(result);
   return result;
--- a/src/consensus/membership.h
+++ b/src/consensus/membership.h
@@ -20,6 +20,8 @@
   RemoveReplica,
   /// Makes the learner `replica.id` a voter, then removes the voter `replaced`.
   ReplaceVoter,
+  /// Makes the voter `replica.id` a learner.
+  DemoteVoter,
 };
 
 struct MembershipChange {
@@ -38,6 +40,9 @@
   LogIndex match_index = 0;
   /// True if the replica replied within the last election timeout.
   bool is_active = false;
+  /// True if the replica is active and has synced all entries that were committed when the round began that
+  /// it acknowledged last.
+  bool is_caught_up = false;
 };
 
 std::vector<std::uint8_t> encodeMembership(const wire::MembershipT& membership);
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -148,6 +148,14 @@
 struct FormationReplyBuilder;
 struct FormationReplyT;
 
+struct VoteReleaseRequest;
+struct VoteReleaseRequestBuilder;
+struct VoteReleaseRequestT;
+
+struct VoteReleaseReply;
+struct VoteReleaseReplyBuilder;
+struct VoteReleaseReplyT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -356,6 +364,42 @@
   return EnumNamesClaimEnd()[index];
 }
 
+enum class VoteReleaseState : uint8_t {
+  NotLeader = 0,
+  Pending = 1,
+  NoSuccessor = 2,
+  Released = 3,
+  MIN = NotLeader,
+  MAX = Released
+};
+
+inline const VoteReleaseState (&EnumValuesVoteReleaseState())[4] {
+  static const VoteReleaseState values[] = {
+    VoteReleaseState::NotLeader,
+    VoteReleaseState::Pending,
+    VoteReleaseState::NoSuccessor,
+    VoteReleaseState::Released
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesVoteReleaseState() {
+  static const char * const names[5] = {
+    "NotLeader",
+    "Pending",
+    "NoSuccessor",
+    "Released",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameVoteReleaseState(VoteReleaseState e) {
+  if (flatbuffers::IsOutRange(e, VoteReleaseState::NotLeader, VoteReleaseState::Released)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesVoteReleaseState()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   CommandRequest = 1,
@@ -405,11 +449,13 @@
   LeaveNotice = 45,
   LeaveNoticeQuery = 46,
   LeaveNoticeList = 47,
+  VoteReleaseRequest = 48,
+  VoteReleaseReply = 49,
   MIN = NONE,
-  MAX = LeaveNoticeList
+  MAX = VoteReleaseReply
 };
 
-inline const Body (&EnumValuesBody())[48] {
+inline const Body (&EnumValuesBody())[50] {
   static const Body values[] = {
     Body::NONE,
     Body::CommandRequest,
@@ -458,13 +504,15 @@
     Body::QuotaGrant,
     Body::LeaveNotice,
     Body::LeaveNoticeQuery,
-    Body::LeaveNoticeList
+    Body::LeaveNoticeList,
+    Body::VoteReleaseRequest,
+    Body::VoteReleaseReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[49] = {
+  static const char * const names[51] = {
     "NONE",
     "CommandRequest",
     "CommandReply",
@@ -513,13 +561,15 @@
     "LeaveNotice",
     "LeaveNoticeQuery",
     "LeaveNoticeList",
+    "VoteReleaseRequest",
+    "VoteReleaseReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaveNoticeList)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::VoteReleaseReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -716,6 +766,14 @@
   static const Body enum_value = Body::LeaveNoticeList;
 };
 
+template<> struct BodyTraits<cometstand::wire::VoteReleaseRequest> {
+  static const Body enum_value = Body::VoteReleaseRequest;
+};
+
+template<> struct BodyTraits<cometstand::wire::VoteReleaseReply> {
+  static const Body enum_value = Body::VoteReleaseReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -908,6 +966,14 @@
   static const Body enum_value = Body::LeaveNoticeList;
 };
 
+template<> struct BodyUnionTraits<cometstand::wire::VoteReleaseRequestT> {
+  static const Body enum_value = Body::VoteReleaseRequest;
+};
+
+template<> struct BodyUnionTraits<cometstand::wire::VoteReleaseReplyT> {
+  static const Body enum_value = Body::VoteReleaseReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1314,6 +1380,22 @@
     return type == Body::LeaveNoticeList ?
       reinterpret_cast<const cometstand::wire::LeaveNoticeListT *>(value) : nullptr;
   }
+  cometstand::wire::VoteReleaseRequestT *AsVoteReleaseRequest() {
+    return type == Body::VoteReleaseRequest ?
+      reinterpret_cast<cometstand::wire::VoteReleaseRequestT *>(value) : nullptr;
+  }
+  const cometstand::wire::VoteReleaseRequestT *AsVoteReleaseRequest() const {
+    return type == Body::VoteReleaseRequest ?
+      reinterpret_cast<const cometstand::wire::VoteReleaseRequestT *>(value) : nullptr;
+  }
+  cometstand::wire::VoteReleaseReplyT *AsVoteReleaseReply() {
+    return type == Body::VoteReleaseReply ?
+      reinterpret_cast<cometstand::wire::VoteReleaseReplyT *>(value) : nullptr;
+  }
+  const cometstand::wire::VoteReleaseReplyT *AsVoteReleaseReply() const {
+    return type == Body::VoteReleaseReply ?
+      reinterpret_cast<const cometstand::wire::VoteReleaseReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4594,6 +4676,122 @@
 
 flatbuffers::Offset<FormationReply> CreateFormationReply(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct VoteReleaseRequestT : public flatbuffers::NativeTable {
+  typedef VoteReleaseRequest TableType;
+  uint64_t replica = 0;
+};
+
+struct VoteReleaseRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VoteReleaseRequestT NativeTableType;
+  typedef VoteReleaseRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4
+  };
+  uint64_t replica() const {
+    return GetField<uint64_t>(VT_REPLICA, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
+           verifier.EndTable();
+  }
+  VoteReleaseRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VoteReleaseRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VoteReleaseRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VoteReleaseRequestBuilder {
+  typedef VoteReleaseRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(uint64_t replica) {
+    fbb_.AddElement<uint64_t>(VoteReleaseRequest::VT_REPLICA, replica, 0);
+  }
+  explicit VoteReleaseRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VoteReleaseRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VoteReleaseRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VoteReleaseRequest> CreateVoteReleaseRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t replica = 0) {
+  VoteReleaseRequestBuilder builder_(_fbb);
+  builder_.add_replica(replica);
+  return builder_.Finish();
+}
+
+struct VoteReleaseRequest::Traits {
+  using type = VoteReleaseRequest;
+  static auto constexpr Create = CreateVoteReleaseRequest;
+};
+
+flatbuffers::Offset<VoteReleaseRequest> CreateVoteReleaseRequest(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct VoteReleaseReplyT : public flatbuffers::NativeTable {
+  typedef VoteReleaseReply TableType;
+  cometstand::wire::VoteReleaseState state = cometstand::wire::VoteReleaseState::NotLeader;
+};
+
+struct VoteReleaseReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VoteReleaseReplyT NativeTableType;
+  typedef VoteReleaseReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATE = 4
+  };
+  cometstand::wire::VoteReleaseState state() const {
+    return static_cast<cometstand::wire::VoteReleaseState>(GetField<uint8_t>(VT_STATE, 0));
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           verifier.EndTable();
+  }
+  VoteReleaseReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VoteReleaseReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VoteReleaseReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VoteReleaseReplyBuilder {
+  typedef VoteReleaseReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_state(cometstand::wire::VoteReleaseState state) {
+    fbb_.AddElement<uint8_t>(VoteReleaseReply::VT_STATE, static_cast<uint8_t>(state), 0);
+  }
+  explicit VoteReleaseReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VoteReleaseReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VoteReleaseReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VoteReleaseReply> CreateVoteReleaseReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    cometstand::wire::VoteReleaseState state = cometstand::wire::VoteReleaseState::NotLeader) {
+  VoteReleaseReplyBuilder builder_(_fbb);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+struct VoteReleaseReply::Traits {
+  using type = VoteReleaseReply;
+  static auto constexpr Create = CreateVoteReleaseReply;
+};
+
+flatbuffers::Offset<VoteReleaseReply> CreateVoteReleaseReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   uint64_t request_id = 0;
@@ -4760,6 +4958,12 @@
   const cometstand::wire::LeaveNoticeList *body_as_LeaveNoticeList() const {
     return body_type() == cometstand::wire::Body::LeaveNoticeList ? static_cast<const cometstand::wire::LeaveNoticeList *>(body()) : nullptr;
   }
+  const cometstand::wire::VoteReleaseRequest *body_as_VoteReleaseRequest() const {
+    return body_type() == cometstand::wire::Body::VoteReleaseRequest ? static_cast<const cometstand::wire::VoteReleaseRequest *>(body()) : nullptr;
+  }
+  const cometstand::wire::VoteReleaseReply *body_as_VoteReleaseReply() const {
+    return body_type() == cometstand::wire::Body::VoteReleaseReply ? static_cast<const cometstand::wire::VoteReleaseReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -4961,6 +5165,14 @@
   return body_as_LeaveNoticeList();
 }
 
+template<> inline const cometstand::wire::VoteReleaseRequest *Envelope::body_as<cometstand::wire::VoteReleaseRequest>() const {
+  return body_as_VoteReleaseRequest();
+}
+
+template<> inline const cometstand::wire::VoteReleaseReply *Envelope::body_as<cometstand::wire::VoteReleaseReply>() const {
+  return body_as_VoteReleaseReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6316,6 +6528,58 @@
       _leader);
 }
 
+inline VoteReleaseRequestT *VoteReleaseRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VoteReleaseRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VoteReleaseRequest::UnPackTo(VoteReleaseRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replica(); _o->replica = _e; }
+}
+
+inline flatbuffers::Offset<VoteReleaseRequest> VoteReleaseRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVoteReleaseRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VoteReleaseRequest> CreateVoteReleaseRequest(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VoteReleaseRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replica = _o->replica;
+  return cometstand::wire::CreateVoteReleaseRequest(
+      _fbb,
+      _replica);
+}
+
+inline VoteReleaseReplyT *VoteReleaseReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VoteReleaseReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VoteReleaseReply::UnPackTo(VoteReleaseReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = state(); _o->state = _e; }
+}
+
+inline flatbuffers::Offset<VoteReleaseReply> VoteReleaseReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVoteReleaseReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VoteReleaseReply> CreateVoteReleaseReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReleaseReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VoteReleaseReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _state = _o->state;
+  return cometstand::wire::CreateVoteReleaseReply(
+      _fbb,
+      _state);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -6541,6 +6805,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeList *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::VoteReleaseRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::VoteReleaseReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6748,6 +7020,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeList *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::VoteReleaseRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::VoteReleaseReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6943,6 +7223,14 @@
       auto ptr = reinterpret_cast<const cometstand::wire::LeaveNoticeListT *>(value);
       return CreateLeaveNoticeList(_fbb, ptr, _rehasher).Union();
     }
+    case Body::VoteReleaseRequest: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseRequestT *>(value);
+      return CreateVoteReleaseRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::VoteReleaseReply: {
+      auto ptr = reinterpret_cast<const cometstand::wire::VoteReleaseReplyT *>(value);
+      return CreateVoteReleaseReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7137,6 +7425,14 @@
       value = new cometstand::wire::LeaveNoticeListT(*reinterpret_cast<cometstand::wire::LeaveNoticeListT *>(u.value));
       break;
     }
+    case Body::VoteReleaseRequest: {
+      value = new cometstand::wire::VoteReleaseRequestT(*reinterpret_cast<cometstand::wire::VoteReleaseRequestT *>(u.value));
+      break;
+    }
+    case Body::VoteReleaseReply: {
+      value = new cometstand::wire::VoteReleaseReplyT(*reinterpret_cast<cometstand::wire::VoteReleaseReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7379,6 +7675,16 @@
       delete ptr;
       break;
     }
+    case Body::VoteReleaseRequest: {
+      auto ptr = reinterpret_cast<cometstand::wire::VoteReleaseRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::VoteReleaseReply: {
+      auto ptr = reinterpret_cast<cometstand::wire::VoteReleaseReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -105,6 +105,14 @@
                                                      "long, and it was ignored. Check that all machines run "
                                                      "the same release."};
 
+inline constexpr EventDefinition kLossNotTolerable{
+    3025, LogLevel::Warning, "loss_not_tolerable",
+    "So few voters respond that the loss of one more would leave no quorum. The leader replaces voters that "
+    "do not respond as soon as a learner has caught up; if learners_caught_up is 0, start another replica."};
+inline constexpr EventDefinition kLossTolerable{
+    3026, LogLevel::Info, "loss_tolerable",
+    "Enough voters respond again that the quorum survives the loss of any one of them. No action is needed."};
+
 inline constexpr std::array kStoreEvents{kReaderAdmitted,     kReaderLost,           kReaderRefused,
                                          kReaderUnresponsive, kSnapshotTooLarge,     kUnexpectedPeer,
                                          kStopBegan,          kReplacementDone,      kBootstrapRefused,
@@ -112,6 +120,7 @@
                                          kNodeLost,           kRolloutOrdered,       kRolloutStep,
                                          kCrashReported,      kContentQuarantined,   kContentCleared,
                                          kContentReleased,    kEvacuationOrdered,    kQuotaBegan,
-                                         kQuotaUnreadable,    kLeaveNoticeCommitted, kLeaveNoticeInvalid};
+                                         kQuotaUnreadable,    kLeaveNoticeCommitted, kLeaveNoticeInvalid,
+                                         kLossNotTolerable,   kLossTolerable};
 
 }  // namespace cometstand::store
--- a/src/store/metrics.h
+++ b/src/store/metrics.h
@@ -20,6 +20,11 @@
   std::uint64_t commands_waiting = 0;
   std::uint64_t zones_evacuated = 0;
   std::uint64_t leave_notices = 0;
+  // Known to the leader only; 0 on the other replicas.
+  std::uint64_t voters = 0;
+  std::uint64_t active_voters = 0;
+  std::uint64_t learners_caught_up = 0;
+  std::uint64_t tolerable_voter_losses = 0;
 
   // Counters.
   std::uint64_t commands_completed = 0;
--- a/src/store/options.cpp
+++ b/src/store/options.cpp
@@ -28,6 +28,7 @@
 void StoreOptions::check() const {
   consensus.check();
   checkRange<std::size_t>("voters", voters, 1, 9);
+  checkRange<std::size_t>("spare_voters", spare_voters, 0, 8);
   checkRange<double>("rollout_exposure_share", rollout_exposure_share, 0, 1);
   checkRange<std::uint64_t>("rollout_exposure_slack", rollout_exposure_slack, 0, 1'000'000);
   checkRange("replace_silent_after", replace_silent_after, milliseconds(100), hours(24));
--- a/src/store/options.h
+++ b/src/store/options.h
@@ -35,6 +35,11 @@
   /// Target number of voters, if `seeds` is given. Default 3, range 1 to 9.
   std::size_t voters = 3;
 
+  /// Further voters while as many replicas are available, if `seeds` is given. With two, the quorum survives
+  /// the loss of one voter and that of another before the first one has been replaced. Default 2, range 0
+  /// to 8.
+  std::size_t spare_voters = 2;
+
   /// Number of zones that may fail at the same time without loss of the quorum, if `seeds` is given. Default
   /// 0, range 0 to 9.
   std::size_t tolerated_zone_losses = 0;
--- a/src/store/replica_admin.cpp
+++ b/src/store/replica_admin.cpp
@@ -59,6 +59,8 @@
              replica->port == change.replica.port;
     case MembershipChangeKind::PromoteLearner:
       return consensus::isVoter(membership, change.replica.id);
+    case MembershipChangeKind::DemoteVoter:
+      return consensus::isLearner(membership, change.replica.id);
     case MembershipChangeKind::RemoveReplica:
       return replica == nullptr;
     case MembershipChangeKind::ReplaceVoter:
--- a/src/store/seed_formation.cpp
+++ b/src/store/seed_formation.cpp
@@ -50,7 +50,7 @@
 }
 
 bool SeedFormation::shouldRequestJoin(TimePoint now) const {
-  if (isForming()) return false;
+  if (isForming() || is_stopping_) return false;
   const auto role = context_.consensus.leadership().role;
   if (role == consensus::Role::Joining) return true;
   return role != consensus::Role::Failed && now >= leader_known_at_ + kNoLeaderTimeout;
@@ -58,7 +58,8 @@
 
 void SeedFormation::begin(TimePoint now) {
   next_request_at_ = now;
-  leader_known_at_ = now;
+  // A replica that gave its vote away before it was stopped is no longer a member, and no leader contacts it.
+  leader_known_at_ = now - kNoLeaderTimeout;
   if (enabled()) bootstrapIfAgreed(now);
 }
 
--- a/src/store/seed_formation.h
+++ b/src/store/seed_formation.h
@@ -26,6 +26,8 @@
 
   bool enabled() const { return !context_.options.seeds.empty(); }
   void begin(TimePoint now);
+  /// Ends the requests to join, so that a replica that is stopping is not added again.
+  void beginStop() { is_stopping_ = true; }
   /// Sets further addresses that receive this replica's join requests. The initial voters remain the seeds
   /// from StoreOptions.
   void setSeeds(std::vector<runtime::Address> seeds) { added_seeds_ = std::move(seeds); }
@@ -74,6 +76,7 @@
   std::map<runtime::Address, bool> reported_voters_;
   std::vector<runtime::Address> added_seeds_;
   bool cluster_exists_ = false;
+  bool is_stopping_ = false;
   TimePoint next_request_at_;
   TimePoint leader_known_at_;
 };
--- a/src/store/store_messages.cpp
+++ b/src/store/store_messages.cpp
@@ -36,7 +36,10 @@
 
 void StoreReplica::onOutgoingLinkMessage(LinkId link, const wire::EnvelopeT& message, TimePoint now) {
   if (const auto* consensus_message = message.body.AsConsensusMessage()) {
+    members_.onHeard(consensus_message->from, now);
     consensus_.onMessage(*consensus_message, now);
+  } else if (const auto* release = message.body.AsVoteReleaseReply()) {
+    vote_release_.onReply(*release, now);
   } else if (const auto* reply = message.body.AsCommandReply()) {
     forwarder_.onReply(link, message.request_id, *reply);
   } else if (const auto* formation = message.body.AsFormationReply()) {
@@ -67,6 +70,9 @@
     } else {
       formation_.onRequest({link, message.request_id});
     }
+  } else if (const auto* release = body.AsVoteReleaseRequest()) {
+    if (requireRole(link, "store") && seed_formation_.enabled())
+      members_.onVoteReleaseRequest({link, message.request_id}, *release, now);
   } else if (const auto* request = body.AsCommandRequest()) {
     if (requireRole(link, "operator", "store")) onCommand(link, message.request_id, *request, now);
   } else if (const auto* report = body.AsRolloutReport()) {
@@ -92,6 +98,7 @@
 
 void StoreReplica::onConsensusMessage(LinkId link, const wire::ConsensusMessageT& message, TimePoint now) {
   replicas_.onHeard(message.from, link);
+  members_.onHeard(message.from, now);
   consensus_.onMessage(message, now);
 }
 
--- a/src/store/store_pages.cpp
+++ b/src/store/store_pages.cpp
@@ -24,6 +24,14 @@
   add("commands_waiting", "Changes and claims waiting to be added to a log entry.", metrics.commands_waiting);
   add("zones_evacuated", "Zones under evacuation, whose targets get no requests.", metrics.zones_evacuated);
   add("leave_notices", "Incarnations of targets whose announced shutdown is stored.", metrics.leave_notices);
+  add("voters", "Replicas in the quorum; 0 unless this replica leads.", metrics.voters);
+  add("active_voters", "Voters that respond, with the leader; 0 unless this replica leads.",
+      metrics.active_voters);
+  add("learners_caught_up", "Replicas that can replace a voter; 0 unless this replica leads.",
+      metrics.learners_caught_up);
+  add("tolerable_voter_losses",
+      "Active voters whose loss at this moment leaves a quorum; 0 unless this replica leads.",
+      metrics.tolerable_voter_losses);
 }
 
 void addCommandCounters(admin::MetricSet& set, const StoreMetrics& metrics) {
--- a/src/store/store_replica.cpp
+++ b/src/store/store_replica.cpp
@@ -83,6 +83,7 @@
   formation_.onTimer(now);
   seed_formation_.onTimer(now);
   members_.onTimer(now);
+  vote_release_.onTimer(now);
   mesh_.onTimer(now);
   rollouts_.onTimer(now);
   rollout_controller_.onTimer(now);
@@ -109,6 +110,7 @@
                    formation_.nextTimer(),
                    seed_formation_.nextTimer(),
                    members_.nextTimer(),
+                   vote_release_.nextTimer(),
                    mesh_.nextTimer(),
                    rollouts_.nextTimer(),
                    rollout_controller_.nextTimer(),
@@ -242,16 +244,18 @@
   logEvent(kStopBegan, {{"replica", options_.self.id}, {"leads", context_.isLeader()}});
   commands_.beginStop();
   readers_.beginStop();
+  seed_formation_.beginStop();
+  vote_release_.begin(now);
   drain(now);
 }
 
-/// Transfers leadership only after all commands in the log have been answered, so that the transfer turns no
-/// response into Unknown.
+/// A leader gives its vote to another replica, and leadership with it, or else transfers only leadership. It
+/// does so only after all commands in the log have been answered, so that no response becomes Unknown.
 void StoreReplica::continueStop(TimePoint now) {
   if (!stopping_) return;
   if (now >= stop_deadline_) stop_wait_ended_ = true;
-  if (now < next_transfer_at_ || !context_.isLeader() || !writer_.idle() || !servicesIdle() || !admin_.idle())
-    return;
+  if (stop_wait_ended_ || !context_.isLeader() || !mayYield()) return;
+  if (members_.releaseOwnVote(now) || now < next_transfer_at_) return;
   // By that time, a transfer to a replica that does not respond has timed out.
   next_transfer_at_ = now + 2 * options_.consensus.election_timeout_max;
   if (!consensus_.transferLeadershipToAny(now)) stop_wait_ended_ = true;
@@ -260,14 +264,14 @@
 TimePoint StoreReplica::stopTimer() const {
   if (!stopping_ || stop_wait_ended_) return TimePoint::max();
   // Pending commands complete through other events, and each event attempts the transfer again.
-  const bool may_transfer = context_.isLeader() && writer_.idle() && servicesIdle() && admin_.idle();
+  const bool may_transfer = context_.isLeader() && mayYield();
   return may_transfer ? std::min(next_transfer_at_, stop_deadline_) : stop_deadline_;
 }
 
 bool StoreReplica::stopped() const {
   if (!stopping_) return false;
-  return stop_wait_ended_ ||
-         (!context_.isLeader() && !readers_.hasPendingRedirects() && writer_.idle() && forwarder_.idle());
+  return stop_wait_ended_ || (!context_.isLeader() && vote_release_.isDone() &&
+                              !readers_.hasPendingRedirects() && writer_.idle() && forwarder_.idle());
 }
 
 void StoreReplica::changeMesh(const wire::MeshChangeT& change, const MeshAnswerHandler& handler,
@@ -313,6 +317,7 @@
   metrics.commands_waiting = writer_.waiting();
   metrics.zones_evacuated = state_.evacuations().count();
   metrics.leave_notices = state_.leaveNotices().size();
+  members_.addTo(metrics);
   return metrics;
 }
 
--- a/src/store/store_replica.h
+++ b/src/store/store_replica.h
@@ -18,6 +18,7 @@
 #include "store/seed_formation.h"
 #include "store/snapshot_writer.h"
 #include "store/store_context.h"
+#include "store/vote_release.h"
 
 namespace cometstand::store {
 
@@ -64,6 +65,9 @@
   void beginSnapshotIfDue(TimePoint now);
   void continueSnapshot(TimePoint now);
   void continueStop(TimePoint now);
+  /// @return true if a stopping leader may give up its vote and leadership without turning a response into
+  /// Unknown.
+  bool mayYield() const { return writer_.idle() && servicesIdle() && admin_.idle(); }
   /// @return true if no caller in the same process waits for a response.
   bool servicesIdle() const {
     return mesh_.idle() && rollouts_.idle() && evacuations_.idle() && leave_notices_.idle();
@@ -94,6 +98,7 @@
   ClusterFormation formation_{context_, replicas_};
   MembershipManager members_{context_};
   SeedFormation seed_formation_{context_, members_};
+  VoteRelease vote_release_{context_, replicas_};
   MeshService mesh_{context_};
   NodeHub nodes_{context_};
   RolloutClock rollout_clock_;
--- a/src/store/store_settings.cpp
+++ b/src/store/store_settings.cpp
@@ -50,6 +50,10 @@
       "store.tolerated_losses", store.tolerated_losses, {0, 1'000},
       "Number of replicas that may be lost at the same time, including their disks. With store.seeds, the "
       "number of voters is twice this value plus one, from 3 to 9, if there are enough replicas.");
+  table.integer<std::size_t>("store.spare_voters", store.options.spare_voters, {0, 8},
+                             "Number of further voters while as many replicas are available. With two, the "
+                             "quorum survives a loss and "
+                             "another one before the first lost voter has been replaced.");
   table.integer<std::size_t>(
       "store.tolerated_zone_losses", store.options.tolerated_zone_losses, {0, 9},
       "Number of zones that may be lost at the same time. With store.seeds, the voters are spread over the "
--- a/tests/consensus/membership_test.cpp
+++ b/tests/consensus/membership_test.cpp
@@ -71,6 +71,30 @@
   CHECK(cluster.consensus(4).leadership().term == cluster.consensus(leader).leadership().term);
 }
 
+// Guards against a demoted voter that still counts towards the quorum or starts elections.
+TEST_CASE("a demoted voter is a learner and can become a voter again") {
+  SimulatedCluster cluster(5, 3);
+  const ReplicaId leader = cluster.waitForLeader();
+  REQUIRE(cluster.commitOnAll(cluster.ids()));
+  const ReplicaId demoted = leader % 5 + 1;
+  cluster.change(leader, MembershipChangeKind::DemoteVoter, demoted);
+  REQUIRE(cluster.commitOnAll(cluster.ids()));
+  CHECK(voters(cluster.consensus(demoted)).size() == 4);
+  CHECK(isLearner(cluster.consensus(demoted).membership(), demoted));
+  for (const ReplicaId id : cluster.ids()) {
+    if (id != demoted && id != leader) cluster.isolate(id);
+  }
+  cluster.runFor(seconds(3));
+  CHECK(cluster.consensus(demoted).leadership().role == Role::Follower);
+  CHECK(cluster.consensus(leader).leadership().role != Role::Leader);
+  cluster.heal();
+  const ReplicaId next = cluster.waitForLeader();
+  REQUIRE(cluster.commitOnAll(cluster.ids()));
+  cluster.change(next, MembershipChangeKind::PromoteLearner, demoted);
+  REQUIRE(cluster.commitOnAll(cluster.ids()));
+  CHECK(voters(cluster.consensus(demoted)).size() == 5);
+}
+
 TEST_CASE("a learner can replace a voter only after it has caught up") {
   SimulatedCluster cluster(3, 2);
   const ReplicaId leader = cluster.waitForLeader();
--- a/tests/store/zone_loss_test.cpp
+++ b/tests/store/zone_loss_test.cpp
@@ -116,6 +116,29 @@
   CHECK(cluster.read() == 1);
 }
 
+// Guards against spare voters that make the cluster depend on the zone without power.
+TEST_CASE("with spare voters acknowledged changes survive a zone without power and a zone without disks") {
+  const std::string without_disks = GENERATE("b", "c");
+  ZonedCluster cluster({"a", "a", "b", "b", "c", "c"}, 3, 3, GENERATE(1, 2, 3));
+  cluster.spare_voters = 2;
+  for (std::size_t i = 0; i < 6; ++i) cluster.configureReplica(i, true);
+  cluster.network.startAll();
+  REQUIRE(cluster.network.runUntil([&] {
+    const auto spread = cluster.spread();
+    return spread.size() == 3 && survivesZoneLosses(spread, 1) && cluster.membership()->voters.size() == 5;
+  }));
+  cluster.network.runFor(seconds(2));
+  cluster.stopZone("a");
+  cluster.network.runFor(seconds(10));
+  REQUIRE(cluster.network.leader());
+  const auto change = cluster.beginChange(0, 1);
+  REQUIRE(cluster.network.runUntil([&] { return *change; }, seconds(5)));
+  cluster.loseZone(without_disks);
+  cluster.network.runFor(seconds(2));
+  cluster.startZone("a");
+  CHECK(cluster.read() == 1);
+}
+
 TEST_CASE("a voter that is down for a long time is replaced by a learner of another zone") {
   ZonedCluster cluster({"a", "b", "c", "b"}, 3, 3);
   cluster.network.startAll();
--- a/tests/store/zoned_cluster.h
+++ b/tests/store/zoned_cluster.h
@@ -27,6 +27,7 @@
     options.bootstrap = bootstrap;
     options.self.zone = zones_.at(index);
     options.voters = voters_;
+    options.spare_voters = spare_voters;
     options.tolerated_zone_losses = losses_;
     options.seeds.clear();
     for (std::size_t i = 0; i < seeds_; ++i) {
@@ -139,6 +140,8 @@
   }
 
   MemoryNetwork network;
+  /// To be set before the replicas are configured again.
+  std::size_t spare_voters = 0;
 
  private:
   std::vector<std::string> zones_;
