Sidecar: a late 421 concerns the incarnation for which the request was sent

Callers saw 503 from a sidecar whose target ran and whose heartbeats were acknowledged (RECOVER).

Cause: onRunResult() passed the id of the current incarnation to onIdMismatch(). If a request for a crashed target reached its successor, and the 421 came after the successor's first heartbeat, the successor was taken for ended, for good.

Why it works: the gate knows for which incarnation each request was sent; only that one has ended.

--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -13,7 +13,9 @@
 
 void SidecarCore::onRunResult(RunId id, RunResult result, TimePoint now) {
   advance(now);
-  if (result.instance_mismatch && gate_.target().onIdMismatch(gate_.target().incarnation().id))
+  // The target may have been succeeded by another one since the request was sent.
+  const auto expected = gate_.incarnationOf(id);
+  if (result.instance_mismatch && expected && gate_.target().onIdMismatch(*expected))
     onTargetChanged(TargetChangeCause::Response, now);
   const auto previous = gate_.target().condition();
   gate_.onResult(id, std::move(result), now);
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -258,6 +258,11 @@
   startWaiting(now);
 }
 
+std::optional<mesh::Incarnation> TargetGate::incarnationOf(RunId id) const {
+  const auto run = running_.find(id);
+  return run == running_.end() ? std::nullopt : std::optional(run->second.incarnation);
+}
+
 void TargetGate::onResult(RunId id, RunResult result, TimePoint now) {
   now_ = now;
   const auto run = running_.find(id);
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -62,6 +62,8 @@
   /// Cancels all requests that were received over the link.
   void cancelLink(runtime::LinkId link, TimePoint now);
   void onResult(RunId id, RunResult result, TimePoint now);
+  /// @return the incarnation for which the request in progress was sent; nothing if it is not known.
+  std::optional<mesh::Incarnation> incarnationOf(RunId id) const;
   void onProbed(ProbeOutcome outcome, TimePoint now);
   /// Sets the cold-start limits of the service from the current configuration.
   void setColdStart(const mesh::ColdStart& start, TimePoint now);
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -115,8 +115,13 @@
   return is_news;
 }
 
-bool TargetState::onIdMismatch(const std::string& expected) {
-  if (expected != beat_.incarnation.id || condition_ == TargetCondition::Unknown) return false;
+bool TargetState::onIdMismatch(const mesh::Incarnation& expected) {
+  if (expected.empty()) return false;
+  if (!isCurrent(expected)) {
+    past_.add(expected);
+    return false;
+  }
+  if (condition_ == TargetCondition::Unknown) return false;
   past_.add(beat_.incarnation);
   condition_ = TargetCondition::Unknown;
   return true;
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -63,8 +63,9 @@
   void onLeaveRecovered(const mesh::Incarnation& incarnation, TimePoint now);
   /// The target stated in a response that it is shutting down. @return true if anything changed.
   bool onLeavingStated(const mesh::Incarnation& incarnation, TimePoint now);
-  /// The target refused a request because its id is not the expected one. @return true if anything changed.
-  bool onIdMismatch(const std::string& expected);
+  /// The target refused a request because its id is not that of the incarnation for which the request was
+  /// sent, which has therefore ended. @return true if it was the current one; the condition is now Unknown.
+  bool onIdMismatch(const mesh::Incarnation& expected);
 
   /// @return true if the incarnation reported that it is leaving, or was superseded by another: it is never
   /// considered ready again.
--- a/tests/sidecar/target_gate_test.cpp
+++ b/tests/sidecar/target_gate_test.cpp
@@ -114,7 +114,7 @@
   GateFixture fixture;
   auto& state = fixture.gate.target();
   state.onHeartbeat(SidecarFixture::makeHeartbeat("a", 1), fixture.now);
-  CHECK(state.onIdMismatch("a"));
+  CHECK(state.onIdMismatch({"a", 0}));
   fixture.admit(1);
   CHECK(fixture.target.orders.empty());
   CHECK_FALSE(state.onHeartbeat(SidecarFixture::makeHeartbeat("a", 2), fixture.now));
