Sidecar: a target that another id superseded may still run

Cause: ids have no order, so an unknown id supersedes the current incarnation at once; the current one then counted as ended for the life of the process. A sidecar that restarted, or that hears first of the crashed target by the late heartbeat, cannot know which one runs, and it never asked again.

Why it works: an incarnation is final only by a proof: its own leave notice, a later start of its id, or a 421 of its address. A superseded one counts again once the current one turns out not to run: after a 421 the target is asked for its id by a health check, and any heartbeat counts; without requests, after two increasing heartbeats and 3.5 s of silence of the current one.

--- a/src/sidecar/past_incarnations.h
+++ b/src/sidecar/past_incarnations.h
@@ -24,6 +24,7 @@
     if (incarnations_.size() == kMaxIncarnations) incarnations_.pop_front();
     incarnations_.push_back(incarnation);
   }
+  void remove(const mesh::Incarnation& incarnation) { std::erase(incarnations_, incarnation); }
   bool contains(const mesh::Incarnation& incarnation) const {
     return std::find(incarnations_.begin(), incarnations_.end(), incarnation) != incarnations_.end();
   }
--- a/src/sidecar/sidecar_target.cpp
+++ b/src/sidecar/sidecar_target.cpp
@@ -15,8 +15,11 @@
   advance(now);
   // The target may have been succeeded by another one since the request was sent.
   const auto expected = gate_.incarnationOf(id);
-  if (result.instance_mismatch && expected && gate_.target().onIdMismatch(*expected))
+  if (result.instance_mismatch && expected && gate_.target().onIdMismatch(*expected)) {
     onTargetChanged(TargetChangeCause::Response, now);
+    has_requested_health_ = false;
+    if (calls_.routes() != nullptr) requestTargetHealth();
+  }
   const auto previous = gate_.target().condition();
   gate_.onResult(id, std::move(result), now);
   if (gate_.target().condition() == previous) return;
@@ -62,8 +65,8 @@
   gate_.onProbed(outcome, now);
 }
 
-/// Requests the health of a target of which no heartbeat has arrived, so that a sidecar that starts beside a
-/// running target need not wait for its next heartbeat.
+/// Requests the health of a target whose id is not known, so that a sidecar that starts beside a running
+/// target, or that took a target that has ended for the running one, need not wait for the next heartbeat.
 void SidecarCore::requestTargetHealth() {
   // A target that deregistered still passes its health check.
   if (!leave_notices_.isRecovered()) return;
--- a/src/sidecar/target_state.cpp
+++ b/src/sidecar/target_state.cpp
@@ -20,21 +20,28 @@
   const auto& current = beat_.incarnation;
   const bool is_older = beat.incarnation.id == current.id && beat.incarnation.born_ms < current.born_ms;
   const bool is_older_than_left = isOlderThanLeft(beat.incarnation);
-  if (!is_older && !is_older_than_left) return true;
-  if (older_candidate_.incarnation != beat.incarnation) {
-    older_candidate_ = {beat.incarnation, beat.sequence, now};
+  const bool is_superseded = superseded_.contains(beat.incarnation) && condition_ != TargetCondition::Unknown;
+  if (!is_older && !is_older_than_left && !is_superseded) return true;
+  if (candidate_.incarnation != beat.incarnation) {
+    candidate_ = {beat.incarnation, beat.sequence, now};
     return false;
   }
-  const bool is_increasing = beat.sequence > std::exchange(older_candidate_.sequence, beat.sequence);
+  const bool is_increasing = beat.sequence > std::exchange(candidate_.sequence, beat.sequence);
   TimePoint silent_at = last_heartbeat_at_ + kHeartbeatTimeout;
-  if (is_older_than_left)
-    silent_at = std::max(silent_at, older_candidate_.first_seen_at + kMaxHeartbeatDelay);
+  if (is_older_than_left) silent_at = std::max(silent_at, candidate_.first_seen_at + kMaxHeartbeatDelay);
   return is_increasing && now >= silent_at;
 }
 
-void TargetState::forgetCurrent() {
-  auto& incarnations = condition_ == TargetCondition::Leaving ? left_ : past_;
-  incarnations.add(beat_.incarnation);
+void TargetState::forgetCurrent(const mesh::Incarnation& successor) {
+  if (condition_ == TargetCondition::Leaving) {
+    left_.add(beat_.incarnation);
+  } else if (successor.id == beat_.incarnation.id) {
+    past_.add(beat_.incarnation);
+  } else if (!past_.contains(beat_.incarnation)) {
+    superseded_.add(beat_.incarnation);
+    superseded_beat_ = beat_;
+  }
+  superseded_.remove(successor);
 }
 
 bool TargetState::hasLeft(const mesh::Incarnation& incarnation) const {
@@ -45,11 +52,16 @@
 bool TargetState::onHeartbeat(const Heartbeat& beat, TimePoint now) {
   if (isPast(beat.incarnation)) return false;
   const bool is_same = isCurrent(beat.incarnation);
+  if (!is_same && !beat.ready && superseded_.contains(beat.incarnation)) {
+    superseded_.remove(beat.incarnation);
+    left_.add(beat.incarnation);
+    return false;
+  }
   // A state that comes from a health check has sequence 0.
   const bool is_outdated = is_same && beat_.sequence != 0 && beat.sequence <= beat_.sequence;
   if (is_outdated) return !beat.ready && markLeaving(now);
   if (!is_same && !maySupersede(beat, now)) return false;
-  if (!is_same && !beat_.incarnation.empty()) forgetCurrent();
+  if (!is_same && !beat_.incarnation.empty()) forgetCurrent(beat.incarnation);
   const bool was_leaving = is_same && condition_ == TargetCondition::Leaving;
   const bool changed = beat.incarnation != beat_.incarnation || beat.slots != beat_.slots ||
                        beat.service != beat_.service || beat.version != beat_.version ||
@@ -70,10 +82,16 @@
   const bool is_applicable =
       condition_ == TargetCondition::Unknown && !past_.containsId(id) && !left_.containsId(id);
   if (!is_applicable) return false;
-  beat_ = {};
-  beat_.incarnation.id = id;
-  beat_.service = service;
-  beat_.slots = slots;
+  const bool is_superseded = superseded_.contains(superseded_beat_.incarnation);
+  if (is_superseded && superseded_beat_.incarnation.id == id) {
+    beat_ = superseded_beat_;
+    superseded_.remove(beat_.incarnation);
+  } else {
+    beat_ = {};
+    beat_.incarnation.id = id;
+    beat_.service = service;
+    beat_.slots = slots;
+  }
   condition_ = TargetCondition::Ready;
   return true;
 }
@@ -89,12 +107,13 @@
   if (isCurrent(incarnation)) return markLeaving(now);
   if (isPast(incarnation)) return false;
   if (incarnation.id != beat_.incarnation.id) {
+    superseded_.remove(incarnation);
     left_.add(incarnation);
     return false;
   }
   const bool is_silent = now >= last_heartbeat_at_ + kHeartbeatTimeout;
   if (!is_silent) return false;
-  forgetCurrent();
+  forgetCurrent(incarnation);
   beat_.incarnation = incarnation;
   condition_ = TargetCondition::Leaving;
   leaving_since_ = now;
@@ -118,6 +137,7 @@
 bool TargetState::onIdMismatch(const mesh::Incarnation& expected) {
   if (expected.empty()) return false;
   if (!isCurrent(expected)) {
+    superseded_.remove(expected);
     past_.add(expected);
     return false;
   }
--- a/src/sidecar/target_state.h
+++ b/src/sidecar/target_state.h
@@ -33,7 +33,7 @@
 };
 
 /// State of the target beside this sidecar, derived from the target's heartbeats. Heartbeats may be delayed:
-/// an older one of the same incarnation, or one of a superseded incarnation, is ignored. Only this class
+/// an older one of the same incarnation, or one of an incarnation that has ended, is ignored. Only this class
 /// decides which incarnation is the newer one.
 ///
 /// Of two incarnations with the same id, the one with the later start time is newer. A clock that was set
@@ -44,6 +44,11 @@
 /// may send none, so one that started earlier is accepted after it only if its heartbeats still increase
 /// kMaxHeartbeatDelay after the first one arrived.
 ///
+/// Incarnations with different ids have no order. An unknown id supersedes the current one at once, because a
+/// target that starts sends its first heartbeat then. That heartbeat may also be a delayed one of a target
+/// that has ended, so the superseded incarnation becomes the current one again if the current one turns out
+/// not to run (see onIdMismatch()), or under the condition for an earlier start time above.
+///
 /// A leave notice counts whatever its sequence number, unless it may be an outdated one about an incarnation
 /// that is no longer the target: same id, another start time, and the current incarnation is not silent. Such
 /// a notice is not accepted, and hasLeft() remains false.
@@ -67,8 +72,8 @@
   /// sent, which has therefore ended. @return true if it was the current one; the condition is now Unknown.
   bool onIdMismatch(const mesh::Incarnation& expected);
 
-  /// @return true if the incarnation reported that it is leaving, or was superseded by another: it is never
-  /// considered ready again.
+  /// @return true if the incarnation reported that it is leaving or has ended: it is never considered ready
+  /// again.
   bool hasLeft(const mesh::Incarnation& incarnation) const;
   /// @return the current incarnation, with its start time, if the given one matches it; else the given one.
   mesh::Incarnation resolve(const mesh::Incarnation& incarnation) const {
@@ -85,7 +90,7 @@
   /// @return end of the target's cold start, during which it is slow.
   TimePoint coldUntil() const { return cold_until_; }
   /// @return number of remembered incarnations, without the current one.
-  std::size_t pastIncarnationCount() const { return past_.size() + left_.size(); }
+  std::size_t pastIncarnationCount() const { return past_.size() + superseded_.size() + left_.size(); }
   /// @return when the target's condition became Leaving.
   TimePoint leavingSince() const { return leaving_since_; }
 
@@ -96,8 +101,9 @@
   static constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(10);
 
  private:
-  /// An incarnation whose start time is earlier than that of the current one, or of one that is leaving.
-  struct OlderCandidate {
+  /// An incarnation whose start time is earlier than that of the current one or of one that is leaving, or
+  /// that was superseded by another id.
+  struct Candidate {
     mesh::Incarnation incarnation;
     std::uint64_t sequence = 0;
     TimePoint first_seen_at;
@@ -111,7 +117,8 @@
   bool isCurrent(const mesh::Incarnation& incarnation) const;
   /// @return true if an incarnation with the same id that started later is leaving.
   bool isOlderThanLeft(const mesh::Incarnation& incarnation) const;
-  void forgetCurrent();
+  /// Keeps what is needed of the current incarnation once the given one has superseded it.
+  void forgetCurrent(const mesh::Incarnation& successor);
   /// @return true if the incarnation of the heartbeat may supersede the current one.
   bool maySupersede(const Heartbeat& beat, TimePoint now);
 
@@ -121,9 +128,14 @@
   TimePoint leaving_since_;
   /// When the newest accepted heartbeat arrived.
   TimePoint last_heartbeat_at_;
-  OlderCandidate older_candidate_;
-  /// Incarnations that were superseded by another one and had not reported that they are leaving.
+  Candidate candidate_;
+  /// Incarnations that have ended without a report that they are leaving: superseded by a later one with the
+  /// same id, or not found at the target's address.
   PastIncarnations past_;
+  /// Incarnations that were superseded by another id and may still run.
+  PastIncarnations superseded_;
+  /// The newest heartbeat of the incarnation that was superseded last.
+  Heartbeat superseded_beat_;
   /// Incarnations that reported that they are leaving and are not the current one.
   PastIncarnations left_;
 };
--- a/tests/sidecar/incarnation_series_test.cpp
+++ b/tests/sidecar/incarnation_series_test.cpp
@@ -1,4 +1,5 @@
-// Randomized test of targets that restart repeatedly under one id while messages are delayed and clocks step.
+// Randomized tests of targets that restart repeatedly, under one id or each time under a new one, while
+// messages are delayed and clocks step.
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
@@ -33,7 +34,8 @@
 
 class IncarnationSeries {
  public:
-  explicit IncarnationSeries(std::uint64_t seed) : random_(seed) {
+  explicit IncarnationSeries(std::uint64_t seed, bool has_new_ids = false)
+      : random_(seed), has_new_ids_(has_new_ids) {
     for (int i = 0; i < kIncarnations; ++i) addIncarnation(i == kIncarnations - 1);
     std::stable_sort(messages_.begin(), messages_.end(),
                      [](const Message& left, const Message& right) { return left.arrives < right.arrives; });
@@ -57,7 +59,8 @@
     clock_offset_ += clock_step;
     const auto born =
         std::chrono::duration_cast<milliseconds>(now_.time_since_epoch() + clock_offset_).count();
-    incarnation_ = {"a", static_cast<std::uint64_t>(born)};
+    incarnation_ = {has_new_ids_ ? "a-" + std::to_string(born_.size()) : "a",
+                    static_cast<std::uint64_t>(born)};
     while (!born_.insert(incarnation_.born_ms).second) ++incarnation_.born_ms;
     const TimePoint end =
         now_ + (is_last ? lastLifetime(has_leave_notice_) : randomBetween(seconds(2), seconds(12)));
@@ -81,6 +84,7 @@
   }
 
   RandomSource random_;
+  bool has_new_ids_;
   TimePoint now_{std::chrono::hours(1)};
   Duration clock_offset_{};
   mesh::Incarnation incarnation_;
@@ -126,4 +130,39 @@
   }
 }
 
+// Guards against a target that is excluded for good by messages of the targets before it, or by refusals of
+// requests that were sent to them.
+TEST_CASE("of targets with new ids the last one becomes current, and none is ready after it left",
+          "[incarnation]") {
+  constexpr std::uint64_t kSeeds = 1'000;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    const IncarnationSeries series(seed, true);
+    RandomSource random(seed);
+    TargetState state;
+    std::set<mesh::Incarnation> seen_leaving;
+    mesh::Incarnation running;
+    for (const auto& message : series.messages()) {
+      // The sidecar restarts and knows only the committed leave notices.
+      if (random.uniform(0, 9) == 0) {
+        state = TargetState();
+        for (const auto& left : seen_leaving) state.onLeaveRecovered(left, message.arrives);
+      }
+      deliver(state, message);
+      const auto& current = state.incarnation();
+      const bool is_ready = state.condition() == TargetCondition::Ready;
+      if (is_ready && seen_leaving.contains(current))
+        FAIL("incarnation became ready after leaving: " << current.name());
+      if (state.condition() == TargetCondition::Leaving) seen_leaving.insert(current);
+      // A request reaches the running target, which refuses one for another. The refusal may come late.
+      if (running < message.beat.incarnation) running = message.beat.incarnation;
+      const auto expected = random.uniform(0, 1) == 0 ? current : series.messages().front().beat.incarnation;
+      if (expected != running && random.uniform(0, 3) == 0) state.onIdMismatch(expected);
+    }
+    if (state.incarnation() != series.last())
+      FAIL("unexpected current incarnation: " << state.incarnation().name());
+    if (state.condition() != TargetCondition::Ready) FAIL("the last incarnation is not ready");
+  }
+}
+
 }  // namespace cometstand::sidecar::test
