Store: a seed lost at the first start does not keep the cluster from forming

Operators saw stores that took no first configuration: one of three seeds had been killed 0.2 s after its start, before the others, and replaced by another machine.

Cause: the seeds waited without an end for the identifiers of all, and elections until all had bootstrapped. Only a seed's own process can tell its identifier. A seed that restarted without the bootstrap flag in that time blocked them, too.

Why it works: after 3 s one seed may be left out, if each quorum of the others is a majority of all seeds, and elections are no longer deferred. Memberships that seeds may begin with differ by one replica, so that their quorums share a voter; first entries of different memberships have different terms, all below that of the first election. A seed adopts the membership of another one that lists it. Drawn around the moment of the decision, each seed late by -12 to 12 ms, there is always one cluster.

--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::uint64_t kBootstrapIncarnation = 0;
-constexpr Term kBootstrapTerm = 1;
 /// A replica that has just started waits for a random time between election_timeout_min divided by each of
 /// these divisors before it requests pre-votes: 60 to 150 ms by default. This leaves time for the connections
 /// of the other replicas to open, and the range is wide enough that one replica usually times out first.
@@ -73,12 +72,16 @@
   resetPreVoteDeadline();
 }
 
-void Consensus::bootstrap(const wire::MembershipT& membership, TimePoint now) {
+void Consensus::bootstrap(const wire::MembershipT& membership, const BootstrapTerms& terms, TimePoint now) {
   beginEvent(now);
   if (role_ != Role::Joining) {
     throw Error(ErrorKind::Conflict, "the data folder is not empty", "start this replica without bootstrap");
   }
   checkMembership(membership);
+  if (terms.entry == 0 || terms.entry > terms.current) {
+    throw Error(ErrorKind::Invalid, "the term of the first entry is 0 or above the current term",
+                "use a term from 1 to the current one");
+  }
   if (!isVoter(membership, self_.id)) {
     throw Error(ErrorKind::Invalid, fmt::format("replica {} is not one of the initial voters", self_.id),
                 "start it without bootstrap and add it as a learner");
@@ -91,10 +94,10 @@
     }
   }
   incarnation_ = kBootstrapIncarnation;
-  term_ = kBootstrapTerm;
-  // Every initial voter stores an identical first entry, so that the logs match.
+  term_ = terms.current;
+  // Initial voters with the same membership store an identical first entry, so that the logs match.
   wire::LogEntryT entry;
-  entry.term = kBootstrapTerm;
+  entry.term = terms.entry;
   entry.index = 1;
   entry.kind = wire::EntryKind::Membership;
   entry.data = encodeMembership(initial);
@@ -269,6 +272,7 @@
 ReplicaId Consensus::id() const { return self_.id; }
 LogIndex Consensus::commitIndex() const { return commit_index_; }
 LogIndex Consensus::lastIndex() const { return log_.lastIndex(); }
+Term Consensus::firstEntryTerm() const { return log_.lastIndex() == 0 ? 0 : log_.termAt(1).value_or(0); }
 wire::MembershipT Consensus::membership() const { return log_.membership(); }
 
 void Consensus::checkInvariants() const {
--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -40,11 +40,12 @@
   /// replica. The files on disk are unchanged in both cases.
   void recover(const runtime::FileReader& files, TimePoint now);
 
-  /// Bootstraps a new cluster. Must be called on every initial voter with the same membership, after
-  /// recover().
+  /// Bootstraps a new cluster, after recover(). The first entry holds the membership. Initial voters that use
+  /// different memberships must give the entry different terms, and any quorum of the one membership must
+  /// share a voter with any quorum of the other.
   /// @throw Error(Conflict) if the folder is not empty; Error(Invalid) if this replica is not a voter in the
-  /// membership.
-  void bootstrap(const wire::MembershipT& membership, TimePoint now);
+  /// membership, or the terms are not in order.
+  void bootstrap(const wire::MembershipT& membership, const BootstrapTerms& terms, TimePoint now);
 
   void onMessage(const wire::ConsensusMessageT& message, TimePoint now);
   void onFileWritten(runtime::WriteId write, TimePoint now);
@@ -100,6 +101,8 @@
   ReplicaId id() const;
   LogIndex commitIndex() const;
   LogIndex lastIndex() const;
+  /// Term of the first log entry; 0 if there is none or it is no longer stored.
+  Term firstEntryTerm() const;
   /// The latest membership in the log, committed or not (section 4.1 of the dissertation).
   wire::MembershipT membership() const;
   /// @return true if that membership is known to be committed and no replacement of a voter is in progress.
--- a/src/consensus/membership.h
+++ b/src/consensus/membership.h
@@ -32,6 +32,15 @@
   ReplicaId replaced = 0;
 };
 
+/// Terms with which a new cluster begins.
+struct BootstrapTerms {
+  /// Term of the first log entry, at least 1.
+  Term entry = 1;
+  /// Term of the replica, the same for all initial voters and not below that of any first entry. The first
+  /// election has a higher one.
+  Term current = 1;
+};
+
 /// Status of another replica as the leader reports it.
 struct FollowerStatus {
   ReplicaId id = 0;
--- a/src/schema/control_generated.h
+++ b/src/schema/control_generated.h
@@ -4575,6 +4575,7 @@
   std::shared_ptr<cometstand::wire::ReplicaT> self{};
   std::shared_ptr<cometstand::wire::MembershipT> membership{};
   uint64_t leader = 0;
+  uint64_t first_entry_term = 0;
   FormationReplyT() = default;
   FormationReplyT(const FormationReplyT &o);
   FormationReplyT(FormationReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4590,7 +4591,8 @@
     VT_TERM = 6,
     VT_SELF = 8,
     VT_MEMBERSHIP = 10,
-    VT_LEADER = 12
+    VT_LEADER = 12,
+    VT_FIRST_ENTRY_TERM = 14
   };
   uint64_t replica() const {
     return GetField<uint64_t>(VT_REPLICA, 0);
@@ -4607,6 +4609,9 @@
   uint64_t leader() const {
     return GetField<uint64_t>(VT_LEADER, 0);
   }
+  uint64_t first_entry_term() const {
+    return GetField<uint64_t>(VT_FIRST_ENTRY_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
@@ -4616,6 +4621,7 @@
            VerifyOffset(verifier, VT_MEMBERSHIP) &&
            verifier.VerifyTable(membership()) &&
            VerifyField<uint64_t>(verifier, VT_LEADER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_ENTRY_TERM, 8) &&
            verifier.EndTable();
   }
   FormationReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4642,6 +4648,9 @@
   void add_leader(uint64_t leader) {
     fbb_.AddElement<uint64_t>(FormationReply::VT_LEADER, leader, 0);
   }
+  void add_first_entry_term(uint64_t first_entry_term) {
+    fbb_.AddElement<uint64_t>(FormationReply::VT_FIRST_ENTRY_TERM, first_entry_term, 0);
+  }
   explicit FormationReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4659,8 +4668,10 @@
     uint64_t term = 0,
     flatbuffers::Offset<cometstand::wire::Replica> self = 0,
     flatbuffers::Offset<cometstand::wire::Membership> membership = 0,
-    uint64_t leader = 0) {
+    uint64_t leader = 0,
+    uint64_t first_entry_term = 0) {
   FormationReplyBuilder builder_(_fbb);
+  builder_.add_first_entry_term(first_entry_term);
   builder_.add_leader(leader);
   builder_.add_term(term);
   builder_.add_replica(replica);
@@ -6478,7 +6489,8 @@
         term(o.term),
         self((o.self) ? new cometstand::wire::ReplicaT(*o.self) : nullptr),
         membership((o.membership) ? new cometstand::wire::MembershipT(*o.membership) : nullptr),
-        leader(o.leader) {
+        leader(o.leader),
+        first_entry_term(o.first_entry_term) {
 }
 
 inline FormationReplyT &FormationReplyT::operator=(FormationReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -6487,6 +6499,7 @@
   std::swap(self, o.self);
   std::swap(membership, o.membership);
   std::swap(leader, o.leader);
+  std::swap(first_entry_term, o.first_entry_term);
   return *this;
 }
 
@@ -6504,6 +6517,7 @@
   { auto _e = self(); if (_e) _o->self = std::shared_ptr<cometstand::wire::ReplicaT>(_e->UnPack(_resolver)); }
   { auto _e = membership(); if (_e) _o->membership = std::shared_ptr<cometstand::wire::MembershipT>(_e->UnPack(_resolver)); }
   { auto _e = leader(); _o->leader = _e; }
+  { auto _e = first_entry_term(); _o->first_entry_term = _e; }
 }
 
 inline flatbuffers::Offset<FormationReply> FormationReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FormationReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6519,13 +6533,15 @@
   auto _self = _o->self ? CreateReplica(_fbb, _o->self.get(), _rehasher) : 0;
   auto _membership = _o->membership ? CreateMembership(_fbb, _o->membership.get(), _rehasher) : 0;
   auto _leader = _o->leader;
+  auto _first_entry_term = _o->first_entry_term;
   return cometstand::wire::CreateFormationReply(
       _fbb,
       _replica,
       _term,
       _self,
       _membership,
-      _leader);
+      _leader,
+      _first_entry_term);
 }
 
 inline VoteReleaseRequestT *VoteReleaseRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/store/cluster_formation.cpp
+++ b/src/store/cluster_formation.cpp
@@ -73,7 +73,7 @@
     if (voter.id != context_.options.self.id && !replies_.contains(voter.id)) return;
     membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
   }
-  context_.consensus.bootstrap(membership, now);
+  context_.consensus.bootstrap(membership, {kBootstrapTerm, kBootstrapTerm}, now);
 }
 
 void ClusterFormation::onTimer(TimePoint now) {
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -113,6 +113,11 @@
     3026, LogLevel::Info, "loss_tolerable",
     "Enough voters respond again that the quorum survives the loss of any one of them. No action is needed."};
 
+inline constexpr EventDefinition kSeedLeftOut{
+    3027, LogLevel::Warning, "seed_left_out",
+    "A seed did not respond during the first start, so the cluster begins without it. Start it, or another "
+    "replica in its place; it joins by itself."};
+
 inline constexpr std::array kStoreEvents{kReaderAdmitted,     kReaderLost,           kReaderRefused,
                                          kReaderUnresponsive, kSnapshotTooLarge,     kUnexpectedPeer,
                                          kStopBegan,          kReplacementDone,      kBootstrapRefused,
@@ -121,6 +126,6 @@
                                          kCrashReported,      kContentQuarantined,   kContentCleared,
                                          kContentReleased,    kEvacuationOrdered,    kQuotaBegan,
                                          kQuotaUnreadable,    kLeaveNoticeCommitted, kLeaveNoticeInvalid,
-                                         kLossNotTolerable,   kLossTolerable};
+                                         kLossNotTolerable,   kLossTolerable,        kSeedLeftOut};
 
 }  // namespace cometstand::store
--- a/src/store/seed_formation.cpp
+++ b/src/store/seed_formation.cpp
@@ -5,13 +5,21 @@
 #include <set>
 
 #include "base/event_log.h"
+#include "settings/units.h"
 #include "store/events.h"
 
 namespace cometstand::store {
 namespace {
 
-/// The term that Consensus::bootstrap() stores. A higher term shows that an election has taken place.
-constexpr consensus::Term kBootstrapTerm = 1;
+/// Term of the first log entry if all seeds are initial voters. Without one of the seeds, the term is higher
+/// by one more than its position, so that it tells the membership.
+constexpr consensus::Term kFullEntryTerm = 1;
+/// Term of a replica that has bootstrapped, above that of any first entry. A higher term shows that an
+/// election has taken place.
+constexpr consensus::Term kBootstrapTerm = 16;
+constexpr std::size_t kMaxSeedsToLeaveOut = 1;
+/// Time for which a seed is waited for. Seeds start within a fraction of a second of each other.
+constexpr Duration kMissingSeedTimeout = std::chrono::seconds(3);
 constexpr Duration kRequestInterval = std::chrono::milliseconds(100);
 /// Time without a known leader after which a replica sends join requests. It may have been removed from the
 /// membership while it was down.
@@ -35,20 +43,38 @@
 
 bool SeedFormation::isForming() const {
   if (!enabled() || !isInitialVoter() || cluster_exists_ || storedTerm() > kBootstrapTerm) return false;
-  return storedTerm() == 0 || !allSeedsReplied(kBootstrapTerm);
+  return storedTerm() == 0 || !(is_overdue_ || allVotersBootstrapped());
 }
 
 bool SeedFormation::defersElections() const { return isForming() && storedTerm() == kBootstrapTerm; }
 
-bool SeedFormation::allSeedsReplied(consensus::Term at_least) const {
-  const auto& seeds = context_.options.seeds;
-  return std::all_of(seeds.begin(), seeds.end(), [&](const Address& seed) {
-    if (seed == addressOf(context_.options.self)) return true;
-    const auto reply = replies_.find(seed);
-    return reply != replies_.end() && reply->second.term >= at_least;
+bool SeedFormation::allVotersBootstrapped() const {
+  const auto membership = context_.consensus.membership();
+  return std::all_of(membership.voters.begin(), membership.voters.end(), [this](const auto& voter) {
+    if (voter->id == context_.options.self.id) return true;
+    const auto reply = replies_.find(addressOf(*voter));
+    return reply != replies_.end() && reply->second.term >= kBootstrapTerm;
   });
 }
 
+std::vector<std::size_t> SeedFormation::missingSeeds() const {
+  const auto& seeds = context_.options.seeds;
+  std::vector<std::size_t> missing;
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    const bool is_known = seeds[i] == addressOf(context_.options.self) || replies_.contains(seeds[i]);
+    if (!is_known) missing.push_back(i);
+  }
+  return missing;
+}
+
+bool SeedFormation::mayLeaveOut(const std::vector<std::size_t>& missing, TimePoint now) const {
+  if (missing.empty()) return true;
+  if (missing.size() > kMaxSeedsToLeaveOut || now < began_at_ + kMissingSeedTimeout) return false;
+  const auto all = context_.options.seeds.size();
+  const auto quorum = (all - missing.size()) / 2 + 1;
+  return 2 * quorum > all;
+}
+
 bool SeedFormation::shouldRequestJoin(TimePoint now) const {
   if (isForming() || is_stopping_) return false;
   const auto role = context_.consensus.leadership().role;
@@ -58,6 +84,7 @@
 
 void SeedFormation::begin(TimePoint now) {
   next_request_at_ = now;
+  began_at_ = now;
   // A replica that gave its vote away before it was stopped is no longer a member, and no leader contacts it.
   leader_known_at_ = now - kNoLeaderTimeout;
   if (enabled()) bootstrapIfAgreed(now);
@@ -72,6 +99,7 @@
   reply.self = std::make_shared<wire::ReplicaT>(context_.options.self);
   reply.membership = std::make_shared<wire::MembershipT>(context_.consensus.membership());
   reply.leader = context_.consensus.leadership().leader;
+  reply.first_entry_term = context_.consensus.firstEntryTerm();
   context_.actions.send(requester.link, reply, requester.request_id);
 }
 
@@ -83,21 +111,42 @@
     for (const auto& voter : reply.membership->voters) reported_voters_[addressOf(*voter)] = true;
   }
   if (reply.term > kBootstrapTerm) cluster_exists_ = true;
+  adoptMembership(reply, now);
   bootstrapIfAgreed(now);
 }
 
+/// An empty folder under this replica's identifier shows that it has never voted or stored an entry, so that
+/// it may begin with any membership that lists it.
+void SeedFormation::adoptMembership(const wire::FormationReplyT& reply, TimePoint now) {
+  if (storedTerm() != 0 || reply.term != kBootstrapTerm || reply.membership == nullptr) return;
+  if (consensus::isVoter(*reply.membership, context_.options.self.id)) {
+    context_.consensus.bootstrap(*reply.membership, {reply.first_entry_term, kBootstrapTerm}, now);
+  } else {
+    cluster_exists_ = true;
+  }
+}
+
 void SeedFormation::bootstrapIfAgreed(TimePoint now) {
-  if (!isInitialVoter() || cluster_exists_ || storedTerm() != 0 || !allSeedsReplied(0)) return;
+  if (!isInitialVoter() || cluster_exists_ || storedTerm() != 0) return;
+  const auto missing = missingSeeds();
+  if (!mayLeaveOut(missing, now)) return;
   std::vector<wire::ReplicaT> voters{context_.options.self};
   for (const auto& seed : context_.options.seeds) {
-    if (seed != addressOf(context_.options.self)) voters.push_back(replies_.at(seed).replica);
+    const auto reply = replies_.find(seed);
+    if (seed != addressOf(context_.options.self) && reply != replies_.end())
+      voters.push_back(reply->second.replica);
   }
   // All initial voters sort by identifier, because the first log entry must be identical on all of them.
   std::sort(voters.begin(), voters.end(),
             [](const wire::ReplicaT& left, const wire::ReplicaT& right) { return left.id < right.id; });
   wire::MembershipT membership;
   for (const auto& voter : voters) membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
-  context_.consensus.bootstrap(membership, now);
+  const auto entry_term = missing.empty() ? kFullEntryTerm : kFullEntryTerm + 1 + missing.front();
+  if (!missing.empty()) {
+    const auto& seed = context_.options.seeds.at(missing.front());
+    logEvent(kSeedLeftOut, {{"seed", settings::formatAddress(seed)}});
+  }
+  context_.consensus.bootstrap(membership, {entry_term, kBootstrapTerm}, now);
 }
 
 void SeedFormation::requestFrom(const Address& address) {
@@ -131,6 +180,8 @@
 void SeedFormation::onTimer(TimePoint now) {
   if (!enabled() || now < next_request_at_) return;
   next_request_at_ = now + kRequestInterval;
+  is_overdue_ = now >= began_at_ + kMissingSeedTimeout;
+  bootstrapIfAgreed(now);
   const auto leadership = context_.consensus.leadership();
   if (leadership.leader != 0) leader_known_at_ = now;
   if (!isForming() && !shouldRequestJoin(now)) {
--- a/src/store/seed_formation.h
+++ b/src/store/seed_formation.h
@@ -15,8 +15,18 @@
 /// ClusterFormation when StoreOptions::seeds is not empty.
 ///
 /// - The seeds are the initial voters. A seed with an empty data folder and the bootstrap flag bootstraps
-///   only after every seed has replied with its identifier and none of them reports a term from an election.
-///   It starts no election until every seed has bootstrapped. This prevents a second cluster from forming.
+/// once
+///   every seed has replied with its identifier and none of them reports a term from an election. It starts
+///   no election until every initial voter has bootstrapped, or kMissingSeedTimeout has passed.
+/// - A seed that has not replied within kMissingSeedTimeout is left out, if the other ones that replied are
+///   enough (see mayLeaveOut()). It may have been lost during the first start.
+/// - A seed that learns the membership with which another one has bootstrapped adopts it if it is listed
+/// there,
+///   and otherwise joins as a learner. Two seeds may still begin with different memberships if the missing
+///   one appears in that moment. At most one seed is left out, so that every quorum of the one membership
+///   shares a voter with every quorum of the other, and the first entries have different terms, all below
+///   that of any election: as after a change by one replica, only one leader can be elected, and its log
+///   replaces the other.
 /// - Any other replica with an empty data folder, and any replica without a known leader for
 ///   kNoLeaderTimeout, sends join requests to the seeds and to the voters that it knows. The leader adds it
 ///   to the membership (see MembershipManager).
@@ -60,8 +70,16 @@
   /// @return true while this replica takes part in bootstrapping the cluster.
   bool isForming() const;
   bool shouldRequestJoin(TimePoint now) const;
-  bool allSeedsReplied(consensus::Term at_least) const;
+  /// @return true if each other initial voter has replied that it has bootstrapped.
+  bool allVotersBootstrapped() const;
+  /// @return positions in StoreOptions::seeds of those that have not replied.
+  std::vector<std::size_t> missingSeeds() const;
+  /// @return true if the missing seeds can be left out of the initial voters, because each quorum of the
+  /// others is a majority of all seeds.
+  bool mayLeaveOut(const std::vector<std::size_t>& missing, TimePoint now) const;
   void bootstrapIfAgreed(TimePoint now);
+  /// Bootstraps with the membership with which the sender has, if this replica is listed there.
+  void adoptMembership(const wire::FormationReplyT& reply, TimePoint now);
   /// Sends a request to the address, or connects to it if there is no link yet.
   void requestFrom(const runtime::Address& address);
   void sendRequest(runtime::LinkId link);
@@ -77,6 +95,9 @@
   std::vector<runtime::Address> added_seeds_;
   bool cluster_exists_ = false;
   bool is_stopping_ = false;
+  /// kMissingSeedTimeout has passed since the start.
+  bool is_overdue_ = false;
+  TimePoint began_at_;
   TimePoint next_request_at_;
   TimePoint leader_known_at_;
 };
--- a/tests/consensus/simulated_cluster.cpp
+++ b/tests/consensus/simulated_cluster.cpp
@@ -49,7 +49,7 @@
   }
   for (ReplicaId id = 1; id <= voters; ++id) {
     start(id);
-    consensus(id).bootstrap(membership, now_);
+    consensus(id).bootstrap(membership, {}, now_);
     processOutput(id);
     // Sync the bootstrap now: a crash before the sync would leave the data folder empty, and the replica
     // would have to be bootstrapped again.
--- a/tests/consensus/single_replica_harness.h
+++ b/tests/consensus/single_replica_harness.h
@@ -19,7 +19,7 @@
     for (const ReplicaId id : {1, 2, 3}) {
       membership.voters.push_back(std::make_shared<wire::ReplicaT>(member(id)));
     }
-    consensus_.bootstrap(membership, now);
+    consensus_.bootstrap(membership, {}, now);
     runUntilIdle();
   }
 
--- a/tests/store/self_forming_test.cpp
+++ b/tests/store/self_forming_test.cpp
@@ -36,6 +36,68 @@
   CHECK_FALSE(cluster.hasLeader());
 }
 
+// Guards against a cluster that never forms because a seed was lost during the first start.
+TEST_CASE("a seed lost at the first start does not keep the cluster from forming") {
+  SelfFormingCluster cluster(GENERATE(1, 2, 3));
+  const std::size_t lost = GENERATE(0, 1, 2);
+  const Duration lost_at = milliseconds(GENERATE(2, 5, 50, 100, 102, 104, 200, 600));
+  const bool starts_before_others = GENERATE(true, false);
+  cluster.network.start(lost);
+  if (starts_before_others) cluster.network.runFor(lost_at);
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (i != lost) cluster.network.start(i);
+  }
+  if (!starts_before_others) cluster.network.runFor(lost_at);
+  cluster.network.crash(lost);
+  const auto successor = cluster.network.addReplica(++cluster.last_id);
+  cluster.configureReplica(successor, false);
+  cluster.network.start(successor);
+  REQUIRE(cluster.electsLeader(seconds(6)));
+  CHECK(cluster.change(0, 5) == MeshAnswerKind::Done);
+  REQUIRE(cluster.network.runUntil(
+      [&] { return cluster.voters().size() == kSeeds && !cluster.isVoter(lost); }, seconds(6)));
+  // The leader uses a membership before it is committed. The delay lets the others receive it.
+  cluster.network.runFor(milliseconds(300));
+  const auto leader = *cluster.network.leader();
+  cluster.network.crash(leader);
+  REQUIRE(cluster.electsLeader(seconds(5)));
+  CHECK(cluster.read(*cluster.network.leader()).revision == 5);
+}
+
+// Guards against two clusters when a seed appears in the moment in which the others leave it out.
+TEST_CASE("a seed that appears while it is left out belongs to the same cluster") {
+  SelfFormingCluster cluster(GENERATE(range(1, 6)));
+  const std::size_t late = GENERATE(0, 1, 2);
+  const Duration appears_at = seconds(3) + milliseconds(GENERATE(range(-12, 13)));
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (i != late) cluster.network.start(i);
+  }
+  cluster.network.runFor(appears_at);
+  cluster.network.start(late);
+  REQUIRE(cluster.electsLeader(seconds(6)));
+  REQUIRE(cluster.change(0, 5) == MeshAnswerKind::Done);
+  cluster.network.runFor(seconds(6));
+  CHECK(cluster.voters().size() == kSeeds);
+  for (std::size_t i = 0; i < 4; ++i) CHECK(cluster.network.core(i).stateMachine().mesh().revision() == 5);
+}
+
+// Guards against a seed that restarts without its flag in the middle of the first start, and against the
+// others that wait for it.
+TEST_CASE("a seed that restarts during the first start without the bootstrap flag takes part") {
+  SelfFormingCluster cluster(GENERATE(1, 2, 3));
+  const std::size_t restarted = GENERATE(0, 1, 2);
+  cluster.network.startAll();
+  cluster.network.runFor(milliseconds(GENERATE(1, 3, 50, 101, 103, 105, 150)));
+  cluster.network.crash(restarted);
+  cluster.configureReplica(restarted, false);
+  cluster.network.runFor(milliseconds(500));
+  cluster.network.start(restarted);
+  REQUIRE(cluster.electsLeader(seconds(6)));
+  REQUIRE(cluster.change(0, 5) == MeshAnswerKind::Done);
+  cluster.network.runFor(seconds(1));
+  CHECK(cluster.network.core(restarted).stateMachine().mesh().revision() == 5);
+}
+
 TEST_CASE("a replica that lost its disk restarts with a new identifier and replaces its former identifier") {
   SelfFormingCluster cluster(GENERATE(1, 2, 3, 4));
   cluster.network.startAll();
