Store: the entry terms of seed memberships stay below those of elections; plainer comments

A list of more seeds than terms below the bootstrap term could not leave one out without a term in the range of elections; it now waits for all of them, as before.

--- a/src/store/membership_manager.h
+++ b/src/store/membership_manager.h
@@ -17,9 +17,8 @@
 ///   voter that is stopping or has not responded for StoreOptions::replace_silent_after, or fills a vacancy.
 /// - There are StoreOptions::voters voters, and StoreOptions::spare_voters more while as many replicas are
 ///   available.
-/// - With more than StoreOptions::voters voters, one that is stopping or unresponsive is removed if no
-/// learner
-///   can replace it, and then another one becomes a learner, so that their number is odd again.
+/// - With more than StoreOptions::voters voters, one that is stopping or unresponsive is removed if there is
+///   no learner to replace it. Another one then becomes a learner, so that their number is odd again.
 /// - A learner that has not responded for kSilentLearnerTimeout is removed.
 /// - With StoreOptions::tolerated_zone_losses, learners in the zones with the fewest voters are used first.
 ///   For kSilentZoneReplaceDelay, an unresponsive voter is not replaced by a learner of a zone that would
--- a/src/store/seed_formation.cpp
+++ b/src/store/seed_formation.cpp
@@ -25,6 +25,10 @@
 /// membership while it was down.
 constexpr Duration kNoLeaderTimeout = std::chrono::milliseconds(1'500);
 
+consensus::Term entryTermWithout(const std::vector<std::size_t>& missing) {
+  return missing.empty() ? kFullEntryTerm : kFullEntryTerm + 1 + missing.front();
+}
+
 }  // namespace
 
 using runtime::Address;
@@ -70,6 +74,7 @@
 bool SeedFormation::mayLeaveOut(const std::vector<std::size_t>& missing, TimePoint now) const {
   if (missing.empty()) return true;
   if (missing.size() > kMaxSeedsToLeaveOut || now < began_at_ + kMissingSeedTimeout) return false;
+  if (entryTermWithout(missing) >= kBootstrapTerm) return false;
   const auto all = context_.options.seeds.size();
   const auto quorum = (all - missing.size()) / 2 + 1;
   return 2 * quorum > all;
@@ -141,12 +146,11 @@
             [](const wire::ReplicaT& left, const wire::ReplicaT& right) { return left.id < right.id; });
   wire::MembershipT membership;
   for (const auto& voter : voters) membership.voters.push_back(std::make_shared<wire::ReplicaT>(voter));
-  const auto entry_term = missing.empty() ? kFullEntryTerm : kFullEntryTerm + 1 + missing.front();
   if (!missing.empty()) {
     const auto& seed = context_.options.seeds.at(missing.front());
     logEvent(kSeedLeftOut, {{"seed", settings::formatAddress(seed)}});
   }
-  context_.consensus.bootstrap(membership, {entry_term, kBootstrapTerm}, now);
+  context_.consensus.bootstrap(membership, {entryTermWithout(missing), kBootstrapTerm}, now);
 }
 
 void SeedFormation::requestFrom(const Address& address) {
--- a/src/store/seed_formation.h
+++ b/src/store/seed_formation.h
@@ -14,19 +14,20 @@
 /// Bootstraps a cluster from seed addresses and lets further replicas join it. Used in place of
 /// ClusterFormation when StoreOptions::seeds is not empty.
 ///
-/// - The seeds are the initial voters. A seed with an empty data folder and the bootstrap flag bootstraps
-/// once
-///   every seed has replied with its identifier and none of them reports a term from an election. It starts
+/// - The seeds are the initial voters. A seed with an empty data folder and the bootstrap flag bootstraps as
+///   soon as every seed has replied with its identifier and none reports a term from an election. It starts
 ///   no election until every initial voter has bootstrapped, or kMissingSeedTimeout has passed.
-/// - A seed that has not replied within kMissingSeedTimeout is left out, if the other ones that replied are
-///   enough (see mayLeaveOut()). It may have been lost during the first start.
-/// - A seed that learns the membership with which another one has bootstrapped adopts it if it is listed
-/// there,
-///   and otherwise joins as a learner. Two seeds may still begin with different memberships if the missing
-///   one appears in that moment. At most one seed is left out, so that every quorum of the one membership
-///   shares a voter with every quorum of the other, and the first entries have different terms, all below
-///   that of any election: as after a change by one replica, only one leader can be elected, and its log
-///   replaces the other.
+/// - A seed that has not replied within kMissingSeedTimeout is left out, if the others are enough (see
+///   mayLeaveOut()). It may have been lost during the first start.
+/// - A seed that learns with which membership another one has bootstrapped adopts that one if it is listed,
+///   and otherwise joins as a learner.
+///
+/// Two seeds may still begin with different memberships if the missing one appears in the moment in which it
+/// is left out. These memberships differ by one replica, so that any quorum of the one shares a voter with
+/// any quorum of the other, as in a change by one replica. Their first entries have different terms, all
+/// below that of any election. So only one of the two can elect a leader, whose log then replaces the other
+/// entry.
+///
 /// - Any other replica with an empty data folder, and any replica without a known leader for
 ///   kNoLeaderTimeout, sends join requests to the seeds and to the voters that it knows. The leader adds it
 ///   to the membership (see MembershipManager).
--- a/src/store/vote_release.cpp
+++ b/src/store/vote_release.cpp
@@ -1,7 +1,5 @@
 #include "store/vote_release.h"
 
-#include <algorithm>
-
 namespace cometstand::store {
 namespace {
 
