--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned kRedirect = 307;
 constexpr unsigned kUnavailable = 503;
 constexpr const char* kHost = "shop.example";
-constexpr const char* kOneRoute = R"({"version":"r1",
+constexpr const char* kOneRoute = R"(
   "routes":{"all":{"host":"shop.example","path_prefix":"/","kind":"safe","timeout_s":8,"aim_s":1,
                    "priority":1,"service":"shop","max_attempts":2}},
   "services":{"shop":{"health_path":"/health","max_connections":130,"protocol":"h1","tls":false}},
@@ -55,7 +55,7 @@
                                           {sidecarHost(zone), target_port_.port()},
                                           {sidecarHost(zone), control_port_.port()}});
   }
-  for (std::size_t store = 0; store < kStores; ++store) startStore(store);
+  for (std::size_t store = 0; store < kStores; ++store) startStore(store, true);
   for (std::size_t zone = 0; zone < kZones; ++zone) startSidecar(zone);
   for (auto& target : targets_) target.start();
   thread_ = std::thread([this] { io_.run(); });
@@ -78,6 +78,11 @@
                      bits & kByteMask);
 }
 
+/// Stores that are added take the addresses after those of the sidecars.
+std::string PlatformMesh::storeHost(std::size_t store) const {
+  return host(1 + store + (store < kStores ? 0 : kZones));
+}
+
 HttpAnswer PlatformMesh::ask(const std::string& host, const rehearsal::ReservedPort& port,
                              const HttpQuestion& question) const {
   const boost::asio::ip::tcp::endpoint server(boost::asio::ip::make_address(host), port.port());
@@ -91,7 +96,7 @@
 unsigned PlatformMesh::order(const HttpQuestion& question, std::size_t store) const {
   unsigned status = 0;
   waitUntil("a store takes the order", [&] {
-    auto answer = askStore(store++ % kStores, question);
+    auto answer = askStore(store++ % storeCount(), question);
     if (answer.status == kRedirect) {
       const std::string_view location = answer.location;
       constexpr std::string_view kScheme = "http://";
@@ -108,12 +113,32 @@
 std::size_t PlatformMesh::waitForLeader() const {
   std::size_t store = 0;
   waitUntil("a store leads", [&] {
-    store = (store + 1) % kStores;
+    store = (store + 1) % storeCount();
     return askStore(store, {"GET", "", kConfigGetPath, "", {}}).status == kOk;
   });
   return store;
 }
 
+std::string PlatformMesh::readConfiguration() const {
+  return askStore(waitForLeader(), {"GET", "", kConfigGetPath, "", {}}).body;
+}
+
+std::size_t PlatformMesh::addStore() {
+  store_processes_.emplace_back();
+  startStore(storeCount() - 1, false);
+  return storeCount() - 1;
+}
+
+void PlatformMesh::loseStoreDisk(std::size_t store) { std::filesystem::remove_all(storeFolder(store)); }
+
+rehearsal::ProcessEnd PlatformMesh::stopStore(std::size_t store, Duration limit) {
+  auto& process = store_processes_.at(store);
+  process->sendSignal(SIGTERM);
+  const auto end = process->waitForEnd(limit);
+  process.reset();
+  return end;
+}
+
 void PlatformMesh::waitForReadiness(std::size_t zone) const {
   waitUntil(zoneName(zone) + " is ready", [&] {
     return ask(sidecarHost(zone), ready_port_, {"GET", "", kReadinessPath, "", {}}).status == kOk;
@@ -128,7 +153,7 @@
 void PlatformMesh::restartStores(Duration pause) {
   for (auto& store : store_processes_) store.reset();
   rehearsal::pauseFor(pause);
-  for (std::size_t store = 0; store < kStores; ++store) startStore(store);
+  for (std::size_t store = 0; store < kStores; ++store) startStore(store, true);
 }
 
 void PlatformMesh::restartSidecars(bool with_stores, Duration pause) {
@@ -190,11 +215,15 @@
       name, program, {"--settings", file.string()}, folder_.path() / (name + ".log"), {}});
 }
 
-void PlatformMesh::startStore(std::size_t store) {
+std::filesystem::path PlatformMesh::storeFolder(std::size_t store) const {
+  return folder_.path() / fmt::format("store-{}", store + 1);
+}
+
+void PlatformMesh::startStore(std::size_t store, bool bootstrap) {
   const auto name = fmt::format("store-{}", store + 1);
   const auto settings = commonSettings(storeHost(store), store % kZones) +
-                        fmt::format("data.folder = \"{}\"\n[store]\nname = \"{}\"\nbootstrap = true\n",
-                                    (folder_.path() / name).string(), name);
+                        fmt::format("data.folder = \"{}\"\n[store]\nname = \"{}\"\nbootstrap = {}\n",
+                                    storeFolder(store).string(), name, bootstrap);
   store_processes_.at(store) = startProgram(name, STORE_PROGRAM, settings);
 }
 
@@ -210,8 +239,12 @@
   sidecar_processes_.at(zone) = startProgram(name, SIDECAR_PROGRAM, settings);
 }
 
+std::string oneRouteConfiguration(unsigned version) {
+  return fmt::format("{{\"version\":\"r{}\",", version) + kOneRoute;
+}
+
 void serveOneRoute(PlatformMesh& mesh) {
-  if (mesh.order({"POST", "", kConfigPutPath, kOneRoute, {{kBaseVersion, "0"}}}) != kOk)
+  if (mesh.order({"POST", "", kConfigPutPath, oneRouteConfiguration(1), {{kBaseVersion, "0"}}}) != kOk)
     throw Error(ErrorKind::Invalid, "the stores refused the configuration", "read their logs");
   for (std::size_t zone = 0; zone < PlatformMesh::kZones; ++zone) {
     mesh.target(zone).waitForHeartbeat();
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -36,9 +36,9 @@
   std::filesystem::path path_;
 };
 
-/// The platform's programs as child processes: three stores, and a sidecar with a stand-in target in each of
-/// two zones. Each machine is a loopback address of its own, as machines are known by their addresses and
-/// share their ports. All of it ends with the object.
+/// The platform's programs as child processes: three stores, to which others may be added, and a sidecar with
+/// a stand-in target in each of two zones. Each machine is a loopback address of its own, as machines are
+/// known by their addresses and share their ports. All of it ends with the object.
 class PlatformMesh {
  public:
   static constexpr std::size_t kStores = 3;
@@ -63,6 +63,19 @@
   /// @return the store that leads, once one does.
   std::size_t waitForLeader() const;
   void killStore(std::size_t store) { store_processes_.at(store).reset(); }
+  /// Starts a further store, at a new address and with an empty disk. @return its number.
+  std::size_t addStore();
+  /// Starts a store that has ended, on its disk.
+  void startStoreAgain(std::size_t store) { startStore(store, false); }
+  /// Empties the disk of a store that has ended.
+  void loseStoreDisk(std::size_t store);
+  /// SIGTERM. @return how the process ended. @throw Error(Timeout) if it still runs after the limit.
+  rehearsal::ProcessEnd stopStore(std::size_t store, Duration limit);
+  void signalStore(std::size_t store, int signal) { store_processes_.at(store)->sendSignal(signal); }
+  bool runsStore(std::size_t store) const { return store_processes_.at(store) != nullptr; }
+  std::size_t storeCount() const { return store_processes_.size(); }
+  /// @return the configuration that a store reads back, once one does.
+  std::string readConfiguration() const;
   /// SIGKILL to all stores and, after a pause, a new start on their disks.
   void restartStores(Duration pause);
   /// The same for all sidecars and, if `with_stores`, for all stores with them.
@@ -93,14 +106,15 @@
 
  private:
   std::string host(std::size_t number) const;
-  std::string storeHost(std::size_t store) const { return host(1 + store); }
+  std::string storeHost(std::size_t store) const;
+  std::filesystem::path storeFolder(std::size_t store) const;
   std::string sidecarHost(std::size_t zone) const { return host(1 + kStores + zone); }
   rehearsal::HttpAnswer ask(const std::string& host, const rehearsal::ReservedPort& port,
                             const rehearsal::HttpQuestion& question) const;
   std::string commonSettings(const std::string& host, std::size_t zone) const;
   std::unique_ptr<rehearsal::ChildProcess> startProgram(const std::string& name, const char* program,
                                                         const std::string& settings) const;
-  void startStore(std::size_t store);
+  void startStore(std::size_t store, bool bootstrap);
   void startSidecar(std::size_t zone);
 
   TemporaryFolder folder_;
@@ -112,6 +126,7 @@
   const rehearsal::ReservedPort target_port_;
   std::atomic<std::uint64_t> calls_ = 0;
   std::deque<StandInTarget> targets_;
+  /// Null for a store that has ended.
   std::vector<std::unique_ptr<rehearsal::ChildProcess>> store_processes_{kStores};
   std::vector<std::unique_ptr<rehearsal::ChildProcess>> sidecar_processes_{kZones};
   std::thread thread_;
@@ -122,6 +137,9 @@
 /// @throw Error(Invalid) if the stores refuse the configuration.
 void serveOneRoute(PlatformMesh& mesh);
 
+/// @return the configuration that serveOneRoute() sets, under another version.
+std::string oneRouteConfiguration(unsigned version);
+
 /// Callers of all sidecars that keep their connections and use them again as long as they are open. Each
 /// pauses between its requests, until the object goes.
 class KeptConnections {
