Soak: stores start with the operator's list of that time as seeds

The settings name the stores on the operator's list when the file is written, so the harness now does that.

--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -195,14 +195,21 @@
   return ask(sidecarHost(zone), caller_port_, question).status;
 }
 
-std::string PlatformMesh::commonSettings(const std::string& host, std::size_t zone) const {
+std::string PlatformMesh::seedList() const {
   std::string seeds;
-  for (std::size_t store = 0; store < kStores; ++store)
-    seeds += fmt::format("{}\"{}:{}\"", store == 0 ? "" : ",", storeHost(store), control_port_.port());
+  std::size_t count = 0;
+  for (std::size_t store = 0; store < storeCount() && count < kStores; ++store) {
+    if (removed_stores_.contains(store)) continue;
+    seeds += fmt::format("{}\"{}:{}\"", count++ == 0 ? "" : ",", storeHost(store), control_port_.port());
+  }
+  return seeds;
+}
+
+std::string PlatformMesh::commonSettings(const std::string& host, std::size_t zone) const {
   return fmt::format(
       "zone = \"{0}\"\nregion = \"region\"\nlisten.address = \"{1}:{2}\"\ntls.enabled = false\n"
       "platform.control = \"{1}:{3}\"\nplatform.seeds = [{4}]\n",
-      zoneName(zone), host, link_port_.port(), control_port_.port(), seeds);
+      zoneName(zone), host, link_port_.port(), control_port_.port(), seedList());
 }
 
 std::unique_ptr<rehearsal::ChildProcess> PlatformMesh::startProgram(const std::string& name,
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -65,6 +66,9 @@
   void killStore(std::size_t store) { store_processes_.at(store).reset(); }
   /// Starts a further store, at a new address and with an empty disk. @return its number.
   std::size_t addStore();
+  /// Takes a store that has ended off the operator's list, from which programs get their seeds when they
+  /// start.
+  void removeStore(std::size_t store) { removed_stores_.insert(store); }
   /// Starts a store that has ended, on its disk.
   void startStoreAgain(std::size_t store) { startStore(store, false); }
   /// Empties the disk of a store that has ended.
@@ -126,8 +130,11 @@
   const rehearsal::ReservedPort target_port_;
   std::atomic<std::uint64_t> calls_ = 0;
   std::deque<StandInTarget> targets_;
+  /// @return the control addresses of the first stores on the operator's list.
+  std::string seedList() const;
   /// Null for a store that has ended.
   std::vector<std::unique_ptr<rehearsal::ChildProcess>> store_processes_{kStores};
+  std::set<std::size_t> removed_stores_;
   std::vector<std::unique_ptr<rehearsal::ChildProcess>> sidecar_processes_{kZones};
   std::thread thread_;
 };
--- a/tests/store_soak/store_soak_test.cpp
+++ b/tests/store_soak/store_soak_test.cpp
@@ -113,11 +113,13 @@
         mesh_.addStore();
         pauseFor(kCatchUpTime);
         stop(store);
+        mesh_.removeStore(store);
         // The replaced store no longer counts, so that the next loss may follow at once.
         loseDiskAfterChange();
         break;
       case Fault::UnplannedReplacement:
         mesh_.killStore(store);
+        mesh_.removeStore(store);
         pauseFor(pause());
         mesh_.addStore();
         pauseFor(kCatchUpTime);
