--- a/tests/leave_notices/leave_notices_test.cpp
+++ b/tests/leave_notices/leave_notices_test.cpp
@@ -3,11 +3,11 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <sstream>
 
 #include "base/event_log.h"
 #include "base/random.h"
+#include "platform_processes/environment_number.h"
 #include "platform_processes/platform_mesh.h"
 #include "rehearsal/fleet/wait_until.h"
 
@@ -49,13 +49,8 @@
 constexpr std::uint64_t kDrawnFaults = 4;
 constexpr Duration kMaxFaultPause = milliseconds(1'200);
 
-std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise) {
-  const char* text = std::getenv(variable);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
-std::uint64_t seedCount() { return numberFrom(kSeedsVariable, kSeedsInCi); }
-std::uint64_t firstSeed() { return numberFrom(kFirstSeedVariable, 1); }
+std::uint64_t seedCount() { return numberFromEnvironment(kSeedsVariable, kSeedsInCi); }
+std::uint64_t firstSeed() { return numberFromEnvironment(kFirstSeedVariable, 1); }
 
 /// @return a fault after which all processes run.
 Fault drawFault(RandomSource& random) {
--- a/tests/store/zone_loss_test.cpp
+++ b/tests/store/zone_loss_test.cpp
@@ -22,10 +22,7 @@
 TEST_CASE("five voters spread over three zones with several replicas each") {
   ZonedCluster cluster({"a", "a", "a", "b", "b", "b", "c", "c", "c"}, 3, 5, GENERATE(1, 2, 3));
   cluster.network.startAll();
-  REQUIRE(cluster.network.runUntil([&] {
-    const auto spread = cluster.spread();
-    return spread.size() == 3 && survivesZoneLosses(spread, 1) && cluster.membership()->voters.size() == 5;
-  }));
+  REQUIRE(cluster.network.runUntil([&] { return cluster.isSpread(3, 5); }));
 }
 
 TEST_CASE("voters spread over the zones that have replicas when one zone has none") {
@@ -123,10 +120,7 @@
   cluster.spare_voters = 2;
   for (std::size_t i = 0; i < 6; ++i) cluster.configureReplica(i, true);
   cluster.network.startAll();
-  REQUIRE(cluster.network.runUntil([&] {
-    const auto spread = cluster.spread();
-    return spread.size() == 3 && survivesZoneLosses(spread, 1) && cluster.membership()->voters.size() == 5;
-  }));
+  REQUIRE(cluster.network.runUntil([&] { return cluster.isSpread(3, 5); }));
   cluster.network.runFor(seconds(2));
   cluster.stopZone("a");
   cluster.network.runFor(seconds(10));
--- a/tests/store/zoned_cluster.h
+++ b/tests/store/zoned_cluster.h
@@ -89,6 +89,13 @@
            });
   }
 
+  /// @return true if the voters are so many, in so many zones, and survive the tolerated zone losses.
+  bool isSpread(std::size_t zones, std::size_t voters) {
+    const auto current = spread();
+    return current.size() == zones && survivesZoneLosses(current, losses_) &&
+           membership()->voters.size() == voters;
+  }
+
   bool reachesSpread(const VotersByZone& expected, Duration limit = std::chrono::seconds(20)) {
     const bool is_reached = network.runUntil([&] { return spread() == expected; }, limit);
     // The leader uses the new membership before it is committed. The delay lets the others receive it.
--- a/tests/store_soak/store_soak_test.cpp
+++ b/tests/store_soak/store_soak_test.cpp
@@ -4,12 +4,12 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <vector>
 
 #include "base/event_log.h"
 #include "base/random.h"
 #include "platform/names.h"
+#include "platform_processes/environment_number.h"
 #include "platform_processes/platform_mesh.h"
 #include "rehearsal/fleet/wait_until.h"
 
@@ -46,11 +46,6 @@
   AllStoresStopped,
 };
 
-std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise) {
-  const char* text = std::getenv(variable);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 /// Injects the faults of one seed. After each of them only so much is lost that the next one is tolerated.
 class StoreFaults {
  public:
@@ -191,8 +186,8 @@
 TEST_CASE("an acknowledged configuration outlasts drawn series of replacements, restarts and lost disks",
           "[platform][processes][soak]") {
   setLogLevel(LogLevel::Warning);
-  const auto first = numberFrom(kFirstSeedVariable, 1);
-  for (std::uint64_t seed = first; seed < first + numberFrom(kSeedsVariable, kSeedsInCi); ++seed) {
+  const auto first = numberFromEnvironment(kFirstSeedVariable, 1);
+  for (std::uint64_t seed = first; seed < first + numberFromEnvironment(kSeedsVariable, kSeedsInCi); ++seed) {
     CAPTURE(seed);
     PlatformMesh mesh;
     mesh.addStore();
