Tests: the mesh of real processes takes any number of sidecars, and targets that work

For a soak of real processes: sidecars beyond two are in the zones by turns, targets may take a work time and tell whether they have run a request, and sidecars are killed, signalled and looked at one by one. The addresses have room for 128 machines instead of 16. Nothing changes for the tests that use it so far.

--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -47,16 +47,22 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
-PlatformMesh::PlatformMesh()
-    : link_port_(io_), control_port_(io_), ready_port_(io_), caller_port_(io_), target_port_(io_) {
-  for (std::size_t zone = 0; zone < kZones; ++zone) {
-    targets_.emplace_back(io_, TargetPlan{"i-" + zoneName(zone),
-                                          zoneName(zone),
-                                          {sidecarHost(zone), target_port_.port()},
-                                          {sidecarHost(zone), control_port_.port()}});
+PlatformMesh::PlatformMesh(std::size_t sidecars, Duration work_time)
+    : link_port_(io_),
+      control_port_(io_),
+      ready_port_(io_),
+      caller_port_(io_),
+      target_port_(io_),
+      sidecar_processes_(sidecars) {
+  for (std::size_t sidecar = 0; sidecar < sidecars; ++sidecar) {
+    targets_.emplace_back(io_, TargetPlan{"i-" + zoneName(sidecar),
+                                          zoneName(sidecar % kZones),
+                                          {sidecarHost(sidecar), target_port_.port()},
+                                          {sidecarHost(sidecar), control_port_.port()},
+                                          work_time});
   }
   for (std::size_t store = 0; store < kStores; ++store) startStore(store, true);
-  for (std::size_t zone = 0; zone < kZones; ++zone) startSidecar(zone);
+  for (std::size_t sidecar = 0; sidecar < sidecars; ++sidecar) startSidecar(sidecar);
   for (auto& target : targets_) target.start();
   thread_ = std::thread([this] { io_.run(); });
 }
@@ -70,7 +76,7 @@
 
 /// The process's id makes the addresses those of this run alone.
 std::string PlatformMesh::host(std::size_t number) const {
-  constexpr unsigned kMachineBits = 4;
+  constexpr unsigned kMachineBits = 7;
   constexpr unsigned kByteBits = 8;
   constexpr unsigned kByteMask = 0xFF;
   const auto bits = (static_cast<unsigned>(::getpid()) << kMachineBits) | static_cast<unsigned>(number);
@@ -80,7 +86,7 @@
 
 /// Stores that are added take the addresses after those of the sidecars.
 std::string PlatformMesh::storeHost(std::size_t store) const {
-  return host(1 + store + (store < kStores ? 0 : kZones));
+  return host(1 + store + (store < kStores ? 0 : sidecarCount()));
 }
 
 HttpAnswer PlatformMesh::ask(const std::string& host, const rehearsal::ReservedPort& port,
@@ -167,7 +173,7 @@
   } else {
     rehearsal::pauseFor(pause);
   }
-  for (std::size_t zone = 0; zone < kZones; ++zone) startSidecar(zone);
+  for (std::size_t zone = 0; zone < sidecarCount(); ++zone) startSidecar(zone);
 }
 
 void PlatformMesh::signalStores(int signal) {
@@ -238,7 +244,7 @@
   const auto name = fmt::format("sidecar-{}", zone + 1);
   const auto host = sidecarHost(zone);
   const auto settings =
-      commonSettings(host, zone) +
+      commonSettings(host, zone % kZones) +
       fmt::format(
           "platform.ready = \"{0}:{1}\"\nplatform.callers = \"{0}:{2}\"\nplatform.target = \"{0}:{3}\"\n"
           "platform.service = \"{4}\"\n[sidecar]\nnode = \"{5}\"\nanswer_credit = 8192\n",
@@ -253,7 +259,7 @@
 void serveOneRoute(PlatformMesh& mesh) {
   if (mesh.order({"POST", "", kConfigPutPath, oneRouteConfiguration(1), {{kBaseVersion, "0"}}}) != kOk)
     throw Error(ErrorKind::Invalid, "the stores refused the configuration", "read their logs");
-  for (std::size_t zone = 0; zone < PlatformMesh::kZones; ++zone) {
+  for (std::size_t zone = 0; zone < mesh.sidecarCount(); ++zone) {
     mesh.target(zone).waitForHeartbeat();
     mesh.waitForReadiness(zone);
     waitUntil("the zone's target gets requests", [&] {
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -37,22 +37,25 @@
   std::filesystem::path path_;
 };
 
-/// The platform's programs as child processes: three stores, to which others may be added, and a sidecar with
-/// a stand-in target in each of two zones. Each machine is a loopback address of its own, as machines are
-/// known by their addresses and share their ports. All of it ends with the object.
+/// The platform's programs as child processes: three stores, to which others may be added, and sidecars with
+/// a stand-in target each in two zones; one in each zone unless a test wants more, which are then in the
+/// zones by turns. Each machine is a loopback address of its own, as machines are known by their addresses
+/// and share their ports. All of it ends with the object.
 class PlatformMesh {
  public:
   static constexpr std::size_t kStores = 3;
   static constexpr std::size_t kZones = 2;
 
   /// Starts all programs. They have no configuration yet.
-  PlatformMesh();
+  /// @param work_time how long a target works on each request.
+  explicit PlatformMesh(std::size_t sidecars = kZones, Duration work_time = Duration::zero());
   ~PlatformMesh();
   PlatformMesh(const PlatformMesh&) = delete;
   PlatformMesh& operator=(const PlatformMesh&) = delete;
 
   static std::string zoneName(std::size_t zone);
   StandInTarget& target(std::size_t zone) { return targets_.at(zone); }
+  std::size_t sidecarCount() const { return sidecar_processes_.size(); }
 
   /// Asks one store, without following a redirection.
   /// @return status 0 if there is no answer.
@@ -76,7 +79,10 @@
   /// SIGTERM. @return how the process ended. @throw Error(Timeout) if it still runs after the limit.
   rehearsal::ProcessEnd stopStore(std::size_t store, Duration limit);
   void signalStore(std::size_t store, int signal) { store_processes_.at(store)->sendSignal(signal); }
+  /// @return false if the test has ended the store.
   bool runsStore(std::size_t store) const { return store_processes_.at(store) != nullptr; }
+  /// @return false if the store's process has ended, by whatever cause.
+  bool isStoreAlive(std::size_t store) { return runsStore(store) && store_processes_.at(store)->running(); }
   std::size_t storeCount() const { return store_processes_.size(); }
   /// @return the configuration that a store reads back, once one does.
   std::string readConfiguration() const;
@@ -93,6 +99,11 @@
   /// Suspends the sidecar's process (SIGSTOP), or lets it go on.
   void suspendSidecar(std::size_t zone) { sidecar_processes_.at(zone)->sendSignal(SIGSTOP); }
   void resumeSidecar(std::size_t zone) { sidecar_processes_.at(zone)->sendSignal(SIGCONT); }
+  /// @return false if the sidecar's process has ended.
+  bool runsSidecar(std::size_t zone) { return sidecar_processes_.at(zone)->running(); }
+  /// SIGKILL, without a new start.
+  void killSidecar(std::size_t zone) { sidecar_processes_.at(zone)->kill(); }
+  void signalSidecar(std::size_t zone, int signal) { sidecar_processes_.at(zone)->sendSignal(signal); }
   /// Begins the sidecar's planned stop (SIGTERM).
   void stopSidecar(std::size_t zone) { sidecar_processes_.at(zone)->sendSignal(SIGTERM); }
   /// @return how the sidecar's process ended. @throw Error(Timeout) if it still runs after the limit.
@@ -135,7 +146,7 @@
   /// Null for a store that has ended.
   std::vector<std::unique_ptr<rehearsal::ChildProcess>> store_processes_{kStores};
   std::set<std::size_t> removed_stores_;
-  std::vector<std::unique_ptr<rehearsal::ChildProcess>> sidecar_processes_{kZones};
+  std::vector<std::unique_ptr<rehearsal::ChildProcess>> sidecar_processes_;
   std::thread thread_;
 };
 
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -115,6 +115,11 @@
   return {std::lower_bound(arrivals_.begin(), arrivals_.end(), begin), arrivals_.end()};
 }
 
+bool StandInTarget::hasRun(const std::string& request_id) const {
+  const std::scoped_lock lock(mutex_);
+  return request_ids_.contains(request_id);
+}
+
 std::string StandInTarget::seenFields() const {
   const std::scoped_lock lock(mutex_);
   return seen_fields_;
@@ -134,6 +139,7 @@
     response.body() = bodyFor(request);
     const bool is_cold = coldRemaining() > Duration::zero();
     arrivals_.push_back(SteadyClock::now());
+    request_ids_.insert(std::string(request[kRequestId]));
     if (!limit_.empty()) response.set(kServerLimit, limit_);
     if (is_leaving_) response.set(kServerLeaving, "1");
     for (const auto& field : request) {
@@ -141,10 +147,21 @@
           fmt::format("{}: {}\n", std::string_view(field.name_string()), std::string_view(field.value()));
     }
     if (is_cold) cold_arrivals_.push_back(arrivals_.back());
+    if (plan_.work_time > Duration::zero()) {
+      respondAfterWork(id, std::move(response));
+      return;
+    }
   }
   server_.respond(id, std::move(response));
 }
 
+void StandInTarget::respondAfterWork(web::ExchangeId id, web::Response response) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(timer_.get_executor(), plan_.work_time);
+  timer->async_wait([this, id, timer, response = std::move(response)](boost::system::error_code error) {
+    if (!error) server_.respond(id, response);
+  });
+}
+
 std::string StandInTarget::bodyFor(const web::Request& request) const {
   const std::string_view target = request.target();
   if (!target.starts_with(kLargePath)) return plan_.instance;
--- a/tests/platform_processes/stand_in_target.h
+++ b/tests/platform_processes/stand_in_target.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,10 +31,13 @@
   runtime::Address listen;
   /// Control address of the sidecar beside it.
   runtime::Address sidecar;
+  /// How long it works on each request.
+  Duration work_time{};
 };
 
-/// A target inside the test process: answers every request at once, notes when each came, and sends
-/// heartbeats to the sidecar beside it. Serves on the io_context's thread; all else may be called on any.
+/// A target inside the test process: answers every request after its work time, notes when each came, and
+/// sends heartbeats to the sidecar beside it. Serves on the io_context's thread; all else may be called on
+/// any.
 class StandInTarget : public web::RequestHandler {
  public:
   /// @throw Error(InputOutput) if the address cannot be used.
@@ -68,6 +72,8 @@
   /// @return those that came while it said that it was cold.
   std::vector<TimePoint> coldArrivals() const;
   std::vector<TimePoint> arrivalsSince(TimePoint begin) const;
+  /// @return true if the request of this id came.
+  bool hasRun(const std::string& request_id) const;
   /// @return the header fields of all requests that came, a line each.
   std::string seenFields() const;
 
@@ -84,6 +90,7 @@
   void sendHeartbeat(const char* state, std::uint64_t sequence);
   void sendDeregistration();
   void send(const std::string& path, std::string body, bool is_leave_notice);
+  void respondAfterWork(web::ExchangeId id, web::Response response);
   std::string bodyFor(const web::Request& request) const;
   /// To be called with mutex_ held.
   Duration coldRemaining() const;
@@ -100,6 +107,7 @@
   TimePoint cold_until_;
   std::vector<TimePoint> arrivals_;
   std::vector<TimePoint> cold_arrivals_;
+  std::set<std::string> request_ids_;
   std::string seen_fields_;
   std::string limit_;
   bool is_leaving_ = false;
