HTTP server: a request that the parser cannot hold is refused alone

Callers saw every request at a sidecar cut (LOST) where the configuration allows large requests: with max_header_bytes of 200,000 one field of 66,000 bytes ended the process ("field value too large"), and with max_body_bytes of 1e15 the announcement of such a body did ("std::bad_alloc"). A header beyond 64 KiB that did not end it was never read whole.

Cause: the parser throws where its own index or the memory ends, and reports only its limits as error codes. Reading also stopped at 64 KiB of unparsed bytes, whatever the limit of a header.

Why it works: parseBytes() turns what the parser throws into 431 or 413 for this request and logs E8001; unparsed bytes are counted beyond the header's limit.

--- a/rehearsal/describe/event_catalogue.cpp
+++ b/rehearsal/describe/event_catalogue.cpp
@@ -13,6 +13,7 @@
 #include "runtime/events.h"
 #include "sidecar/events.h"
 #include "store/events.h"
+#include "web/events.h"
 
 namespace cometstand::rehearsal {
 namespace {
@@ -59,6 +60,7 @@
           makeGroup("Proxy: views and relays", proxy::kControlEvents),
           makeGroup("Proxy: requests", proxy::kDataPathEvents),
           makeGroup("Sidecar", sidecar::kSidecarEvents),
+          makeGroup("Every program: HTTP servers", web::kWebEvents),
           makeGroup("Every program: start, stop, admin pages", admin::kAdminEvents),
           makeGroup("Rehearsal: stand-ins", kStandinEvents),
           makeGroup("Rehearsal: fleet", kFleetEvents),
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -4,9 +4,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
+#include <exception>
 #include <utility>
 
+#include "base/event_log.h"
 #include "net/unsent_bytes.h"
+#include "web/events.h"
 
 namespace cometstand::web {
 
@@ -97,7 +100,7 @@
 }
 
 void ServerConnection::awaitBytes() {
-  if (read_pending_ || state_ == State::Closed || buffer_.size() >= kMaxUnreadBytes) return;
+  if (read_pending_ || state_ == State::Closed || buffer_.size() >= header_limit_ + kMaxUnreadBytes) return;
   read_pending_ = true;
   const bool has_header = parser_ && parser_->is_header_done();
   socket_.async_read_some(buffer_.prepare(has_header ? kBodyReadBytes : kHeaderReadBytes),
@@ -149,6 +152,7 @@
     since_ = SteadyClock::now();
     continue_sent_ = false;
     parser_.emplace();
+    header_limit_ = limits.max_header_bytes;
     parser_->header_limit(limits.max_header_bytes);
     parser_->body_limit(limits.max_body_bytes);
   }
@@ -160,8 +164,7 @@
     // Without bytes the parser of a body neither advances nor asks for more.
     if (buffer_.size() == 0) return false;
     error_code error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
+    buffer_.consume(parseBytes(error));
     if (error == http::error::need_more) return false;
     if (error) {
       refuse(statusOf(error));
@@ -173,6 +176,20 @@
   return true;
 }
 
+/// The parser throws for a field that its index cannot hold, and for a body that is announced as larger than
+/// the memory. Only this request ends with it.
+/// @return the number of parsed bytes.
+std::size_t ServerConnection::parseBytes(error_code& error) {
+  try {
+    return parser_->put(buffer_.data(), error);
+  } catch (const std::exception& exception) {
+    const bool has_header = parser_->is_header_done();
+    error = has_header ? http::error::body_limit : http::error::header_limit;
+    logEvent(kRequestTooLarge, {{"part", has_header ? "body" : "header"}, {"reason", exception.what()}});
+    return 0;
+  }
+}
+
 void ServerConnection::sendContinue() {
   const bool is_asked = boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
   if (!is_asked || continue_sent_ || writing_) return;
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -69,6 +69,7 @@
   void onBytes(boost::system::error_code error, std::size_t length);
   void parseRequests();
   bool parseOne();
+  std::size_t parseBytes(boost::system::error_code& error);
   bool hasRequestBytes();
   bool mayBegin() const;
   bool mustWait() const;
@@ -90,6 +91,8 @@
   boost::beast::flat_buffer buffer_;
   /// Set while a request is being read.
   std::optional<Parser> parser_;
+  /// Of the latest request, in bytes.
+  std::size_t header_limit_ = 0;
   /// Oldest first; the front one's answer is written next.
   std::deque<Pending> pending_;
   State state_ = State::Open;
--- a/tests/web/server_client_test.cpp
+++ b/tests/web/server_client_test.cpp
@@ -128,6 +128,35 @@
   CHECK(fixture.handler.requests.empty());
 }
 
+// Guards against the end of the process by an exception of the parser: its index of fields holds values of
+// less than 64 KiB, and a body is given memory as soon as its length is announced.
+TEST_CASE("a request that the parser cannot hold is refused, whatever the limits allow", "[web]") {
+  ServerFixture fixture;
+  fixture.handler.server_limits.max_header_bytes = 1024 * 1024;
+  fixture.handler.server_limits.max_body_bytes = UINT64_MAX;
+  std::string request;
+  std::string status;
+  SECTION("a field") {
+    request = "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n";
+    status = "431";
+  }
+  SECTION("the name of a field") {
+    request = "GET / HTTP/1.1\r\nHost: h\r\n" + std::string(70'000, 'x') + ": v\r\n\r\n";
+    status = "431";
+  }
+  SECTION("a body") {
+    request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000000000000\r\n\r\n0";
+    status = "413";
+  }
+  auto kept = fixture.connect();
+  auto socket = fixture.connect();
+  asio::write(socket, asio::buffer(request));
+  CHECK(fixture.readUntil(socket, "never").substr(0, 12) == "HTTP/1.1 " + status);
+  CHECK(fixture.handler.requests.empty());
+  asio::write(kept, asio::buffer(std::string("GET /kept HTTP/1.1\r\nHost: h\r\n\r\n")));
+  CHECK(fixture.readUntil(kept, "/kept").ends_with("/kept"));
+}
+
 TEST_CASE("a kept connection is used again", "[web]") {
   ServerFixture fixture;
   Client client(fixture.io, fixture.server.listenAddress());
