Programs: the end of the log's reader no longer ends the process

Callers would see every request at a sidecar cut: once the reader of standard output is gone, the next logged event ends the process with SIGPIPE.

Evidence: a sidecar of whose output was a pipe without a reader ended with signal 13 at its next event. "a program goes on when the reader of its output has ended" ended its own test process before.

Why it works: runProgram() ignores SIGPIPE, so that the write fails and the event is counted as dropped. Asio suppresses the signal for sockets by itself.

--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <cstdio>
 #include <exception>
 #include <optional>
@@ -54,6 +55,8 @@
 
 int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
                const std::function<int(SettingsSource&)>& body) {
+  // The end of the process that reads this one's log must not end this one.
+  std::signal(SIGPIPE, SIG_IGN);
   std::optional<SettingsSource> source;
   try {
     const auto arguments = parseProgramArguments(argc, argv, info);
--- a/tests/settings/program_test.cpp
+++ b/tests/settings/program_test.cpp
@@ -1,6 +1,11 @@
 #include "settings/program.h"
 
+#include <unistd.h>
+
+#include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
+#include <csignal>
 
 #include "base/error.h"
 
@@ -56,3 +61,20 @@
   CHECK(runWith({"--nonsense"}).exit_code == kExitUsage);
   CHECK(runWith({"--settings", "/does/not/exist.toml"}).exit_code == kExitUsage);
 }
+
+// Guards against the end of a process by SIGPIPE when the reader of its log ends.
+TEST_CASE("a program goes on when the reader of its output has ended") {
+  const auto previous = std::signal(SIGPIPE, SIG_DFL);
+  std::array<int, 2> ends{};
+  REQUIRE(::pipe(ends.data()) == 0);
+  ::close(ends[0]);
+  SettingsTable table;
+  const std::array<const char*, 1> arguments{"example"};
+  const int exit_code = runProgram(1, arguments.data(), {"example", "An example"}, table, [&ends] {
+    const bool is_refused = ::write(ends[1], "x", 1) < 0 && errno == EPIPE;
+    return is_refused ? kBodyExitCode : kExitFailure;
+  });
+  ::close(ends[1]);
+  std::signal(SIGPIPE, previous);
+  CHECK(exit_code == kBodyExitCode);
+}
