HTTP server: a handler is not called back from within its own call

With three requests sent ahead on one connection and the first answer broken off, the answer to the second closed the connection at once, and the handler heard of the third within its own call of respond(): it could remove an entry that the caller above still uses. No damage was found by reading, as each such call is the last step of its function; only that kept it sound.

The new test failed before ("gone_while_responding"). Now the close is posted.

--- a/src/web/server_connection_parts.cpp
+++ b/src/web/server_connection_parts.cpp
@@ -40,12 +40,7 @@
   item->part += bytes;
   item->end = end;
   if (end != PartEnd::More) server_.exchanges_.erase(id);
-  if (end == PartEnd::Broken) {
-    // The handler is not told from within its own call of those that wait behind.
-    asio::post(server_.io_, [self = shared_from_this()] { self->writeNext(); });
-  } else {
-    writeNext();
-  }
+  writeNext();
 }
 
 std::string ServerConnection::headOf(const Pending& item) {
@@ -62,7 +57,8 @@
 void ServerConnection::writePart() {
   auto& item = pending_.front();
   if (item.end == PartEnd::Broken) {
-    close();
+    // Posted, as this may be within a call of the handler, which hears of the requests that wait behind.
+    asio::post(server_.io_, [self = shared_from_this()] { self->close(); });
     return;
   }
   const auto bytes = std::make_shared<std::string>();
--- a/tests/web/answer_parts_test.cpp
+++ b/tests/web/answer_parts_test.cpp
@@ -58,6 +58,22 @@
   CHECK(handler.gone == std::vector<ExchangeId>{handler.ids[1]});
 }
 
+// Guards against a handler that is called back from within its own call and loses what it works on.
+TEST_CASE_METHOD(PartsFixture, "an answer behind one that broke off does not call its handler back at once",
+                 "[web]") {
+  auto socket = connect();
+  write(socket, kGet + kGet + kGet);
+  REQUIRE(awaitRequests(3));
+  begin(0, "first ");
+  readUntil(socket, "first \r\n");
+  proceed(0, "", PartEnd::Broken);
+  handler.echo(1);
+  CHECK(handler.gone.empty());
+  CHECK(readAll(socket).empty());
+  CHECK(handler.gone == std::vector<ExchangeId>{handler.ids[2]});
+  CHECK_FALSE(handler.gone_while_responding);
+}
+
 TEST_CASE_METHOD(PartsFixture, "parts of a later request wait until the answer before them is sent",
                  "[web]") {
   auto socket = connect();
--- a/tests/web/server_fixture.h
+++ b/tests/web/server_fixture.h
@@ -20,7 +20,10 @@
     ids.push_back(id);
     if (answers) echo(ids.size() - 1);
   }
-  void onCallerGone(ExchangeId id) override { gone.push_back(id); }
+  void onCallerGone(ExchangeId id) override {
+    gone.push_back(id);
+    if (responding) gone_while_responding = true;
+  }
   void onBodyWritten(ExchangeId /*id*/, std::size_t bytes) override { body_written += bytes; }
   ServerLimits limits() const override { return server_limits; }
 
@@ -30,7 +33,9 @@
     response.result(200);
     response.set("X-Id", std::string(requests[place]["X-Id"]));
     response.body() = std::string(requests[place].target());
+    responding = true;
     server->respond(ids[place], std::move(response));
+    responding = false;
   }
 
   Server* server = nullptr;
@@ -40,6 +45,10 @@
   std::vector<ExchangeId> ids;
   std::vector<ExchangeId> gone;
   std::size_t body_written = 0;
+  /// Server::respond() is being called.
+  bool responding = false;
+  /// onCallerGone() was called from within Server::respond().
+  bool gone_while_responding = false;
 };
 
 struct ServerFixture {
