Programs: a SIGHUP in the first moments no longer ends the process

Callers would see a sidecar or store that is gone as it should begin to serve: a SIGHUP that came before the handler was installed ended the process by its default.

The new test ended its own process by SIGHUP before.

Why it works: programs that read their settings again ignore the signal until they handle it.

--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -26,6 +26,29 @@
   }
 }
 
+int run(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
+        const std::function<int(SettingsSource&)>& body) {
+  // The end of the process that reads this one's log must not end this one.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::optional<SettingsSource> source;
+  try {
+    const auto arguments = parseProgramArguments(argc, argv, info);
+    if (arguments.describe_settings) {
+      fmt::print("{}", describeAsMarkdown(table));
+      return kExitSuccess;
+    }
+    source.emplace(arguments.settings_file, arguments.overrides);
+    source->load(table);
+    if (arguments.check_settings) return kExitSuccess;
+  } catch (const TCLAP::ExitException& exit) {
+    return exit.getExitStatus();
+  } catch (const std::exception& error) {
+    printError(info, error);
+    return kExitUsage;
+  }
+  return runBody(info, [&] { return body(*source); });
+}
+
 }  // namespace
 
 std::string programVersion() { return COMETSTAND_VERSION; }
@@ -50,30 +73,14 @@
 
 int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
                const std::function<int()>& body) {
-  return runProgram(argc, argv, info, table, [&body](SettingsSource&) { return body(); });
+  return run(argc, argv, info, table, [&body](SettingsSource&) { return body(); });
 }
 
 int runProgram(int argc, const char* const* argv, const ProgramInfo& info, SettingsTable& table,
                const std::function<int(SettingsSource&)>& body) {
-  // The end of the process that reads this one's log must not end this one.
-  std::signal(SIGPIPE, SIG_IGN);
-  std::optional<SettingsSource> source;
-  try {
-    const auto arguments = parseProgramArguments(argc, argv, info);
-    if (arguments.describe_settings) {
-      fmt::print("{}", describeAsMarkdown(table));
-      return kExitSuccess;
-    }
-    source.emplace(arguments.settings_file, arguments.overrides);
-    source->load(table);
-    if (arguments.check_settings) return kExitSuccess;
-  } catch (const TCLAP::ExitException& exit) {
-    return exit.getExitStatus();
-  } catch (const std::exception& error) {
-    printError(info, error);
-    return kExitUsage;
-  }
-  return runBody(info, [&] { return body(*source); });
+  // Until the body handles it, the signal must not end the process; the settings are read after this anyway.
+  std::signal(SIGHUP, SIG_IGN);
+  return run(argc, argv, info, table, body);
 }
 
 }  // namespace cometstand::settings
--- a/tests/settings/program_test.cpp
+++ b/tests/settings/program_test.cpp
@@ -78,3 +78,17 @@
   std::signal(SIGPIPE, previous);
   CHECK(exit_code == kBodyExitCode);
 }
+
+// Guards against the end of a process by a SIGHUP that comes before the program handles it.
+TEST_CASE("a program that reads its settings again goes on after a SIGHUP in its first moments") {
+  const auto previous = std::signal(SIGHUP, SIG_DFL);
+  SettingsTable table;
+  const std::array<const char*, 1> arguments{"example"};
+  const int exit_code =
+      runProgram(1, arguments.data(), {"example", "An example"}, table, [](SettingsSource&) {
+        std::raise(SIGHUP);
+        return kBodyExitCode;
+      });
+  std::signal(SIGHUP, previous);
+  CHECK(exit_code == kBodyExitCode);
+}
