--- a/tests/sidecar/peer_links_test.cpp
+++ b/tests/sidecar/peer_links_test.cpp
@@ -31,6 +31,19 @@
 
 }  // namespace
 
+// Guards against a reconnect that outlives its peer.
+TEST_CASE_METHOD(PeerLinksFixture,
+                 "a peer that is removed while it waits for its reconnect is not connected again",
+                 "[sidecar]") {
+  const auto order = nextConnect();
+  links.onLinkClosed(order.link, now);
+  links.remove(kPeer);
+  CHECK(links.nextTimer() == TimePoint::max());
+  now += seconds(10);
+  links.onTimer(now);
+  CHECK(actions.take().connects.empty());
+}
+
 // Sidecars that started 0.3 s before the machines of their stores lost the first SYN, and waited a second for
 // the kernel to retransmit it.
 TEST_CASE_METHOD(PeerLinksFixture, "a connect to an unresponsive peer times out early and is retried",
