--- a/tests/request_ends/request_mesh.cpp
+++ b/tests/request_ends/request_mesh.cpp
@@ -22,6 +22,8 @@
 constexpr const char* kService = "desk";
 constexpr unsigned kSlots = 3;
 constexpr Duration kHeartbeat = milliseconds(300);
+/// Sum of the shares of all events.
+constexpr std::size_t kAllShares = 200;
 constexpr Duration kMaxEventPause = milliseconds(4);
 constexpr Duration kMaxDeadline = milliseconds(120);
 constexpr Duration kMaxShortDeadline = milliseconds(12);
@@ -55,7 +57,23 @@
 
 }  // namespace
 
-RequestMesh::RequestMesh(std::uint64_t seed) : random_(seed), stores_(network_, random_, kStores) {
+RequestMesh::RequestMesh(std::uint64_t seed)
+    : random_(seed),
+      stores_(network_, random_, kStores),
+      events_{{120, [this](Machine& machine) { sendCall(machine); }},
+              {60, [this](Machine& machine) { leave(machine); }},
+              {6,
+               [this](Machine& machine) {
+                 network_.resetLinks(machine.process, machines_.at(pick(kSidecars)).process);
+               }},
+              {4, [this](Machine& machine) { suspend(machine.process); }},
+              {4, [this](Machine&) { changeConfiguration(); }},
+              {3, [this](Machine& machine) { restartTarget(machine); }},
+              {1, [this](Machine& machine) { restart(machine); }},
+              {1, [this](Machine&) { suspend(stores_.ids().at(pick(kStores))); }},
+              {1, [this](Machine& machine) {
+                 network_.resetLinks(machine.process, stores_.ids().at(pick(kStores)));
+               }}} {
   stores_.configure(drawConfiguration());
   for (std::size_t i = 0; i < kSidecars; ++i) addMachine();
   network_.runFor(seconds(2));
@@ -140,38 +158,31 @@
 
 void RequestMesh::happen() {
   auto& machine = machines_.at(pick(kSidecars));
-  constexpr std::size_t kWeights = 200;
-  const auto drawn = pick(kWeights);
-  if (drawn < 120) {
-    sendCall(machine);
-  } else if (drawn < 180) {
-    leave(machine);
-  } else if (drawn < 186) {
-    network_.resetLinks(machine.process, machines_.at(pick(kSidecars)).process);
-  } else if (drawn < 190) {
-    network_.suspend(machine.process, random_.uniform(Duration::zero(), kMaxSuspension));
-  } else if (drawn < 194) {
-    changeConfiguration();
-  } else if (drawn < 197) {
-    // The target ends with all that it runs, and starts again.
-    for (const auto run : std::exchange(machine.running, {})) {
-      network_.call(machine.process, [this, &machine, run] {
-        sidecar::RunResult broken;
-        broken.reply.outcome = wire::ForwardOutcome::Unknown;
-        coreOf(machine).onRunResult(run, broken, network_.now());
-      });
+  auto drawn = pick(kAllShares);
+  for (const auto& event : events_) {
+    if (drawn < event.share) {
+      event.happen(machine);
+      return;
     }
-    ++machine.target_start;
-    machine.sequence = 0;
-  } else if (drawn < 198) {
-    restart(machine);
-  } else if (drawn < 199) {
-    const auto store = stores_.ids().at(pick(kStores));
-    network_.suspend(store, random_.uniform(Duration::zero(), kMaxSuspension));
-  } else {
-    const auto store = stores_.ids().at(pick(kStores));
-    network_.resetLinks(machine.process, store);
+    drawn -= event.share;
+  }
+}
+
+/// The target ends with all that it runs, and starts again.
+void RequestMesh::restartTarget(Machine& machine) {
+  for (const auto run : std::exchange(machine.running, {})) {
+    network_.call(machine.process, [this, &machine, run] {
+      sidecar::RunResult broken;
+      broken.reply.outcome = wire::ForwardOutcome::Unknown;
+      coreOf(machine).onRunResult(run, broken, network_.now());
+    });
   }
+  ++machine.target_start;
+  machine.sequence = 0;
+}
+
+void RequestMesh::suspend(ProcessId process) {
+  network_.suspend(process, random_.uniform(Duration::zero(), kMaxSuspension));
 }
 
 void RequestMesh::sendCall(Machine& machine) {
--- a/tests/request_ends/request_mesh.h
+++ b/tests/request_ends/request_mesh.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -60,6 +61,12 @@
                         wire::BodyEnd end) override;
   };
 
+  struct Event {
+    /// How often it happens, among kAllShares events.
+    std::size_t share = 0;
+    std::function<void(Machine&)> happen;
+  };
+
   void addMachine();
   void sendHeartbeats(Machine& machine);
   void scheduleNext();
@@ -68,6 +75,8 @@
   void leave(Machine& machine);
   void changeConfiguration();
   void restart(Machine& machine);
+  void restartTarget(Machine& machine);
+  void suspend(ProcessId process);
   void readBytes(Machine& machine, sidecar::CallId id, std::size_t bytes);
   void endCall(Machine& machine, sidecar::CallId id, sidecar::CallOutcome outcome);
   sidecar::RunResult drawResult(const sidecar::RunRequest& order);
@@ -80,6 +89,7 @@
   rollout::test::ProcessNetwork network_;
   RandomSource random_;
   rollout::test::StoreGroup stores_;
+  const std::vector<Event> events_;
   std::deque<Machine> machines_;
   TimePoint end_;
   /// Messages of the stores may be lost or late.
