--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -393,6 +393,9 @@
     async def bounded():
         return await asyncio.wait_for(run(make, trouble), 110)
 
+    # A stop from outside ends the processes, too.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
     try:
         breaks = asyncio.run(bounded())
     except CannotRun as error:
