--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -240,11 +240,11 @@
         for role in self.roles.values():
             if not os.path.exists(os.path.join(ROOT, role["run"].split()[0])):
                 raise CannotRun(f"{role['run'].split()[0]} is not built")
-        self.folder = tempfile.mkdtemp(prefix="review-")
         zones = list(ZONES)
         self.stores = []
         self.sidecars = []
         self.ports = self._free_ports()
+        self.folder = tempfile.mkdtemp(prefix="review-")
         for number in range(stores):
             self.stores.append(Machine(self, "core", number, zones[number % 4]))
         for number, service in enumerate(sidecars):
