Target connections: one whose answer had no length is not used again

Cause: ClientConnection::park() decided by the header alone. An answer without a length ends with the server's side of the connection; a server that closes in stages leaves the other side open, and the read that waits on the kept connection does not see the same end again.

Fix: a connection is kept only if its answer said where it ends (chunks or a length), which onResponse() knew already.

--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -143,17 +143,17 @@
     }
     return;
   }
-  finish({SendOutcome::Answered, std::move(response)});
+  finish({SendOutcome::Answered, std::move(response)}, has_end);
 }
 
-void ClientConnection::finish(SendResult result) {
+void ClientConnection::finish(SendResult result, bool has_end) {
   const auto self = shared_from_this();
   const auto handler = std::exchange(handler_, nullptr);
   matcher_ = nullptr;
   request_.reset();
   client_.busy_.erase(id_);
   if (result.outcome == SendOutcome::Answered) {
-    park(result.response);
+    park(result.response, has_end);
   } else {
     close();
   }
@@ -161,8 +161,10 @@
   asio::post(client_.io_, [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
 }
 
-void ClientConnection::park(const Response& response) {
-  const bool is_usable = response.keep_alive() && !write_pending_ && buffer_.size() == 0;
+/// An answer without a length ended with the server's side of the connection, which the server may close only
+/// later: what is written there is not read.
+void ClientConnection::park(const Response& response, bool has_end) {
+  const bool is_usable = has_end && response.keep_alive() && !write_pending_ && buffer_.size() == 0;
   if (!is_usable) {
     close();
     return;
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -32,8 +32,9 @@
   void onBytes(boost::system::error_code error, std::size_t length);
   void readResponse();
   void onResponse(boost::system::error_code error);
-  void finish(SendResult result);
-  void park(const Response& response);
+  void finish(SendResult result, bool has_end = false);
+  /// @param has_end the answer said where it ends, other than with its connection.
+  void park(const Response& response, bool has_end);
 
   Client& client_;
   boost::asio::ip::tcp::socket socket_;
--- a/tests/web/server_client_test.cpp
+++ b/tests/web/server_client_test.cpp
@@ -1,7 +1,9 @@
 // The server and the client against each other and against raw bytes, on loopback with ports that the system
 // picks.
+#include <array>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <list>
 #include <optional>
 #include <string>
 #include <vector>
@@ -57,6 +59,40 @@
   bool closes_;
 };
 
+/// Answers the first bytes of each connection, ends its side, and leaves the connection open.
+class HalfClosingServer {
+ public:
+  HalfClosingServer(asio::io_context& io, std::string bytes)
+      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}), bytes_(std::move(bytes)) {
+    accept();
+  }
+  runtime::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  int connections = 0;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      ++connections;
+      sockets_.push_back(std::move(socket));
+      sockets_.back().async_read_some(
+          asio::buffer(request_),
+          [this, &socket = sockets_.back()](boost::system::error_code read_error, std::size_t) {
+            boost::system::error_code ignored;
+            if (read_error) return;
+            asio::write(socket, asio::buffer(bytes_), ignored);
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+          });
+      accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::string bytes_;
+  std::list<tcp::socket> sockets_;
+  std::array<char, 4096> request_{};
+};
+
 SendResult sendOnce(asio::io_context& io, Client& client, const std::string& id, Request request = {}) {
   std::optional<SendResult> result;
   request.version(11);
@@ -254,6 +290,17 @@
   CHECK(server.connections == 2);
 }
 
+// Guards against requests that are written into a connection which the server has ended on its side: they
+// wait there until their deadlines, and hold the target's slots.
+TEST_CASE("a connection whose answer had no length is not used again", "[web]") {
+  asio::io_context io;
+  HalfClosingServer server(io, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\none");
+  Client client(io, server.address());
+  CHECK(sendOnce(io, client, "1").response.body() == "one");
+  CHECK(sendOnce(io, client, "1").response.body() == "one");
+  CHECK(server.connections == 2);
+}
+
 TEST_CASE("an answer before the whole request is taken, and its connection is not used again", "[web]") {
   asio::io_context io;
   RawServer server(io, "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nbig", false);
