Targets' answers: only one with the request's id is taken for its answer

Cause: belongsTo() took any failure without an id for the answer to the request under way. Every request that is passed on has one id, which targets echo; bytes without it belong to no request. A 421 of that kind also made the sidecar take the running target for a past one.

--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -339,9 +339,14 @@
   CHECK_FALSE(readRunResult(result).reply.reached_target);
 }
 
-TEST_CASE("an answer without the request's id is never taken for a success", "[platform]") {
+// Guards against bytes after a whole answer that are taken for the answer to the next request: if they say that it
+// has not run, a request that may not be repeated runs twice.
+TEST_CASE("an answer without the request's id is never taken for its answer", "[platform]") {
+  const unsigned status = GENERATE(200U, 400U, 421U, 429U, 500U, 503U);
   web::Response response;
-  response.result(200);
+  response.result(status);
+  CHECK_FALSE(belongsTo(response, "r1"));
+  response.set(kNotExecuted, "1");
   CHECK_FALSE(belongsTo(response, "r1"));
   response.set(kRequestId, "r2");
   CHECK_FALSE(belongsTo(response, "r1"));
