Memory, connections and time of clients have one owner each

Cause: nobody owned the memory that a process holds for clients. Each connection alone was within max_body_bytes, at every address; nothing bounded the sum over bodies, parsers' fields, requests in progress, unread answers and parts of frames. header_timeout_s was read by nobody, an answer that nobody reads had no bound in time, and a failed accept was tried again at once.

Fix: overload::MemoryBudget owns the memory for clients of a process (half of overload.memory_mb, which the deploy files take from the platform's limits). Whoever holds bytes of clients keeps a charge of their size. What finds no room is refused with 503 before it is handed out, so "not run" is true; larger charges leave shares to smaller ones, and a request without a body is admitted while answers exceed the budget. When memory runs short, connections that keep the process waiting are closed, those with the largest charges first. A head is parsed once it is whole and charged. Connections read into one buffer of the thread. Heads have header_timeout_s, answers must move within 30 s, each address has its share of the descriptors and closes its oldest unused connection for a new one. Sidecars' control and ready take bodies of 64 KiB, stores' control 8 MiB. The allocator returns large blocks, and free pages after a large use.

Evidence: tests/misbehaving_clients, 30 kinds at each address beside ordinary callers.

--- a/rehearsal/describe/event_catalogue.cpp
+++ b/rehearsal/describe/event_catalogue.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/events.h"
 #include "consensus/events.h"
+#include "overload/events.h"
 #include "proxy/control_events.h"
 #include "proxy/events.h"
 #include "rehearsal/fleet/events.h"
@@ -61,6 +62,7 @@
           makeGroup("Proxy: requests", proxy::kDataPathEvents),
           makeGroup("Sidecar", sidecar::kSidecarEvents),
           makeGroup("Every program: HTTP servers", web::kWebEvents),
+          makeGroup("Every program: overload", overload::kOverloadEvents),
           makeGroup("Every program: start, stop, admin pages", admin::kAdminEvents),
           makeGroup("Rehearsal: stand-ins", kStandinEvents),
           makeGroup("Rehearsal: fleet", kFleetEvents),
--- a/src/admin/program_host.cpp
+++ b/src/admin/program_host.cpp
@@ -8,6 +8,7 @@
 #include "admin/process_usage.h"
 #include "base/error.h"
 #include "net/tls_context.h"
+#include "overload/heap.h"
 #include "settings/program.h"
 #include "settings/units.h"
 
@@ -41,6 +42,13 @@
                     static_cast<double>(host_.runner_->bytesSent()), {{"direction", "sent"}});
     metrics.counter("cometstand_link_bytes_total", "", static_cast<double>(host_.runner_->bytesReceived()),
                     {{"direction", "received"}});
+    metrics.gauge("cometstand_client_memory_bytes", "Memory charged for bytes of clients.",
+                  static_cast<double>(host_.memory_.used()));
+    metrics.gauge("cometstand_client_memory_limit_bytes", "Limit of the memory for bytes of clients.",
+                  static_cast<double>(host_.memory_.limit()));
+    metrics.counter("cometstand_client_memory_refusals_total",
+                    "Requests and links that were refused for want of memory.",
+                    static_cast<double>(host_.memory_.refusals()));
     addProcessUsage(metrics);
     program_.addMetrics(metrics);
   }
@@ -51,8 +59,9 @@
 };
 
 ProgramHost::ProgramHost(std::string program, const settings::CommonSettings& common,
-                         runtime::ProcessCore& core, const AdminPages& pages)
-    : program_(std::move(program)), signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+                         runtime::ProcessCore& core, const AdminPages& pages, overload::MemoryBudget& memory)
+    : program_(std::move(program)), memory_(memory), signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+  overload::configureHeap();
   settings::applyLogLevel(common);
   setLogFormat(common.log_format == "json" ? LogFormat::Json : LogFormat::Text);
   if (common.tls.enabled) {
@@ -61,7 +70,7 @@
     logEvent(kTlsDisabled, {{"program", program_}});
   }
   runner_ = std::make_unique<runtime::ProcessRunner>(
-      io_, core, runtime::RunnerOptions{common.listen, common.data_folder, tls_.get()});
+      io_, core, runtime::RunnerOptions{common.listen, common.data_folder, tls_.get(), &memory_});
   pages_ = std::make_unique<HostPages>(*this, pages);
   if (!common.admin.host.empty()) admin_ = std::make_unique<AdminServer>(io_, common.admin, *pages_);
 }
--- a/src/admin/program_host.h
+++ b/src/admin/program_host.h
@@ -11,6 +11,7 @@
 
 #include "admin/admin_pages.h"
 #include "admin/admin_server.h"
+#include "overload/memory_budget.h"
 #include "runtime/process_runner.h"
 #include "settings/common_settings.h"
 #include "settings/settings_source.h"
@@ -21,9 +22,10 @@
 /// plain TCP (logged as a warning), the admin pages, settings that are read again on SIGHUP, and the planned
 /// stop on SIGTERM or SIGINT. One thread runs all of it.
 ///
+///     overload::MemoryBudget memory(settings.common.overload.clientBytes());
 ///     StoreCore core(options, systemSeed());
 ///     const StorePages pages(core);  // an AdminPages
-///     admin::ProgramHost host("cometstand-store", settings.common, core, pages);
+///     admin::ProgramHost host("cometstand-store", settings.common, core, pages, memory);
 ///     return host.run();
 class ProgramHost {
  public:
@@ -32,9 +34,10 @@
 
   /// Carries out log.level, reads the certificates and binds the addresses.
   /// @param core, pages must outlive the host.
+  /// @param memory where all that the program holds for clients is charged. Must outlive host and core.
   /// @throw Error(InputOutput) if a certificate, an address or the data folder cannot be used.
   ProgramHost(std::string program, const settings::CommonSettings& common, runtime::ProcessCore& core,
-              const AdminPages& pages);
+              const AdminPages& pages, overload::MemoryBudget& memory);
   ~ProgramHost();
 
   ProgramHost(const ProgramHost&) = delete;
@@ -87,6 +90,7 @@
   void logStart() const;
 
   std::string program_;
+  overload::MemoryBudget& memory_;
   boost::asio::io_context io_{1};
   boost::asio::signal_set signals_;
   std::unique_ptr<boost::asio::ssl::context> tls_;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -179,6 +179,12 @@
   if (state_ == State::HalfClosed) return;
   decoder_.append(std::span(buffer).first(length));
   deliverFrames();
+  if (!chargeFrame()) close("no memory for a frame of this size");
+}
+
+bool Link::chargeFrame() {
+  const std::size_t held = decoder_.heldBytes();
+  return frame_charge_.tryResize(held > kUnchargedBytes ? held : 0);
 }
 
 void Link::deliverFrames() {
@@ -277,6 +283,7 @@
 void Link::close(const std::string& reason) {
   if (state_ == State::Closed) return;
   state_ = State::Closed;
+  frame_charge_.resize(0);
   open_timer_.cancel();
   error_code ignored;
   socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "net/frame_codec.h"
 #include "net/peer_identity.h"
+#include "overload/memory_budget.h"
 
 namespace cometstand::net {
 
@@ -41,6 +42,11 @@
   /// @param tls the context to use, or nullptr for plain TCP. Must outlive the link.
   Link(Socket socket, boost::asio::ssl::context* tls, LinkHandlers handlers);
 
+  /// Charges the received parts of frames. The link is closed when there is no room for them: a peer may be
+  /// anybody until its first frame is whole.
+  /// @param budget must outlive the link; nullptr for no limit.
+  void limitMemory(overload::MemoryBudget* budget) { frame_charge_ = overload::MemoryBudget::Charge(budget); }
+
   /// Takes an accepted socket. @param on_ready called once messages can flow.
   void accept(std::function<void(const PeerIdentity&)> on_ready);
 
@@ -75,6 +81,8 @@
   using TlsStream = boost::asio::ssl::stream<Socket>;
   using ReadyHandler = std::function<void(const PeerIdentity&)>;
   static constexpr std::size_t kReadBufferBytes = 16 * 1024;
+  /// What a link may hold without a charge: most frames are smaller.
+  static constexpr std::size_t kUnchargedBytes = 4 * 1024;
   using ReadBuffer = std::array<std::uint8_t, kReadBufferBytes>;
   enum class State {
     Opening,
@@ -93,6 +101,7 @@
   void readWaiting();
   void onRead(boost::system::error_code error, const ReadBuffer& buffer, std::size_t length);
   void deliverFrames();
+  bool chargeFrame();
   void writeNext();
   void halfClose();
   void awaitPeerClose();
@@ -107,6 +116,7 @@
   bool writing_ = false;
   boost::asio::steady_timer open_timer_;
   FrameDecoder decoder_;
+  overload::MemoryBudget::Charge frame_charge_;
   /// With TLS only.
   std::unique_ptr<ReadBuffer> secure_buffer_;
   std::deque<SharedFrame> queue_;
--- a/src/proxy/main_proxy.cpp
+++ b/src/proxy/main_proxy.cpp
@@ -15,12 +15,13 @@
 
 int runProxy(proxy::ProxySettings& settings) {
   proxy::completeProxyOptions(settings, systemSeed());
+  overload::MemoryBudget memory(settings.common.overload.clientBytes());
   proxy::ProxyProcess process(settings, systemSeed());
   const proxy::ProxyPages pages(process);
   // A proxy accepts no links from other processes.
   auto common = settings.common;
   common.listen = {};
-  admin::ProgramHost host(std::string(kProgram.name), common, process.core(), pages);
+  admin::ProgramHost host(std::string(kProgram.name), common, process.core(), pages, memory);
   process.attach(host.io(), host.runner(), [&host] { host.requestStop("an operator's order"); });
   host.addStart([&process] { process.start(); });
   host.addStopStep([&process](const std::function<void()>& done) { process.drain(done); });
--- a/src/relay/main_relay.cpp
+++ b/src/relay/main_relay.cpp
@@ -40,9 +40,10 @@
   relay::completeRelayOptions(relay);
   relay.options.seed = systemSeed();
   relay.options.first_sequence = microsecondsSince1970();
+  overload::MemoryBudget memory(relay.common.overload.clientBytes());
   relay::RelayCore core(relay.options);
   const relay::RelayPages pages(core);
-  admin::ProgramHost host(std::string(kProgram.name), relay.common, core, pages);
+  admin::ProgramHost host(std::string(kProgram.name), relay.common, core, pages, memory);
   relay::Prober prober(host.io(), relay.prober, proberHandlers(core, host.runner()));
   host.addStart([&prober] { prober.start(); });
   host.addStopStep([&prober](const std::function<void()>& done) {
--- a/src/runtime/process_runner.cpp
+++ b/src/runtime/process_runner.cpp
@@ -94,6 +94,7 @@
     if (finishing_) return;
     const LinkId id{next_incoming_++};
     auto link = std::make_shared<net::Link>(std::move(socket), options_.tls, handlersFor(id));
+    link->limitMemory(options_.memory);
     addLink(id, link);
     link->accept([this, id](const PeerIdentity& peer) {
       core_.onLinkOpened(id, peer, SteadyClock::now());
--- a/src/runtime/process_runner.h
+++ b/src/runtime/process_runner.h
@@ -33,6 +33,9 @@
   std::string data_folder;
   /// nullptr for plain TCP. Must outlive the runner.
   boost::asio::ssl::context* tls = nullptr;
+  /// Where the unread parts of frames of incoming links are charged; nullptr for no limit. Must outlive the
+  /// runner.
+  overload::MemoryBudget* memory = nullptr;
 };
 
 /// Runs one ProcessCore on an io_context: links, timer, and files, which one separate thread writes so that a
--- a/src/settings/common_settings.cpp
+++ b/src/settings/common_settings.cpp
@@ -13,6 +13,21 @@
 // In the order of LogLevel.
 constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warning", "error"};
 
+void declareOverloadSettings(SettingsTable& table, overload::OverloadOptions& options) {
+  table.integer<unsigned>(
+      "overload.memory_mb", options.memory_mb, {32, 1'000'000},
+      "Memory that the process may use, in units of 1,000,000 bytes. Requests are refused, and slow clients "
+      "disconnected, before it would be exceeded.");
+  table.number(
+      "overload.client_memory_share", options.client_memory_share, {0.1, 0.9},
+      "Share of overload.memory_mb for bytes of clients: requests and answers while they are held. The "
+      "largest body that is accepted must fit into seven eighths of it.");
+  table.integer<unsigned>(
+      "overload.max_descriptors", options.max_descriptors, {256, 1'000'000},
+      "File descriptors that the process may have open. Each address gets a share of them "
+      "for its connections.");
+}
+
 }  // namespace
 
 void declareTlsSettings(SettingsTable& table, TlsSettings& settings) {
@@ -49,6 +64,7 @@
   table.text("zone", settings.zone, "Zone of this machine.");
   table.text("region", settings.region, "Region of this machine.");
   declareTlsSettings(table, settings.tls);
+  declareOverloadSettings(table, settings.overload);
 }
 
 void applyLogLevel(const CommonSettings& settings) {
--- a/src/settings/common_settings.h
+++ b/src/settings/common_settings.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "overload/overload_options.h"
 #include "runtime/process_core.h"
 #include "settings/settings_table.h"
 
@@ -28,9 +29,10 @@
   std::string zone;
   std::string region;
   TlsSettings tls;
+  overload::OverloadOptions overload;
 };
 
-/// Declares log.level, listen.address, admin.address, data.folder, zone, region and tls.*.
+/// Declares log.level, listen.address, admin.address, data.folder, zone, region, tls.* and overload.*.
 void declareCommonSettings(SettingsTable& table, CommonSettings& settings);
 
 /// Declares tls.* alone.
--- a/src/sidecar/outbound_answers.cpp
+++ b/src/sidecar/outbound_answers.cpp
@@ -38,6 +38,9 @@
                                                         : AttemptFailure::ProtocolViolation,
                       now);
       return;
+    case ResponseIntake::Progress::NoMemory:
+      onAnswerAborted(id, call, AttemptFailure::NoMemory, now);
+      return;
   }
 }
 
--- a/src/sidecar/outbound_calls.h
+++ b/src/sidecar/outbound_calls.h
@@ -52,6 +52,8 @@
           sendAnswerGrant(attempt_number, grant);
         }) {}
 
+  /// @param budget must outlive the object.
+  void limitMemory(overload::MemoryBudget& budget) { answers_.limitMemory(budget); }
   void setRoutes(mesh::RouteTablePointer table) { table_ = std::move(table); }
   const mesh::RouteTablePointer& routes() const { return table_; }
 
@@ -98,6 +100,8 @@
     LinkLost,
     /// The endpoint answered twice, or sent more than it was granted.
     ProtocolViolation,
+    /// The answer cannot be streamed to its caller, and there is no memory to collect it.
+    NoMemory,
     DeadlineExceeded,
   };
   static const char* nameOf(AttemptFailure failure);
--- a/src/sidecar/outbound_completion.cpp
+++ b/src/sidecar/outbound_completion.cpp
@@ -34,6 +34,8 @@
       return "link_lost";
     case AttemptFailure::ProtocolViolation:
       return "unsound";
+    case AttemptFailure::NoMemory:
+      return "no_memory";
     case AttemptFailure::DeadlineExceeded:
       return "out_of_time";
   }
--- a/src/sidecar/response_intake.cpp
+++ b/src/sidecar/response_intake.cpp
@@ -10,7 +10,8 @@
   now_ = now;
   const auto grant_to = [this, attempt_id](std::uint32_t bytes) { grant(attempt_id, bytes); };
   const auto flow = credit_.open(priority, ReceiveCredit::kUnknownSize, grant_to, now, extra_latency);
-  auto& response = responses_.emplace(attempt_id, Response{reply, flow, std::nullopt}).first->second;
+  Response begun{reply, flow, std::nullopt, overload::MemoryBudget::Charge(memory_)};
+  auto& response = responses_.emplace(attempt_id, std::move(begun)).first->second;
   if (stop_due_) expedite(response, *stop_due_);
   credit_.grantMore(now);
 }
@@ -36,13 +37,18 @@
   const auto found = responses_.find(attempt_id);
   if (found == responses_.end()) return Progress::Unknown;
   now_ = now;
-  auto& [reply, flow, due] = found->second;
+  auto& [reply, flow, due, charge] = found->second;
   const bool is_granted = credit_.onReceived(flow, part.bytes.size(), now);
   if (!is_granted || part.end == wire::BodyEnd::Broken) {
     drop(attempt_id, now);
     return Progress::Broken;
   }
   reply.body.insert(reply.body.end(), part.bytes.begin(), part.bytes.end());
+  const bool is_streamable = reply.body.size() <= kStreamingThresholdBytes;
+  if (!charge.tryResize(is_streamable ? 0 : reply.body.capacity())) {
+    drop(attempt_id, now);
+    return Progress::NoMemory;
+  }
   const bool is_whole = part.end == wire::BodyEnd::Whole;
   confirm(attempt_id);
   if (is_whole) credit_.close(flow);
@@ -58,7 +64,7 @@
 }
 
 wire::ForwardReplyT ResponseIntake::beginStreaming(std::uint64_t attempt_id) {
-  auto& [reply, flow, due] = responses_.at(attempt_id);
+  auto& [reply, flow, due, charge] = responses_.at(attempt_id);
   credit_.setReader(flow, reply.body.size(), kMaxUnreadBytes);
   auto head = reply;
   reply.body.clear();
--- a/src/sidecar/response_intake.h
+++ b/src/sidecar/response_intake.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 
+#include "overload/memory_budget.h"
 #include "schema/mesh_generated.h"
 #include "sidecar/receive_credit.h"
 
@@ -28,11 +29,17 @@
     Whole,
     /// The sender aborted the response or sent more than was granted. The response was discarded.
     Broken,
+    /// There is no memory for a response that cannot be streamed. It was discarded.
+    NoMemory,
   };
 
   /// @param credit must outlive the object.
   ResponseIntake(ReceiveCredit& credit, Grant grant) : credit_(credit), grant_(std::move(grant)) {}
 
+  /// Charges the responses that are collected to the budget.
+  /// @param budget must outlive the object.
+  void limitMemory(overload::MemoryBudget& budget) { memory_ = &budget; }
+
   /// Starts to collect a response.
   /// @param reply the response with the first bytes of its body.
   /// @param priority of the request; responses with a lower value are granted first.
@@ -79,6 +86,7 @@
     ReceiveCredit::Flow flow;
     /// The due time of an expedited response.
     std::optional<TimePoint> due;
+    overload::MemoryBudget::Charge charge;
   };
 
   void expedite(Response& response, TimePoint due);
@@ -88,6 +96,7 @@
 
   ReceiveCredit& credit_;
   Grant grant_;
+  overload::MemoryBudget* memory_ = nullptr;
   /// Responses in transfer by the ID of the attempt.
   std::map<std::uint64_t, Response> responses_;
   /// The end of this sidecar's planned stop, after expediteAll().
--- a/src/sidecar/response_transfers.cpp
+++ b/src/sidecar/response_transfers.cpp
@@ -36,6 +36,7 @@
 
 ResponseTransfers::Transfers::iterator ResponseTransfers::erase(Transfers::iterator transfer) {
   held_bytes_ -= transfer->second.body.size();
+  charge_.resize(held_bytes_);
   return transfers_.erase(transfer);
 }
 
@@ -85,6 +86,7 @@
     cancel(requester);
     if (transfers_.empty()) rate_.begin(now);
     held_bytes_ += transfer.body.size();
+    charge_.resize(held_bytes_);
     transfers_.emplace(requester, std::move(transfer));
   }
   actions_.send(requester.link, std::move(reply), requester.request_id);
--- a/src/sidecar/response_transfers.h
+++ b/src/sidecar/response_transfers.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 
+#include "overload/memory_budget.h"
 #include "runtime/action_queue.h"
 #include "schema/mesh_generated.h"
 #include "sidecar/gate_requester.h"
@@ -27,6 +28,10 @@
  public:
   explicit ResponseTransfers(runtime::ActionQueue& actions) : actions_(actions) {}
 
+  /// Charges the held responses to the budget. They are held in any case: their requests have run.
+  /// @param budget must outlive the object.
+  void limitMemory(overload::MemoryBudget& budget) { charge_ = overload::MemoryBudget::Charge(&budget); }
+
   /// Sends the response, or only its first part if it exceeds the requester's initial credit.
   void send(const GateRequester& requester, wire::ForwardReplyT reply, TimePoint now);
   void onGrant(const GateRequester& requester, const wire::BodyGrantT& grant, TimePoint now);
@@ -98,6 +103,7 @@
   runtime::ActionQueue& actions_;
   Transfers transfers_;
   std::size_t held_bytes_ = 0;
+  overload::MemoryBudget::Charge charge_;
   SendRate rate_;
   /// Tracks only responses with a due time.
   UnconfirmedBytes unconfirmed_;
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "sidecar/charged_request.h"
 #include "sidecar/events.h"
 
 namespace cometstand::sidecar {
@@ -52,6 +53,12 @@
       calls_({options_, actions_, random_, endpoints_, peers_, gate_, callers, rollouts_, quarantine_,
               credit_, quota_}) {}
 
+void SidecarCore::limitMemory(overload::MemoryBudget& budget) {
+  memory_ = &budget;
+  answers_.limitMemory(budget);
+  calls_.limitMemory(budget);
+}
+
 void SidecarCore::start(const runtime::FileReader& /*files*/, TimePoint now) {
   now_ = now;
   gate_.holdRequests();
@@ -133,10 +140,20 @@
     // Slots may be free, but a retry before the link has room for the response would be refused, too.
     gate_.refuse(requester, request, wire::NotRunReason::Full, now,
                  answers_.timeUntilCapacity(request.answer_bytes, now));
-  } else if (request.announced_bytes == 0) {
-    gate_.admit(requester, std::make_shared<const wire::ForwardRequestT>(request), now);
-  } else if (!gate_.refuseNow(requester, request, now)) {
-    intake_.announce(requester, std::make_shared<wire::ForwardRequestT>(request), now);
+  } else if (request.announced_bytes == 0 || !gate_.refuseNow(requester, request, now)) {
+    admitRequest(requester, request, now);
+  }
+}
+
+void SidecarCore::admitRequest(const GateRequester& requester, const wire::ForwardRequestT& request,
+                               TimePoint now) {
+  auto held = chargeRequest(request, memory_);
+  if (held == nullptr) {
+    gate_.refuse(requester, request, wire::NotRunReason::Full, now);
+  } else if (held->announced_bytes == 0) {
+    gate_.admit(requester, std::move(held), now);
+  } else {
+    intake_.announce(requester, std::move(held), now);
   }
 }
 
--- a/src/sidecar/sidecar_core.h
+++ b/src/sidecar/sidecar_core.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "overload/memory_budget.h"
 #include "runtime/process_core.h"
 #include "sidecar/arrival_times.h"
 #include "sidecar/body_intake.h"
@@ -26,6 +27,11 @@
   /// @param target, callers must outlive the core.
   SidecarCore(SidecarOptions options, std::uint64_t seed, TargetPort& target, CallerPort& callers);
 
+  /// Charges what is held for other sidecars' requests, and answers that are collected, to the budget. Call
+  /// it before start(); without it nothing is counted.
+  /// @param budget must outlive the object.
+  void limitMemory(overload::MemoryBudget& budget);
+
   // Events from outside. The runner must call flush() after each of them.
   void onCall(CallId id, Call call, TimePoint now) {
     advance(now);
@@ -123,6 +129,8 @@
 
   void onRequesterMessage(runtime::LinkId link, const wire::EnvelopeT& message, TimePoint now);
   void onRequesterRequest(GateRequester requester, const wire::ForwardRequestT& request, TimePoint now);
+  /// Admits the request, or its announced body, if there is memory for it.
+  void admitRequest(const GateRequester& requester, const wire::ForwardRequestT& request, TimePoint now);
   void replyToRequester(const GateRequester& requester, wire::ForwardReplyT reply);
   BodyIntake::Listener intakeListener();
   void onTargetChanged(TargetChangeCause cause, TimePoint now);
@@ -162,6 +170,7 @@
   TimePoint rollout_report_at_;
   TargetGate gate_;
   ReceiveCredit credit_;
+  overload::MemoryBudget* memory_ = nullptr;
   BodyIntake intake_;
   ArrivalTimes arrivals_;
   ResponseTransfers answers_;
--- a/src/store/main_store.cpp
+++ b/src/store/main_store.cpp
@@ -16,9 +16,10 @@
 
 int runStore(store::StoreSettings& store) {
   store::completeStoreOptions(store);
+  overload::MemoryBudget memory(store.common.overload.clientBytes());
   store::StoreCore core(store.options, systemSeed());
   const store::StorePages pages(core);
-  admin::ProgramHost host(std::string(kProgram.name), store.common, core, pages);
+  admin::ProgramHost host(std::string(kProgram.name), store.common, core, pages, memory);
   return host.run();
 }
 
--- a/src/web/server.h
+++ b/src/web/server.h
@@ -7,11 +7,13 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/vector_body.hpp>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
 
+#include "overload/memory_budget.h"
 #include "runtime/deliveries.h"
 #include "runtime/intake.h"
 #include "runtime/process_core.h"
@@ -43,6 +45,8 @@
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
+  /// From the first byte of a request to the end of its head.
+  Duration header_time = std::chrono::seconds(10);
   /// From the first byte of a request to its last one.
   Duration read_time = std::chrono::seconds(30);
   /// Between two requests on one connection.
@@ -64,15 +68,29 @@
   virtual ServerLimits limits() const { return {}; }
 };
 
+/// What a server may use of its process.
+struct ServerResources {
+  /// Where requests and answers are charged. Must outlive the server.
+  overload::MemoryBudget& memory;
+  /// Connections at once. At the limit, those that have sent no whole request, or have got their last answer,
+  /// are closed for new ones.
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+};
+
 class ServerConnection;
 
 /// An HTTP/1.1 server on one address. Requests are held whole, answers may be handed in in parts; answers go
 /// back in the order of the requests of a connection. Must live until the io_context has stopped running.
-class Server : public runtime::Deliveries, public runtime::Intake {
+///
+/// Requests and answers are charged to the memory budget. A request for which there is no room is refused
+/// with 503 before it is handed out. When the budget runs short, connections that keep the server waiting for
+/// their bytes, or do not read their answers, are closed, those with the largest charges first.
+class Server : public runtime::Deliveries, public runtime::Intake, public overload::MemoryHolder {
  public:
   /// @param handler must outlive the server.
   /// @throw Error(InputOutput) if the address cannot be used.
-  Server(boost::asio::io_context& io, const runtime::Address& address, RequestHandler& handler);
+  Server(boost::asio::io_context& io, const runtime::Address& address, RequestHandler& handler,
+         const ServerResources& resources);
   ~Server() override;
 
   Server(const Server&) = delete;
@@ -95,6 +113,7 @@
   std::size_t undelivered() const override;
   void closeIdle() override;
   void end() override;
+  void reclaim() override;
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -110,16 +129,27 @@
   bool readsAhead(TimePoint now) const { return !stop_began_ || now < *stop_began_ + kReadAheadTime; }
   void acceptNext();
   void add(boost::asio::ip::tcp::socket socket);
+  /// @return true if there is room for one more connection.
+  bool makeRoom();
+  /// @return false if there is none.
+  bool closeOldestExpendable();
   void sweep();
+  void shedSlow();
 
   boost::asio::io_context& io_;
   RequestHandler& handler_;
+  const ServerResources resources_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_timer_;
+  boost::asio::steady_timer accept_pause_;
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::map<ExchangeId, ServerConnection*> exchanges_;
   std::uint64_t next_exchange_ = 1;
   std::optional<TimePoint> stop_began_;
+  bool reclaim_posted_ = false;
+  /// Connections that have sent no whole request, or whose last answer is written, oldest first.
+  std::map<std::uint64_t, ServerConnection*> expendable_;
+  std::uint64_t next_connection_ = 1;
 };
 
 }  // namespace cometstand::web
--- a/src/web/server_connection_parts.cpp
+++ b/src/web/server_connection_parts.cpp
@@ -1,6 +1,4 @@
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/write.hpp>
 #include <sstream>
 #include <utility>
 
@@ -31,6 +29,7 @@
   item->in_parts = true;
   item->part = std::exchange(response.body(), {});
   item->response = std::move(response);
+  chargePart(*item);
   writeNext();
 }
 
@@ -38,19 +37,23 @@
   auto* item = find(id);
   if (item == nullptr || !item->in_parts || item->end != PartEnd::More) return;
   item->part += bytes;
+  chargePart(*item);
   item->end = end;
   if (end != PartEnd::More) server_.exchanges_.erase(id);
   writeNext();
 }
 
+/// The request is held until its answer is whole.
+void ServerConnection::chargePart(Pending& item) {
+  item.charge.resize(item.request_bytes + item.part.size());
+}
+
 std::string ServerConnection::headOf(const Pending& item) {
   Response head = *item.response;
   head.version(kHttp11);
   head.keep_alive(!item.is_last);
   head.chunked(true);
-  std::ostringstream text;
-  text << head.base();
-  return text.str();
+  return textOf(head);
 }
 
 /// Writes what has come of the front one's answer.
@@ -61,19 +64,18 @@
     asio::post(server_.io_, [self = shared_from_this()] { self->close(); });
     return;
   }
-  const auto bytes = std::make_shared<std::string>();
+  const auto outgoing = std::make_shared<Outgoing>();
   if (!std::exchange(item.head_written, true)) {
     prepareLast(item);
-    *bytes += headOf(item);
+    outgoing->head = headOf(item);
   }
   const std::string part = std::exchange(item.part, {});
-  if (!part.empty()) *bytes += chunkOf(part);
-  if (item.end == PartEnd::Last) *bytes += kLastChunk;
-  if (bytes->empty()) return;
-  writing_ = true;
-  asio::async_write(socket_, asio::buffer(*bytes),
-                    [self = shared_from_this(), bytes, id = *item.id, length = part.size(), end = item.end](
-                        error_code error, std::size_t) { self->onPartWritten(error, id, length, end); });
+  if (!part.empty()) outgoing->body = chunkOf(part);
+  if (item.end == PartEnd::Last) outgoing->end = kLastChunk;
+  if (outgoing->head.empty() && part.empty() && outgoing->end.empty()) return;
+  write(outgoing, [this, id = *item.id, length = part.size(), end = item.end](error_code error) {
+    onPartWritten(error, id, length, end);
+  });
 }
 
 void ServerConnection::onPartWritten(error_code error, ExchangeId id, std::size_t body_bytes, PartEnd end) {
@@ -83,6 +85,7 @@
   }
   writing_ = false;
   if (state_ != State::Open) return;
+  chargePart(pending_.front());
   if (body_bytes > 0) server_.handler_.onBodyWritten(id, body_bytes);
   writeNext();
 }
--- a/tests/admin/program_host_test.cpp
+++ b/tests/admin/program_host_test.cpp
@@ -110,7 +110,8 @@
 TEST_CASE("the admin pages tell what is so at that moment", "[admin]") {
   TestCore core;
   TestPages pages;
-  ProgramHost host("test", loopbackSettings(), core, pages);
+  overload::MemoryBudget memory(std::numeric_limits<std::size_t>::max());
+  ProgramHost host("test", loopbackSettings(), core, pages, memory);
   RunningHost running(host);
   const auto address = host.adminAddress();
 
@@ -140,7 +141,8 @@
 TEST_CASE("the admin pages refuse what they do not serve", "[admin]") {
   TestCore core;
   const TestPages pages;
-  ProgramHost host("test", loopbackSettings(), core, pages);
+  overload::MemoryBudget memory(std::numeric_limits<std::size_t>::max());
+  ProgramHost host("test", loopbackSettings(), core, pages, memory);
   const RunningHost running(host);
   const auto address = host.adminAddress();
 
@@ -156,7 +158,8 @@
   TestCore core;
   TestPages pages;
   pages.ready = true;
-  ProgramHost host("test", loopbackSettings(), core, pages);
+  overload::MemoryBudget memory(std::numeric_limits<std::size_t>::max());
+  ProgramHost host("test", loopbackSettings(), core, pages, memory);
   std::string order;
   std::function<void()> finish_first;
   host.addStart([&] { order += "start "; });
@@ -211,7 +214,8 @@
   };
   TestCore core;
   const TestPages pages;
-  ProgramHost host("test", loopbackSettings(), core, pages);
+  overload::MemoryBudget memory(std::numeric_limits<std::size_t>::max());
+  ProgramHost host("test", loopbackSettings(), core, pages, memory);
   host.setReload(source, load);
   RunningHost running(host);
   const auto address = host.adminAddress();
@@ -234,7 +238,8 @@
 TEST_CASE("a core that stops by itself ends the program", "[admin]") {
   TestCore core(true);
   const TestPages pages;
-  ProgramHost host("test", loopbackSettings(), core, pages);
+  overload::MemoryBudget memory(std::numeric_limits<std::size_t>::max());
+  ProgramHost host("test", loopbackSettings(), core, pages, memory);
   boost::asio::steady_timer limit(host.io(), kTestTimeLimit);
   bool limit_passed = false;
   limit.async_wait([&](boost::system::error_code error) {
--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -23,7 +23,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kRedirect = 307;
 constexpr unsigned kUnavailable = 503;
-constexpr const char* kHost = "shop.example";
 constexpr const char* kOneRoute = R"(
   "routes":{"all":{"host":"shop.example","path_prefix":"/","kind":"safe","timeout_s":8,"aim_s":1,
                    "priority":1,"service":"shop","max_attempts":2}},
@@ -47,8 +46,9 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
-PlatformMesh::PlatformMesh(std::size_t sidecars, Duration work_time)
-    : link_port_(io_),
+PlatformMesh::PlatformMesh(std::size_t sidecars, Duration work_time, unsigned sidecar_memory_mb)
+    : sidecar_memory_mb_(sidecar_memory_mb),
+      link_port_(io_),
       control_port_(io_),
       ready_port_(io_),
       caller_port_(io_),
@@ -180,10 +180,44 @@
   for (auto& store : store_processes_) store->sendSignal(signal);
 }
 
-boost::asio::ip::tcp::endpoint PlatformMesh::callerEndpoint(std::size_t zone) const {
+PlatformMesh::Endpoint PlatformMesh::callerEndpoint(std::size_t zone) const {
   return {boost::asio::ip::make_address(sidecarHost(zone)), caller_port_.port()};
 }
 
+PlatformMesh::Endpoint PlatformMesh::readyEndpoint(std::size_t zone) const {
+  return {boost::asio::ip::make_address(sidecarHost(zone)), ready_port_.port()};
+}
+
+PlatformMesh::Endpoint PlatformMesh::controlEndpoint(std::size_t zone) const {
+  return {boost::asio::ip::make_address(sidecarHost(zone)), control_port_.port()};
+}
+
+PlatformMesh::Endpoint PlatformMesh::linkEndpoint(std::size_t zone) const {
+  return {boost::asio::ip::make_address(sidecarHost(zone)), link_port_.port()};
+}
+
+PlatformMesh::Endpoint PlatformMesh::storeEndpoint(std::size_t store) const {
+  return {boost::asio::ip::make_address(storeHost(store)), control_port_.port()};
+}
+
+PlatformMesh::Endpoint PlatformMesh::storeLinkEndpoint(std::size_t store) const {
+  return {boost::asio::ip::make_address(storeHost(store)), link_port_.port()};
+}
+
+std::vector<MeshProcess> PlatformMesh::processes() {
+  std::vector<MeshProcess> all;
+  for (std::size_t store = 0; store < storeCount(); ++store) {
+    const auto& process = store_processes_.at(store);
+    if (process != nullptr)
+      all.push_back({fmt::format("store-{}", store + 1), process->id(), storeHost(store)});
+  }
+  for (std::size_t zone = 0; zone < sidecarCount(); ++zone) {
+    all.push_back(
+        {fmt::format("sidecar-{}", zone + 1), sidecar_processes_.at(zone)->id(), sidecarHost(zone)});
+  }
+  return all;
+}
+
 std::string PlatformMesh::logs() const {
   std::string text;
   for (const auto& entry : std::filesystem::directory_iterator(folder_.path())) {
@@ -196,7 +230,7 @@
 
 unsigned PlatformMesh::call(std::size_t zone, const std::map<std::string, std::string>& fields) {
   const auto id = fmt::format("request-{}", ++calls_);
-  HttpQuestion question{"GET", kHost, "/", "", {{kRequestId, id}, {kDeadline, "8000"}}};
+  HttpQuestion question{"GET", kTestHost, "/", "", {{kRequestId, id}, {kDeadline, "8000"}}};
   question.fields.insert(fields.begin(), fields.end());
   return ask(sidecarHost(zone), caller_port_, question).status;
 }
@@ -211,11 +245,12 @@
   return seeds;
 }
 
-std::string PlatformMesh::commonSettings(const std::string& host, std::size_t zone) const {
+std::string PlatformMesh::commonSettings(const std::string& host, std::size_t zone,
+                                         unsigned memory_mb) const {
   return fmt::format(
       "zone = \"{0}\"\nregion = \"region\"\nlisten.address = \"{1}:{2}\"\ntls.enabled = false\n"
-      "platform.control = \"{1}:{3}\"\nplatform.seeds = [{4}]\n",
-      zoneName(zone), host, link_port_.port(), control_port_.port(), seedList());
+      "platform.control = \"{1}:{3}\"\nplatform.seeds = [{4}]\noverload.memory_mb = {5}\n",
+      zoneName(zone), host, link_port_.port(), control_port_.port(), seedList(), memory_mb);
 }
 
 std::unique_ptr<rehearsal::ChildProcess> PlatformMesh::startProgram(const std::string& name,
@@ -234,7 +269,7 @@
 
 void PlatformMesh::startStore(std::size_t store, bool bootstrap) {
   const auto name = fmt::format("store-{}", store + 1);
-  const auto settings = commonSettings(storeHost(store), store % kZones) +
+  const auto settings = commonSettings(storeHost(store), store % kZones, kStoreMemoryMb) +
                         fmt::format("data.folder = \"{}\"\n[store]\nname = \"{}\"\nbootstrap = {}\n",
                                     storeFolder(store).string(), name, bootstrap);
   store_processes_.at(store) = startProgram(name, STORE_PROGRAM, settings);
@@ -244,7 +279,7 @@
   const auto name = fmt::format("sidecar-{}", zone + 1);
   const auto host = sidecarHost(zone);
   const auto settings =
-      commonSettings(host, zone % kZones) +
+      commonSettings(host, zone % kZones, sidecar_memory_mb_) +
       fmt::format(
           "platform.ready = \"{0}:{1}\"\nplatform.callers = \"{0}:{2}\"\nplatform.target = \"{0}:{3}\"\n"
           "platform.service = \"{4}\"\n[sidecar]\nnode = \"{5}\"\nanswer_credit = 8192\n",
@@ -288,7 +323,7 @@
   request.version(11);
   request.method(boost::beast::http::verb::get);
   request.target("/");
-  request.set(boost::beast::http::field::host, kHost);
+  request.set(boost::beast::http::field::host, kTestHost);
   request.set(kRequestId, fmt::format("kept-{}", ++sends_));
   request.set(kDeadline, "1000");
   clients_.at(zone).send(
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -23,6 +23,17 @@
 
 namespace cometstand::platform {
 
+/// Host of the route that serveOneRoute() sets.
+inline constexpr const char* kTestHost = "shop.example";
+
+/// One of the programs that a mesh runs.
+struct MeshProcess {
+  std::string name;
+  pid_t id = 0;
+  /// IP address of its machine.
+  std::string host;
+};
+
 /// A folder of this test's own, which goes with all it holds.
 class TemporaryFolder {
  public:
@@ -45,10 +56,15 @@
  public:
   static constexpr std::size_t kStores = 3;
   static constexpr std::size_t kZones = 2;
+  /// Memory of the usual machines, in units of 1,000,000 bytes.
+  static constexpr unsigned kSidecarMemoryMb = 260;
+  static constexpr unsigned kStoreMemoryMb = 256;
 
   /// Starts all programs. They have no configuration yet.
   /// @param work_time how long a target works on each request.
-  explicit PlatformMesh(std::size_t sidecars = kZones, Duration work_time = Duration::zero());
+  /// @param sidecar_memory_mb memory of a sidecar's machine, in units of 1,000,000 bytes.
+  explicit PlatformMesh(std::size_t sidecars = kZones, Duration work_time = Duration::zero(),
+                        unsigned sidecar_memory_mb = kSidecarMemoryMb);
   ~PlatformMesh();
   PlatformMesh(const PlatformMesh&) = delete;
   PlatformMesh& operator=(const PlatformMesh&) = delete;
@@ -114,8 +130,21 @@
   rehearsal::ProcessEnd waitForSidecarEnd(std::size_t zone, Duration limit) {
     return sidecar_processes_.at(zone)->waitForEnd(limit);
   }
+  using Endpoint = boost::asio::ip::tcp::endpoint;
   /// @return where the zone's callers ask.
-  boost::asio::ip::tcp::endpoint callerEndpoint(std::size_t zone) const;
+  Endpoint callerEndpoint(std::size_t zone) const;
+  /// @return where the platform asks whether the zone's sidecar is ready.
+  Endpoint readyEndpoint(std::size_t zone) const;
+  /// @return where the zone's target sends its heartbeats.
+  Endpoint controlEndpoint(std::size_t zone) const;
+  /// @return where the zone's sidecar takes links of other nodes.
+  Endpoint linkEndpoint(std::size_t zone) const;
+  /// @return where operators call the store.
+  Endpoint storeEndpoint(std::size_t store) const;
+  /// @return where the store takes links of other nodes.
+  Endpoint storeLinkEndpoint(std::size_t store) const;
+  /// @return the programs that run.
+  std::vector<MeshProcess> processes();
   /// Sends a request of a new id to the zone's sidecar.
   /// @return the status of the answer, or 0 if there is none.
   /// @param fields further header fields.
@@ -130,12 +159,13 @@
   std::string sidecarHost(std::size_t zone) const { return host(1 + kStores + zone); }
   rehearsal::HttpAnswer ask(const std::string& host, const rehearsal::ReservedPort& port,
                             const rehearsal::HttpQuestion& question) const;
-  std::string commonSettings(const std::string& host, std::size_t zone) const;
+  std::string commonSettings(const std::string& host, std::size_t zone, unsigned memory_mb) const;
   std::unique_ptr<rehearsal::ChildProcess> startProgram(const std::string& name, const char* program,
                                                         const std::string& settings) const;
   void startStore(std::size_t store, bool bootstrap);
   void startSidecar(std::size_t zone);
 
+  const unsigned sidecar_memory_mb_;
   TemporaryFolder folder_;
   boost::asio::io_context io_;
   const rehearsal::ReservedPort link_port_;
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -33,7 +33,7 @@
 
 StandInTarget::StandInTarget(boost::asio::io_context& io, TargetPlan plan)
     : plan_(std::move(plan)),
-      server_(io, plan_.listen, *this),
+      server_(io, plan_.listen, *this, {memory_}),
       client_(io, plan_.sidecar),
       timer_(io),
       born_ms_(unixMilliseconds()) {}
--- a/tests/platform_processes/stand_in_target.h
+++ b/tests/platform_processes/stand_in_target.h
@@ -96,6 +96,7 @@
   Duration coldRemaining() const;
 
   const TargetPlan plan_;
+  overload::MemoryBudget memory_{std::numeric_limits<std::size_t>::max()};
   web::Server server_;
   web::Client client_;
   boost::asio::steady_timer timer_;
--- a/tests/web/server_fixture.h
+++ b/tests/web/server_fixture.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -54,7 +55,11 @@
 struct ServerFixture {
   using Socket = boost::asio::ip::tcp::socket;
 
-  ServerFixture() : server(io, {"127.0.0.1", 0}, handler) {
+  static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+
+  /// @param memory_limit of the server's budget, in bytes.
+  explicit ServerFixture(std::size_t memory_limit = kUnlimited, std::size_t max_connections = kUnlimited)
+      : memory(memory_limit), server(io, {"127.0.0.1", 0}, handler, {memory, max_connections}) {
     handler.server = &server;
     server.start();
   }
@@ -111,6 +116,7 @@
 
   boost::asio::io_context io;
   EchoHandler handler;
+  overload::MemoryBudget memory;
   Server server;
 };
 
