Soak: crowds of misbehaving clients beside all other faults

tests/mesh_soak gets misbehaving clients as a further kind: crowds of drawn kinds (tests/misbehaving_clients) at drawn addresses of sidecars and stores, two series at a time, while callers keep their connections until the process is gone and planned stops, kills, suspensions, losses of stores and changes of the configuration overlap.

--- a/tests/mesh_soak/mesh_soak_test.cpp
+++ b/tests/mesh_soak/mesh_soak_test.cpp
@@ -1,6 +1,6 @@
 // Series of faults of sidecars, targets and stores that overlap, drawn by seed, beside callers that use their
 // connections until the process is gone and an operator who changes the configuration. All programs are real
-// processes.
+// processes. Crowds of misbehaving clients come and go meanwhile.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "base/event_log.h"
+#include "mesh_soak/client_series.h"
 #include "mesh_soak/sidecar_faults.h"
 #include "mesh_soak/soak_callers.h"
 #include "mesh_soak/soak_configuration.h"
@@ -114,12 +115,15 @@
     Schedule schedule;
     SidecarFaults sidecar_faults(mesh, schedule, seed);
     StoreFaults store_faults(mesh, schedule, seed);
+    ClientSeries misbehaving(mesh, schedule, seed);
     sidecar_faults.begin(kFaultTime);
+    misbehaving.begin(kFaultTime);
     store_faults.begin(kFaultTime);
     while (!schedule.empty()) {
       schedule.runDue();
       sidecar_faults.check();
       store_faults.check();
+      misbehaving.check();
       pauseFor(kStep);
     }
     checkAllServed(mesh, callers);
@@ -129,14 +133,16 @@
     store_faults.check();
     checkNone(sidecar_faults.failures());
     checkNone(store_faults.failures());
+    checkNone(misbehaving.failures());
     checkNone(findLastWords(mesh));
     checkNone(findCutRequests(mesh, callers, sidecar_faults));
     CHECK(configurations.refusal() == 0);
     CHECK(mesh.readConfiguration().find(fmt::format("\"r{}\"", configurations.version())) !=
           std::string::npos);
-    WARN(fmt::format("seed {}: {} planned stops, {} kills, {} faults of stores, version {}, {} late or left",
-                     seed, sidecar_faults.plannedStops(), sidecar_faults.kills(), store_faults.count(),
-                     configurations.version(), callers.lateAndLeft()));
+    WARN(fmt::format(
+        "seed {}: {} planned stops, {} kills, {} faults of stores, version {}, {} late or left, {} crowds",
+        seed, sidecar_faults.plannedStops(), sidecar_faults.kills(), store_faults.count(),
+        configurations.version(), callers.lateAndLeft(), misbehaving.count()));
   }
 }
 
