--- a/tests/misbehaving_clients/client_kinds.cpp
+++ b/tests/misbehaving_clients/client_kinds.cpp
@@ -131,7 +131,7 @@
   co_return true;
 }
 
-Play bodies(BodyPlan plan) {
+Play bodies(const BodyPlan& plan) {
   return
       [plan](Socket& socket, const Door& door) -> awaitable<void> { co_await sendBody(socket, door, plan); };
 }
--- a/tests/misbehaving_clients/crowd_play.cpp
+++ b/tests/misbehaving_clients/crowd_play.cpp
@@ -122,7 +122,7 @@
   fmt::print("{}: {} connections; MiB:{}; served:{}\n", nameOf(plan), connected, memory, sharesText());
   std::fflush(stdout);
   INFO(nameOf(plan));
-  CHECK(watch.exceeded() == std::vector<std::string>());
+  for (const auto& line : watch.exceeded()) FAIL_CHECK(line);
   CHECK(is_timely);
   checkShares(plan, "beside them", kLeastPressed);
   restartEnded();
--- a/tests/misbehaving_clients/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients/misbehaving_clients_test.cpp
@@ -195,7 +195,7 @@
   INFO("chunks of " << chunk_bytes << " bytes, beside the target: " << is_beside_target << ", of "
                     << memory_mb << " MB");
   CHECK(statusOf(door, upload) == kOk);
-  CHECK(watch.exceeded() == std::vector<std::string>());
+  for (const auto& line : watch.exceeded()) FAIL_CHECK(line);
   for (const auto& process : processes)
     fmt::print("{}: {} MiB\n", process.name, watch.peakOf(process.name).with_queues >> 20U);
 }
--- a/tests/misbehaving_clients/ordinary_callers.cpp
+++ b/tests/misbehaving_clients/ordinary_callers.cpp
@@ -103,7 +103,7 @@
       });
 }
 
-void OrdinaryCallers::onResult(Request request, const web::SendResult& result) {
+void OrdinaryCallers::onResult(const Request& request, const web::SendResult& result) {
   const bool is_served = result.outcome == web::SendOutcome::Answered && result.response.result_int() == kOk;
   const Duration time_left = request.deadline - SteadyClock::now();
   if (is_served || request.attempts == kMaxAttempts || time_left <= kRetryPause) {
--- a/tests/misbehaving_clients/ordinary_callers.h
+++ b/tests/misbehaving_clients/ordinary_callers.h
@@ -46,7 +46,7 @@
 
   void begin(std::size_t sidecar);
   void attempt(Request request);
-  void onResult(Request request, const web::SendResult& result);
+  void onResult(const Request& request, const web::SendResult& result);
   void finish(const Request& request, bool is_served);
   void after(Duration pause, std::function<void()> action);
 
