--- a/src/overload/memory_budget.h
+++ b/src/overload/memory_budget.h
@@ -69,6 +69,8 @@
   void addHolder(MemoryHolder& holder) { holders_.push_back(&holder); }
   std::size_t used() const { return used_; }
   std::size_t limit() const { return limit_; }
+  /// @return the largest charge for which there is room if nothing else is held.
+  std::size_t largestCharge() const { return limit_ - limit_ / kSmallChargesDivisor; }
   /// @return true if forced charges have exceeded the budget.
   bool isExceeded() const { return used_ > limit_; }
   /// @return true if holders should go on to reclaim memory.
--- a/src/sidecar/response_intake.cpp
+++ b/src/sidecar/response_intake.cpp
@@ -44,8 +44,10 @@
     return Progress::Broken;
   }
   reply.body.insert(reply.body.end(), part.bytes.begin(), part.bytes.end());
-  const bool is_streamable = reply.body.size() <= kStreamingThresholdBytes;
-  if (!charge.tryResize(is_streamable ? 0 : reply.body.capacity())) {
+  const std::size_t held = reply.body.capacity();
+  if (held <= 2 * kStreamingThresholdBytes) {
+    charge.resize(held);
+  } else if (!charge.tryResize(held)) {
     drop(attempt_id, now);
     return Progress::NoMemory;
   }
--- a/src/sidecar/sidecar_core.cpp
+++ b/src/sidecar/sidecar_core.cpp
@@ -55,6 +55,7 @@
 
 void SidecarCore::limitMemory(overload::MemoryBudget& budget) {
   memory_ = &budget;
+  gate_.limitMemory(budget);
   answers_.limitMemory(budget);
   calls_.limitMemory(budget);
 }
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -41,6 +41,7 @@
   if (isClosed(now)) return wire::NotRunReason::Leaving;
   if (quarantine_.isQuarantined(request)) return wire::NotRunReason::Quarantined;
   if (std::chrono::milliseconds(request.deadline_ms) < kMinTimeLeft) return wire::NotRunReason::Deadline;
+  if (memory_ != nullptr && memory_->isExceeded()) return wire::NotRunReason::Full;
   return std::nullopt;
 }
 
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "mesh/route_table.h"
+#include "overload/memory_budget.h"
 #include "sidecar/cold_start_tracker.h"
 #include "sidecar/gate_requester.h"
 #include "sidecar/metrics.h"
@@ -45,6 +46,9 @@
         cold_limit_(coldBounds(options)),
         watch_(port, [this] { return runsAtTarget(); }) {}
 
+  /// Refuses requests while the budget is exceeded: their answers would be held as well.
+  /// @param budget must outlive the gate.
+  void limitMemory(const overload::MemoryBudget& budget) { memory_ = &budget; }
   TargetState& target() { return target_; }
   const TargetState& target() const { return target_; }
 
@@ -218,6 +222,7 @@
   std::vector<TargetWatch::Run> runsAtTarget() const;
 
   const SidecarOptions& options_;
+  const overload::MemoryBudget* memory_ = nullptr;
   TargetPort& port_;
   Quarantine& quarantine_;
   Answer answer_;
--- a/src/web/server.cpp
+++ b/src/web/server.cpp
@@ -74,7 +74,18 @@
 bool Server::makeRoom() {
   if (connections_.size() < resources_.max_connections) return true;
   logEvent(kTooManyConnections, {{"connections", connections_.size()}, {"expendable", expendable_.size()}});
-  return closeOldestExpendable();
+  return closeOldestExpendable() || (resources_.closes_resting && closeLongestResting());
+}
+
+bool Server::closeLongestResting() {
+  std::shared_ptr<ServerConnection> longest;
+  for (const auto& [key, connection] : connections_) {
+    const bool is_longer = longest == nullptr || connection->restsSince() < longest->restsSince();
+    if (is_longer && connection->isResting()) longest = connection;
+  }
+  if (longest == nullptr) return false;
+  longest->close();
+  return true;
 }
 
 /// A caller that sends its request at once is not mistaken for one that sends nothing: what it has sent may
--- a/src/web/server.h
+++ b/src/web/server.h
@@ -75,6 +75,9 @@
   /// Connections at once. At the limit, those that have sent no whole request, or have got their last answer,
   /// are closed for new ones.
   std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+  /// If there are none, the connection that has rested longest is closed for a new one. For addresses whose
+  /// callers need no kept connections.
+  bool closes_resting = false;
 };
 
 class ServerConnection;
@@ -133,6 +136,7 @@
   bool makeRoom();
   /// @return false if there is none.
   bool closeOldestExpendable();
+  bool closeLongestResting();
   void sweep();
   void shedSlow();
 
--- a/src/web/server_connection.cpp
+++ b/src/web/server_connection.cpp
@@ -42,6 +42,8 @@
 /// A caller that moves nothing for so long is slow as well, before the interval ends. It spans some losses of
 /// packets.
 constexpr Duration kStalledTime = std::chrono::milliseconds(500);
+/// The same for a caller that does not read while answers exceed the memory: nobody else is served meanwhile.
+constexpr Duration kUrgentStalledTime = std::chrono::milliseconds(200);
 /// Requests of one connection are not handed out ahead while those before them, with their answers, hold
 /// more.
 constexpr std::size_t kMaxPipelinedBytes = 1024 * 1024;
@@ -94,7 +96,7 @@
   if (state_ == State::Lingering) return lingersTooLong(now);
   if (writing_ && progressed_at_ + kStalledWriteTime < now) return true;
   if (!pending_.empty()) return false;
-  if (isReadingHead()) return since_ + limits.header_time < now;
+  if (isReadingHead()) return since_ + std::min(limits.header_time, limits.read_time) < now;
   return since_ + (parser_ ? limits.read_time : limits.idle_time) < now;
 }
 
@@ -119,7 +121,9 @@
 }
 
 bool ServerConnection::isSlow(TimePoint now) const {
-  return awaitsCaller() && (is_slow_ || progressed_at_ + kStalledTime < now);
+  if (!awaitsCaller()) return false;
+  const bool is_urgent = writing_ && server_.resources_.memory.isExceeded();
+  return is_slow_ || progressed_at_ + (is_urgent ? kUrgentStalledTime : kStalledTime) < now;
 }
 
 std::size_t ServerConnection::chargedBytes() const {
@@ -205,6 +209,10 @@
   awaitBytes();
 }
 
+bool ServerConnection::isResting() const {
+  return state_ == State::Open && pending_.empty() && !parser_ && buffer_.size() == 0 && !hasUnreadBytes();
+}
+
 bool ServerConnection::hasUnreadBytes() const {
   error_code ignored;
   return socket_.available(ignored) > 0;
@@ -310,7 +318,12 @@
     if (!is_growing && body.capacity() < body_limit_) body.reserve(static_cast<std::size_t>(body_limit_));
   }
   if (charge_.tryResize(head_cost_ + bytes)) return true;
-  refuseForMemory();
+  if (bytes > server_.resources_.memory.largestCharge()) {
+    logEvent(kRequestTooLarge, {{"part", "body"}, {"reason", "larger than the memory for clients"}});
+    refuse(http::status::payload_too_large);
+  } else {
+    refuseForMemory();
+  }
   return false;
 }
 
--- a/src/web/server_connection.h
+++ b/src/web/server_connection.h
@@ -42,6 +42,9 @@
   /// @return true if the server waits for this caller, who has sent or read nothing for a while, or next to
   /// nothing in the last whole interval.
   bool isSlow(TimePoint now) const;
+  /// @return true if nothing of a request has come since the last answer.
+  bool isResting() const;
+  TimePoint restsSince() const { return since_; }
   /// @return true if the kernel holds bytes of the caller.
   bool hasUnreadBytes() const;
   /// @return bytes charged for requests and answers.
--- a/tests/web/overload_test.cpp
+++ b/tests/web/overload_test.cpp
@@ -140,4 +140,25 @@
   CHECK(fixture.readUntil(used, "/").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a readiness address that is filled by connections which were used once and then rest.
+TEST_CASE("where no connections are kept, the one that has rested longest makes room", "[web][overload]") {
+  constexpr std::size_t kConnections = 4;
+  ServerFixture fixture(ServerFixture::kUnlimited, kConnections, true);
+  std::vector<ServerFixture::Socket> resting;
+  for (std::size_t count = 0; count < 2 * kConnections; ++count) {
+    resting.push_back(fixture.connect());
+    ServerFixture::write(resting.back(), kGet);
+    CHECK(fixture.readUntil(resting.back(), "/").starts_with("HTTP/1.1 200"));
+  }
+  CHECK(fixture.server.connections() == kConnections);
+}
+
+// Guards against callers who are told to come back with a body that can never be held.
+TEST_CASE_METHOD(OverloadFixture, "a body larger than the memory for clients is refused for good",
+                 "[web][overload]") {
+  auto socket = connect();
+  write(socket, postHead(kMemory) + "x");
+  CHECK(readAll(socket).starts_with("HTTP/1.1 413"));
+}
+
 }  // namespace cometstand::web
--- a/tests/web/server_fixture.h
+++ b/tests/web/server_fixture.h
@@ -58,8 +58,10 @@
   static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
 
   /// @param memory_limit of the server's budget, in bytes.
-  explicit ServerFixture(std::size_t memory_limit = kUnlimited, std::size_t max_connections = kUnlimited)
-      : memory(memory_limit), server(io, {"127.0.0.1", 0}, handler, {memory, max_connections}) {
+  explicit ServerFixture(std::size_t memory_limit = kUnlimited, std::size_t max_connections = kUnlimited,
+                         bool closes_resting = false)
+      : memory(memory_limit),
+        server(io, {"127.0.0.1", 0}, handler, {memory, max_connections, closes_resting}) {
     handler.server = &server;
     server.start();
   }
