--- a/tests/mesh_soak/client_series.cpp
+++ b/tests/mesh_soak/client_series.cpp
@@ -34,9 +34,9 @@
   if (SteadyClock::now() >= end_) return;
   ++count_;
   const std::vector<ClientKind> kinds{drawKind()};
-  const std::vector<Door> doors{drawDoor()};
+  const std::vector<ServedAddress> addresses{drawAddress()};
   // The scheduled action is its only owner.
-  auto owned = std::make_shared<ClientCrowd>(kinds, doors);
+  auto owned = std::make_shared<ClientCrowd>(kinds, addresses);
   schedule_.after(random_.uniform(kShortestCrowd, kLongestCrowd), [this, crowd = std::move(owned)]() mutable {
     crowd.reset();
     schedule_.after(random_.uniform(Duration::zero(), kLongestPause), [this] { playNext(); });
@@ -50,11 +50,11 @@
   return kind;
 }
 
-Door ClientSeries::drawDoor() {
+ServedAddress ClientSeries::drawAddress() {
   const auto sidecar = random_.uniform(std::uint64_t{0}, mesh_.sidecarCount() - 1);
   const auto store = random_.uniform(std::uint64_t{0}, PlatformMesh::kStores - 1);
   const std::string key = std::string("Authorization: ") + kKeyScheme + " " + kKeptKey + "\r\n";
-  const std::vector<Door> doors{
+  const std::vector<ServedAddress> addresses{
       {"outbound", mesh_.callerEndpoint(sidecar), kSoakHost, "/", "POST", key},
       {"outbound without a route", mesh_.callerEndpoint(sidecar), "nowhere.example"},
       {"ready", mesh_.readyEndpoint(sidecar), "ready", kReadinessPath},
@@ -63,7 +63,7 @@
       {"a store's control", mesh_.storeEndpoint(store), "control", kConfigPutPath},
       {"a store's links", mesh_.storeLinkEndpoint(store), "link"},
   };
-  return doors.at(random_.uniform(std::uint64_t{0}, doors.size() - 1));
+  return addresses.at(random_.uniform(std::uint64_t{0}, addresses.size() - 1));
 }
 
 std::vector<WatchedProcess> ClientSeries::watched() const {
--- a/tests/mesh_soak/client_series.h
+++ b/tests/mesh_soak/client_series.h
@@ -32,7 +32,7 @@
   static constexpr std::size_t kOverlapping = 2;
 
   void playNext();
-  Door drawDoor();
+  ServedAddress drawAddress();
   ClientKind drawKind();
   std::vector<WatchedProcess> watched() const;
 
--- a/tests/misbehaving_clients/client_crowd.cpp
+++ b/tests/misbehaving_clients/client_crowd.cpp
@@ -17,11 +17,11 @@
 
 }  // namespace
 
-ClientCrowd::ClientCrowd(const std::vector<ClientKind>& kinds, const std::vector<Door>& doors) {
-  for (const auto& door : doors) {
+ClientCrowd::ClientCrowd(const std::vector<ClientKind>& kinds, const std::vector<ServedAddress>& addresses) {
+  for (const auto& address : addresses) {
     for (const auto& kind : kinds) {
       for (std::size_t client = 0; client < kind.connections; ++client)
-        asio::co_spawn(io_, playAgain(kind.play, door), asio::detached);
+        asio::co_spawn(io_, playAgain(kind.play, address), asio::detached);
     }
   }
   thread_ = std::thread([this] { io_.run(); });
@@ -32,15 +32,15 @@
   thread_.join();
 }
 
-asio::awaitable<void> ClientCrowd::playAgain(Play play, Door door) {
+asio::awaitable<void> ClientCrowd::playAgain(Play play, ServedAddress address) {
   asio::steady_timer timer(io_);
   while (true) {
     asio::ip::tcp::socket socket(io_);
     boost::system::error_code error;
-    co_await socket.async_connect(door.endpoint, asio::redirect_error(asio::use_awaitable, error));
+    co_await socket.async_connect(address.endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
       ++connected_;
-      co_await play(socket, door);
+      co_await play(socket, address);
     }
     socket.close(error);
     timer.expires_after(kReconnectPause);
--- a/tests/misbehaving_clients/client_crowd.h
+++ b/tests/misbehaving_clients/client_crowd.h
@@ -14,8 +14,8 @@
 /// ended is followed by another after a short pause.
 class ClientCrowd {
  public:
-  /// All kinds play at all doors.
-  ClientCrowd(const std::vector<ClientKind>& kinds, const std::vector<Door>& doors);
+  /// All kinds play at all addresses.
+  ClientCrowd(const std::vector<ClientKind>& kinds, const std::vector<ServedAddress>& addresses);
   ~ClientCrowd();
   ClientCrowd(const ClientCrowd&) = delete;
   ClientCrowd& operator=(const ClientCrowd&) = delete;
@@ -24,7 +24,7 @@
   std::size_t connected() const { return connected_; }
 
  private:
-  boost::asio::awaitable<void> playAgain(Play play, Door door);
+  boost::asio::awaitable<void> playAgain(Play play, ServedAddress address);
 
   boost::asio::io_context io_;
   std::atomic<std::size_t> connected_ = 0;
--- a/tests/misbehaving_clients/client_kinds.cpp
+++ b/tests/misbehaving_clients/client_kinds.cpp
@@ -51,13 +51,13 @@
 }
 
 /// @return a head without its end.
-std::string openHead(const Door& door, const std::string& method, const std::string& path) {
-  return fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: 8000\r\n{}", method, path, door.host,
-                     std::string_view(kRequestId), nextId(), std::string_view(kDeadline), door.fields);
+std::string openHead(const ServedAddress& address, const std::string& method, const std::string& path) {
+  return fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: 8000\r\n{}", method, path, address.host,
+                     std::string_view(kRequestId), nextId(), std::string_view(kDeadline), address.fields);
 }
 
-std::string wholeHead(const Door& door, std::size_t fields = 0) {
-  return openHead(door, "GET", door.path) + repeated(kShortField, fields) + "\r\n";
+std::string wholeHead(const ServedAddress& address, std::size_t fields = 0) {
+  return openHead(address, "GET", address.path) + repeated(kShortField, fields) + "\r\n";
 }
 
 awaitable<bool> send(Socket& socket, std::string_view bytes) {
@@ -132,17 +132,19 @@
 }
 
 Play bodies(const BodyPlan& plan) {
-  return
-      [plan](Socket& socket, const Door& door) -> awaitable<void> { co_await sendBody(socket, door, plan); };
+  return [plan](Socket& socket, const ServedAddress& address) -> awaitable<void> {
+    co_await sendBody(socket, address, plan);
+  };
 }
 
 /// Sends requests one after the other without reading an answer.
 Play sendAhead(const std::string& method, const std::string& path, std::size_t fields, std::size_t body) {
-  return [=](Socket& socket, const Door& door) -> awaitable<void> {
+  return [=](Socket& socket, const ServedAddress& address) -> awaitable<void> {
     std::string requests;
     constexpr std::size_t kAtOnce = 16;
     for (std::size_t number = 0; number < kAtOnce; ++number) {
-      requests += openHead(door, method, path.empty() ? door.path : path) + repeated(kShortField, fields);
+      requests +=
+          openHead(address, method, path.empty() ? address.path : path) + repeated(kShortField, fields);
       if (body > 0) requests += fmt::format("Content-Length: {}\r\n", body);
       requests += "\r\n" + filler().substr(0, body);
     }
@@ -152,41 +154,41 @@
 }
 
 Play slowHead(Duration pause) {
-  return [pause](Socket& socket, const Door& door) -> awaitable<void> {
-    const std::string head = wholeHead(door, kShortFields);
+  return [pause](Socket& socket, const ServedAddress& address) -> awaitable<void> {
+    const std::string head = wholeHead(address, kShortFields);
     co_await sendSlowly(socket, head, pause);
   };
 }
 
 /// Sends a head with many fields and no end, and waits.
-awaitable<void> openHeadOnly(Socket& socket, const Door& door) {
-  const std::string head = openHead(door, "GET", door.path) + repeated(kShortField, kShortFields);
+awaitable<void> openHeadOnly(Socket& socket, const ServedAddress& address) {
+  const std::string head = openHead(address, "GET", address.path) + repeated(kShortField, kShortFields);
   const bool is_sent = co_await send(socket, head);
   if (is_sent) co_await readStatus(socket);
 }
 
 /// Sends requests with many fields one after the other, and reads the beginnings of their answers.
-awaitable<void> manyFields(Socket& socket, const Door& door) {
-  std::string head = wholeHead(door, kShortFields);
+awaitable<void> manyFields(Socket& socket, const ServedAddress& address) {
+  std::string head = wholeHead(address, kShortFields);
   while (co_await send(socket, head)) {
     co_await readStatus(socket);
-    head = wholeHead(door, kShortFields);
+    head = wholeHead(address, kShortFields);
   }
 }
 
 /// Begins a chunk whose size is followed by more and more text.
-awaitable<void> endlessExtension(Socket& socket, const Door& door) {
+awaitable<void> endlessExtension(Socket& socket, const ServedAddress& address) {
   const std::string head =
-      openHead(door, door.body_method, door.path) + "Transfer-Encoding: chunked\r\n\r\n1;";
+      openHead(address, address.body_method, address.path) + "Transfer-Encoding: chunked\r\n\r\n1;";
   if (!co_await send(socket, head)) co_return;
   while (co_await send(socket, filler())) {
   }
 }
 
-awaitable<void> silent(Socket& socket, const Door& /*door*/) { co_await readStatus(socket); }
+awaitable<void> silent(Socket& socket, const ServedAddress& /*address*/) { co_await readStatus(socket); }
 
-awaitable<void> halfClosed(Socket& socket, const Door& door) {
-  const std::string head = openHead(door, "GET", door.path);
+awaitable<void> halfClosed(Socket& socket, const ServedAddress& address) {
+  const std::string head = openHead(address, "GET", address.path);
   if (!co_await send(socket, head)) co_return;
   error_code ignored;
   socket.shutdown(Socket::shutdown_send, ignored);
@@ -195,8 +197,8 @@
 
 /// Asks for a large answer and reads so many bytes of it at a time, each after the pause.
 Play slowReader(std::size_t answer_bytes, std::size_t read_bytes, Duration pause) {
-  return [=](Socket& socket, const Door& door) -> awaitable<void> {
-    const std::string head = openHead(door, "GET", fmt::format("/large/{}", answer_bytes)) + "\r\n";
+  return [=](Socket& socket, const ServedAddress& address) -> awaitable<void> {
+    const std::string head = openHead(address, "GET", fmt::format("/large/{}", answer_bytes)) + "\r\n";
     if (!co_await send(socket, head)) co_return;
     std::vector<char> bytes(read_bytes);
     error_code error;
@@ -209,7 +211,7 @@
 
 /// Sends the first bytes of the frame format of the links between nodes, and then a long frame's bytes.
 Play longFrame(std::size_t length, std::size_t bytes) {
-  return [=](Socket& socket, const Door& /*door*/) -> awaitable<void> {
+  return [=](Socket& socket, const ServedAddress& /*address*/) -> awaitable<void> {
     std::string header(8, '\0');
     for (std::size_t byte = 0; byte < 4; ++byte) header[byte] = static_cast<char>(length >> (8 * byte));
     if (!co_await send(socket, header)) co_return;
@@ -275,8 +277,9 @@
 
 }  // namespace
 
-awaitable<unsigned> sendBody(Socket& socket, const Door& door, const BodyPlan& plan) {
-  std::string head = openHead(door, door.body_method, door.path) + repeated(kShortField, plan.fields);
+awaitable<unsigned> sendBody(Socket& socket, const ServedAddress& address, const BodyPlan& plan) {
+  std::string head =
+      openHead(address, address.body_method, address.path) + repeated(kShortField, plan.fields);
   const std::size_t announced = plan.announced_bytes > 0 ? plan.announced_bytes : plan.bytes;
   head += plan.chunk_bytes > 0 ? "Transfer-Encoding: chunked\r\n\r\n"
                                : fmt::format("Content-Length: {}\r\n\r\n", announced);
--- a/tests/misbehaving_clients/client_kinds.h
+++ b/tests/misbehaving_clients/client_kinds.h
@@ -12,7 +12,7 @@
 namespace cometstand::platform {
 
 /// Where misbehaving clients connect, and how their requests begin.
-struct Door {
+struct ServedAddress {
   std::string name;
   boost::asio::ip::tcp::endpoint endpoint;
   std::string host;
@@ -24,7 +24,7 @@
 };
 
 /// What each connection of a kind of client does; it returns when the connection is to be closed.
-using Play = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket&, const Door&)>;
+using Play = std::function<boost::asio::awaitable<void>(boost::asio::ip::tcp::socket&, const ServedAddress&)>;
 
 /// Clients that a server cannot trust.
 struct ClientKind {
@@ -63,7 +63,7 @@
 
 /// Sends one request with the body and waits for the beginning of its answer.
 /// @return the status of the answer; 0 if there is none.
-boost::asio::awaitable<unsigned> sendBody(boost::asio::ip::tcp::socket& socket, const Door& door,
+boost::asio::awaitable<unsigned> sendBody(boost::asio::ip::tcp::socket& socket, const ServedAddress& address,
                                           const BodyPlan& plan);
 
 }  // namespace cometstand::platform
--- a/tests/misbehaving_clients/crowd_play.cpp
+++ b/tests/misbehaving_clients/crowd_play.cpp
@@ -33,9 +33,9 @@
 constexpr std::size_t kMebibyte = 1024 * 1024;
 
 std::string nameOf(const CrowdPlan& plan) {
-  if (plan.kinds.size() == 1 && plan.doors.size() == 1)
-    return fmt::format("{} at {}", plan.kinds.front().name, plan.doors.front().name);
-  return fmt::format("{} kinds at {} doors", plan.kinds.size(), plan.doors.size());
+  if (plan.kinds.size() == 1 && plan.addresses.size() == 1)
+    return fmt::format("{} at {}", plan.kinds.front().name, plan.addresses.front().name);
+  return fmt::format("{} kinds at {} addresses", plan.kinds.size(), plan.addresses.size());
 }
 
 bool isPressed(const CrowdPlan& plan, std::size_t sidecar) {
@@ -110,7 +110,7 @@
   bool is_timely = true;
   std::size_t connected = 0;
   {
-    const ClientCrowd crowd(plan.kinds, plan.doors);
+    const ClientCrowd crowd(plan.kinds, plan.addresses);
     is_timely = askReadiness(time);
     connected = crowd.connected();
   }
--- a/tests/misbehaving_clients/crowd_play.h
+++ b/tests/misbehaving_clients/crowd_play.h
@@ -23,7 +23,7 @@
 /// Sidecars or stores at which clients misbehave, and where they do.
 struct CrowdPlan {
   std::vector<ClientKind> kinds;
-  std::vector<Door> doors;
+  std::vector<ServedAddress> addresses;
   /// Sidecars whose own callers may fare worse meanwhile.
   std::vector<std::size_t> pressed_sidecars;
   /// How long the clients play; the time that COMETSTAND_CLIENT_MILLISECONDS names, by default.
--- a/tests/misbehaving_clients/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients/misbehaving_clients_test.cpp
@@ -27,13 +27,13 @@
 constexpr std::size_t kMaxBodyBytes = 67'108'864;
 
 /// Sends one request. @return the status of its answer; 0 if there is none.
-unsigned statusOf(const Door& door, const BodyPlan& plan) {
+unsigned statusOf(const ServedAddress& address, const BodyPlan& plan) {
   boost::asio::io_context io;
   unsigned status = 0;
   const auto play = [&]() -> boost::asio::awaitable<void> {
     boost::asio::ip::tcp::socket socket(io);
-    co_await socket.async_connect(door.endpoint, boost::asio::use_awaitable);
-    status = co_await sendBody(socket, door, plan);
+    co_await socket.async_connect(address.endpoint, boost::asio::use_awaitable);
+    status = co_await sendBody(socket, address, plan);
   };
   boost::asio::co_spawn(io, play, boost::asio::detached);
   io.run();
@@ -54,12 +54,12 @@
   return place == 0 ? allClientKinds() : std::vector<ClientKind>{allClientKinds().at(place - 1)};
 }
 
-/// The chosen kinds in turn at one door.
-void playAllKinds(PlatformMesh& mesh, const Door& door, const std::vector<std::size_t>& pressed_sidecars,
-                  MachineMemory machines = kUsualMachines) {
+/// The chosen kinds in turn at one address.
+void playAllKinds(PlatformMesh& mesh, const ServedAddress& address,
+                  const std::vector<std::size_t>& pressed_sidecars, MachineMemory machines = kUsualMachines) {
   OrdinaryCallers callers(mesh);
   CrowdPlay play(mesh, &callers, machines);
-  for (const auto& kind : chosenKinds()) play.run({{kind}, {door}, pressed_sidecars});
+  for (const auto& kind : chosenKinds()) play.run({{kind}, {address}, pressed_sidecars});
 }
 
 }  // namespace
@@ -119,10 +119,10 @@
   setLogLevel(LogLevel::Warning);
   allowDescriptors();
   PlatformMesh mesh(kSidecars);
-  const Door door{"outbound before the first configuration", mesh.callerEndpoint(0), kTestHost};
+  const ServedAddress address{"outbound before the first configuration", mesh.callerEndpoint(0), kTestHost};
   mesh.target(0).waitForHeartbeat();
   CrowdPlay play(mesh, nullptr);
-  for (const auto& kind : chosenKinds()) play.run({{kind}, {door}, {0}});
+  for (const auto& kind : chosenKinds()) play.run({{kind}, {address}, {0}});
   serveOneRoute(mesh);
 }
 
@@ -163,11 +163,11 @@
   serveOneRoute(mesh);
   OrdinaryCallers callers(mesh);
   CrowdPlay play(mesh, &callers);
-  const Door sidecar{"a sidecar's link port", mesh.linkEndpoint(0), "link"};
-  const Door store{"a store's link port", mesh.storeLinkEndpoint(mesh.waitForLeader()), "link"};
+  const ServedAddress sidecar{"a sidecar's link port", mesh.linkEndpoint(0), "link"};
+  const ServedAddress store{"a store's link port", mesh.storeLinkEndpoint(mesh.waitForLeader()), "link"};
   for (const char* kind : {"12 bodies of 60 MiB", "1500 silent connections",
                            "8 frames of 60 MiB without an end", "800 frames of 1 MiB without an end"}) {
-    for (const auto& door : {sidecar, store}) play.run({{clientKind(kind)}, {door}, {0}});
+    for (const auto& address : {sidecar, store}) play.run({{clientKind(kind)}, {address}, {0}});
   }
 }
 
@@ -190,11 +190,11 @@
   for (const auto& process : mesh.processes())
     processes.push_back({process.name, process.id, process.host, memory_mb * kMegabyte});
   const MemoryWatch watch(processes);
-  const Door door{"outbound", mesh.callerEndpoint(0), kTestHost};
+  const ServedAddress address{"outbound", mesh.callerEndpoint(0), kTestHost};
   const BodyPlan upload{.bytes = kMaxBodyBytes, .chunk_bytes = chunk_bytes};
   INFO("chunks of " << chunk_bytes << " bytes, beside the target: " << is_beside_target << ", of "
                     << memory_mb << " MB");
-  CHECK(statusOf(door, upload) == kOk);
+  CHECK(statusOf(address, upload) == kOk);
   for (const auto& line : watch.exceeded()) FAIL_CHECK(line);
   for (const auto& process : processes)
     fmt::print("{}: {} MiB\n", process.name, watch.peakOf(process.name).with_queues >> 20U);
