--- a/src/overload/memory_budget.h
+++ b/src/overload/memory_budget.h
@@ -44,7 +44,7 @@
     /// @return false if it has not: the size stays as it is, and the holders are asked to reclaim memory.
     [[nodiscard]] bool tryResize(std::size_t bytes);
     /// Changes the size in any case, for bytes that are held already and must not be given up. The budget
-    /// may be exceeded; nothing else is admitted until it no longer is.
+    /// may be exceeded; only the least charges are admitted until it no longer is.
     void resize(std::size_t bytes);
     std::size_t bytes() const { return bytes_; }
 
