Tests: a target that sends broken responses, and the forms that are held already

A scripted server (rehearsal/standin) answers each request by a series of steps; nothing in it needs to be valid HTTP. A mesh of real processes (tests/broken_responses) has such servers for targets, and callers that read by the library's own parser.

--- /dev/null
+++ b/tests/broken_responses/endless_responses_test.cpp
@@ -0,0 +1,157 @@
+// Responses without an end, and large ones, by the platform's programs as real processes: they may not take a
+// sidecar's memory or the time of others.
+#include <fmt/format.h>
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "base/event_log.h"
+#include "broken_responses/response_forms.h"
+#include "misbehaving_clients/memory_watch.h"
+#include "rehearsal/fleet/wait_until.h"
+
+namespace cometstand::platform {
+namespace {
+
+using rehearsal::Pause;
+using rehearsal::ReadBody;
+using rehearsal::ResponseScript;
+using rehearsal::ScriptEnd;
+using rehearsal::SendBytes;
+using rehearsal::SendRepeatedly;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned kOk = 200;
+constexpr std::size_t kMegabyte = 1'000'000;
+constexpr std::size_t kMebibyte = 1024 * 1024;
+/// What a target sends if nobody stops it.
+constexpr std::size_t kEndlessBytes = 512 * kMebibyte;
+const std::string kOkLine = "HTTP/1.1 200 OK";
+
+/// @return a script that sends the beginning of a response and then `part` again and again.
+ScriptMaker respondEndlessly(const std::string& rest, const std::string& part) {
+  return [rest, part](const std::string& id) {
+    return ResponseScript{
+        {ReadBody{}, SendBytes{openResponseHead(kOkLine, id) + rest}, SendRepeatedly{part, kEndlessBytes}},
+        ScriptEnd::Close};
+  };
+}
+
+std::vector<WatchedProcess> watchedSidecars(PlatformMesh& mesh) {
+  std::vector<WatchedProcess> watched;
+  for (const auto& process : mesh.processes()) {
+    if (process.name.starts_with("sidecar"))
+      watched.push_back({process.name, process.id, process.host, PlatformMesh::kSidecarMemoryMb * kMegabyte});
+  }
+  return watched;
+}
+
+/// Checks, by Catch, that all sidecars run and none has passed its machine's memory.
+void checkMemory(FaultyMesh& mesh, const MemoryWatch& watch, const std::string& name) {
+  std::string peaks;
+  for (const auto& process : watchedSidecars(mesh.mesh()))
+    peaks += fmt::format(" {}", watch.peakOf(process.name).resident / kMebibyte);
+  fmt::print("{}: MiB{}\n", name, peaks);
+  INFO(name);
+  for (const auto& line : watch.exceeded()) FAIL_CHECK(line);
+  for (std::size_t sidecar = 0; sidecar < mesh.mesh().sidecarCount(); ++sidecar)
+    CHECK(mesh.mesh().runsSidecar(sidecar));
+}
+
+void checkBounded(FaultyMesh& mesh, const ResponseForm& form) {
+  const MemoryWatch watch(watchedSidecars(mesh.mesh()));
+  mesh.checkRejected(form);
+  checkMemory(mesh, watch, form.name);
+}
+
+/// Sends the requests at once from the sidecars in turn. @return the statuses, 0 for no response.
+std::vector<unsigned> askAtOnce(PlatformMesh& mesh, const std::vector<RawRequest>& requests) {
+  std::vector<unsigned> statuses(requests.size());
+  std::vector<std::thread> threads;
+  for (std::size_t number = 0; number < requests.size(); ++number) {
+    threads.emplace_back([&, number] {
+      RawCaller caller(mesh.callerEndpoint(number % mesh.sidecarCount()), fmt::format("at-once-{}", number));
+      const auto response = caller.ask(requests.at(number));
+      statuses.at(number) = response ? response->result_int() : 0;
+    });
+  }
+  for (auto& thread : threads) thread.join();
+  return statuses;
+}
+
+}  // namespace
+
+// Guards against responses that hold a sidecar's memory or its slots until somebody else gives up.
+TEST_CASE("a head or messages without an end before the response are given up",
+          "[endless][head][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  checkBounded(mesh, {"a head", respondEndlessly("", "Name: value\r\n")});
+  checkBounded(mesh, {"a value", respondEndlessly("Name: ", "value")});
+  checkBounded(mesh, {"a name", respondEndlessly("", "name")});
+  checkBounded(mesh, {"a reason", [](const std::string&) {
+                        return ResponseScript{
+                            {ReadBody{}, SendBytes{kOkLine}, SendRepeatedly{"reason", kEndlessBytes}},
+                            ScriptEnd::Close};
+                      }});
+  checkBounded(mesh, {"interim responses", [](const std::string&) {
+                        return ResponseScript{
+                            {ReadBody{}, SendRepeatedly{"HTTP/1.1 102 Processing\r\n\r\n", kEndlessBytes}},
+                            ScriptEnd::Close};
+                      }});
+  checkBounded(
+      mesh, {"responses to other requests", [](const std::string&) {
+               const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx";
+               return ResponseScript{{ReadBody{}, SendRepeatedly{other, kEndlessBytes}}, ScriptEnd::Close};
+             }});
+}
+
+// Guards against slots that stay taken by responses which nobody awaits any more.
+TEST_CASE("responses without an end are given up once their callers have gone",
+          "[endless][gone][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  mesh.targets().answerBy("/slowly-endless", [](const std::string& id) {
+    ResponseScript script{{ReadBody{}, SendBytes{openResponseHead(kOkLine, id) + "\r\n"}}, ScriptEnd::Hang};
+    return script;
+  });
+  constexpr std::size_t kAllSlots = 16;
+  {
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::socket> sockets;
+    for (std::size_t number = 0; number < kAllSlots; ++number) {
+      auto& socket = sockets.emplace_back(io);
+      socket.connect(mesh.mesh().callerEndpoint(number % PlatformMesh::kZones));
+      boost::asio::write(
+          socket,
+          boost::asio::buffer(fmt::format(
+              "GET /slowly-endless HTTP/1.1\r\nHost: {}\r\nRequest-Id: gone-{}\r\n\r\n", kTestHost, number)));
+    }
+    rehearsal::pauseFor(milliseconds(500));
+    CHECK(mesh.targets().arrivals("/slowly-endless") > 0);
+  }
+  rehearsal::pauseFor(milliseconds(500));
+  RawCaller caller(mesh.mesh().callerEndpoint(0), "after");
+  CHECK(caller.isStillServed());
+}
+
+// Guards against limits that reject what targets may send.
+TEST_CASE("large responses come whole, several at once", "[large][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  constexpr std::size_t kLargeBytes = 8 * kMebibyte;
+  RawRequest request{fmt::format("{}{}", kLargePath, kLargeBytes)};
+  request.deadline = seconds(8);
+  const auto statuses = askAtOnce(mesh.mesh(), std::vector<RawRequest>(8, request));
+  for (const auto status : statuses) CHECK(status == kOk);
+  RawCaller caller(mesh.mesh().callerEndpoint(0), "largest");
+  request.path = fmt::format("{}{}", kLargePath, 60 * kMebibyte);
+  const auto response = caller.ask(request);
+  REQUIRE(response.has_value());
+  CHECK(response->result_int() == kOk);
+  CHECK(response->body().size() == 60 * kMebibyte);
+}
+
+}  // namespace cometstand::platform
--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -46,7 +46,8 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
-PlatformMesh::PlatformMesh(std::size_t sidecars, Duration work_time, unsigned sidecar_memory_mb)
+PlatformMesh::PlatformMesh(std::size_t sidecars, Duration work_time, unsigned sidecar_memory_mb,
+                           TargetAnswers answers)
     : sidecar_memory_mb_(sidecar_memory_mb),
       link_port_(io_),
       control_port_(io_),
@@ -59,7 +60,8 @@
                                           zoneName(sidecar % kZones),
                                           {sidecarHost(sidecar), target_port_.port()},
                                           {sidecarHost(sidecar), control_port_.port()},
-                                          work_time});
+                                          work_time,
+                                          answers == TargetAnswers::StandIn});
   }
   for (std::size_t store = 0; store < kStores; ++store) startStore(store, true);
   for (std::size_t sidecar = 0; sidecar < sidecars; ++sidecar) startSidecar(sidecar);
@@ -192,6 +194,10 @@
   return {boost::asio::ip::make_address(sidecarHost(zone)), control_port_.port()};
 }
 
+PlatformMesh::Endpoint PlatformMesh::targetEndpoint(std::size_t zone) const {
+  return {boost::asio::ip::make_address(sidecarHost(zone)), target_port_.port()};
+}
+
 PlatformMesh::Endpoint PlatformMesh::linkEndpoint(std::size_t zone) const {
   return {boost::asio::ip::make_address(sidecarHost(zone)), link_port_.port()};
 }
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -48,6 +48,13 @@
   std::filesystem::path path_;
 };
 
+/// Who answers the requests of a mesh's targets.
+enum class TargetAnswers : std::uint8_t {
+  StandIn,
+  /// The test, at the targets' addresses. The stand-ins only send heartbeats.
+  Test,
+};
+
 /// The platform's programs as child processes: three stores, to which others may be added, and sidecars with
 /// a stand-in target each in two zones; one in each zone unless a test wants more, which are then in the
 /// zones by turns. Each machine is a loopback address of its own, as machines are known by their addresses
@@ -64,7 +71,8 @@
   /// @param work_time how long a target works on each request.
   /// @param sidecar_memory_mb memory of a sidecar's machine, in units of 1,000,000 bytes.
   explicit PlatformMesh(std::size_t sidecars = kZones, Duration work_time = Duration::zero(),
-                        unsigned sidecar_memory_mb = kSidecarMemoryMb);
+                        unsigned sidecar_memory_mb = kSidecarMemoryMb,
+                        TargetAnswers answers = TargetAnswers::StandIn);
   ~PlatformMesh();
   PlatformMesh(const PlatformMesh&) = delete;
   PlatformMesh& operator=(const PlatformMesh&) = delete;
@@ -137,6 +145,8 @@
   Endpoint readyEndpoint(std::size_t zone) const;
   /// @return where the zone's target sends its heartbeats.
   Endpoint controlEndpoint(std::size_t zone) const;
+  /// @return where the zone's sidecar reaches its target.
+  Endpoint targetEndpoint(std::size_t zone) const;
   /// @return where the zone's sidecar takes links of other nodes.
   Endpoint linkEndpoint(std::size_t zone) const;
   /// @return where operators call the store.
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -27,19 +27,24 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+/// @return where the target's server listens: at no known port if it is not to answer.
+runtime::Address serverAddress(const TargetPlan& plan) {
+  return plan.answers ? plan.listen : runtime::Address{plan.listen.host, 0};
+}
+
 double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
 
 StandInTarget::StandInTarget(boost::asio::io_context& io, TargetPlan plan)
     : plan_(std::move(plan)),
-      server_(io, plan_.listen, *this, {memory_}),
+      server_(io, serverAddress(plan_), *this, {memory_}),
       client_(io, plan_.sidecar),
       timer_(io),
       born_ms_(unixMilliseconds()) {}
 
 void StandInTarget::start() {
-  server_.start();
+  if (plan_.answers) server_.start();
   beat();
 }
 
@@ -126,6 +131,15 @@
 }
 
 void StandInTarget::onRequest(web::ExchangeId id, web::Request request) {
+  auto response = respondTo(request);
+  if (plan_.work_time > Duration::zero() && request.target() != kHealthPath) {
+    respondAfterWork(id, std::move(response));
+  } else {
+    server_.respond(id, std::move(response));
+  }
+}
+
+web::Response StandInTarget::respondTo(const http::request_header<>& request) {
   const std::scoped_lock lock(mutex_);
   web::Response response;
   response.result(http::status::ok);
@@ -134,25 +148,21 @@
     response.set(kInstanceId, plan_.instance);
     response.set(kServerLoad, fmt::format("0,0,{}", kSlots));
     response.set(kColdRemaining, std::to_string(ceilMilliseconds(coldRemaining())));
-  } else {
-    response.set(kRequestId, request[kRequestId]);
-    response.body() = bodyFor(request);
-    const bool is_cold = coldRemaining() > Duration::zero();
-    arrivals_.push_back(SteadyClock::now());
-    request_ids_.insert(std::string(request[kRequestId]));
-    if (!limit_.empty()) response.set(kServerLimit, limit_);
-    if (is_leaving_) response.set(kServerLeaving, "1");
-    for (const auto& field : request) {
-      seen_fields_ +=
-          fmt::format("{}: {}\n", std::string_view(field.name_string()), std::string_view(field.value()));
-    }
-    if (is_cold) cold_arrivals_.push_back(arrivals_.back());
-    if (plan_.work_time > Duration::zero()) {
-      respondAfterWork(id, std::move(response));
-      return;
-    }
+    return response;
+  }
+  response.set(kRequestId, request[kRequestId]);
+  response.body() = bodyFor(request);
+  const bool is_cold = coldRemaining() > Duration::zero();
+  arrivals_.push_back(SteadyClock::now());
+  request_ids_.insert(std::string(request[kRequestId]));
+  if (!limit_.empty()) response.set(kServerLimit, limit_);
+  if (is_leaving_) response.set(kServerLeaving, "1");
+  for (const auto& field : request) {
+    seen_fields_ +=
+        fmt::format("{}: {}\n", std::string_view(field.name_string()), std::string_view(field.value()));
   }
-  server_.respond(id, std::move(response));
+  if (is_cold) cold_arrivals_.push_back(arrivals_.back());
+  return response;
 }
 
 void StandInTarget::respondAfterWork(web::ExchangeId id, web::Response response) {
@@ -162,7 +172,7 @@
   });
 }
 
-std::string StandInTarget::bodyFor(const web::Request& request) const {
+std::string StandInTarget::bodyFor(const http::request_header<>& request) const {
   const std::string_view target = request.target();
   if (!target.starts_with(kLargePath)) return plan_.instance;
   const std::string bytes(target.substr(std::string_view(kLargePath).size()));
--- a/tests/platform_processes/stand_in_target.h
+++ b/tests/platform_processes/stand_in_target.h
@@ -33,6 +33,8 @@
   runtime::Address sidecar;
   /// How long it works on each request.
   Duration work_time{};
+  /// It answers requests itself. Otherwise it only sends heartbeats, and the test serves its address.
+  bool answers = true;
 };
 
 /// A target inside the test process: answers every request after its work time, notes when each came, and
@@ -77,6 +79,10 @@
   /// @return the header fields of all requests that came, a line each.
   std::string seenFields() const;
 
+  Duration workTime() const { return plan_.work_time; }
+  /// Notes the request. @return the response that is due after the work time, at once to a health question.
+  web::Response respondTo(const boost::beast::http::request_header<>& request);
+
   void onRequest(web::ExchangeId id, web::Request request) override;
   void onCallerGone(web::ExchangeId) override {}
 
@@ -91,7 +97,7 @@
   void sendDeregistration();
   void send(const std::string& path, std::string body, bool is_leave_notice);
   void respondAfterWork(web::ExchangeId id, web::Response response);
-  std::string bodyFor(const web::Request& request) const;
+  std::string bodyFor(const boost::beast::http::request_header<>& request) const;
   /// To be called with mutex_ held.
   Duration coldRemaining() const;
 
