Responses: one reader decides what is whole and final; interim ones are passed over

Callers saw a 100, 101 or 199 with the target's seal as the answer to their request; the 200 behind a 100 was lost.

Cause: sidecar, proxy and relay each read responses by rules of their own. The sidecar's client took any whole message with the request's id, and an interim response is one; the proxy passed over 101 as well.

Fix: web::ResponseReader does no input or output and decides for all three. It passes over interim responses, up to the limit of a head, and rejects 101, which nobody asked for.

--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <cstdint>
 #include <map>
@@ -9,6 +8,7 @@
 
 #include "base/time.h"
 #include "runtime/process_core.h"
+#include "web/response_reader.h"
 
 namespace cometstand::proxy {
 
@@ -34,14 +34,14 @@
   void close();
 
   boost::beast::tcp_stream& stream() { return stream_; }
-  boost::beast::flat_buffer& buffer() { return buffer_; }
+  web::ResponseReader& reader() { return reader_; }
   const runtime::Address& address() const { return address_; }
   TimePoint idleSince() const { return idle_since_; }
   void setIdleSince(TimePoint now) { idle_since_ = now; }
 
  private:
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
+  web::ResponseReader reader_;
   runtime::Address address_;
   std::shared_ptr<ConnectionCounts> counts_;
   TimePoint idle_since_;
--- a/src/proxy/backend_pool.cpp
+++ b/src/proxy/backend_pool.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <tuple>
 
@@ -19,7 +18,7 @@
 
 namespace {
 
-constexpr std::size_t kPartBytes = 32U * 1024U;
+constexpr std::size_t kReadBytes = 8U * 1024U;
 constexpr auto kSweepInterval = std::chrono::milliseconds(500);
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
@@ -94,99 +93,77 @@
   co_return co_await exchange.connection->connect(options_.connect_limit);
 }
 
-asio::awaitable<bool> BackendPool::writeRequest(Exchange& exchange) {
+asio::awaitable<void> BackendPool::writeRequest(Exchange& exchange) {
   const auto connection = exchange.connection;
   auto request = toBackendRequest(exchange.order, SteadyClock::now());
   http::request_serializer<http::span_body<const char>> serializer(request);
-  const auto [error, bytes] = co_await http::async_write(connection->stream(), serializer, kAwait);
-  co_return !error;
+  co_await http::async_write(connection->stream(), serializer, kAwait);
 }
 
-asio::awaitable<bool> BackendPool::readHead(Exchange& exchange, std::unique_ptr<ResponseParser>& parser) {
+asio::awaitable<BackendPool::Progress> BackendPool::receive(Exchange& exchange) {
   const auto connection = exchange.connection;
-  constexpr unsigned kFirstFinal = 200;
-  do {
-    parser = std::make_unique<ResponseParser>();
-    parser->header_limit(static_cast<std::uint32_t>(options_.max_response_header_bytes));
-    parser->body_limit(boost::none);
-    if (exchange.order.message->method == "HEAD") parser->skip(true);
-    const auto [error, bytes] =
-        co_await http::async_read_header(connection->stream(), connection->buffer(), *parser, kAwait);
-    if (error) co_return false;
-  } while (parser->get().result_int() < kFirstFinal);
-  co_return true;
-}
-
-asio::awaitable<bool> BackendPool::readPart(Exchange& exchange, ResponseParser& parser, std::string& part) {
-  const auto connection = exchange.connection;
-  part.resize(kPartBytes);
-  auto& body = parser.get().body();
-  body.data = part.data();
-  body.size = part.size();
-  auto [error, bytes] =
-      co_await http::async_read_some(connection->stream(), connection->buffer(), parser, kAwait);
-  if (error == http::error::need_buffer) error = {};
-  part.resize(part.size() - body.size);
-  co_return !error;
+  auto& reader = connection->reader();
+  const auto [error, bytes] =
+      co_await connection->stream().async_read_some(reader.prepare(kReadBytes), kAwait);
+  if (exchange.cancelled) co_return Progress::Faulty;
+  co_return error ? reader.onEnd(error) : reader.onReceived(bytes);
 }
 
 asio::awaitable<void> BackendPool::readAnswer(ExchangePointer exchange) {
-  std::unique_ptr<ResponseParser> parser;
-  const bool has_head = co_await readHead(*exchange, parser);
-  if (exchange->cancelled) co_return;
-  if (!has_head) {
-    fail(exchange, AttemptFailure::Aborted);
-    co_return;
+  auto& reader = exchange->connection->reader();
+  const bool is_head = exchange->order.message->method == "HEAD";
+  const web::ResponseLimits limits{static_cast<std::uint32_t>(options_.max_response_header_bytes), {}};
+  auto progress = reader.begin(limits, is_head);
+  while (progress == Progress::Open && !reader.hasHead()) {
+    progress = co_await receive(*exchange);
+    if (exchange->cancelled) co_return;
   }
   const auto limit = options_.max_buffered_response_bytes;
-  const bool is_head = exchange->order.message->method == "HEAD";
-  const auto length = parser->content_length();
-  const bool too_large = !is_head && length && *length > limit;
-  auto response = toBackendResponse(parser->get().base(), is_head || too_large);
-  std::string body;
-  std::string part;
-  while (!parser->is_done() && !too_large && body.size() <= limit) {
-    const bool read = co_await readPart(*exchange, *parser, part);
+  while (progress == Progress::Open && reader.statedLength().value_or(0) <= limit &&
+         reader.bodyBytes() <= limit) {
+    progress = co_await receive(*exchange);
     if (exchange->cancelled) co_return;
-    if (!read) {
-      fail(exchange, AttemptFailure::Aborted);
-      co_return;
-    }
-    body += part;
   }
-  if (!parser->is_done() && !saysNotRun(*response)) {
-    co_await streamBody(std::move(exchange), std::move(parser), std::move(response), std::move(body));
+  if (progress == Progress::Faulty) {
+    fail(exchange, AttemptFailure::Aborted);
+    co_return;
+  }
+  const bool is_whole = progress == Progress::Whole;
+  auto response = toBackendResponse(reader.message().base(), is_head || !is_whole);
+  if (!is_whole && !saysNotRun(*response)) {
+    co_await streamBody(std::move(exchange), progress, std::move(response), reader.takeBody());
     co_return;
   }
-  response->body = std::move(body);
-  park(*exchange, *parser);
+  response->body = reader.takeBody();
+  park(*exchange, progress, reader.message().keep_alive());
   forget(*exchange);
   observer_.onResponse(exchange->order.request, exchange->order.attempt, response);
 }
 
-asio::awaitable<void> BackendPool::streamBody(ExchangePointer exchange,
-                                              std::unique_ptr<ResponseParser> parser,
+asio::awaitable<void> BackendPool::streamBody(ExchangePointer exchange, Progress progress,
                                               BackendResponsePointer head, std::string part) {
   const auto request = exchange->order.request;
   const auto attempt = exchange->order.attempt;
+  const bool keeps_open = exchange->connection->reader().message().keep_alive();
   const auto stream = observer_.onStreamStarted(request, attempt, head);
   if (exchange->cancelled || stream == nullptr) co_return;
-  bool whole = true;
-  while (whole) {
+  bool is_taken = true;
+  while (is_taken && progress != Progress::Faulty) {
     if (!part.empty()) {
       const auto [error] = co_await stream->parts().async_send(error_code(), std::move(part), kAwait);
       if (exchange->cancelled) co_return;
-      whole = !error;
+      is_taken = !error;
     }
-    if (!whole || parser->is_done()) break;
+    if (!is_taken || progress == Progress::Whole) break;
     exchange->connection->stream().expires_after(options_.stream_idle_limit);
-    whole = co_await readPart(*exchange, *parser, part);
+    progress = co_await receive(*exchange);
     if (exchange->cancelled) co_return;
+    part = progress == Progress::Faulty ? std::string() : exchange->connection->reader().takeBody();
   }
   exchange->connection->stream().expires_never();
-  park(*exchange, *parser);
+  park(*exchange, progress, keeps_open);
   forget(*exchange);
-  observer_.onStreamEnded(request, attempt, whole);
+  observer_.onStreamEnded(request, attempt, is_taken && progress == Progress::Whole);
 }
 
 BackendConnectionPointer BackendPool::takeIdle(const SendOrder& order) {
@@ -218,9 +195,11 @@
   }
 }
 
-void BackendPool::park(Exchange& exchange, const ResponseParser& parser) {
+void BackendPool::park(Exchange& exchange, Progress progress, bool keeps_open) {
   const auto connection = std::move(exchange.connection);
-  const bool reusable = parser.is_done() && parser.keep_alive() && connection->buffer().size() == 0;
+  const auto& reader = connection->reader();
+  const bool reusable =
+      progress == Progress::Whole && reader.hasOwnEnd() && keeps_open && !reader.hasSurplus();
   if (!reusable) {
     connection->close();
     return;
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -3,8 +3,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -51,7 +49,7 @@
   unsigned connections(const runtime::Address& address) const;
 
  private:
-  using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+  using Progress = web::ResponseReader::Progress;
   using ExchangeKey = std::pair<RequestId, unsigned>;
 
   struct Exchange {
@@ -64,18 +62,18 @@
 
   boost::asio::awaitable<void> run(ExchangePointer exchange);
   boost::asio::awaitable<bool> openConnection(Exchange& exchange);
-  boost::asio::awaitable<bool> writeRequest(Exchange& exchange);
+  boost::asio::awaitable<void> writeRequest(Exchange& exchange);
   boost::asio::awaitable<void> readAnswer(ExchangePointer exchange);
-  boost::asio::awaitable<bool> readHead(Exchange& exchange, std::unique_ptr<ResponseParser>& parser);
-  /// Reads the next part of the body. @return false if the body is cut short.
-  boost::asio::awaitable<bool> readPart(Exchange& exchange, ResponseParser& parser, std::string& part);
-  boost::asio::awaitable<void> streamBody(ExchangePointer exchange, std::unique_ptr<ResponseParser> parser,
+  /// Receives bytes once. @return what has come of the response then.
+  boost::asio::awaitable<Progress> receive(Exchange& exchange);
+  boost::asio::awaitable<void> streamBody(ExchangePointer exchange, Progress progress,
                                           BackendResponsePointer head, std::string first_part);
 
   BackendConnectionPointer takeIdle(const SendOrder& order);
   void makeRoom(const SendOrder& order);
   /// Keeps the connection for reuse if the answer left it usable.
-  void park(Exchange& exchange, const ResponseParser& parser);
+  /// @param keeps_open the back end keeps the connection open.
+  void park(Exchange& exchange, Progress progress, bool keeps_open);
   void parkConnection(const BackendConnectionPointer& connection);
   void watchIdle(const BackendConnectionPointer& connection);
   void dropIdle(const BackendConnectionPointer& connection);
--- a/src/relay/http_get.cpp
+++ b/src/relay/http_get.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <utility>
 
+#include "web/response_reader.h"
+
 namespace cometstand::relay {
 
 namespace asio = boost::asio;
@@ -18,6 +20,7 @@
 /// Largest answer that is read, in bytes; a machine list of the two-year size fits.
 constexpr std::size_t kMaxBodyBytes = 4U * 1024U * 1024U;
 
+constexpr std::size_t kReadBytes = 8U * 1024U;
 constexpr unsigned kHttp11 = 11;
 
 /// One request in flight; keeps itself alive by its pending operation.
@@ -25,9 +28,7 @@
  public:
   using Handler = std::function<void(const std::optional<std::string>&)>;
 
-  Exchange(asio::io_context& io, Handler on_done) : stream_(io), on_done_(std::move(on_done)) {
-    parser_.body_limit(kMaxBodyBytes);
-  }
+  Exchange(asio::io_context& io, Handler on_done) : stream_(io), on_done_(std::move(on_done)) {}
 
   void start(const asio::ip::tcp::endpoint& endpoint, const std::string& path, Duration time_limit) {
     request_.version(kHttp11);
@@ -37,35 +38,44 @@
     request_.set(http::field::connection, "close");
     stream_.expires_after(time_limit);
     stream_.async_connect(endpoint, [self = shared_from_this()](error_code error) {
-      if (error) return self->finish(false);
+      if (error) return self->finish(std::nullopt);
       self->write();
     });
   }
 
  private:
+  using Progress = web::ResponseReader::Progress;
+
   void write() {
     http::async_write(stream_, request_, [self = shared_from_this()](error_code error, std::size_t) {
-      if (error) return self->finish(false);
-      self->read();
+      if (error) return self->finish(std::nullopt);
+      self->onProgress(self->reader_.begin({.body_bytes = kMaxBodyBytes}, false));
     });
   }
 
   void read() {
-    http::async_read(stream_, buffer_, parser_, [self = shared_from_this()](error_code error, std::size_t) {
-      self->finish(!error && self->parser_.get().result() == http::status::ok);
-    });
+    stream_.async_read_some(reader_.prepare(kReadBytes),
+                            [self = shared_from_this()](error_code error, std::size_t bytes) {
+                              auto& reader = self->reader_;
+                              self->onProgress(error ? reader.onEnd(error) : reader.onReceived(bytes));
+                            });
+  }
+
+  void onProgress(Progress progress) {
+    if (progress == Progress::Open) return read();
+    const bool is_usable = progress == Progress::Whole && reader_.message().result() == http::status::ok;
+    finish(is_usable ? std::optional(reader_.takeBody()) : std::nullopt);
   }
 
-  void finish(bool is_usable) {
+  void finish(const std::optional<std::string>& body) {
     error_code ignored;
     stream_.socket().close(ignored);
-    on_done_(is_usable ? std::optional(parser_.get().body()) : std::nullopt);
+    on_done_(body);
   }
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  web::ResponseReader reader_;
   http::request<http::empty_body> request_;
-  http::response_parser<http::string_body> parser_;
   Handler on_done_;
 };
 
--- a/src/web/client.h
+++ b/src/web/client.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 
+#include "web/response_reader.h"
 #include "web/server.h"
 
 namespace cometstand::web {
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <utility>
@@ -16,8 +15,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
-constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 /// A kept connection is given up this long before the server would close it.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1'500);
 constexpr Duration kLeastIdleTime = std::chrono::milliseconds(200);
@@ -88,13 +85,15 @@
                       // A failure shows in what is read, which may still hold an answer.
                       self->write_pending_ = false;
                     });
-  awaitBytes();
+  onProgress(beginResponse());
 }
 
+ResponseReader::Progress ClientConnection::beginResponse() { return reader_.begin({}, false); }
+
 void ClientConnection::awaitBytes() {
   if (read_pending_ || state_ == State::Closed) return;
   read_pending_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  socket_.async_read_some(reader_.prepare(kReadBytes),
                           [self = shared_from_this()](error_code error, std::size_t length) {
                             self->read_pending_ = false;
                             self->onBytes(error, length);
@@ -109,41 +108,28 @@
     close();
     return;
   }
-  if (error) {
-    finish({SendOutcome::Broken, {}});
-    return;
-  }
-  buffer_.commit(length);
-  readResponse();
-}
-
-void ClientConnection::readResponse() {
-  parser_.emplace();
-  parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(kMaxBodyBytes);
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code error, std::size_t) { self->onResponse(error); });
+  onProgress(error ? reader_.onEnd(error) : reader_.onReceived(length));
 }
 
-void ClientConnection::onResponse(error_code error) {
-  if (state_ != State::Busy) return;
-  if (error) {
-    finish({SendOutcome::Broken, {}});
-    return;
-  }
-  const bool has_end = !parser_->need_eof();
-  Response response = parser_->release();
-  if (!matcher_(response)) {
-    if (!has_end) {
-      finish({SendOutcome::Broken, {}});
-    } else if (buffer_.size() > 0) {
-      readResponse();
-    } else {
-      awaitBytes();
+void ClientConnection::onProgress(ResponseReader::Progress progress) {
+  while (progress == ResponseReader::Progress::Whole) {
+    Response response = reader_.release();
+    if (matcher_(response)) {
+      finish({SendOutcome::Answered, std::move(response)}, reader_.hasOwnEnd());
+      return;
     }
-    return;
+    progress = skipResponse();
+  }
+  if (progress == ResponseReader::Progress::Faulty) {
+    finish({SendOutcome::Broken, {}});
+  } else {
+    awaitBytes();
   }
-  finish({SendOutcome::Answered, std::move(response)}, has_end);
+}
+
+ResponseReader::Progress ClientConnection::skipResponse() {
+  if (!reader_.hasOwnEnd()) return reader_.fail(ResponseFault::ConnectionLost);
+  return beginResponse();
 }
 
 void ClientConnection::finish(SendResult result, bool has_end) {
@@ -164,7 +150,7 @@
 /// An answer without a length ended with the server's side of the connection, which the server may close only
 /// later: what is written there is not read.
 void ClientConnection::park(const Response& response, bool has_end) {
-  const bool is_usable = has_end && response.keep_alive() && !write_pending_ && buffer_.size() == 0;
+  const bool is_usable = has_end && response.keep_alive() && !write_pending_ && !reader_.hasSurplus();
   if (!is_usable) {
     close();
     return;
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -1,9 +1,6 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <optional>
 
 #include "web/client.h"
 
@@ -23,15 +20,16 @@
 
  private:
   enum class State : std::uint8_t { New, Connecting, Idle, Busy, Closed };
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void connect();
   void onConnected(boost::system::error_code error);
   void writeRequest();
   void awaitBytes();
   void onBytes(boost::system::error_code error, std::size_t length);
-  void readResponse();
-  void onResponse(boost::system::error_code error);
+  void onProgress(ResponseReader::Progress progress);
+  ResponseReader::Progress beginResponse();
+  /// @return how reading goes on behind a response that belongs to another request.
+  ResponseReader::Progress skipResponse();
   void finish(SendResult result, bool has_end = false);
   /// @param has_end the answer said where it ends, other than with its connection.
   void park(const Response& response, bool has_end);
@@ -40,8 +38,7 @@
   boost::asio::ip::tcp::socket socket_;
   /// Expires when an attempt to connect is given up.
   boost::asio::steady_timer connect_timer_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  ResponseReader reader_;
   std::shared_ptr<const OutgoingRequest> request_;
   AnswerMatcher matcher_;
   SendHandler handler_;
--- /dev/null
+++ b/src/web/response_reader.cpp
@@ -0,0 +1,129 @@
+#include "web/response_reader.h"
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <utility>
+
+namespace cometstand::web {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+
+ResponseFault faultOf(error_code error) {
+  if (error == http::error::header_limit) return ResponseFault::HeadTooLarge;
+  if (error == http::error::body_limit) return ResponseFault::BodyTooLarge;
+  return ResponseFault::Malformed;
+}
+
+}  // namespace
+
+ResponseReader::Progress ResponseReader::begin(const ResponseLimits& limits, bool is_head_request) {
+  limits_ = limits;
+  is_head_request_ = is_head_request;
+  fault_ = ResponseFault::None;
+  head_bytes_ = 0;
+  restart();
+  return parse();
+}
+
+void ResponseReader::restart() {
+  has_final_head_ = false;
+  has_own_end_ = false;
+  parser_.emplace();
+  parser_->header_limit(limits_.head_bytes);
+  if (limits_.body_bytes) {
+    parser_->body_limit(*limits_.body_bytes);
+  } else {
+    parser_->body_limit(boost::none);
+  }
+  if (is_head_request_) parser_->skip(true);
+}
+
+ResponseReader::Progress ResponseReader::onReceived(std::size_t bytes) {
+  buffer_.commit(bytes);
+  return parse();
+}
+
+ResponseReader::Progress ResponseReader::onEnd(error_code read_error) {
+  const bool ends_here = has_final_head_ && parser_->need_eof();
+  if (read_error != asio::error::eof || !ends_here) return fail(ResponseFault::ConnectionLost);
+  error_code error;
+  parser_->put_eof(error);
+  if (error) return fail(faultOf(error));
+  return Progress::Whole;
+}
+
+ResponseReader::Progress ResponseReader::fail(ResponseFault fault) {
+  fault_ = fault;
+  has_final_head_ = false;
+  parser_.reset();
+  return Progress::Faulty;
+}
+
+ResponseReader::Progress ResponseReader::parse() {
+  auto progress = Progress::Open;
+  while (progress == Progress::Open && buffer_.size() > 0) {
+    const std::size_t before = buffer_.size();
+    progress = parseSome();
+    if (progress == Progress::Open && buffer_.size() == before) break;
+  }
+  return progress;
+}
+
+/// Parses up to the end of a head, or all that has come of a body.
+ResponseReader::Progress ResponseReader::parseSome() {
+  const bool had_head = has_final_head_;
+  error_code error;
+  const std::size_t parsed = parser_->put(buffer_.data(), error);
+  buffer_.consume(parsed);
+  if (!had_head) head_bytes_ += parsed;
+  if (error && error != http::error::need_more) return fail(faultOf(error));
+  if (!had_head && parser_->is_header_done()) return onHead();
+  if (had_head && parser_->is_done()) return onWhole();
+  if (!had_head)
+    return head_bytes_ + buffer_.size() > limits_.head_bytes ? fail(ResponseFault::HeadTooLarge)
+                                                             : Progress::Open;
+  return Progress::Open;
+}
+
+ResponseReader::Progress ResponseReader::onHead() {
+  const unsigned status = message().result_int();
+  if (status == kSwitchingProtocols) return fail(ResponseFault::UnaskedUpgrade);
+  if (head_bytes_ > limits_.head_bytes) return fail(ResponseFault::HeadTooLarge);
+  if (status < kFirstFinalStatus) {
+    restart();
+    return Progress::Open;
+  }
+  has_final_head_ = true;
+  parser_->eager(true);
+  return parser_->is_done() ? onWhole() : Progress::Open;
+}
+
+ResponseReader::Progress ResponseReader::onWhole() {
+  has_own_end_ = !parser_->need_eof();
+  return Progress::Whole;
+}
+
+std::optional<std::uint64_t> ResponseReader::statedLength() const {
+  const auto length = parser_->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+std::string ResponseReader::takeBody() { return std::exchange(parser_->get().body(), {}); }
+
+http::response<http::string_body> ResponseReader::release() {
+  http::response<http::string_body> response;
+  Message message = parser_->release();
+  response.base() = std::move(message.base());
+  response.body() = std::move(message.body());
+  parser_.reset();
+  return response;
+}
+
+}  // namespace cometstand::web
--- /dev/null
+++ b/tests/broken_responses/passed_on_test.cpp
@@ -0,0 +1,37 @@
+// Bytes of targets that sidecars took for whole final responses, by the platform's programs as real
+// processes.
+#include <catch2/catch.hpp>
+
+#include "base/event_log.h"
+#include "broken_responses/response_forms.h"
+
+namespace cometstand::platform {
+namespace {
+
+using rehearsal::ScriptEnd;
+
+constexpr unsigned kOk = 200;
+const std::string kServedBody = "served";
+
+}  // namespace
+
+// Guards against callers who get an interim response in place of the final one (RFC 9110, section 15.2).
+TEST_CASE("an interim response does not pass for the final one", "[passed_on][interim][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  for (const char* line : {"HTTP/1.1 100 Continue", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 199 Own"}) {
+    mesh.checkRejected({std::string(line) + ", kept", respondWith(line, "\r\n")});
+    mesh.checkRejected({std::string(line) + ", closed", respondWith(line, "\r\n", ScriptEnd::HalfClose)});
+  }
+  const std::string interim = "Request-Id: {id}\r\nServer-Seal: interim\r\n\r\n";
+  const std::string final =
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: final\r\nContent-Length: 6\r\n\r\nserved";
+  mesh.checkServed({"100 and then 200", respondRaw("HTTP/1.1 100 Continue\r\n" + interim + final)}, kOk,
+                   kServedBody);
+  mesh.checkServed({"103 and then 200", respondRaw("HTTP/1.1 103 Early Hints\r\n" + interim + final)}, kOk,
+                   kServedBody);
+  mesh.checkRejected(
+      {"101 and then 200", respondRaw("HTTP/1.1 101 Switching Protocols\r\n" + interim + final)});
+}
+
+}  // namespace cometstand::platform
