Responses: a status outside 100 to 599 is none

Callers saw 600 or 999 with the target's seal, or, for 000 to 099, bytes that no client can read.

Cause: the parser takes any three digits, and nothing looked at the number (RFC 9110, section 15).

Fix: the reader rejects the response at its head, so that nothing else is taken from it either.

--- a/src/web/response_reader.cpp
+++ b/src/web/response_reader.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 ResponseFault faultOf(error_code error) {
   if (error == http::error::header_limit) return ResponseFault::HeadTooLarge;
@@ -94,6 +96,7 @@
 
 ResponseReader::Progress ResponseReader::onHead() {
   const unsigned status = message().result_int();
+  if (status < kFirstStatus || status > kLastStatus) return fail(ResponseFault::InvalidStatus);
   if (status == kSwitchingProtocols) return fail(ResponseFault::UnaskedUpgrade);
   if (head_bytes_ > limits_.head_bytes) return fail(ResponseFault::HeadTooLarge);
   if (status < kFirstFinalStatus) {
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -21,6 +21,8 @@
   ConnectionLost,
   /// The bytes break the protocol.
   Malformed,
+  /// The status is none: it lies outside 100 to 599 (RFC 9110, section 15).
+  InvalidStatus,
   /// The server switches protocols, which nobody asked for.
   UnaskedUpgrade,
   /// The head, with the interim responses before it, exceeds its limit.
--- a/tests/broken_responses/passed_on_test.cpp
+++ b/tests/broken_responses/passed_on_test.cpp
@@ -12,9 +12,25 @@
 
 constexpr unsigned kOk = 200;
 const std::string kServedBody = "served";
+const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
 
 }  // namespace
 
+// Guards against callers who get a status that is none (RFC 9110, section 15).
+TEST_CASE("a response whose status is outside 100 to 599 does not reach the caller",
+          "[passed_on][status][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    const std::string line = std::string("HTTP/1.1 ") + status + " Trouble";
+    mesh.checkRejected({line + ", with a length", respondWith(line, kWholeRest)});
+    mesh.checkRejected({line + ", without a body", respondWith(line, "Content-Length: 0\r\n\r\n")});
+    mesh.checkRejected(
+        {line + ", with a length and closed", respondWith(line, kWholeRest, ScriptEnd::HalfClose)});
+    mesh.checkRejected({line + ", without a length", respondWith(line, "\r\nserved", ScriptEnd::HalfClose)});
+  }
+}
+
 // Guards against callers who get an interim response in place of the final one (RFC 9110, section 15.2).
 TEST_CASE("an interim response does not pass for the final one", "[passed_on][interim][processes]") {
   setLogLevel(LogLevel::Warning);
--- a/tests/proxy/broken_responses_test.cpp
+++ b/tests/proxy/broken_responses_test.cpp
@@ -111,6 +111,12 @@
 
 }  // namespace
 
+// Guards against callers who get a status that is none (RFC 9110, section 15).
+TEST_CASE("the proxy takes no response whose status is outside 100 to 599", "[http][broken]") {
+  for (const char* status : {"000", "001", "099", "600", "999"})
+    checkFails(status, respond(std::string("HTTP/1.1 ") + status + " Trouble\r\n" + kWholeRest));
+}
+
 // Guards against callers who get an interim response in place of the final one.
 TEST_CASE("the proxy takes no interim response for the final one", "[http][broken]") {
   checkFails("100, closed", respond("HTTP/1.1 100 Continue\r\n\r\n"));
