Responses: one that a reset cuts while the request is written is not whole

Callers saw 200 or 500, sealed, with 50 bytes framed as whole: the target had answered an upload at once without a length, and reset the connection. A 503 with Not-Executed that was cut so was believed.

Cause: the kernel reports a reset once, to the write under way; the read that follows sees an orderly end. Client and proxy dropped the write's error.

Fix: the reader is told how writing failed. A body that ends with its connection is whole only if no reset was reported. EPIPE says that the server had ended its side before: an early answer behind which a target closes is still served, which the tests of what held already show.

--- a/src/proxy/backend_pool.cpp
+++ b/src/proxy/backend_pool.cpp
@@ -97,7 +97,8 @@
   const auto connection = exchange.connection;
   auto request = toBackendRequest(exchange.order, SteadyClock::now());
   http::request_serializer<http::span_body<const char>> serializer(request);
-  co_await http::async_write(connection->stream(), serializer, kAwait);
+  const auto [error, bytes] = co_await http::async_write(connection->stream(), serializer, kAwait);
+  exchange.write_error = error;
 }
 
 asio::awaitable<BackendPool::Progress> BackendPool::receive(Exchange& exchange) {
@@ -106,7 +107,7 @@
   const auto [error, bytes] =
       co_await connection->stream().async_read_some(reader.prepare(kReadBytes), kAwait);
   if (exchange.cancelled) co_return Progress::Faulty;
-  co_return error ? reader.onEnd(error) : reader.onReceived(bytes);
+  co_return error ? reader.onEnd(error, exchange.write_error) : reader.onReceived(bytes);
 }
 
 asio::awaitable<void> BackendPool::readAnswer(ExchangePointer exchange) {
@@ -198,8 +199,8 @@
 void BackendPool::park(Exchange& exchange, Progress progress, bool keeps_open) {
   const auto connection = std::move(exchange.connection);
   const auto& reader = connection->reader();
-  const bool reusable =
-      progress == Progress::Whole && reader.hasOwnEnd() && keeps_open && !reader.hasSurplus();
+  const bool reusable = progress == Progress::Whole && reader.hasOwnEnd() && keeps_open &&
+                        !reader.hasSurplus() && !exchange.write_error;
   if (!reusable) {
     connection->close();
     return;
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -56,6 +56,8 @@
     explicit Exchange(SendOrder send_order) : order(std::move(send_order)) {}
     SendOrder order;
     BackendConnectionPointer connection;
+    /// How writing the request failed.
+    boost::system::error_code write_error;
     bool cancelled = false;
   };
   using ExchangePointer = std::shared_ptr<Exchange>;
--- a/src/relay/http_get.cpp
+++ b/src/relay/http_get.cpp
@@ -48,17 +48,17 @@
 
   void write() {
     http::async_write(stream_, request_, [self = shared_from_this()](error_code error, std::size_t) {
-      if (error) return self->finish(std::nullopt);
+      self->write_error_ = error;
       self->onProgress(self->reader_.begin({.body_bytes = kMaxBodyBytes}, false));
     });
   }
 
   void read() {
-    stream_.async_read_some(reader_.prepare(kReadBytes),
-                            [self = shared_from_this()](error_code error, std::size_t bytes) {
-                              auto& reader = self->reader_;
-                              self->onProgress(error ? reader.onEnd(error) : reader.onReceived(bytes));
-                            });
+    stream_.async_read_some(
+        reader_.prepare(kReadBytes), [self = shared_from_this()](error_code error, std::size_t bytes) {
+          auto& reader = self->reader_;
+          self->onProgress(error ? reader.onEnd(error, self->write_error_) : reader.onReceived(bytes));
+        });
   }
 
   void onProgress(Progress progress) {
@@ -75,6 +75,7 @@
 
   beast::tcp_stream stream_;
   web::ResponseReader reader_;
+  error_code write_error_;
   http::request<http::empty_body> request_;
   Handler on_done_;
 };
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -79,10 +79,12 @@
 
 void ClientConnection::writeRequest() {
   write_pending_ = true;
+  write_error_ = {};
   // The request is kept until it is written: the answer may come first.
   http::async_write(socket_, request_->message,
-                    [self = shared_from_this(), request = request_](error_code, std::size_t) {
-                      // A failure shows in what is read, which may still hold an answer.
+                    [self = shared_from_this(), request = request_](error_code error, std::size_t) {
+                      // What was received may still hold an answer.
+                      self->write_error_ = error;
                       self->write_pending_ = false;
                     });
   onProgress(beginResponse());
@@ -108,7 +110,7 @@
     close();
     return;
   }
-  onProgress(error ? reader_.onEnd(error) : reader_.onReceived(length));
+  onProgress(error ? reader_.onEnd(error, write_error_) : reader_.onReceived(length));
 }
 
 void ClientConnection::onProgress(ResponseReader::Progress progress) {
@@ -150,7 +152,8 @@
 /// An answer without a length ended with the server's side of the connection, which the server may close only
 /// later: what is written there is not read.
 void ClientConnection::park(const Response& response, bool has_end) {
-  const bool is_usable = has_end && response.keep_alive() && !write_pending_ && !reader_.hasSurplus();
+  const bool is_usable =
+      has_end && response.keep_alive() && !write_pending_ && !write_error_ && !reader_.hasSurplus();
   if (!is_usable) {
     close();
     return;
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -46,6 +46,8 @@
   State state_ = State::New;
   bool read_pending_ = false;
   bool write_pending_ = false;
+  /// How writing the request failed.
+  boost::system::error_code write_error_;
   TimePoint idle_until_ = TimePoint::max();
 };
 
--- a/src/web/response_reader.cpp
+++ b/src/web/response_reader.cpp
@@ -23,6 +23,12 @@
   return ResponseFault::Malformed;
 }
 
+/// A write reports a reset in place of the read that follows, which then sees an orderly end. It fails
+/// otherwise only after the server has ended its side in order: whatever it sent had come before.
+bool wasReset(error_code write_error) {
+  return write_error.failed() && write_error != asio::error::broken_pipe;
+}
+
 }  // namespace
 
 ResponseReader::Progress ResponseReader::begin(const ResponseLimits& limits, bool is_head_request) {
@@ -52,9 +58,10 @@
   return parse();
 }
 
-ResponseReader::Progress ResponseReader::onEnd(error_code read_error) {
+ResponseReader::Progress ResponseReader::onEnd(error_code read_error, error_code write_error) {
   const bool ends_here = has_final_head_ && parser_->need_eof();
   if (read_error != asio::error::eof || !ends_here) return fail(ResponseFault::ConnectionLost);
+  if (wasReset(write_error)) return fail(ResponseFault::ResetWhileSending);
   error_code error;
   parser_->put_eof(error);
   if (error) return fail(faultOf(error));
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -19,6 +19,8 @@
   None,
   /// The connection ended, or failed, before the response did.
   ConnectionLost,
+  /// A reset may have cut a response whose only end is that of its connection.
+  ResetWhileSending,
   /// The bytes break the protocol.
   Malformed,
   /// The status is none: it lies outside 100 to 599 (RFC 9110, section 15).
@@ -97,7 +99,8 @@
   Progress onReceived(std::size_t bytes);
   /// Nothing more will be received.
   /// @param read_error how reading ended.
-  Progress onEnd(boost::system::error_code read_error);
+  /// @param write_error how writing the request failed; none if it has not failed, or not yet.
+  Progress onEnd(boost::system::error_code read_error, boost::system::error_code write_error);
   /// Gives the response up, with all that has come of it.
   Progress fail(ResponseFault fault);
 
--- a/tests/broken_responses/passed_on_test.cpp
+++ b/tests/broken_responses/passed_on_test.cpp
@@ -8,11 +8,35 @@
 namespace cometstand::platform {
 namespace {
 
+using rehearsal::Pause;
+using rehearsal::ReadBody;
+using rehearsal::ResponseScript;
 using rehearsal::ScriptEnd;
+using rehearsal::SendBytes;
+using std::chrono::milliseconds;
 
 constexpr unsigned kOk = 200;
+constexpr std::size_t kUploadBytes = 8 * 1024 * 1024;
 const std::string kServedBody = "served";
 const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
+const std::string kPartOfBody(50, 'p');
+
+RawRequest uploadOf(std::size_t bytes) {
+  RawRequest request;
+  request.path = kUploadPath;
+  request.method = "POST";
+  request.body_bytes = bytes;
+  return request;
+}
+
+/// @return a script that answers an upload at once with a part of a body without a length, and resets the
+/// connection after the pause, while the upload is still on its way.
+ScriptMaker resetBesideUpload(const std::string& status_line, Duration pause) {
+  return [status_line, pause](const std::string& id) {
+    return ResponseScript{{SendBytes{openResponseHead(status_line, id) + "\r\n" + kPartOfBody}, Pause{pause}},
+                          ScriptEnd::Reset};
+  };
+}
 
 }  // namespace
 
@@ -50,4 +74,18 @@
       {"101 and then 200", respondRaw("HTTP/1.1 101 Switching Protocols\r\n" + interim + final)});
 }
 
+// Guards against callers who get a part of a body as the whole (RFC 9112, section 8).
+TEST_CASE("a response that a reset cuts while the request is written does not look whole",
+          "[passed_on][reset][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 500 Trouble",
+                           "HTTP/1.1 503 Full\r\nNot-Executed: full"}) {
+    for (const Duration pause : {milliseconds(0), milliseconds(300)}) {
+      mesh.checkRejected(
+          {std::string(line) + ", reset", resetBesideUpload(line, pause), uploadOf(kUploadBytes)});
+    }
+  }
+}
+
 }  // namespace cometstand::platform
--- a/tests/proxy/broken_responses_test.cpp
+++ b/tests/proxy/broken_responses_test.cpp
@@ -11,11 +11,13 @@
 namespace {
 
 namespace asio = boost::asio;
+using rehearsal::Pause;
 using rehearsal::ReadBody;
 using rehearsal::ResponseScript;
 using rehearsal::ScriptedServer;
 using rehearsal::ScriptEnd;
 using rehearsal::SendBytes;
+using std::chrono::milliseconds;
 
 constexpr unsigned kOk = 200;
 constexpr std::size_t kMebibyte = 1024 * 1024;
@@ -124,6 +126,29 @@
   checkWhole("100 and then 200", respond("HTTP/1.1 100 Continue\r\n\r\n" + kOkLine + kWholeRest));
 }
 
+// Guards against callers who get a part of a body as the whole (RFC 9112, section 8).
+TEST_CASE("the proxy takes no response for whole that a reset cuts while the request is written",
+          "[http][broken]") {
+  for (const Duration pause : {milliseconds(0), milliseconds(300)}) {
+    for (const char* line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 500 Trouble\r\n"}) {
+      checkFails(
+          line,
+          {{SendBytes{std::string(line) + "\r\n" + std::string(50, 'p')}, Pause{pause}}, ScriptEnd::Reset},
+          kUploadBytes);
+    }
+  }
+  checkFails("reset after the request", respond(kOkLine + "\r\nser", ScriptEnd::Reset));
+}
+
+// Guards against a streamed body that looks whole although its connection was reset.
+TEST_CASE("the proxy passes no streamed body on as whole that a reset cuts", "[http][broken]") {
+  const std::string large(2 * kMebibyte, 'x');
+  Exchange exchange({{SendBytes{kOkLine + "\r\n" + large}, Pause{milliseconds(100)}}, ScriptEnd::Reset});
+  exchange.run(kUploadBytes);
+  CHECK(exchange.response == nullptr);
+  CHECK_FALSE(exchange.is_stream_whole.value_or(false));
+}
+
 // Guards against checks that reject what back ends may send.
 TEST_CASE("the proxy takes unusual responses that are whole", "[http][broken]") {
   checkWhole("no length, closed", respond(kOkLine + "\r\nserved"));
