Responses: an unknown transfer coding is rejected

Callers saw 200, sealed, with coded bytes as the body and the coding's name gone.

Cause: a body whose last coding is not chunked is read until the connection ends, and the field concerns one connection only.

Fix: the reader takes chunked alone, in HTTP/1.1 (RFC 9112, section 6.1).

"a request that may be repeated is served by another target" covers this fault and those before it: one target sends them, the other serves.

--- a/src/web/response_reader.cpp
+++ b/src/web/response_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace cometstand::web {
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr unsigned kHttp11 = 11;
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -23,6 +25,15 @@
   return ResponseFault::Malformed;
 }
 
+/// @return true if the transfer codings are ones whose end is known: none, or chunked alone.
+bool hasKnownCoding(const ResponseReader::Message& message) {
+  const auto codings = message.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  // A server that speaks an earlier version knows no codings: what it sends may be framed otherwise.
+  return codings == 1 && message.version() >= kHttp11 &&
+         boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
 /// A write reports a reset in place of the read that follows, which then sees an orderly end. It fails
 /// otherwise only after the server has ended its side in order: whatever it sent had come before.
 bool wasReset(error_code write_error) {
@@ -110,6 +121,7 @@
     restart();
     return Progress::Open;
   }
+  if (!hasKnownCoding(message())) return fail(ResponseFault::UnknownCoding);
   has_final_head_ = true;
   parser_->eager(true);
   return parser_->is_done() ? onWhole() : Progress::Open;
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -27,6 +27,8 @@
   InvalidStatus,
   /// The server switches protocols, which nobody asked for.
   UnaskedUpgrade,
+  /// The body is coded in a way that is not known, so that it has no end (RFC 9112, section 6.1).
+  UnknownCoding,
   /// The head, with the interim responses before it, exceeds its limit.
   HeadTooLarge,
   BodyTooLarge,
--- a/tests/broken_responses/passed_on_test.cpp
+++ b/tests/broken_responses/passed_on_test.cpp
@@ -88,4 +88,19 @@
   }
 }
 
+// Guards against callers who get coded bytes as the body (RFC 9112, section 6.1).
+TEST_CASE("a response in a transfer coding that is not known does not reach the caller",
+          "[passed_on][coding][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  for (const char* coding : {"gzip", "chunked, gzip", "gzip, chunked", "identity, x", "xchunked", "identity",
+                             "chunked, chunked"}) {
+    const std::string rest = std::string("Transfer-Encoding: ") + coding + "\r\n\r\n6\r\nserved\r\n0\r\n\r\n";
+    mesh.checkRejected({coding, respondWith("HTTP/1.1 200 OK", rest, ScriptEnd::HalfClose)});
+  }
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n6\r\nserved\r\n0\r\n\r\n";
+  mesh.checkRejected({"chunked in HTTP/1.0", respondWith("HTTP/1.0 200 OK", chunked, ScriptEnd::HalfClose)});
+  mesh.checkServed({"chunked", respondWith("HTTP/1.1 200 OK", chunked)}, kOk, kServedBody);
+}
+
 }  // namespace cometstand::platform
--- a/tests/broken_responses/rejected_forms_test.cpp
+++ b/tests/broken_responses/rejected_forms_test.cpp
@@ -20,6 +20,8 @@
 
 constexpr unsigned kOk = 200;
 constexpr std::size_t kUploadBytes = 8 * 1024 * 1024;
+constexpr std::size_t kOrdinaryRequests = 60;
+constexpr std::size_t kRepeatedRequests = 4;
 const std::string kOkLine = "HTTP/1.1 200 OK";
 const std::string kServedBody = "served";
 const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
@@ -199,4 +201,28 @@
   mesh.checkServed({"599", respondWith("HTTP/1.1 599 Own", kWholeRest)}, 599, kServedBody);
 }
 
+// Guards against requests that fail although another target would have served them.
+TEST_CASE("a request that may be repeated is served by another target", "[served][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  const std::vector<std::string> responses{
+      "HTTP/1.1 000 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+      "HTTP/1.1 101 X\r\nRequest-Id: {id}\r\n\r\n", "nonsense\r\n\r\n"};
+  for (std::size_t form = 0; form < responses.size(); ++form) {
+    const auto path = fmt::format("/one-faulty-{}", form);
+    mesh.targets().answerBy(0, path, respondRaw(responses.at(form), ScriptEnd::HalfClose));
+    // They fill the budget of retries.
+    for (std::size_t request = 0; request < kOrdinaryRequests; ++request) mesh.mesh().call(0);
+    for (std::size_t request = 0; request < kRepeatedRequests; ++request) {
+      RawCaller caller(mesh.mesh().callerEndpoint(0), fmt::format("repeated-{}-{}", form, request));
+      const auto response = caller.ask({path});
+      INFO(responses.at(form));
+      REQUIRE(response.has_value());
+      CHECK(response->result_int() == kOk);
+      CHECK(response->count(kSeal) == 1);
+    }
+  }
+}
+
 }  // namespace cometstand::platform
--- a/tests/proxy/broken_responses_test.cpp
+++ b/tests/proxy/broken_responses_test.cpp
@@ -140,6 +140,12 @@
   checkFails("reset after the request", respond(kOkLine + "\r\nser", ScriptEnd::Reset));
 }
 
+// Guards against callers who get coded bytes as the body (RFC 9112, section 6.1).
+TEST_CASE("the proxy takes no response in a transfer coding that is not known", "[http][broken]") {
+  for (const char* coding : {"gzip", "chunked, gzip", "identity, x", "xchunked"})
+    checkFails(coding, respond(kOkLine + "Transfer-Encoding: " + coding + "\r\n\r\nserved"));
+}
+
 // Guards against a streamed body that looks whole although its connection was reset.
 TEST_CASE("the proxy passes no streamed body on as whole that a reset cuts", "[http][broken]") {
   const std::string large(2 * kMebibyte, 'x');
--- a/tests/relay/http_get_test.cpp
+++ b/tests/relay/http_get_test.cpp
@@ -41,6 +41,7 @@
 // Guards against health and machine lists that are read from something else than a whole response.
 TEST_CASE("a relay reads no body from a broken response", "[relay][broken]") {
   CHECK_FALSE(bodyFrom(respond("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nup")));
+  CHECK_FALSE(bodyFrom(respond(kOkLine + "Transfer-Encoding: gzip\r\n\r\nup")));
   CHECK_FALSE(bodyFrom(respond(kOkLine + "Content-Length: 3\r\n\r\nup")));
   CHECK_FALSE(bodyFrom(respond(kOkLine + "\r\nup", ScriptEnd::Reset)));
   CHECK_FALSE(bodyFrom(respond(kOkLine + "Na me: x\r\nContent-Length: 2\r\n\r\nup")));
