Responses: chunk extensions and trailers have a limit

Callers saw all requests at a sidecar cut: one response with a chunk extension or a trailer section without an end took its process over its memory.

Cause: the parser keeps what it cannot parse yet, and the buffer had no limit.

Fix: what cannot be parsed yet may have 64 KiB, the framing of a body 64 KiB and 16 times the body.

--- a/src/web/response_reader.cpp
+++ b/src/web/response_reader.cpp
@@ -18,6 +18,12 @@
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
+/// The framing of a body may take this many bytes, and so many times the body itself: chunks of one byte with
+/// short extensions are within it.
+constexpr std::size_t kFramingBytes = 64 * 1024;
+constexpr std::size_t kFramingRatio = 16;
+/// The longest chunk header with its extensions, and the longest trailer section.
+constexpr std::size_t kFramingLineBytes = 64 * 1024;
 
 ResponseFault faultOf(error_code error) {
   if (error == http::error::header_limit) return ResponseFault::HeadTooLarge;
@@ -47,6 +53,8 @@
   is_head_request_ = is_head_request;
   fault_ = ResponseFault::None;
   head_bytes_ = 0;
+  framed_bytes_ = 0;
+  taken_bytes_ = 0;
   restart();
   return parse();
 }
@@ -102,14 +110,21 @@
   error_code error;
   const std::size_t parsed = parser_->put(buffer_.data(), error);
   buffer_.consume(parsed);
-  if (!had_head) head_bytes_ += parsed;
+  (had_head ? framed_bytes_ : head_bytes_) += parsed;
   if (error && error != http::error::need_more) return fail(faultOf(error));
   if (!had_head && parser_->is_header_done()) return onHead();
   if (had_head && parser_->is_done()) return onWhole();
   if (!had_head)
     return head_bytes_ + buffer_.size() > limits_.head_bytes ? fail(ResponseFault::HeadTooLarge)
                                                              : Progress::Open;
-  return Progress::Open;
+  return isFramingTooLarge() ? fail(ResponseFault::FramingTooLarge) : Progress::Open;
+}
+
+/// What cannot be parsed yet is a chunk header or a trailer section whose end has not come.
+bool ResponseReader::isFramingTooLarge() const {
+  const std::size_t body_bytes = taken_bytes_ + bodyBytes();
+  const std::size_t framing_bytes = framed_bytes_ - body_bytes;
+  return buffer_.size() > kFramingLineBytes || framing_bytes > kFramingBytes + kFramingRatio * body_bytes;
 }
 
 ResponseReader::Progress ResponseReader::onHead() {
@@ -137,7 +152,10 @@
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
-std::string ResponseReader::takeBody() { return std::exchange(parser_->get().body(), {}); }
+std::string ResponseReader::takeBody() {
+  taken_bytes_ += bodyBytes();
+  return std::exchange(parser_->get().body(), {});
+}
 
 http::response<http::string_body> ResponseReader::release() {
   http::response<http::string_body> response;
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -32,6 +32,8 @@
   /// The head, with the interim responses before it, exceeds its limit.
   HeadTooLarge,
   BodyTooLarge,
+  /// Chunk sizes, chunk extensions and trailers exceed their limit.
+  FramingTooLarge,
 };
 
 struct ResponseLimits {
@@ -131,6 +133,7 @@
   Progress parseSome();
   Progress onHead();
   Progress onWhole();
+  bool isFramingTooLarge() const;
 
   ResponseLimits limits_;
   boost::beast::flat_buffer buffer_;
@@ -141,6 +144,10 @@
   ResponseFault fault_ = ResponseFault::None;
   /// Bytes before the body, those of interim responses included.
   std::size_t head_bytes_ = 0;
+  /// Bytes of the body with its framing.
+  std::size_t framed_bytes_ = 0;
+  /// Bytes of the body that were taken.
+  std::size_t taken_bytes_ = 0;
 };
 
 }  // namespace cometstand::web
--- a/tests/broken_responses/endless_responses_test.cpp
+++ b/tests/broken_responses/endless_responses_test.cpp
@@ -29,6 +29,7 @@
 /// What a target sends if nobody stops it.
 constexpr std::size_t kEndlessBytes = 512 * kMebibyte;
 const std::string kOkLine = "HTTP/1.1 200 OK";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 
 /// @return a script that sends the beginning of a response and then `part` again and again.
 ScriptMaker respondEndlessly(const std::string& rest, const std::string& part) {
@@ -83,6 +84,19 @@
 
 }  // namespace
 
+// Guards against one response that ends a sidecar's process by its memory.
+TEST_CASE("a chunk extension or a trailer section without an end is given up",
+          "[endless][framing][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  checkBounded(mesh, {"a chunk extension", respondEndlessly(kChunked + "6;", "extension")});
+  checkBounded(mesh, {"a chunk size of zeros", respondEndlessly(kChunked, "0")});
+  checkBounded(mesh, {"a trailer of many fields", respondEndlessly(kChunked + "0\r\n", "Name: value\r\n")});
+  checkBounded(mesh, {"a trailer of one value", respondEndlessly(kChunked + "0\r\nName: ", "value")});
+  checkBounded(mesh, {"chunks of one byte with extensions",
+                      respondEndlessly(kChunked, "1;" + std::string(20'000, 'e') + "\r\nx\r\n")});
+}
+
 // Guards against responses that hold a sidecar's memory or its slots until somebody else gives up.
 TEST_CASE("a head or messages without an end before the response are given up",
           "[endless][head][processes]") {
--- a/tests/proxy/broken_responses_test.cpp
+++ b/tests/proxy/broken_responses_test.cpp
@@ -1,6 +1,7 @@
 // Broken responses of back ends, sent by a scripted server over loopback to the proxy's own connections.
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <optional>
 #include <string>
 
@@ -17,16 +18,35 @@
 using rehearsal::ScriptedServer;
 using rehearsal::ScriptEnd;
 using rehearsal::SendBytes;
+using rehearsal::SendRepeatedly;
 using std::chrono::milliseconds;
 
 constexpr unsigned kOk = 200;
 constexpr std::size_t kMebibyte = 1024 * 1024;
 constexpr std::size_t kUploadBytes = 8 * kMebibyte;
+constexpr std::size_t kEndlessBytes = 512 * kMebibyte;
+/// Far more than the limits of a head and a buffered body.
+constexpr std::size_t kMostGrowth = 32 * kMebibyte;
 constexpr auto kPatience = std::chrono::seconds(20);
 const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
 const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 
+/// The most memory that this process has used since resetPeak().
+std::size_t peakBytes() {
+  constexpr std::size_t kKibibyte = 1024;
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  while (status >> word) {
+    std::size_t kibibytes = 0;
+    if (word == "VmHWM:" && status >> kibibytes) return kibibytes * kKibibyte;
+  }
+  return 0;
+}
+
+/// See proc(5), clear_refs.
+void resetPeak() { std::ofstream("/proc/self/clear_refs") << "5"; }
+
 /// Sends one request to a back end that answers by a script, and notes what the proxy takes it for.
 class Exchange : public ExchangeObserver {
  public:
@@ -146,6 +166,19 @@
     checkFails(coding, respond(kOkLine + "Transfer-Encoding: " + coding + "\r\n\r\nserved"));
 }
 
+// Guards against one response that ends the proxy by its memory.
+TEST_CASE("the proxy gives up a chunk extension or a trailer section without an end", "[http][broken]") {
+  for (const auto& [rest, part] : {std::pair<std::string, std::string>{"6;", "extension"},
+                                   {"0\r\n", "Name: value\r\n"},
+                                   {"0\r\nName: ", "value"}}) {
+    resetPeak();
+    const std::size_t before = peakBytes();
+    checkFails(rest, {{ReadBody{}, SendBytes{kOkLine + kChunked + rest}, SendRepeatedly{part, kEndlessBytes}},
+                      ScriptEnd::Close});
+    CHECK(peakBytes() < before + kMostGrowth);
+  }
+}
+
 // Guards against a streamed body that looks whole although its connection was reset.
 TEST_CASE("the proxy passes no streamed body on as whole that a reset cuts", "[http][broken]") {
   const std::string large(2 * kMebibyte, 'x');
--- a/tests/relay/http_get_test.cpp
+++ b/tests/relay/http_get_test.cpp
@@ -14,9 +14,13 @@
 using rehearsal::ScriptedServer;
 using rehearsal::ScriptEnd;
 using rehearsal::SendBytes;
+using rehearsal::SendRepeatedly;
 
 constexpr auto kTimeLimit = std::chrono::seconds(20);
 constexpr auto kPatience = std::chrono::seconds(25);
+/// Much less than the time limit: a response that can be judged is judged at once.
+constexpr auto kPromptly = std::chrono::seconds(5);
+constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
 const std::string kOkLine = "HTTP/1.1 200 OK\r\n";
 
 /// @return what the relay reads from a server that answers by the script.
@@ -51,4 +55,14 @@
   CHECK(bodyFrom(respond("HTTP/1.1 100 Continue\r\n\r\n" + kOkLine + "Content-Length: 2\r\n\r\nup")) == "up");
 }
 
+// Guards against a relay that reads until its memory ends.
+TEST_CASE("a relay gives up a chunk extension without an end", "[relay][broken]") {
+  const TimePoint began = SteadyClock::now();
+  const ResponseScript endless{{ReadBody{}, SendBytes{kOkLine + "Transfer-Encoding: chunked\r\n\r\n6;"},
+                                SendRepeatedly{"x", kEndlessBytes}},
+                               ScriptEnd::Hang};
+  CHECK_FALSE(bodyFrom(endless));
+  CHECK(SteadyClock::now() < began + kPromptly);
+}
+
 }  // namespace cometstand::relay
