Target's responses are charged to the memory budget while they come

Callers saw requests at three of four sidecars cut: 12 bodies without an end at once took them over their memory.

Cause: a response was charged once it was whole; while it came, each could take 64 MiB.

Fix: responses are charged from 128 KiB on. Up to 1 MiB one is held in any case, as its request has run; a larger one that finds no room makes room by giving up larger ones, and is given up itself if it is the largest.

--- a/src/web/client.cpp
+++ b/src/web/client.cpp
@@ -1,5 +1,6 @@
 #include "web/client.h"
 
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <utility>
@@ -29,8 +30,8 @@
   return outgoing;
 }
 
-Client::Client(boost::asio::io_context& io, runtime::Address address)
-    : io_(io), address_(std::move(address)) {}
+Client::Client(boost::asio::io_context& io, runtime::Address address, overload::MemoryBudget* memory)
+    : io_(io), address_(std::move(address)), memory_(memory) {}
 
 Client::~Client() {
   const auto busy = std::exchange(busy_, {});
@@ -52,6 +53,20 @@
   return nullptr;
 }
 
+/// A response without an end becomes the largest, so that it does not take the room of others.
+bool Client::makeRoom(ClientConnection& connection, std::size_t bytes) {
+  while (!connection.tryCharge(bytes)) {
+    const auto largest =
+        std::max_element(busy_.begin(), busy_.end(), [](const auto& left, const auto& right) {
+          return left.second->chargedBytes() < right.second->chargedBytes();
+        });
+    if (largest == busy_.end() || largest->second->chargedBytes() <= bytes) return false;
+    const auto given_up = largest->second;
+    given_up->giveUp(ResponseFault::NoMemory);
+  }
+  return true;
+}
+
 void Client::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler) {
   auto connection = takeIdle();
   if (connection == nullptr) {
--- a/src/web/client.h
+++ b/src/web/client.h
@@ -67,7 +67,9 @@
   /// one packet is lost; a request must not reach a server much later than its sender decided to send it.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(1'300);
 
-  Client(boost::asio::io_context& io, runtime::Address address);
+  /// @param memory charged with responses while they are received; must outlive the client. Large ones that
+  /// find no room there are given up, the largest first. Null charges nothing.
+  Client(boost::asio::io_context& io, runtime::Address address, overload::MemoryBudget* memory = nullptr);
   ~Client();
 
   Client(const Client&) = delete;
@@ -90,9 +92,13 @@
   friend class ClientConnection;
 
   std::shared_ptr<ClientConnection> takeIdle();
+  /// Makes room for the charge by giving up larger responses.
+  /// @return false if there is none.
+  bool makeRoom(ClientConnection& connection, std::size_t bytes);
 
   boost::asio::io_context& io_;
   runtime::Address address_;
+  overload::MemoryBudget* const memory_;
   /// Oldest first.
   std::deque<std::shared_ptr<ClientConnection>> idle_;
   std::map<SendId, std::shared_ptr<ClientConnection>> busy_;
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+/// A body is charged from this size on, in steps of it.
+constexpr std::size_t kChargeStep = 128 * 1024;
 /// A kept connection is given up this long before the server would close it.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1'500);
 constexpr Duration kLeastIdleTime = std::chrono::milliseconds(200);
@@ -35,7 +37,7 @@
 }  // namespace
 
 ClientConnection::ClientConnection(Client& client)
-    : client_(client), socket_(client.io_), connect_timer_(client.io_) {}
+    : client_(client), socket_(client.io_), connect_timer_(client.io_), charge_(client.memory_) {}
 
 void ClientConnection::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler) {
   id_ = id;
@@ -50,6 +52,12 @@
   }
 }
 
+void ClientConnection::giveUp(ResponseFault fault) {
+  if (state_ != State::Busy) return;
+  reader_.fail(fault);
+  finish({SendOutcome::Broken, {}});
+}
+
 void ClientConnection::connect() {
   state_ = State::Connecting;
   error_code parse_error;
@@ -125,28 +133,50 @@
   if (progress == ResponseReader::Progress::Faulty) {
     finish({SendOutcome::Broken, {}});
   } else {
-    awaitBytes();
+    holdBody();
   }
 }
 
 ResponseReader::Progress ClientConnection::skipResponse() {
   if (!reader_.hasOwnEnd()) return reader_.fail(ResponseFault::ConnectionLost);
+  charge_.resize(0);
   return beginResponse();
 }
 
+bool ClientConnection::tryCharge(std::size_t bytes) {
+  if (bytes > overload::MemoryBudget::kSmallChargeBytes) return charge_.tryResize(bytes);
+  // The request has run: a small response is received in any case.
+  charge_.resize(bytes);
+  return true;
+}
+
+void ClientConnection::holdBody() {
+  const std::size_t bytes = reader_.bodyBytes() / kChargeStep * kChargeStep;
+  const bool has_room = bytes <= charge_.bytes() || client_.makeRoom(*this, bytes);
+  if (has_room) {
+    awaitBytes();
+  } else {
+    giveUp(ResponseFault::NoMemory);
+  }
+}
+
 void ClientConnection::finish(SendResult result, bool has_end) {
   const auto self = shared_from_this();
   const auto handler = std::exchange(handler_, nullptr);
   matcher_ = nullptr;
   request_.reset();
   client_.busy_.erase(id_);
+  auto charge = std::exchange(charge_, overload::MemoryBudget::Charge(client_.memory_));
   if (result.outcome == SendOutcome::Answered) {
     park(result.response, has_end);
   } else {
+    charge.resize(0);
     close();
   }
-  // The caller of send() is never called back from within it.
-  asio::post(client_.io_, [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
+  // The caller of send() is never called back from within it. A response counts until it is handed over.
+  asio::post(client_.io_, [handler, result = std::move(result), charge = std::move(charge)]() mutable {
+    handler(std::move(result));
+  });
 }
 
 /// An answer without a length ended with the server's side of the connection, which the server may close only
@@ -171,6 +201,7 @@
   if (state_ == State::Closed) return;
   state_ = State::Closed;
   connect_timer_.cancel();
+  charge_.resize(0);
   error_code ignored;
   socket_.close(ignored);
 }
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -13,10 +13,16 @@
 
   /// Sends the request, after a connect if there was none yet.
   void send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler);
+  /// Ends the request in progress without its response.
+  void giveUp(ResponseFault fault);
   void close();
   bool isOpen() const { return state_ != State::Closed; }
   /// @return true if the server may close the connection any moment.
   bool isStale(TimePoint now) const { return idle_until_ <= now; }
+  /// Changes the charge for the response that is received.
+  /// @return false if the budget has no room for so large a one.
+  bool tryCharge(std::size_t bytes);
+  std::size_t chargedBytes() const { return charge_.bytes(); }
 
  private:
   enum class State : std::uint8_t { New, Connecting, Idle, Busy, Closed };
@@ -28,6 +34,8 @@
   void onBytes(boost::system::error_code error, std::size_t length);
   void onProgress(ResponseReader::Progress progress);
   ResponseReader::Progress beginResponse();
+  /// Charges what has come of the response.
+  void holdBody();
   /// @return how reading goes on behind a response that belongs to another request.
   ResponseReader::Progress skipResponse();
   void finish(SendResult result, bool has_end = false);
@@ -39,6 +47,7 @@
   /// Expires when an attempt to connect is given up.
   boost::asio::steady_timer connect_timer_;
   ResponseReader reader_;
+  overload::MemoryBudget::Charge charge_;
   std::shared_ptr<const OutgoingRequest> request_;
   AnswerMatcher matcher_;
   SendHandler handler_;
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -34,6 +34,8 @@
   BodyTooLarge,
   /// Chunk sizes, chunk extensions and trailers exceed their limit.
   FramingTooLarge,
+  /// There is no memory for so large a body.
+  NoMemory,
 };
 
 struct ResponseLimits {
--- a/tests/broken_responses/endless_responses_test.cpp
+++ b/tests/broken_responses/endless_responses_test.cpp
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "broken_responses/response_forms.h"
 #include "misbehaving_clients/memory_watch.h"
+#include "misbehaving_clients/ordinary_callers.h"
 #include "rehearsal/fleet/wait_until.h"
 
 namespace cometstand::platform {
@@ -30,6 +31,9 @@
 constexpr std::size_t kEndlessBytes = 512 * kMebibyte;
 const std::string kOkLine = "HTTP/1.1 200 OK";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t kAtOnce = 12;
+constexpr double kLeastServed = 0.5;
+constexpr double kLeastServedInCalm = 0.95;
 
 /// @return a script that sends the beginning of a response and then `part` again and again.
 ScriptMaker respondEndlessly(const std::string& rest, const std::string& part) {
@@ -82,6 +86,15 @@
   return statuses;
 }
 
+void checkServedShares(const PlatformMesh& mesh, const OrdinaryCallers& callers, double least) {
+  for (std::size_t sidecar = 0; sidecar < mesh.sidecarCount(); ++sidecar) {
+    const auto count = callers.countOf(sidecar);
+    INFO("sidecar " << sidecar + 1 << " served " << count.served << " of " << count.ended);
+    CHECK(count.ended > 0);
+    CHECK(count.share() >= least);
+  }
+}
+
 }  // namespace
 
 // Guards against one response that ends a sidecar's process by its memory.
@@ -122,6 +135,29 @@
              }});
 }
 
+// Guards against sidecars that are killed for the bodies that their targets send.
+TEST_CASE("bodies without an end stay within the memory, and others are served",
+          "[endless][body][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh(4);
+  const std::string block(4'096, 'x');
+  checkBounded(mesh, {"a body without a length", respondEndlessly("\r\n", block)});
+  const std::string chunk = fmt::format("{:x}\r\n{}\r\n", block.size(), block);
+  checkBounded(mesh, {"a body in chunks", respondEndlessly(kChunked, chunk)});
+  mesh.targets().answerBy("/endless", respondEndlessly("\r\n", block));
+  OrdinaryCallers callers(mesh.mesh());
+  const MemoryWatch watch(watchedSidecars(mesh.mesh()));
+  RawRequest request{"/endless"};
+  request.deadline = seconds(4);
+  const auto statuses = askAtOnce(mesh.mesh(), std::vector<RawRequest>(kAtOnce, request));
+  for (const auto status : statuses) CHECK((status >= 500 && status < 600));
+  checkMemory(mesh, watch, fmt::format("{} bodies without a length at once", kAtOnce));
+  checkServedShares(mesh.mesh(), callers, kLeastServed);
+  callers.reset();
+  rehearsal::pauseFor(seconds(1));
+  checkServedShares(mesh.mesh(), callers, kLeastServedInCalm);
+}
+
 // Guards against slots that stay taken by responses which nobody awaits any more.
 TEST_CASE("responses without an end are given up once their callers have gone",
           "[endless][gone][processes]") {
