HEAD: a response has no body, whatever length its head states

Callers saw 504 at their deadline for a HEAD request whose target names the length that a GET would have.

Cause: the sidecar's client waited for the body (RFC 9112, section 6.3); the proxy did not.

Evidence: the form "to HEAD, with the length of a body" of "unusual responses that are whole are served as sent" got 504 on the code before (real processes).

Fix: the reader is told that the request is HEAD.

--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -98,7 +98,9 @@
   onProgress(beginResponse());
 }
 
-ResponseReader::Progress ClientConnection::beginResponse() { return reader_.begin({}, false); }
+ResponseReader::Progress ClientConnection::beginResponse() {
+  return reader_.begin({}, request_->message.method() == http::verb::head);
+}
 
 void ClientConnection::awaitBytes() {
   if (read_pending_ || state_ == State::Closed) return;
--- a/tests/broken_responses/rejected_forms_test.cpp
+++ b/tests/broken_responses/rejected_forms_test.cpp
@@ -198,6 +198,10 @@
   mesh.checkServed(
       {"early, without a length, closed", respondEarly("\r\nserved", ScriptEnd::HalfClose), largeUpload()},
       kOk, kServedBody);
+  mesh.checkServed({"to HEAD, with the length of a body",
+                    respondWith(kOkLine, "Content-Length: 6\r\n\r\n"),
+                    {.method = "HEAD"}},
+                   kOk, "");
   mesh.checkServed({"599", respondWith("HTTP/1.1 599 Own", kWholeRest)}, 599, kServedBody);
 }
 
