--- a/src/web/client.cpp
+++ b/src/web/client.cpp
@@ -67,14 +67,15 @@
   return true;
 }
 
-void Client::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler) {
+void Client::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler,
+                  const SendLimits& limits) {
   auto connection = takeIdle();
   if (connection == nullptr) {
     connection = std::make_shared<ClientConnection>(*this);
     ++connections_opened_;
   }
   busy_[id] = connection;
-  connection->send(id, std::move(request), std::move(matcher), std::move(handler));
+  connection->send(id, std::move(request), std::move(matcher), std::move(handler), limits);
 }
 
 void Client::probe(ConnectHandler handler) {
--- a/src/web/client.h
+++ b/src/web/client.h
@@ -35,6 +35,13 @@
 /// @return true if the answer belongs to the request. Others are dropped, and the next one is awaited.
 using AnswerMatcher = std::function<bool(const Response&)>;
 
+/// What the response to a request may take.
+struct SendLimits {
+  ResponseLimits response;
+  /// From the call of send() to the end of the response; by default, until cancel().
+  Duration time = Duration::max();
+};
+
 /// A request to send, whose body is not copied.
 struct OutgoingRequest {
   /// The body is bytes of `owner`, or of anything that lives as long.
@@ -76,9 +83,11 @@
   Client& operator=(const Client&) = delete;
 
   /// @param handler called exactly once, later, unless cancel() comes first.
-  void send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler);
-  void send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler) {
-    send(id, makeOutgoing(std::move(request)), std::move(matcher), std::move(handler));
+  void send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler,
+            const SendLimits& limits = {});
+  void send(SendId id, Request request, AnswerMatcher matcher, SendHandler handler,
+            const SendLimits& limits = {}) {
+    send(id, makeOutgoing(std::move(request)), std::move(matcher), std::move(handler), limits);
   }
   /// Opens a connection and closes it at once. @param handler called once, later, unless the client is gone.
   void probe(ConnectHandler handler);
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -37,13 +37,20 @@
 }  // namespace
 
 ClientConnection::ClientConnection(Client& client)
-    : client_(client), socket_(client.io_), connect_timer_(client.io_), charge_(client.memory_) {}
-
-void ClientConnection::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler) {
+    : client_(client),
+      socket_(client.io_),
+      connect_timer_(client.io_),
+      response_timer_(client.io_),
+      charge_(client.memory_) {}
+
+void ClientConnection::send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler,
+                            const SendLimits& limits) {
   id_ = id;
   request_ = std::make_shared<const OutgoingRequest>(std::move(request));
   matcher_ = std::move(matcher);
   handler_ = std::move(handler);
+  limits_ = limits;
+  startTimer();
   if (state_ == State::New) {
     connect();
   } else {
@@ -52,6 +59,16 @@
   }
 }
 
+void ClientConnection::startTimer() {
+  if (limits_.time == Duration::max()) return;
+  response_timer_.expires_after(limits_.time);
+  response_timer_.async_wait([self = shared_from_this()](error_code error) {
+    // It may have expired just before the response came.
+    const bool is_due = self->response_timer_.expiry() <= asio::steady_timer::clock_type::now();
+    if (!error && is_due) self->giveUp(ResponseFault::TimedOut);
+  });
+}
+
 void ClientConnection::giveUp(ResponseFault fault) {
   if (state_ != State::Busy) return;
   reader_.fail(fault);
@@ -99,7 +116,7 @@
 }
 
 ResponseReader::Progress ClientConnection::beginResponse() {
-  return reader_.begin({}, request_->message.method() == http::verb::head);
+  return reader_.begin(limits_.response, request_->message.method() == http::verb::head);
 }
 
 void ClientConnection::awaitBytes() {
@@ -167,6 +184,7 @@
   const auto handler = std::exchange(handler_, nullptr);
   matcher_ = nullptr;
   request_.reset();
+  response_timer_.expires_at(asio::steady_timer::time_point::max());
   client_.busy_.erase(id_);
   auto charge = std::exchange(charge_, overload::MemoryBudget::Charge(client_.memory_));
   if (result.outcome == SendOutcome::Answered) {
@@ -203,6 +221,7 @@
   if (state_ == State::Closed) return;
   state_ = State::Closed;
   connect_timer_.cancel();
+  response_timer_.cancel();
   charge_.resize(0);
   error_code ignored;
   socket_.close(ignored);
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -12,7 +12,8 @@
   explicit ClientConnection(Client& client);
 
   /// Sends the request, after a connect if there was none yet.
-  void send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler);
+  void send(SendId id, OutgoingRequest request, AnswerMatcher matcher, SendHandler handler,
+            const SendLimits& limits);
   /// Ends the request in progress without its response.
   void giveUp(ResponseFault fault);
   void close();
@@ -38,6 +39,7 @@
   void holdBody();
   /// @return how reading goes on behind a response that belongs to another request.
   ResponseReader::Progress skipResponse();
+  void startTimer();
   void finish(SendResult result, bool has_end = false);
   /// @param has_end the answer said where it ends, other than with its connection.
   void park(const Response& response, bool has_end);
@@ -46,11 +48,14 @@
   boost::asio::ip::tcp::socket socket_;
   /// Expires when an attempt to connect is given up.
   boost::asio::steady_timer connect_timer_;
+  /// Expires when the response is given up, if its time is limited.
+  boost::asio::steady_timer response_timer_;
   ResponseReader reader_;
   overload::MemoryBudget::Charge charge_;
   std::shared_ptr<const OutgoingRequest> request_;
   AnswerMatcher matcher_;
   SendHandler handler_;
+  SendLimits limits_;
   SendId id_{};
   State state_ = State::New;
   bool read_pending_ = false;
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -36,6 +36,8 @@
   FramingTooLarge,
   /// There is no memory for so large a body.
   NoMemory,
+  /// The response did not end in time.
+  TimedOut,
 };
 
 struct ResponseLimits {
--- a/tests/broken_responses/endless_responses_test.cpp
+++ b/tests/broken_responses/endless_responses_test.cpp
@@ -187,6 +187,22 @@
   CHECK(caller.isStillServed());
 }
 
+// Guards against health checks that hold memory or a connection for good.
+TEST_CASE("a health check whose response does not end is given up", "[endless][health][processes]") {
+  setLogLevel(LogLevel::Warning);
+  FaultyMesh mesh;
+  mesh.targets().answerBy(kHealthPath,
+                          respondEndlessly("Instance-Id: i-zone-1\r\n\r\n", std::string(4'096, 'x')));
+  // A sidecar that starts beside a running target asks for its health.
+  mesh.mesh().restartSidecar(0);
+  const MemoryWatch watch(watchedSidecars(mesh.mesh()));
+  mesh.mesh().waitForReadiness(0);
+  rehearsal::pauseFor(seconds(2));
+  checkMemory(mesh, watch, "health");
+  RawCaller caller(mesh.mesh().callerEndpoint(0), "health");
+  CHECK(caller.isStillServed());
+}
+
 // Guards against limits that reject what targets may send.
 TEST_CASE("large responses come whole, several at once", "[large][processes]") {
   setLogLevel(LogLevel::Warning);
