Logs: why a target's response was not accepted, by the request's id

A request that was not answered by its target was logged as such, without the reason. run_ended (E7013) has the reason in the field "fault"; the proxy logs response_rejected (E5506).

--- a/src/proxy/backend_pool.cpp
+++ b/src/proxy/backend_pool.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/write.hpp>
 #include <tuple>
 
+#include "base/event_log.h"
+#include "proxy/events.h"
 #include "proxy/http_convert.h"
 
 namespace cometstand::proxy {
@@ -29,6 +31,14 @@
   return head.status == kStatusUnavailable && findHeader(head.headers, kNotRunHeader);
 }
 
+void logRejection(const SendOrder& order, web::ResponseFault fault) {
+  logEvent(kResponseRejected, {{"request", static_cast<std::uint64_t>(order.request)},
+                               {"attempt", order.attempt},
+                               {"service", order.endpoint.service.service},
+                               {"endpoint", order.endpoint.endpoint},
+                               {"fault", web::responseFaultName(fault)}});
+}
+
 }  // namespace
 
 BackendPool::BackendPool(asio::any_io_executor executor, const HttpOptions& options,
@@ -66,6 +76,11 @@
   observer_.onAttemptFailed(exchange->order.request, exchange->order.attempt, failure);
 }
 
+void BackendPool::reject(const ExchangePointer& exchange) {
+  logRejection(exchange->order, exchange->connection->reader().fault());
+  fail(exchange, AttemptFailure::Aborted);
+}
+
 asio::awaitable<void> BackendPool::run(ExchangePointer exchange) {
   if (exchange->cancelled) co_return;
   const bool connected = co_await openConnection(*exchange);
@@ -126,7 +141,7 @@
     if (exchange->cancelled) co_return;
   }
   if (progress == Progress::Faulty) {
-    fail(exchange, AttemptFailure::Aborted);
+    reject(exchange);
     co_return;
   }
   const bool is_whole = progress == Progress::Whole;
@@ -162,6 +177,7 @@
     part = progress == Progress::Faulty ? std::string() : exchange->connection->reader().takeBody();
   }
   exchange->connection->stream().expires_never();
+  if (progress == Progress::Faulty) logRejection(exchange->order, exchange->connection->reader().fault());
   park(*exchange, progress, keeps_open);
   forget(*exchange);
   observer_.onStreamEnded(request, attempt, is_taken && progress == Progress::Whole);
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -81,6 +81,8 @@
   void dropIdle(const BackendConnectionPointer& connection);
   void sweepIdle();
   void fail(const ExchangePointer& exchange, AttemptFailure failure);
+  /// Fails the attempt because its response was not accepted.
+  void reject(const ExchangePointer& exchange);
   void forget(const Exchange& exchange);
 
   boost::asio::any_io_executor executor_;
--- a/src/proxy/events.h
+++ b/src/proxy/events.h
@@ -21,7 +21,12 @@
     5505, LogLevel::Debug, "request_malformed",
     "A caller sent a request that cannot be read, or is too large or too slow; it got a typed answer."};
 
-inline constexpr std::array kDataPathEvents{kServing, kDrainBegun, kDrainFinished, kCallerAcceptFailed,
-                                            kRequestMalformed};
+inline constexpr EventDefinition kResponseRejected{
+    5506, LogLevel::Info, "response_rejected",
+    "What a back end sent is not a whole final response; the attempt failed. The fault field tells why. "
+    "Look into the back end if this repeats."};
+
+inline constexpr std::array kDataPathEvents{
+    kServing, kDrainBegun, kDrainFinished, kCallerAcceptFailed, kRequestMalformed, kResponseRejected};
 
 }  // namespace cometstand::proxy
--- a/src/sidecar/events.h
+++ b/src/sidecar/events.h
@@ -50,7 +50,8 @@
     "A caller's request ended with the response of the target. No action is needed."};
 inline constexpr EventDefinition kRunEnded{
     7013, LogLevel::Info, "run_ended",
-    "A request that the gate sent to the target ended there. The outcome field contains the result."};
+    "A request that the gate sent to the target ended there. The outcome field contains the result; the "
+    "fault field tells why what the target sent was not accepted as its response."};
 
 inline constexpr EventDefinition kRunCancelled{
     7014, LogLevel::Info, "run_given_up",
--- a/src/sidecar/target_gate.cpp
+++ b/src/sidecar/target_gate.cpp
@@ -276,7 +276,7 @@
                     now);
   }
   recordOutcome(finished, result.reply, now);
-  recordEnd(finished, result.reply, now);
+  recordEnd(finished, result.reply, result.fault, now);
   startWaiting(now);
   reply(finished.requester, *finished.request, std::move(result.reply), now);
 }
@@ -318,7 +318,7 @@
   for (const auto& run : overdue) {
     wire::ForwardReplyT answer;
     answer.outcome = wire::ForwardOutcome::Unknown;
-    recordEnd(run, answer, now);
+    recordEnd(run, answer, "deadline", now);
     reply(run.requester, *run.request, std::move(answer), now);
   }
   startWaiting(now);
--- a/src/sidecar/target_gate.h
+++ b/src/sidecar/target_gate.h
@@ -194,7 +194,9 @@
   /// Records a cancelled run as a lower bound of its run time: it would have taken longer than it had so far.
   void recordAbandoned(const RunningRequest& run, TimePoint now);
   void recordRunTime(const RunningRequest& run, TimePoint now);
-  void recordEnd(const RunningRequest& run, const wire::ForwardReplyT& reply, TimePoint now);
+  /// @param fault see RunResult::fault.
+  void recordEnd(const RunningRequest& run, const wire::ForwardReplyT& reply, const std::string& fault,
+                 TimePoint now);
   void reply(const GateRequester& requester, const wire::ForwardRequestT& request, wire::ForwardReplyT reply,
              TimePoint now);
   /// Adds what the target states to a reply.
--- a/src/sidecar/target_gate_runs.cpp
+++ b/src/sidecar/target_gate_runs.cpp
@@ -33,7 +33,8 @@
 
 }  // namespace
 
-void TargetGate::recordEnd(const RunningRequest& run, const wire::ForwardReplyT& reply, TimePoint now) {
+void TargetGate::recordEnd(const RunningRequest& run, const wire::ForwardReplyT& reply,
+                           const std::string& fault, TimePoint now) {
   metrics_.recordRun(reply.outcome, now - run.started);
   // A request that crashes its targets is not a failure of the version that ran it.
   const bool is_own_fault =
@@ -46,6 +47,7 @@
   logEvent(kRunEnded, {{"request", run.request->request_id},
                        {"outcome", wire::EnumNameForwardOutcome(reply.outcome)},
                        {"status", reply.status},
+                       {"fault", fault},
                        {"instance", target_.incarnation().name()},
                        {"service", run.request->service},
                        {"took_ms", ceilMilliseconds(now - run.started)},
--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -42,6 +42,8 @@
   std::optional<TargetStatement> statement{};
   /// The target refused the request because it has another id.
   bool instance_mismatch = false;
+  /// Why what the target sent was not accepted as its response, for the log; empty if it was.
+  std::string fault{};
 };
 
 /// Result of a health check of the target.
--- a/src/web/client.h
+++ b/src/web/client.h
@@ -29,6 +29,8 @@
 struct SendResult {
   SendOutcome outcome = SendOutcome::Broken;
   Response response;
+  /// Why a broken response was not accepted.
+  ResponseFault fault = ResponseFault::None;
 };
 
 using SendHandler = std::function<void(SendResult)>;
--- a/src/web/client_connection.cpp
+++ b/src/web/client_connection.cpp
@@ -72,7 +72,7 @@
 void ClientConnection::giveUp(ResponseFault fault) {
   if (state_ != State::Busy) return;
   reader_.fail(fault);
-  finish({SendOutcome::Broken, {}});
+  finish({SendOutcome::Broken, {}, fault});
 }
 
 void ClientConnection::connect() {
@@ -144,13 +144,13 @@
   while (progress == ResponseReader::Progress::Whole) {
     Response response = reader_.release();
     if (matcher_(response)) {
-      finish({SendOutcome::Answered, std::move(response)}, reader_.hasOwnEnd());
+      finish({SendOutcome::Answered, std::move(response), ResponseFault::None}, reader_.hasOwnEnd());
       return;
     }
     progress = skipResponse();
   }
   if (progress == ResponseReader::Progress::Faulty) {
-    finish({SendOutcome::Broken, {}});
+    finish({SendOutcome::Broken, {}, reader_.fault()});
   } else {
     holdBody();
   }
--- a/src/web/response_reader.cpp
+++ b/src/web/response_reader.cpp
@@ -48,6 +48,36 @@
 
 }  // namespace
 
+std::string_view responseFaultName(ResponseFault fault) {
+  switch (fault) {
+    case ResponseFault::None:
+      return "none";
+    case ResponseFault::ConnectionLost:
+      return "connection_lost";
+    case ResponseFault::ResetWhileSending:
+      return "reset_while_sending";
+    case ResponseFault::Malformed:
+      return "malformed";
+    case ResponseFault::InvalidStatus:
+      return "invalid_status";
+    case ResponseFault::UnaskedUpgrade:
+      return "unasked_upgrade";
+    case ResponseFault::UnknownCoding:
+      return "unknown_coding";
+    case ResponseFault::HeadTooLarge:
+      return "head_too_large";
+    case ResponseFault::BodyTooLarge:
+      return "body_too_large";
+    case ResponseFault::FramingTooLarge:
+      return "framing_too_large";
+    case ResponseFault::NoMemory:
+      return "no_memory";
+    case ResponseFault::TimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
 ResponseReader::Progress ResponseReader::begin(const ResponseLimits& limits, bool is_head_request) {
   limits_ = limits;
   is_head_request_ = is_head_request;
--- a/src/web/response_reader.h
+++ b/src/web/response_reader.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cometstand::web {
 
@@ -40,6 +41,9 @@
   TimedOut,
 };
 
+/// @return the fault's name for logs.
+std::string_view responseFaultName(ResponseFault fault);
+
 struct ResponseLimits {
   /// Bytes of the head and of all interim responses before it.
   std::uint32_t head_bytes = 64 * 1024;
