Soak: targets that send broken responses, as a kind

Patient callers check each response: a success has the request's id, its seal and a target's body; all else is the sidecar's own failure.

--- a/tests/mesh_soak/mesh_soak_test.cpp
+++ b/tests/mesh_soak/mesh_soak_test.cpp
@@ -1,6 +1,6 @@
 // Series of faults of sidecars, targets and stores that overlap, drawn by seed, beside callers that use their
 // connections until the process is gone and an operator who changes the configuration. All programs are real
-// processes. Crowds of misbehaving clients come and go meanwhile.
+// processes. Crowds of misbehaving clients come and go meanwhile, and targets send broken responses.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -15,6 +15,7 @@
 #include "mesh_soak/soak_configuration.h"
 #include "mesh_soak/soak_operator.h"
 #include "mesh_soak/store_faults.h"
+#include "mesh_soak/target_faults.h"
 #include "platform/names.h"
 #include "platform_processes/environment_number.h"
 #include "rehearsal/fleet/wait_until.h"
@@ -105,7 +106,8 @@
   const auto pause_factor = static_cast<unsigned>(numberFromEnvironment(kPauseFactorVariable, 1));
   for (std::uint64_t seed = first; seed < first + numberFromEnvironment(kSeedsVariable, kSeedsInCi); ++seed) {
     CAPTURE(seed, sidecars);
-    PlatformMesh mesh(sidecars, kWorkTime);
+    PlatformMesh mesh(sidecars, kWorkTime, PlatformMesh::kSidecarMemoryMb, TargetAnswers::Test);
+    FaultyTargets targets(mesh);
     for (std::size_t store = 0; store < kSpareStores; ++store) mesh.addStore();
     putFirstConfiguration(mesh);
     SoakCallers callers(mesh, seed, pause_factor);
@@ -116,7 +118,9 @@
     SidecarFaults sidecar_faults(mesh, schedule, seed);
     StoreFaults store_faults(mesh, schedule, seed);
     ClientSeries misbehaving(mesh, schedule, seed);
+    TargetFaults target_faults(targets, schedule, sidecars, seed);
     sidecar_faults.begin(kFaultTime);
+    target_faults.begin(kFaultTime);
     misbehaving.begin(kFaultTime);
     store_faults.begin(kFaultTime);
     while (!schedule.empty()) {
@@ -135,14 +139,16 @@
     checkNone(store_faults.failures());
     checkNone(misbehaving.failures());
     checkNone(findLastWords(mesh));
+    checkNone(callers.wrongResponses());
     checkNone(findCutRequests(mesh, callers, sidecar_faults));
     CHECK(configurations.refusal() == 0);
     CHECK(mesh.readConfiguration().find(fmt::format("\"r{}\"", configurations.version())) !=
           std::string::npos);
     WARN(fmt::format(
-        "seed {}: {} planned stops, {} kills, {} faults of stores, version {}, {} late or left, {} crowds",
+        "seed {}: {} planned stops, {} kills, {} faults of stores, version {}, {} late or left, {} crowds, "
+        "{} targets in trouble",
         seed, sidecar_faults.plannedStops(), sidecar_faults.kills(), store_faults.count(),
-        configurations.version(), callers.lateAndLeft(), misbehaving.count()));
+        configurations.version(), callers.lateAndLeft(), misbehaving.count(), target_faults.count()));
   }
 }
 
--- a/tests/mesh_soak/soak_callers.cpp
+++ b/tests/mesh_soak/soak_callers.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 
+#include "broken_responses/faulty_targets.h"
 #include "mesh_soak/soak_configuration.h"
 #include "platform/names.h"
 
@@ -14,6 +15,9 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kFirstFailure = 400;
+/// With which the bodies of targets begin.
+constexpr const char* kInstancePrefix = "i-zone-";
 constexpr std::size_t kPatientCallersPerSidecar = 3;
 constexpr Duration kPatientDeadline = milliseconds(3'000);
 constexpr Duration kPatientPause = milliseconds(10);
@@ -53,6 +57,25 @@
   return unanswered_;
 }
 
+std::vector<std::string> SoakCallers::wrongResponses() const {
+  const std::scoped_lock lock(mutex_);
+  return wrong_responses_;
+}
+
+/// A success is a target's whole response to this request. A failure is the sidecar's own: no target gives
+/// one.
+void SoakCallers::checkResponse(const std::string& id, const web::Response& response) {
+  const bool is_success = response.result_int() == kOk;
+  const bool is_whole = response[kRequestId] == id && response[kSeal] == sealOf(id) &&
+                        std::string_view(response.body()).starts_with(kInstancePrefix);
+  const bool is_own_failure = response.result_int() >= kFirstFailure && response.count(kSeal) == 0;
+  if (is_success ? is_whole : is_own_failure) return;
+  const std::scoped_lock lock(mutex_);
+  wrong_responses_.push_back(fmt::format("{} got {} with {} bytes and the seal '{}'", id,
+                                         response.result_int(), response.body().size(),
+                                         std::string_view(response[kSeal])));
+}
+
 web::Request SoakCallers::makeRequest(const std::string& id, const std::string& key,
                                       Duration deadline) const {
   web::Request request;
@@ -79,6 +102,7 @@
   patient_clients_.at(sidecar).send(
       send_id, makeRequest(id, kKeptKey, kPatientDeadline), [](const web::Response&) { return true; },
       [this, sidecar, id, sent_at = SteadyClock::now()](const web::SendResult& result) {
+        if (result.outcome == web::SendOutcome::Answered) checkResponse(id, result.response);
         if (result.outcome == web::SendOutcome::Answered && result.response.result_int() == kOk)
           ++served_[sidecar];
         if (result.outcome == web::SendOutcome::Broken) {
--- a/tests/mesh_soak/soak_callers.h
+++ b/tests/mesh_soak/soak_callers.h
@@ -41,9 +41,12 @@
   std::size_t lateAndLeft() const { return late_and_left_; }
   /// @return requests of patient callers whose connections ended after they were sent.
   std::vector<UnansweredRequest> unanswered() const;
+  /// @return responses to patient callers that no target, and no sidecar, may give, a line each.
+  std::vector<std::string> wrongResponses() const;
 
  private:
   void sendPatient(std::size_t sidecar);
+  void checkResponse(const std::string& id, const web::Response& response);
   void sendLate(std::size_t sidecar);
   void sendAndLeave(std::size_t sidecar);
   web::Request makeRequest(const std::string& id, const std::string& key, Duration deadline) const;
@@ -62,6 +65,7 @@
   std::atomic<std::size_t> late_and_left_ = 0;
   mutable std::mutex mutex_;
   std::vector<UnansweredRequest> unanswered_;
+  std::vector<std::string> wrong_responses_;
   std::thread thread_;
 };
 
