Tests: a stand-in that does not answer takes no port of its sidecar's machine; logs are kept

It listened at the sidecar's address at a port that the system picked, and could get one that the sidecar was about to use. They are kept now if an exception ends a test.

--- a/tests/platform_processes/platform_mesh.cpp
+++ b/tests/platform_processes/platform_mesh.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iterator>
 
@@ -42,6 +43,11 @@
 }
 
 TemporaryFolder::~TemporaryFolder() {
+  // An exception ends the test: the logs may tell why.
+  if (std::uncaught_exceptions() > 0) {
+    fmt::print("kept: {}\n", path_.string());
+    return;
+  }
   std::error_code ignored;
   std::filesystem::remove_all(path_, ignored);
 }
--- a/tests/platform_processes/platform_mesh.h
+++ b/tests/platform_processes/platform_mesh.h
@@ -34,7 +34,7 @@
   std::string host;
 };
 
-/// A folder of this test's own, which goes with all it holds.
+/// A folder of this test's own, which goes with all it holds unless an exception ends the test.
 class TemporaryFolder {
  public:
   TemporaryFolder();
--- a/tests/platform_processes/stand_in_target.cpp
+++ b/tests/platform_processes/stand_in_target.cpp
@@ -27,9 +27,10 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-/// @return where the target's server listens: at no known port if it is not to answer.
+/// @return where the target's server listens. One that is not to answer gets a port that the system picks,
+/// which must not be one that the sidecar of the machine is about to use.
 runtime::Address serverAddress(const TargetPlan& plan) {
-  return plan.answers ? plan.listen : runtime::Address{plan.listen.host, 0};
+  return plan.answers ? plan.listen : runtime::Address{"127.0.0.1", 0};
 }
 
 double secondsOf(Duration duration) { return std::chrono::duration<double>(duration).count(); }
