--- a/src/sidecar/target_port.h
+++ b/src/sidecar/target_port.h
@@ -46,6 +46,11 @@
   std::string fault{};
 };
 
+/// Body bytes of the response to a health check, at most: it carries all in its head.
+inline constexpr std::uint64_t kMaxHealthCheckBytes = 64 * 1024;
+/// Time after which a health check is given up; longer than one waits for a slot of the target.
+inline constexpr Duration kHealthCheckTimeout = std::chrono::seconds(10);
+
 /// Result of a health check of the target.
 struct TargetHealth {
   /// The target is healthy and not leaving.
--- a/tests/broken_responses/endless_responses_test.cpp
+++ b/tests/broken_responses/endless_responses_test.cpp
@@ -29,7 +29,6 @@
 constexpr std::size_t kMebibyte = 1024 * 1024;
 /// What a target sends if nobody stops it.
 constexpr std::size_t kEndlessBytes = 512 * kMebibyte;
-const std::string kOkLine = "HTTP/1.1 200 OK";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 constexpr std::size_t kAtOnce = 12;
 constexpr double kLeastServed = 0.5;
--- a/tests/broken_responses/passed_on_test.cpp
+++ b/tests/broken_responses/passed_on_test.cpp
@@ -16,19 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned kOk = 200;
-constexpr std::size_t kUploadBytes = 8 * 1024 * 1024;
-const std::string kServedBody = "served";
-const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
 const std::string kPartOfBody(50, 'p');
 
-RawRequest uploadOf(std::size_t bytes) {
-  RawRequest request;
-  request.path = kUploadPath;
-  request.method = "POST";
-  request.body_bytes = bytes;
-  return request;
-}
-
 /// @return a script that answers an upload at once with a part of a body without a length, and resets the
 /// connection after the pause, while the upload is still on its way.
 ScriptMaker resetBesideUpload(const std::string& status_line, Duration pause) {
@@ -47,10 +36,10 @@
   FaultyMesh mesh;
   for (const char* status : {"000", "001", "099", "600", "999"}) {
     const std::string line = std::string("HTTP/1.1 ") + status + " Trouble";
-    mesh.checkRejected({line + ", with a length", respondWith(line, kWholeRest)});
+    mesh.checkRejected({line + ", with a length", respondWith(line, kServedRest)});
     mesh.checkRejected({line + ", without a body", respondWith(line, "Content-Length: 0\r\n\r\n")});
     mesh.checkRejected(
-        {line + ", with a length and closed", respondWith(line, kWholeRest, ScriptEnd::HalfClose)});
+        {line + ", with a length and closed", respondWith(line, kServedRest, ScriptEnd::HalfClose)});
     mesh.checkRejected({line + ", without a length", respondWith(line, "\r\nserved", ScriptEnd::HalfClose)});
   }
 }
@@ -82,8 +71,7 @@
   for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 500 Trouble",
                            "HTTP/1.1 503 Full\r\nNot-Executed: full"}) {
     for (const Duration pause : {milliseconds(0), milliseconds(300)}) {
-      mesh.checkRejected(
-          {std::string(line) + ", reset", resetBesideUpload(line, pause), uploadOf(kUploadBytes)});
+      mesh.checkRejected({std::string(line) + ", reset", resetBesideUpload(line, pause), largeUpload()});
     }
   }
 }
--- a/tests/broken_responses/rejected_forms_test.cpp
+++ b/tests/broken_responses/rejected_forms_test.cpp
@@ -19,20 +19,8 @@
 using std::string_literals::operator""s;
 
 constexpr unsigned kOk = 200;
-constexpr std::size_t kUploadBytes = 8 * 1024 * 1024;
 constexpr std::size_t kOrdinaryRequests = 60;
 constexpr std::size_t kRepeatedRequests = 4;
-const std::string kOkLine = "HTTP/1.1 200 OK";
-const std::string kServedBody = "served";
-const std::string kWholeRest = "Content-Length: 6\r\n\r\nserved";
-
-RawRequest largeUpload() {
-  RawRequest request;
-  request.path = kUploadPath;
-  request.method = "POST";
-  request.body_bytes = kUploadBytes;
-  return request;
-}
 
 /// @return a script that answers before it reads the request's body.
 ScriptMaker respondEarly(const std::string& rest, ScriptEnd end) {
@@ -58,7 +46,7 @@
       "HTTP/2.0 200 OK",         "HTTP/1.2 200 OK",   "HTTP/0.9 200 OK", "http/1.1 200 OK", "ICY 200 OK",
       "\x01\x02HTTP/1.1 200 OK", "  HTTP/1.1 200 OK", "HTTP/1.1\t200 OK"};
   for (const auto& line : lines)
-    mesh.checkRejected({line, respondWith(line, kWholeRest, ScriptEnd::HalfClose)});
+    mesh.checkRejected({line, respondWith(line, kServedRest, ScriptEnd::HalfClose)});
 }
 
 // Guards against callers who get a line that is no field, or a body that is not the target's.
@@ -83,9 +71,9 @@
                                         "b"};
   for (const auto& field : fields) {
     mesh.checkRejected(
-        {field + " in the midst", respondWith(kOkLine, field + "\r\n" + kWholeRest, ScriptEnd::HalfClose)});
+        {field + " in the midst", respondWith(kOkLine, field + "\r\n" + kServedRest, ScriptEnd::HalfClose)});
     mesh.checkRejected({field + " as the first line",
-                        respondRaw(kOkLine + "\r\n" + field + "\r\nRequest-Id: {id}\r\n" + kWholeRest,
+                        respondRaw(kOkLine + "\r\n" + field + "\r\nRequest-Id: {id}\r\n" + kServedRest,
                                    ScriptEnd::HalfClose)});
   }
 }
@@ -188,12 +176,12 @@
                                              "6\r\nserved\r\n0\r\nSum: 1\r\n\r\n")},
                    kOk, kServedBody);
   mesh.checkServed({"a second response behind the first",
-                    respondWith(kOkLine, kWholeRest + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")},
+                    respondWith(kOkLine, kServedRest + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")},
                    kOk, kServedBody);
-  mesh.checkServed({"early, with a length, kept", respondEarly(kWholeRest, ScriptEnd::Keep), largeUpload()},
+  mesh.checkServed({"early, with a length, kept", respondEarly(kServedRest, ScriptEnd::Keep), largeUpload()},
                    kOk, kServedBody);
   mesh.checkServed(
-      {"early, with a length, closed", respondEarly(kWholeRest, ScriptEnd::HalfClose), largeUpload()}, kOk,
+      {"early, with a length, closed", respondEarly(kServedRest, ScriptEnd::HalfClose), largeUpload()}, kOk,
       kServedBody);
   mesh.checkServed(
       {"early, without a length, closed", respondEarly("\r\nserved", ScriptEnd::HalfClose), largeUpload()},
@@ -202,7 +190,7 @@
                     respondWith(kOkLine, "Content-Length: 6\r\n\r\n"),
                     {.method = "HEAD"}},
                    kOk, "");
-  mesh.checkServed({"599", respondWith("HTTP/1.1 599 Own", kWholeRest)}, 599, kServedBody);
+  mesh.checkServed({"599", respondWith("HTTP/1.1 599 Own", kServedRest)}, 599, kServedBody);
 }
 
 // Guards against requests that fail although another target would have served them.
--- a/tests/broken_responses/response_forms.cpp
+++ b/tests/broken_responses/response_forms.cpp
@@ -14,11 +14,20 @@
 
 namespace {
 
+constexpr std::size_t kUploadBytes = 8 * 1024 * 1024;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 
 }  // namespace
 
+RawRequest largeUpload() {
+  RawRequest request;
+  request.path = kUploadPath;
+  request.method = "POST";
+  request.body_bytes = kUploadBytes;
+  return request;
+}
+
 ScriptMaker respondWith(const std::string& status_line, const std::string& rest, ScriptEnd end) {
   return [status_line, rest, end](const std::string& id) {
     return ResponseScript{{ReadBody{}, SendBytes{openResponseHead(status_line, id) + rest}}, end};
--- a/tests/broken_responses/response_forms.h
+++ b/tests/broken_responses/response_forms.h
@@ -16,6 +16,15 @@
   RawRequest request = {};
 };
 
+/// Of respondWith(), when the response is proper.
+inline const std::string kOkLine = "HTTP/1.1 200 OK";
+inline const std::string kServedBody = "served";
+/// The end of a head, with a length, and that body.
+inline const std::string kServedRest = "Content-Length: 6\r\n\r\nserved";
+
+/// @return an upload that no buffer holds: it is still written when an early response comes.
+RawRequest largeUpload();
+
 /// @return a script that reads the request and sends the status line, the request's id, a seal, and `rest`.
 ScriptMaker respondWith(const std::string& status_line, const std::string& rest,
                         rehearsal::ScriptEnd end = rehearsal::ScriptEnd::Keep);
